--- /dev/null
+++ b/Makefile
@@ -0,0 +1,73 @@
+# mimosawind: read from top to bottom.
+#
+#   make            the library, the daemons and the tool
+#   make demo       three availability zones on loopback, one job list
+#   make check      warnings as errors, scripted tests
+#   make lint       formatter, linters, and what the core may refer to
+
+CC = gcc
+BUILD = build
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 libprotobuf-c jansson \
+	zlib argtable2
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null)
+CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
+
+CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wmissing-prototypes \
+	-Wstrict-prototypes -Wshadow -fno-omit-frame-pointer
+INCLUDES = -Iinclude -Isource/core -Isource/wire -Isource/run \
+	-Isource/daemons -Isource/tools -Itests
+ifdef SANITIZE
+BUILD = build/sanitize
+CFLAGS += -fsanitize=address,undefined -fno-sanitize-recover=undefined
+endif
+
+CORE := $(wildcard source/core/*.c)
+WIRE := $(wildcard source/wire/*.c)
+RUN := $(wildcard source/run/*.c)
+TOOLS := $(wildcard source/tools/*.c)
+TESTS := $(wildcard tests/*.c)
+BENCH := $(wildcard tests/bench/*.c)
+
+object = $(patsubst %.c,$(BUILD)/%.o,$(1))
+CORE_OBJECTS := $(call object,$(CORE))
+LIBRARY_OBJECTS := $(call object,$(CORE) $(WIRE) $(RUN))
+DAEMON_OBJECT := $(call object,source/daemons/daemon.c)
+LIBRARY = $(BUILD)/libmimosawind.a
+PROGRAMS = $(BUILD)/mwentryd $(BUILD)/mwcontrold $(BUILD)/mw \
+	$(BUILD)/fake-endpoint
+
+all: $(PROGRAMS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CFLAGS) $(INCLUDES) $(PKG_CFLAGS) -MMD -c $< -o $@
+
+# generated code is committed; its warnings are its own
+$(BUILD)/source/wire/mimosawind.pb-c.o: CFLAGS += -Wno-missing-prototypes
+
+$(LIBRARY): $(LIBRARY_OBJECTS)
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/mwentryd: $(call object,source/daemons/mwentryd.c) \
+		$(DAEMON_OBJECT) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(BUILD)/mwcontrold: $(call object,source/daemons/mwcontrold.c) \
+		$(DAEMON_OBJECT) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(BUILD)/mw: $(call object,$(TOOLS)) $(DAEMON_OBJECT) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+$(BUILD)/fake-endpoint: $(call object,tests/fakes/fake-endpoint.c) \
+		$(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all clean
--- /dev/null
+++ b/include/mimosawind/entry.h
@@ -0,0 +1,150 @@
+#ifndef MIMOSAWIND_ENTRY_H
+#define MIMOSAWIND_ENTRY_H
+
+#include "mimosawind/message.h"
+
+/*
+ * entry: the state machine of an entry process.
+ *
+ * Keeps callers' open requests and nothing durable.  Finds the owner of
+ * each request, resends under the same identifier when a process or a
+ * connection is lost, and settles each request exactly once before its
+ * deadline.
+ *
+ * ROUTING
+ *   A request that needs a record goes to the zone that owns its
+ *   identifier, or to the zone that the owner names.  A check that may be
+ *   repeated goes to the own zone, and to another one while the own zone is
+ *   out, without a leader or too busy, within a budget of retries.
+ */
+
+#define MW_ENTRY_OPEN_MAX 65536
+#define MW_DEFAULT_DEADLINE_US 30000000
+#define MW_DEADLINE_MAX_US 3600000000
+#define MW_RESEND_US 1000000
+#define MW_RETRY_PERCENT 10
+#define MW_RETRY_BURST 100
+
+/* mw_reply: what a caller or an operator is told. */
+struct mw_reply {
+    int error;
+    enum mw_ran ran;
+    enum mw_job_state state;
+    struct mw_job_key key;
+    uint64_t job;
+    uint64_t version;
+    struct mw_name zone;
+    struct mw_blob *output;
+    struct mw_str detail;
+    bool is_change;
+};
+
+/*
+ * mw_entry_output: what the entry state machine asks of its owner.
+ *
+ * handle is what the owner passed in with the request.
+ */
+struct mw_entry_output {
+    void *opaque;
+    void (*send)(void *opaque, const struct mw_name *to, struct mw_msg *msg);
+    void (*send_all)(void *opaque, enum mw_process_role role,
+                     struct mw_msg *msg);
+    void (*reply)(void *opaque, uint64_t handle, const struct mw_reply *reply);
+    /* call: carry out an order at its endpoint, then mw_entry_called */
+    void (*call)(void *opaque, const struct mw_name *control,
+                 const struct mw_order *order);
+};
+
+struct mw_entry_setup {
+    struct mw_name name;
+    struct mw_name zone;
+    struct mw_entry_output output;
+};
+
+struct mw_entry_counters {
+    uint64_t requests;
+    uint64_t replies;
+    uint64_t refused;
+    uint64_t denied;
+    uint64_t resends;
+    uint64_t retries;
+    uint64_t retries_denied;
+    uint64_t late_answers;
+    uint64_t announces;
+    uint64_t orders;
+    uint64_t stale_orders;
+    uint64_t deadline;
+};
+
+struct mw_entry;
+
+struct mw_entry *mw_new_entry(const struct mw_entry_setup *setup);
+void mw_drop_entry(struct mw_entry *entry);
+
+/*
+ * mw_entry_submit, mw_entry_query: a caller's request.
+ *
+ * token_hash is the SHA-256 of the caller's token, empty for none.  Each
+ * call leads to exactly one reply for the handle.
+ */
+void mw_entry_submit(struct mw_context *ctx, struct mw_entry *entry,
+                     int64_t now_us, uint64_t handle, struct mw_str token_hash,
+                     const struct mw_job_spec *spec, struct mw_blob *body);
+void mw_entry_query(struct mw_context *ctx, struct mw_entry *entry,
+                    int64_t now_us, uint64_t handle, struct mw_str token_hash,
+                    const struct mw_job_key *key, bool cancel, bool until_done,
+                    int64_t deadline_us);
+
+/* mw_entry_change: an operator's request; takes its own reference. */
+void mw_entry_change(struct mw_context *ctx, struct mw_entry *entry,
+                     int64_t now_us, uint64_t handle,
+                     const struct mw_change *change);
+
+/* mw_entry_gone: the caller has closed its connection. */
+void mw_entry_gone(struct mw_entry *entry, uint64_t handle);
+
+/*
+ * mw_entry_announce: an endpoint's announcement.
+ *
+ * Returns 0, or MW_ERR_UNREACHABLE when no control process of the zone is
+ * heard, so that the endpoint does not take its lease for renewed.
+ */
+int mw_entry_announce(struct mw_context *ctx, struct mw_entry *entry,
+                      int64_t now_us, const struct mw_announce *announce);
+
+/* mw_entry_epoch: the highest scheduler epoch heard of in the own zone. */
+uint64_t mw_entry_epoch(const struct mw_entry *entry);
+
+/* mw_entry_called: the outcome of an order. */
+void mw_entry_called(struct mw_entry *entry, const struct mw_name *control,
+                     const struct mw_report *report);
+
+/* mw_entry_receive: a message from a connected control process. */
+void mw_entry_receive(struct mw_context *ctx, struct mw_entry *entry,
+                      int64_t now_us, const struct mw_name *from,
+                      struct mw_msg *msg);
+
+/* mw_entry_lost: the connection to a process is gone. */
+void mw_entry_lost(struct mw_context *ctx, struct mw_entry *entry,
+                   int64_t now_us, const struct mw_name *process);
+
+void mw_entry_tick(struct mw_context *ctx, struct mw_entry *entry,
+                   int64_t now_us);
+int64_t mw_entry_deadline(const struct mw_entry *entry);
+
+/* mw_entry_leave: take no new requests; mw_entry_open counts the rest. */
+void mw_entry_leave(struct mw_entry *entry);
+uint32_t mw_entry_open(const struct mw_entry *entry);
+bool mw_entry_ready(const struct mw_entry *entry, int64_t now_us);
+
+/* readers for dumps; all lent */
+const struct mw_entry_counters *
+mw_entry_counters_of(const struct mw_entry *entry);
+struct mw_document *mw_entry_document(const struct mw_entry *entry);
+void mw_entry_each_process(const struct mw_entry *entry, void *opaque,
+                           void (*each)(void *opaque,
+                                        const struct mw_name *name,
+                                        const struct mw_heartbeat *heartbeat,
+                                        int64_t heard_us));
+
+#endif
--- /dev/null
+++ b/include/mimosawind/message.h
@@ -0,0 +1,182 @@
+#ifndef MIMOSAWIND_MESSAGE_H
+#define MIMOSAWIND_MESSAGE_H
+
+#include "mimosawind/log.h"
+#include "mimosawind/zone.h"
+
+/*
+ * message: what the system's processes say to each other.
+ *
+ * Typed and free of any encoding; wire/ turns them into frames.  A message
+ * owns its blobs, documents and arrays and is shared by reference count.
+ * Times in messages are of the receiver's clock once decoded: a deadline
+ * crosses the wire as the time that is left.
+ */
+
+enum mw_msg_kind {
+    MW_MSG_HELLO = 1,
+    MW_MSG_HEARTBEAT = 2,
+    MW_MSG_LOG = 3,
+    MW_MSG_SUBMIT = 4,
+    MW_MSG_QUERY = 5,
+    MW_MSG_ANSWER = 6,
+    MW_MSG_ANNOUNCE = 7,
+    MW_MSG_ORDER = 8,
+    MW_MSG_REPORT = 9,
+    MW_MSG_CHANGE = 10,
+    MW_MSG_CHANGED = 11,
+    MW_MSG_DOCUMENT = 12,
+    MW_MSG_JUDGE = 13,
+    MW_MSG_JUDGED = 14,
+    MW_MSG_LOOK = 15,
+    MW_MSG_SEEN = 16,
+    MW_MSG_LAST = 17
+};
+
+enum mw_process_role {
+    MW_ROLE_ENTRY = 0,
+    MW_ROLE_CONTROL = 1
+};
+
+enum mw_group {
+    MW_GROUP_REGION = 0,
+    MW_GROUP_ZONE = 1,
+    MW_GROUPS = 2
+};
+
+/* mw_hello: first message on a connection, from both sides. */
+struct mw_hello {
+    enum mw_process_role role;
+    struct mw_name zone;
+    uint64_t incarnation;
+};
+
+/* mw_heartbeat: what a process is to the others, every heartbeat. */
+struct mw_heartbeat {
+    enum mw_process_role role;
+    struct mw_name zone;
+    bool leads_zone;
+    bool leads_region;
+    bool out;
+    bool leaving;
+    uint64_t epoch;
+    /* documents in force here, by environment; 0 for none */
+    uint64_t version[MW_ENVIRONMENTS];
+};
+
+struct mw_msg_log {
+    enum mw_group group;
+    struct mw_log_msg msg;
+};
+
+struct mw_submit {
+    uint64_t ref;
+    struct mw_job_spec spec;
+    struct mw_blob *body;
+};
+
+struct mw_query {
+    uint64_t ref;
+    struct mw_job_key key;
+    bool cancel;
+    bool until_done;
+};
+
+struct mw_msg_answer {
+    uint64_t ref;
+    struct mw_job_key key;
+    int error;
+    enum mw_ran ran;
+    enum mw_job_state state;
+    uint64_t job;
+    struct mw_name zone;
+    struct mw_blob *output;
+    struct mw_blob *detail;
+};
+
+enum mw_change_kind {
+    MW_CHANGE_TRY = 0,
+    MW_CHANGE_PROMOTE = 1,
+    MW_CHANGE_ZONE = 2
+};
+
+/* mw_change: what an operator asks for. */
+struct mw_change {
+    uint64_t ref;
+    enum mw_change_kind kind;
+    struct mw_name operator;
+    uint64_t version;
+    struct mw_document *document;
+    struct mw_name zone;
+    bool out;
+};
+
+struct mw_changed {
+    uint64_t ref;
+    int error;
+    uint64_t version;
+    struct mw_blob *detail;
+};
+
+struct mw_msg_document {
+    enum mw_environment environment;
+    struct mw_name operator;
+    struct mw_document *document;
+};
+
+/* mw_judge: do this zone's guarantees of the document fit its endpoints? */
+struct mw_judge {
+    uint64_t ref;
+    struct mw_document *document;
+};
+
+struct mw_judged {
+    uint64_t ref;
+    int error;
+    struct mw_name zone;
+    struct mw_blob *detail;
+};
+
+/* mw_look: ask a control process for its state dump, as JSON text. */
+struct mw_look {
+    uint64_t ref;
+    struct mw_name what;
+};
+
+struct mw_seen {
+    uint64_t ref;
+    struct mw_blob *text;
+};
+
+struct mw_msg {
+    int refs;
+    enum mw_msg_kind kind;
+    union {
+        struct mw_hello hello;
+        struct mw_heartbeat heartbeat;
+        struct mw_msg_log log;
+        struct mw_submit submit;
+        struct mw_query query;
+        struct mw_msg_answer answer;
+        struct mw_announce announce;
+        struct mw_order order;
+        struct mw_report report;
+        struct mw_change change;
+        struct mw_changed changed;
+        struct mw_msg_document document;
+        struct mw_judge judge;
+        struct mw_judged judged;
+        struct mw_look look;
+        struct mw_seen seen;
+    };
+};
+
+/* mw_new_msg: zeroed message of a kind with one reference. */
+struct mw_msg *mw_new_msg(enum mw_msg_kind kind);
+struct mw_msg *mw_keep_msg(struct mw_msg *msg);
+void mw_drop_msg(struct mw_msg *msg);
+
+/* mw_msg_word: word of a kind for dumps and scripts. */
+struct mw_str mw_msg_word(enum mw_msg_kind kind);
+
+#endif
--- /dev/null
+++ b/include/mimosawind/record.h
@@ -0,0 +1,100 @@
+#ifndef MIMOSAWIND_RECORD_H
+#define MIMOSAWIND_RECORD_H
+
+#include "mimosawind/document.h"
+
+/*
+ * record: one entry of a replicated log, also one entry of a snapshot.
+ *
+ * A snapshot is the list of records that builds the state from nothing, so
+ * there is one format for both.  Records are immutable and shared by
+ * reference count.
+ */
+
+enum mw_record_kind {
+    MW_RECORD_NOOP = 0,
+    /* a member counts from here on under this incarnation */
+    MW_RECORD_ADMIT = 1,
+    MW_RECORD_DOCUMENT = 2,
+    MW_RECORD_ZONE_STATE = 3,
+    MW_RECORD_ACCEPT = 4,
+    MW_RECORD_INTENT = 5,
+    MW_RECORD_RESULT = 6,
+    /* a request was refused or handed to another zone before it ran */
+    MW_RECORD_HANDOVER = 7,
+    MW_RECORD_FORGET = 8,
+    MW_RECORD_LAST = 9
+};
+
+struct mw_record_admit {
+    struct mw_name member;
+    uint64_t incarnation;
+};
+
+struct mw_record_document {
+    enum mw_environment environment;
+    struct mw_name operator;
+    struct mw_document *document;
+};
+
+/* sequence counts the zone's changes, so that a resend is recognised. */
+struct mw_record_zone_state {
+    bool out;
+    uint64_t sequence;
+    struct mw_name operator;
+};
+
+struct mw_record_accept {
+    uint64_t job;
+    struct mw_job_spec spec;
+    struct mw_blob *body;
+};
+
+struct mw_record_intent {
+    struct mw_attempt_id attempt;
+    uint32_t part_count;
+    struct mw_part *parts;
+};
+
+struct mw_record_result {
+    uint64_t job;
+    int error;
+    enum mw_ran ran;
+    struct mw_blob *output;
+};
+
+struct mw_record_handover {
+    struct mw_job_key key;
+    struct mw_name zone;
+};
+
+struct mw_record_forget {
+    uint64_t job;
+};
+
+struct mw_record {
+    int refs;
+    enum mw_record_kind kind;
+    union {
+        struct mw_record_admit admit;
+        struct mw_record_document document;
+        struct mw_record_zone_state zone_state;
+        struct mw_record_accept accept;
+        struct mw_record_intent intent;
+        struct mw_record_result result;
+        struct mw_record_handover handover;
+        struct mw_record_forget forget;
+    };
+};
+
+/* mw_new_record: zeroed record of a kind with one reference. */
+struct mw_record *mw_new_record(enum mw_record_kind kind);
+
+/* mw_keep_record, mw_drop_record: take or give back a reference. */
+struct mw_record *mw_keep_record(struct mw_record *record);
+void mw_drop_record(struct mw_record *record);
+
+/* mw_record_word: word of a kind for dumps and test scripts. */
+struct mw_str mw_record_word(enum mw_record_kind kind);
+
+#endif
--- /dev/null
+++ b/source/core/control-process.c
@@ -0,0 +1,70 @@
+/*
+ * control-process: what is known of the other processes.
+ */
+#include "control-impl.h"
+
+struct mw_process *
+mw_note_process(struct mw_control *control, int64_t now_us,
+                const struct mw_name *from,
+                const struct mw_heartbeat *heartbeat)
+{
+    struct mw_process *process = g_hash_table_lookup(control->processes, from);
+
+    if (!process) {
+        process = g_new0(struct mw_process, 1);
+        process->name = *from;
+        g_hash_table_insert(control->processes, &process->name, process);
+    }
+    process->heartbeat = *heartbeat;
+    process->heard_us = now_us;
+    return process;
+}
+
+struct mw_process *
+mw_zone_leader(const struct mw_control *control, int64_t now_us,
+               const struct mw_name *zone)
+{
+    struct mw_process *best = NULL;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, control->processes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_process *p = value;
+
+        if (!p->heartbeat.leads_zone ||
+            now_us - p->heard_us > MW_PEER_LOST_US ||
+            !mw_name_equal(&p->heartbeat.zone, zone)) {
+            continue;
+        }
+        if (!best || p->heartbeat.epoch > best->heartbeat.epoch) {
+            best = p;
+        }
+    }
+    return best;
+}
+
+void
+mw_send_heartbeats(struct mw_control *control, int64_t now_us)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_HEARTBEAT);
+    struct mw_heartbeat *beat = &msg->heartbeat;
+    struct mw_log_view view;
+
+    mw_log_look(control->log[MW_GROUP_ZONE], &view);
+    beat->role = MW_ROLE_CONTROL;
+    beat->zone = control->zone_name;
+    beat->leads_zone = mw_control_leads(control, MW_GROUP_ZONE, now_us);
+    beat->leads_region = mw_control_leads(control, MW_GROUP_REGION, now_us);
+    beat->out = mw_zone_is_out(control->zone);
+    beat->leaving = control->leaving;
+    beat->epoch = view.term;
+    beat->version[MW_PRODUCTION] = mw_zone_version(control->zone);
+    struct mw_document *trial = control->documents[MW_TRIAL].document;
+
+    beat->version[MW_TRIAL] = trial ? trial->version : 0;
+    control->output.send_all(control->output.opaque, MW_ROLE_CONTROL, msg);
+    control->output.send_all(control->output.opaque, MW_ROLE_ENTRY, msg);
+    mw_drop_msg(msg);
+    control->heartbeat_deadline_us = now_us + MW_HEARTBEAT_US * 2;
+}
--- /dev/null
+++ b/source/core/control.c
@@ -0,0 +1,559 @@
+/*
+ * control: events in, effects out.
+ */
+#include "control-impl.h"
+
+static void
+send_log(struct mw_control *control, enum mw_group group,
+         const struct mw_name *to, const struct mw_log_msg *log_msg)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_LOG);
+
+    msg->log.group = group;
+    mw_log_msg_copy(&msg->log.msg, log_msg);
+    control->output.send(control->output.opaque, to, msg);
+    mw_drop_msg(msg);
+}
+
+static void
+region_send(void *opaque, const struct mw_name *to,
+            const struct mw_log_msg *msg)
+{
+    send_log(opaque, MW_GROUP_REGION, to, msg);
+}
+
+static void
+zone_send(void *opaque, const struct mw_name *to, const struct mw_log_msg *msg)
+{
+    send_log(opaque, MW_GROUP_ZONE, to, msg);
+}
+
+static void
+region_store(void *opaque, const struct mw_store_item *item)
+{
+    struct mw_control *control = opaque;
+
+    control->output.store(control->output.opaque, MW_GROUP_REGION, item);
+}
+
+static void
+zone_store(void *opaque, const struct mw_store_item *item)
+{
+    struct mw_control *control = opaque;
+
+    control->output.store(control->output.opaque, MW_GROUP_ZONE, item);
+}
+
+static void
+region_apply(void *opaque, uint64_t index, struct mw_record *record)
+{
+    struct mw_control *control = opaque;
+
+    (void)index;
+    mw_region_apply(control, control->now_us, record);
+}
+
+static void
+zone_apply(void *opaque, uint64_t index, struct mw_record *record)
+{
+    struct mw_control *control = opaque;
+
+    (void)index;
+    mw_zone_apply(control->ctx, control->zone, control->now_us, record);
+    mw_change_applied(control, control->now_us, record);
+}
+
+static void
+region_reset(void *opaque)
+{
+    mw_region_reset(opaque);
+}
+
+static void
+zone_reset(void *opaque)
+{
+    struct mw_control *control = opaque;
+
+    mw_zone_reset(control->zone);
+    control->zone_sequence = 0;
+}
+
+static void
+region_collect(void *opaque, void *out,
+               void (*add)(void *out, struct mw_record *record))
+{
+    mw_region_collect(opaque, out, add);
+}
+
+static void
+zone_collect(void *opaque, void *out,
+             void (*add)(void *out, struct mw_record *record))
+{
+    struct mw_control *control = opaque;
+
+    mw_zone_collect(control->zone, out, add);
+}
+
+/* Callbacks of the scheduler. */
+
+static int
+propose(void *opaque, struct mw_record *record)
+{
+    struct mw_control *control = opaque;
+
+    return mw_log_propose(control->ctx, control->log[MW_GROUP_ZONE],
+                          control->now_us, record, NULL);
+}
+
+static bool
+may_record(void *opaque)
+{
+    struct mw_control *control = opaque;
+    struct mw_log_view view;
+
+    mw_log_look(control->log[MW_GROUP_ZONE], &view);
+    return view.disks >= 1 && view.voters >= 2;
+}
+
+static void
+order(void *opaque, const struct mw_order *order)
+{
+    struct mw_control *control = opaque;
+    struct mw_msg *msg = mw_new_msg(MW_MSG_ORDER);
+
+    msg->order = *order;
+    msg->order.body = mw_keep_blob(order->body);
+    control->output.send(control->output.opaque, &order->via, msg);
+    mw_drop_msg(msg);
+}
+
+static void
+answer(void *opaque, const struct mw_waiter *waiter,
+       const struct mw_answer *answer)
+{
+    struct mw_control *control = opaque;
+    struct mw_msg *msg = mw_new_msg(MW_MSG_ANSWER);
+
+    msg->answer.ref = waiter->ref;
+    msg->answer.key = waiter->key;
+    msg->answer.error = answer->error;
+    msg->answer.ran = answer->ran;
+    msg->answer.state = answer->state;
+    msg->answer.job = answer->job;
+    msg->answer.zone = answer->zone;
+    msg->answer.output = mw_keep_blob(answer->output);
+    msg->answer.detail = mw_new_blob(answer->detail);
+    control->output.send(control->output.opaque, &waiter->process, msg);
+    mw_drop_msg(msg);
+}
+
+static bool
+target(void *opaque, struct mw_name *zone)
+{
+    struct mw_control *control = opaque;
+    const struct mw_document *doc = mw_zone_document(control->zone);
+
+    for (uint32_t i = 0; doc && i < doc->zone_count; i++) {
+        /* start behind the own zone, so that zones share what is moved */
+        uint32_t at = (i + control->next_ref) % doc->zone_count;
+        const struct mw_name *name = &doc->zones[at].name;
+        const struct mw_process *leader =
+            mw_zone_leader(control, control->now_us, name);
+
+        if (leader && !leader->heartbeat.out &&
+            !mw_name_equal(name, &control->zone_name)) {
+            control->next_ref++;
+            *zone = *name;
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+deliver(void *opaque, const struct mw_name *zone,
+        const struct mw_job_spec *spec, struct mw_blob *body)
+{
+    struct mw_control *control = opaque;
+    const struct mw_process *leader =
+        mw_zone_leader(control, control->now_us, zone);
+
+    if (!leader) {
+        return;
+    }
+    struct mw_msg *msg = mw_new_msg(MW_MSG_SUBMIT);
+
+    msg->submit.ref = control->next_ref++;
+    msg->submit.spec = *spec;
+    msg->submit.spec.wait = false;
+    msg->submit.body = mw_keep_blob(body);
+    control->output.send(control->output.opaque, &leader->name, msg);
+    mw_drop_msg(msg);
+}
+
+static struct mw_log *
+new_log(const struct mw_control_setup *setup, struct mw_control *control,
+        enum mw_group group)
+{
+    static const struct mw_log_output outputs[MW_GROUPS] = {
+        {NULL, region_send, region_store, region_apply, region_reset,
+         region_collect},
+        {NULL, zone_send, zone_store, zone_apply, zone_reset, zone_collect},
+    };
+    struct mw_log_setup log = {
+        .group = mw_name_of(group == MW_GROUP_REGION ? MW_STR("region")
+                                                     : MW_STR("zone")),
+        .self = setup->name,
+        .member_count = setup->member_count[group],
+        .incarnation = setup->incarnation[group],
+        .compact_after = setup->compact_after,
+        .seed = setup->seed + group,
+        .now_us = setup->now_us,
+        .output = outputs[group],
+    };
+
+    for (uint32_t i = 0; i < log.member_count; i++) {
+        log.members[i] = setup->members[group][i];
+    }
+    log.output.opaque = control;
+    return mw_new_log(&log);
+}
+
+struct mw_control *
+mw_new_control(const struct mw_control_setup *setup)
+{
+    struct mw_control *control = g_new0(struct mw_control, 1);
+    struct mw_zone_output output = {control, propose, may_record, order,
+                                    answer,  target,  deliver};
+
+    control->name = setup->name;
+    control->zone_name = setup->zone;
+    control->output = setup->output;
+    control->now_us = setup->now_us;
+    control->next_ref = 1;
+    control->processes =
+        g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
+    control->changes = g_ptr_array_new_with_free_func(mw_free_change);
+    control->zone = mw_new_zone(&setup->zone, &output);
+    for (int group = 0; group < MW_GROUPS; group++) {
+        if (setup->member_count[group] > 0) {
+            control->log[group] =
+                new_log(setup, control, (enum mw_group)group);
+        }
+    }
+    return control;
+}
+
+void
+mw_drop_control(struct mw_control *control)
+{
+    if (!control) {
+        return;
+    }
+    mw_region_reset(control);
+    g_ptr_array_unref(control->changes);
+    g_hash_table_unref(control->processes);
+    mw_drop_zone(control->zone);
+    for (int group = 0; group < MW_GROUPS; group++) {
+        mw_drop_log(control->log[group]);
+    }
+    g_free(control);
+}
+
+static void
+enter(struct mw_control *control, struct mw_context *ctx, int64_t now_us)
+{
+    control->ctx = ctx;
+    control->now_us = now_us;
+}
+
+int
+mw_control_restore(struct mw_context *ctx, struct mw_control *control,
+                   enum mw_group group, const struct mw_store_item *item)
+{
+    enter(control, ctx, control->now_us);
+    if (!control->log[group]) {
+        return 0;
+    }
+    return mw_log_restore(ctx, control->log[group], item);
+}
+
+bool
+mw_control_leads(const struct mw_control *control, enum mw_group group,
+                 int64_t now_us)
+{
+    return control->log[group] && mw_log_leads(control->log[group], now_us);
+}
+
+static void
+judge(struct mw_context *ctx, struct mw_control *control, int64_t now_us,
+      const struct mw_name *from, const struct mw_judge *judge)
+{
+    struct mw_msg *msg;
+
+    if (!mw_control_leads(control, MW_GROUP_ZONE, now_us) ||
+        !mw_find_zone_entry(judge->document, &control->zone_name)) {
+        return;
+    }
+    control->counters.judged++;
+    msg = mw_new_msg(MW_MSG_JUDGED);
+    msg->judged.ref = judge->ref;
+    msg->judged.zone = control->zone_name;
+    msg->judged.error = mw_zone_judge(ctx, control->zone, judge->document);
+    msg->judged.detail = mw_new_blob(
+        msg->judged.error ? mw_detail(ctx)
+                          : MW_STR("guarantees fit; not there while it is "
+                                   "out"));
+    control->output.send(control->output.opaque, from, msg);
+    mw_drop_msg(msg);
+}
+
+static struct mw_waiter
+waiter_of(const struct mw_name *from, uint64_t ref,
+          const struct mw_job_key *key, bool until_done)
+{
+    return (struct mw_waiter){
+        .process = *from, .ref = ref, .key = *key, .until_done = until_done};
+}
+
+/* Answers come here only for what was handed to another zone. */
+static void
+delivered(struct mw_context *ctx, struct mw_control *control, int64_t now_us,
+          const struct mw_msg_answer *answer)
+{
+    bool refused = answer->error && answer->ran == MW_NOT_RUN &&
+                   answer->error != MW_ERR_NOT_LEADER;
+
+    if (answer->error == MW_ERR_NOT_LEADER) {
+        return;
+    }
+    mw_zone_delivered(ctx, control->zone, now_us, &answer->key, !refused);
+}
+
+static void
+receive_zone_msg(struct mw_context *ctx, struct mw_control *control,
+                 int64_t now_us, const struct mw_name *from,
+                 struct mw_msg *msg)
+{
+    struct mw_waiter waiter;
+
+    switch (msg->kind) {
+    case MW_MSG_SUBMIT:
+        waiter = waiter_of(from, msg->submit.ref, &msg->submit.spec.key,
+                           msg->submit.spec.wait);
+        mw_zone_submit(ctx, control->zone, now_us, &msg->submit.spec,
+                       msg->submit.body, &waiter);
+        break;
+    case MW_MSG_QUERY:
+        waiter = waiter_of(from, msg->query.ref, &msg->query.key,
+                           msg->query.until_done);
+        if (msg->query.cancel) {
+            mw_zone_cancel(ctx, control->zone, now_us, &msg->query.key,
+                           &waiter);
+        }
+        else {
+            mw_zone_query(ctx, control->zone, now_us, &msg->query.key,
+                          &waiter);
+        }
+        break;
+    case MW_MSG_ANSWER:
+        delivered(ctx, control, now_us, &msg->answer);
+        break;
+    case MW_MSG_ANNOUNCE:
+        msg->announce.via = *from;
+        mw_zone_announce(ctx, control->zone, now_us, &msg->announce);
+        break;
+    case MW_MSG_REPORT:
+        mw_zone_report(ctx, control->zone, now_us, &msg->report);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+follow_leads(struct mw_context *ctx, struct mw_control *control,
+             int64_t now_us)
+{
+    struct mw_log_view view;
+    bool leads = mw_control_leads(control, MW_GROUP_ZONE, now_us);
+    bool region = mw_control_leads(control, MW_GROUP_REGION, now_us);
+
+    mw_log_look(control->log[MW_GROUP_ZONE], &view);
+    if (leads != control->leads_zone) {
+        control->leads_zone = leads;
+        control->heartbeat_deadline_us = now_us;
+        if (!leads) {
+            mw_change_lead_lost(control, MW_GROUP_ZONE);
+        }
+    }
+    if (region != control->leads_region) {
+        control->leads_region = region;
+        control->heartbeat_deadline_us = now_us;
+        if (!region) {
+            mw_change_lead_lost(control, MW_GROUP_REGION);
+        }
+    }
+    mw_zone_lead(ctx, control->zone, now_us, leads, view.term);
+}
+
+static void
+settle(struct mw_context *ctx, struct mw_control *control, int64_t now_us)
+{
+    for (int group = 0; group < MW_GROUPS; group++) {
+        struct mw_log *log = control->log[group];
+
+        if (log && now_us >= mw_log_deadline(log)) {
+            mw_log_tick(ctx, log, now_us);
+        }
+    }
+    follow_leads(ctx, control, now_us);
+    if (control->leads_zone) {
+        mw_feed_zone(ctx, control, now_us);
+    }
+    mw_zone_tick(ctx, control->zone, now_us);
+    if (control->changes->len > 0) {
+        mw_change_tick(ctx, control, now_us);
+    }
+    if (now_us >= control->heartbeat_deadline_us) {
+        mw_send_heartbeats(control, now_us);
+    }
+    for (int group = 0; group < MW_GROUPS; group++) {
+        struct mw_log *log = control->log[group];
+
+        if (log && mw_log_deadline(log) == 0) {
+            mw_log_flush(log, now_us);
+        }
+    }
+}
+
+void
+mw_control_receive(struct mw_context *ctx, struct mw_control *control,
+                   int64_t now_us, const struct mw_name *from,
+                   struct mw_msg *msg)
+{
+    struct mw_log *log;
+
+    enter(control, ctx, now_us);
+    control->counters.messages++;
+    follow_leads(ctx, control, now_us);
+    switch (msg->kind) {
+    case MW_MSG_HEARTBEAT:
+        mw_offer_documents(
+            control, mw_note_process(control, now_us, from, &msg->heartbeat));
+        break;
+    case MW_MSG_LOG:
+        log = msg->log.group < MW_GROUPS ? control->log[msg->log.group] : NULL;
+        if (log) {
+            mw_log_receive(ctx, log, now_us, from, &msg->log.msg);
+        }
+        break;
+    case MW_MSG_CHANGE:
+        mw_change_receive(ctx, control, now_us, from, msg);
+        break;
+    case MW_MSG_JUDGE:
+        judge(ctx, control, now_us, from, &msg->judge);
+        break;
+    case MW_MSG_JUDGED:
+        mw_change_judged(ctx, control, now_us, &msg->judged);
+        break;
+    case MW_MSG_DOCUMENT:
+        mw_take_document(control, now_us, &msg->document);
+        break;
+    default:
+        receive_zone_msg(ctx, control, now_us, from, msg);
+        break;
+    }
+    settle(ctx, control, now_us);
+}
+
+void
+mw_control_synced(struct mw_context *ctx, struct mw_control *control,
+                  int64_t now_us, enum mw_group group, uint64_t sequence)
+{
+    enter(control, ctx, now_us);
+    mw_log_synced(ctx, control->log[group], now_us, sequence);
+    settle(ctx, control, now_us);
+}
+
+void
+mw_control_tick(struct mw_context *ctx, struct mw_control *control,
+                int64_t now_us)
+{
+    enter(control, ctx, now_us);
+    settle(ctx, control, now_us);
+}
+
+int64_t
+mw_control_deadline(const struct mw_control *control)
+{
+    int64_t deadline =
+        MIN(control->heartbeat_deadline_us, mw_zone_deadline(control->zone));
+
+    for (int group = 0; group < MW_GROUPS; group++) {
+        if (control->log[group]) {
+            deadline = MIN(deadline, mw_log_deadline(control->log[group]));
+        }
+    }
+    return deadline;
+}
+
+void
+mw_control_leave(struct mw_context *ctx, struct mw_control *control,
+                 int64_t now_us)
+{
+    enter(control, ctx, now_us);
+    control->leaving = true;
+    for (int group = 0; group < MW_GROUPS; group++) {
+        if (control->log[group]) {
+            mw_log_hand_over(control->log[group], now_us);
+        }
+    }
+    settle(ctx, control, now_us);
+}
+
+bool
+mw_control_may_exit(const struct mw_control *control)
+{
+    for (int group = 0; group < MW_GROUPS; group++) {
+        struct mw_log_view view;
+
+        if (!control->log[group]) {
+            continue;
+        }
+        mw_log_look(control->log[group], &view);
+        if (view.role == MW_LEADER && view.voters > 1) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const struct mw_zone *
+mw_control_zone(const struct mw_control *control)
+{
+    return control->zone;
+}
+
+void
+mw_control_look_log(const struct mw_control *control, enum mw_group group,
+                    struct mw_log_view *view)
+{
+    *view = (struct mw_log_view){0};
+    if (control->log[group]) {
+        mw_log_look(control->log[group], view);
+    }
+}
+
+const struct mw_control_counters *
+mw_control_counters_of(const struct mw_control *control)
+{
+    return &control->counters;
+}
+
+struct mw_document *
+mw_control_document(const struct mw_control *control,
+                    enum mw_environment environment)
+{
+    return control->documents[environment].document;
+}
--- /dev/null
+++ b/source/core/entry-route.c
@@ -0,0 +1,128 @@
+/*
+ * entry-route: which control process a request goes to.
+ */
+#include "entry-impl.h"
+
+struct mw_known *
+mw_entry_leader(const struct mw_entry *entry, int64_t now_us,
+                const struct mw_name *zone)
+{
+    struct mw_known *best = NULL;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->known);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_known *k = value;
+
+        if (!k->connected || !k->heartbeat.leads_zone ||
+            now_us - k->heard_us > 2000000 ||
+            !mw_name_equal(&k->heartbeat.zone, zone)) {
+            continue;
+        }
+        if (!best || k->heartbeat.epoch > best->heartbeat.epoch) {
+            best = k;
+        }
+    }
+    return best;
+}
+
+struct mw_known *
+mw_entry_region_leader(const struct mw_entry *entry, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->known);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_known *k = value;
+
+        if (k->connected && k->heartbeat.leads_region &&
+            now_us - k->heard_us <= 2000000) {
+            return k;
+        }
+    }
+    return NULL;
+}
+
+const struct mw_job_key *
+mw_request_key(const struct mw_request *request)
+{
+    return request->kind == MW_REQUEST_SUBMIT ? &request->msg->submit.spec.key
+                                              : &request->msg->query.key;
+}
+
+bool
+mw_request_is_recorded(const struct mw_request *request)
+{
+    if (request->kind != MW_REQUEST_SUBMIT) {
+        return true;
+    }
+    return mw_spec_is_recorded(&request->msg->submit.spec);
+}
+
+static void
+owner_zone(const struct mw_entry *entry, const struct mw_request *request,
+           struct mw_name *zone)
+{
+    const struct mw_document *doc = entry->document;
+    struct mw_name names[MW_ZONES_MAX];
+
+    for (uint32_t i = 0; i < doc->zone_count; i++) {
+        names[i] = doc->zones[i].name;
+    }
+    int owner = mw_owner_of(mw_request_key(request), names, doc->zone_count);
+
+    *zone = names[MAX(owner, 0)];
+}
+
+/* The own zone first, then the others, starting behind the last tried. */
+static struct mw_known *
+any_zone(struct mw_entry *entry, int64_t now_us,
+         const struct mw_request *request, struct mw_name *zone)
+{
+    const struct mw_document *doc = entry->document;
+    struct mw_known *own = mw_entry_leader(entry, now_us, &entry->zone);
+
+    *zone = entry->zone;
+    if (own && !own->heartbeat.out && request->tries == 0) {
+        return own;
+    }
+    for (uint32_t i = 0; i < doc->zone_count; i++) {
+        uint32_t at = (i + request->tries + request->ref) % doc->zone_count;
+        struct mw_known *k =
+            mw_entry_leader(entry, now_us, &doc->zones[at].name);
+
+        if (k && !k->heartbeat.out && !mw_name_equal(&k->name, &request->at)) {
+            *zone = doc->zones[at].name;
+            return k;
+        }
+    }
+    return own && !own->heartbeat.out ? own : NULL;
+}
+
+struct mw_known *
+mw_entry_route(struct mw_entry *entry, int64_t now_us,
+               const struct mw_request *request, struct mw_name *zone)
+{
+    *zone = (struct mw_name){0};
+    if (request->kind == MW_REQUEST_CHANGE) {
+        if (request->msg->change.kind == MW_CHANGE_ZONE) {
+            *zone = request->msg->change.zone;
+            return mw_entry_leader(entry, now_us, zone);
+        }
+        return mw_entry_region_leader(entry, now_us);
+    }
+    if (!entry->document) {
+        return NULL;
+    }
+    if (request->zone.len > 0) {
+        *zone = request->zone;
+        return mw_entry_leader(entry, now_us, zone);
+    }
+    if (!mw_request_is_recorded(request)) {
+        return any_zone(entry, now_us, request, zone);
+    }
+    owner_zone(entry, request, zone);
+    return mw_entry_leader(entry, now_us, zone);
+}
--- /dev/null
+++ b/source/core/entry.c
@@ -0,0 +1,696 @@
+/*
+ * entry: open requests, their resends and their one answer.
+ */
+#include "entry-impl.h"
+
+#define TICK_US 50000
+
+static void
+free_request(void *data)
+{
+    struct mw_request *request = data;
+
+    mw_drop_msg(request->msg);
+    g_free(request);
+}
+
+struct mw_entry *
+mw_new_entry(const struct mw_entry_setup *setup)
+{
+    struct mw_entry *entry = g_new0(struct mw_entry, 1);
+
+    entry->name = setup->name;
+    entry->zone = setup->zone;
+    entry->output = setup->output;
+    entry->next_ref = 1;
+    entry->retry_credit = MW_RETRY_BURST * 100;
+    entry->known =
+        g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
+    entry->requests =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
+    entry->by_handle = g_hash_table_new(g_int64_hash, g_int64_equal);
+    return entry;
+}
+
+void
+mw_drop_entry(struct mw_entry *entry)
+{
+    if (!entry) {
+        return;
+    }
+    g_hash_table_unref(entry->by_handle);
+    g_hash_table_unref(entry->requests);
+    g_hash_table_unref(entry->known);
+    mw_drop_document(entry->document);
+    g_free(entry);
+}
+
+static void
+reply_now(struct mw_entry *entry, uint64_t handle, int error, enum mw_ran ran,
+          struct mw_str detail)
+{
+    struct mw_reply reply = {.error = error,
+                             .ran = ran,
+                             .state = MW_JOB_DONE,
+                             .zone = entry->zone,
+                             .detail = detail};
+
+    entry->counters.refused++;
+    entry->output.reply(entry->output.opaque, handle, &reply);
+}
+
+static void
+end_request(struct mw_entry *entry, struct mw_request *request)
+{
+    g_hash_table_remove(entry->by_handle, &request->handle);
+    g_hash_table_remove(entry->requests, &request->ref);
+}
+
+static void
+settle(struct mw_entry *entry, struct mw_request *request,
+       struct mw_reply *reply)
+{
+    entry->counters.replies++;
+    reply->is_change = request->kind == MW_REQUEST_CHANGE;
+    if (!reply->is_change) {
+        reply->key = *mw_request_key(request);
+    }
+    if (reply->error && request->may_have_run && reply->ran == MW_NOT_RUN) {
+        reply->ran = MW_MAY_HAVE_RUN;
+    }
+    entry->output.reply(entry->output.opaque, request->handle, reply);
+    end_request(entry, request);
+}
+
+static void
+set_ref(struct mw_request *request)
+{
+    struct mw_msg *msg = request->msg;
+
+    switch (request->kind) {
+    case MW_REQUEST_SUBMIT:
+        msg->submit.ref = request->ref;
+        break;
+    case MW_REQUEST_QUERY:
+        msg->query.ref = request->ref;
+        break;
+    default:
+        msg->change.ref = request->ref;
+        break;
+    }
+}
+
+static void
+send_request(struct mw_entry *entry, int64_t now_us,
+             struct mw_request *request)
+{
+    struct mw_name zone;
+    struct mw_known *known = mw_entry_route(entry, now_us, request, &zone);
+
+    request->resend_deadline_us = now_us + MW_RESEND_US;
+    if (!known) {
+        request->at = (struct mw_name){0};
+        return;
+    }
+    if (request->sent) {
+        entry->counters.resends++;
+    }
+    request->at = known->name;
+    request->sent = true;
+    entry->output.send(entry->output.opaque, &known->name, request->msg);
+}
+
+static struct mw_request *
+open_request(struct mw_entry *entry, uint64_t handle,
+             enum mw_request_kind kind, struct mw_msg *msg,
+             int64_t deadline_us)
+{
+    struct mw_request *request = g_new0(struct mw_request, 1);
+
+    request->ref = entry->next_ref++;
+    request->handle = handle;
+    request->kind = kind;
+    request->msg = msg;
+    request->deadline_us = deadline_us;
+    set_ref(request);
+    g_hash_table_insert(entry->requests, &request->ref, request);
+    g_hash_table_insert(entry->by_handle, &request->handle, request);
+    return request;
+}
+
+/* Refuses what must not go further; returns 0 to go on. */
+static int
+admit(struct mw_context *ctx, struct mw_entry *entry)
+{
+    entry->counters.requests++;
+    ctx->detail_len = 0;
+    if (entry->leaving) {
+        return MW_ERR_LEAVING;
+    }
+    if (g_hash_table_size(entry->requests) >= MW_ENTRY_OPEN_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED, "%d requests are open",
+                       MW_ENTRY_OPEN_MAX);
+    }
+    return 0;
+}
+
+static int
+authorise(struct mw_context *ctx, struct mw_entry *entry,
+          struct mw_str token_hash, const struct mw_name *name)
+{
+    const struct mw_org *org = mw_find_org(entry->document, name);
+
+    if (!entry->document) {
+        return mw_fail(ctx, MW_ERR_UNREACHABLE,
+                       "no document is in force here yet");
+    }
+    if (org && mw_str_equal(mw_name_str(&org->token_sha256), token_hash)) {
+        return 0;
+    }
+    entry->counters.denied++;
+    return mw_fail(ctx, MW_ERR_DENIED, "organisation %.*s",
+                   MW_FMT(mw_name_str(name)));
+}
+
+void
+mw_entry_submit(struct mw_context *ctx, struct mw_entry *entry, int64_t now_us,
+                uint64_t handle, struct mw_str token_hash,
+                const struct mw_job_spec *spec, struct mw_blob *body)
+{
+    int err = admit(ctx, entry);
+
+    if (!err) {
+        err = mw_check_spec(ctx, spec);
+    }
+    if (!err) {
+        err = authorise(ctx, entry, token_hash, &spec->key.org);
+    }
+    if (err) {
+        reply_now(entry, handle, err, MW_NOT_RUN, mw_detail(ctx));
+        return;
+    }
+    struct mw_msg *msg = mw_new_msg(MW_MSG_SUBMIT);
+
+    msg->submit.spec = *spec;
+    if (!spec->wait) {
+        /* the answer "accepted" is waited for; the job has no deadline */
+        msg->submit.spec.deadline_us = 0;
+    }
+    msg->submit.body = mw_keep_blob(body);
+    entry->retry_credit =
+        MIN(entry->retry_credit + MW_RETRY_PERCENT, MW_RETRY_BURST * 100);
+    send_request(entry, now_us,
+                 open_request(entry, handle, MW_REQUEST_SUBMIT, msg,
+                              spec->deadline_us));
+}
+
+void
+mw_entry_query(struct mw_context *ctx, struct mw_entry *entry, int64_t now_us,
+               uint64_t handle, struct mw_str token_hash,
+               const struct mw_job_key *key, bool cancel, bool until_done,
+               int64_t deadline_us)
+{
+    int err = admit(ctx, entry);
+
+    if (!err) {
+        err = authorise(ctx, entry, token_hash, &key->org);
+    }
+    if (err) {
+        reply_now(entry, handle, err, MW_MAY_HAVE_RUN, mw_detail(ctx));
+        return;
+    }
+    struct mw_msg *msg = mw_new_msg(MW_MSG_QUERY);
+
+    msg->query.key = *key;
+    msg->query.cancel = cancel;
+    msg->query.until_done = until_done;
+    struct mw_request *request =
+        open_request(entry, handle, MW_REQUEST_QUERY, msg, deadline_us);
+
+    request->may_have_run = true;
+    send_request(entry, now_us, request);
+}
+
+void
+mw_entry_change(struct mw_context *ctx, struct mw_entry *entry, int64_t now_us,
+                uint64_t handle, const struct mw_change *change)
+{
+    int err = admit(ctx, entry);
+
+    if (err) {
+        reply_now(entry, handle, err, MW_NOT_RUN, mw_detail(ctx));
+        return;
+    }
+    struct mw_msg *msg = mw_new_msg(MW_MSG_CHANGE);
+
+    msg->change = *change;
+    msg->change.document = mw_keep_document(change->document);
+    send_request(
+        entry, now_us,
+        open_request(entry, handle, MW_REQUEST_CHANGE, msg, now_us + 5000000));
+}
+
+void
+mw_entry_gone(struct mw_entry *entry, uint64_t handle)
+{
+    struct mw_request *request =
+        g_hash_table_lookup(entry->by_handle, &handle);
+
+    if (request) {
+        end_request(entry, request);
+    }
+}
+
+/* Whether an answer calls for another try rather than a reply. */
+static bool
+is_passing(const struct mw_request *request,
+           const struct mw_msg_answer *answer)
+{
+    if (answer->error == MW_ERR_NOT_LEADER) {
+        return true;
+    }
+    if (answer->error == MW_ERR_NOT_OWNER) {
+        return true;
+    }
+    return !mw_request_is_recorded(request) &&
+           (answer->error == MW_ERR_OUT ||
+            answer->error == MW_ERR_OVERLOADED ||
+            answer->error == MW_ERR_NO_CAPACITY);
+}
+
+static bool
+spend_retry(struct mw_entry *entry)
+{
+    if (entry->retry_credit < 100) {
+        entry->counters.retries_denied++;
+        return false;
+    }
+    entry->retry_credit -= 100;
+    entry->counters.retries++;
+    return true;
+}
+
+/* Another try, at once where the answer names another place. */
+static void
+try_again(struct mw_entry *entry, int64_t now_us, struct mw_request *request,
+          const struct mw_msg_answer *answer)
+{
+    request->tries++;
+    if (answer->error == MW_ERR_NOT_OWNER) {
+        request->zone = answer->zone;
+    }
+    if (answer->error == MW_ERR_NOT_LEADER) {
+        request->at = (struct mw_name){0};
+        request->resend_deadline_us = now_us + MW_HEARTBEAT_US;
+        return;
+    }
+    send_request(entry, now_us, request);
+}
+
+static void
+on_answer(struct mw_entry *entry, int64_t now_us, const struct mw_name *from,
+          const struct mw_msg_answer *answer)
+{
+    struct mw_request *request =
+        g_hash_table_lookup(entry->requests, &answer->ref);
+
+    if (!request || request->kind == MW_REQUEST_CHANGE ||
+        !mw_name_equal(&request->at, from)) {
+        entry->counters.late_answers++;
+        return;
+    }
+    if (is_passing(request, answer) && spend_retry(entry)) {
+        request->may_have_run |= answer->ran != MW_NOT_RUN;
+        try_again(entry, now_us, request, answer);
+        return;
+    }
+    struct mw_reply reply = {
+        .error = answer->error,
+        .ran = answer->ran,
+        .state = answer->state,
+        .job = answer->job,
+        .zone = answer->zone,
+        .output = answer->output,
+        .detail = mw_blob_str(answer->detail),
+    };
+
+    settle(entry, request, &reply);
+}
+
+static void
+on_changed(struct mw_entry *entry, int64_t now_us,
+           const struct mw_changed *changed)
+{
+    struct mw_request *request =
+        g_hash_table_lookup(entry->requests, &changed->ref);
+
+    if (!request || request->kind != MW_REQUEST_CHANGE) {
+        entry->counters.late_answers++;
+        return;
+    }
+    if (changed->error == MW_ERR_NOT_LEADER) {
+        request->at = (struct mw_name){0};
+        request->resend_deadline_us = now_us + MW_HEARTBEAT_US;
+        return;
+    }
+    struct mw_reply reply = {
+        .error = changed->error,
+        .version = changed->version,
+        .zone = entry->zone,
+        .detail = mw_blob_str(changed->detail),
+    };
+
+    settle(entry, request, &reply);
+}
+
+static void
+on_order(struct mw_entry *entry, const struct mw_name *from,
+         const struct mw_order *order)
+{
+    bool fresh = order->attempt.epoch >= entry->epoch ||
+                 order->kind == MW_ORDER_FORGET ||
+                 order->kind == MW_ORDER_STOP;
+
+    entry->counters.orders++;
+    if (fresh) {
+        entry->output.call(entry->output.opaque, from, order);
+        return;
+    }
+    struct mw_report report = {.outcome = MW_OUTCOME_REFUSED,
+                               .attempt = order->attempt,
+                               .endpoint = order->endpoint};
+
+    entry->counters.stale_orders++;
+    mw_entry_called(entry, from, &report);
+}
+
+void
+mw_entry_called(struct mw_entry *entry, const struct mw_name *control,
+                const struct mw_report *report)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_REPORT);
+
+    msg->report = *report;
+    msg->report.output = mw_keep_blob(report->output);
+    entry->output.send(entry->output.opaque, control, msg);
+    mw_drop_msg(msg);
+}
+
+static void
+resend_waiting(struct mw_entry *entry, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_request *request = value;
+
+        if (request->at.len == 0) {
+            send_request(entry, now_us, request);
+        }
+    }
+}
+
+static void
+on_heartbeat(struct mw_entry *entry, int64_t now_us,
+             const struct mw_name *from, const struct mw_heartbeat *beat)
+{
+    struct mw_known *known = g_hash_table_lookup(entry->known, from);
+
+    if (!known) {
+        known = g_new0(struct mw_known, 1);
+        known->name = *from;
+        g_hash_table_insert(entry->known, &known->name, known);
+    }
+    bool news = !known->connected ||
+                known->heartbeat.leads_zone != beat->leads_zone ||
+                known->heartbeat.leads_region != beat->leads_region ||
+                known->heartbeat.out != beat->out;
+
+    known->heartbeat = *beat;
+    known->heard_us = now_us;
+    known->connected = true;
+    if (beat->leads_zone && mw_name_equal(&beat->zone, &entry->zone)) {
+        entry->epoch = MAX(entry->epoch, beat->epoch);
+    }
+    if (news) {
+        resend_waiting(entry, now_us);
+    }
+}
+
+static void
+on_document(struct mw_entry *entry, int64_t now_us,
+            const struct mw_msg_document *news)
+{
+    bool newer =
+        !entry->document || news->document->version > entry->document->version;
+
+    if (news->environment == MW_PRODUCTION && newer) {
+        mw_drop_document(entry->document);
+        entry->document = mw_keep_document(news->document);
+        entry->heartbeat_deadline_us = now_us;
+        resend_waiting(entry, now_us);
+    }
+}
+
+void
+mw_entry_receive(struct mw_context *ctx, struct mw_entry *entry,
+                 int64_t now_us, const struct mw_name *from,
+                 struct mw_msg *msg)
+{
+    (void)ctx;
+    switch (msg->kind) {
+    case MW_MSG_HEARTBEAT:
+        on_heartbeat(entry, now_us, from, &msg->heartbeat);
+        break;
+    case MW_MSG_DOCUMENT:
+        on_document(entry, now_us, &msg->document);
+        break;
+    case MW_MSG_ANSWER:
+        on_answer(entry, now_us, from, &msg->answer);
+        break;
+    case MW_MSG_CHANGED:
+        on_changed(entry, now_us, &msg->changed);
+        break;
+    case MW_MSG_ORDER:
+        on_order(entry, from, &msg->order);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+mw_entry_lost(struct mw_context *ctx, struct mw_entry *entry, int64_t now_us,
+              const struct mw_name *process)
+{
+    struct mw_known *known = g_hash_table_lookup(entry->known, process);
+    GHashTableIter iter;
+    gpointer value;
+
+    (void)ctx;
+    if (known) {
+        known->connected = false;
+    }
+    g_hash_table_iter_init(&iter, entry->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_request *request = value;
+
+        if (!mw_name_equal(&request->at, process)) {
+            continue;
+        }
+        request->at = (struct mw_name){0};
+        request->may_have_run = true;
+        request->tries++;
+        request->resend_deadline_us = now_us;
+    }
+    entry->tick_deadline_us = now_us;
+}
+
+static void
+give_up(struct mw_entry *entry, struct mw_request *request)
+{
+    struct mw_reply reply = {.error = MW_ERR_DEADLINE, .zone = entry->zone};
+    struct mw_name zone;
+    char text[160];
+
+    mw_entry_route(entry, 0, request, &zone);
+    if (request->kind == MW_REQUEST_CHANGE) {
+        bool names_zone = request->msg->change.kind == MW_CHANGE_ZONE;
+
+        reply.error = names_zone ? MW_ERR_PENDING : MW_ERR_NO_QUORUM;
+    }
+    else if (!request->sent) {
+        reply.error = MW_ERR_UNREACHABLE;
+    }
+    /* an earlier send of the same identifier may have gone elsewhere */
+    bool earlier = mw_request_is_recorded(request) || request->sent;
+
+    reply.ran = earlier ? MW_MAY_HAVE_RUN : MW_NOT_RUN;
+    reply.zone = zone.len ? zone : entry->zone;
+    const struct mw_zone_entry *at =
+        mw_find_zone_entry(entry->document, &zone);
+    int len = g_snprintf(text, sizeof text, "%s; ask zone %.*s%s%.*s",
+                         request->sent ? "no answer in time"
+                                       : "this entry VM did not pass it on",
+                         MW_FMT(mw_name_str(&reply.zone)),
+                         at && at->entry.len ? " at " : "",
+                         at ? (int)at->entry.len : 0, at ? at->entry.ptr : "");
+
+    reply.detail = (struct mw_str){text, (size_t)len};
+    entry->counters.deadline++;
+    settle(entry, request, &reply);
+}
+
+static void
+tick_requests(struct mw_entry *entry, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    GPtrArray *late = g_ptr_array_new();
+
+    g_hash_table_iter_init(&iter, entry->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_request *request = value;
+
+        if (now_us >= request->deadline_us) {
+            g_ptr_array_add(late, request);
+        }
+        else if (request->at.len == 0 &&
+                 now_us >= request->resend_deadline_us) {
+            send_request(entry, now_us, request);
+        }
+    }
+    for (guint i = 0; i < late->len; i++) {
+        give_up(entry, late->pdata[i]);
+    }
+    g_ptr_array_unref(late);
+}
+
+static void
+send_heartbeat(struct mw_entry *entry, int64_t now_us)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_HEARTBEAT);
+
+    msg->heartbeat.role = MW_ROLE_ENTRY;
+    msg->heartbeat.zone = entry->zone;
+    msg->heartbeat.leaving = entry->leaving;
+    msg->heartbeat.version[MW_PRODUCTION] =
+        entry->document ? entry->document->version : 0;
+    entry->output.send_all(entry->output.opaque, MW_ROLE_CONTROL, msg);
+    mw_drop_msg(msg);
+    entry->heartbeat_deadline_us = now_us + 2 * MW_HEARTBEAT_US;
+}
+
+void
+mw_entry_tick(struct mw_context *ctx, struct mw_entry *entry, int64_t now_us)
+{
+    (void)ctx;
+    if (now_us >= entry->tick_deadline_us) {
+        entry->tick_deadline_us = now_us + TICK_US;
+        tick_requests(entry, now_us);
+    }
+    if (now_us >= entry->heartbeat_deadline_us) {
+        send_heartbeat(entry, now_us);
+    }
+}
+
+int64_t
+mw_entry_deadline(const struct mw_entry *entry)
+{
+    if (g_hash_table_size(entry->requests) == 0) {
+        return entry->heartbeat_deadline_us;
+    }
+    return MIN(entry->tick_deadline_us, entry->heartbeat_deadline_us);
+}
+
+int
+mw_entry_announce(struct mw_context *ctx, struct mw_entry *entry,
+                  int64_t now_us, const struct mw_announce *announce)
+{
+    GHashTableIter iter;
+    gpointer value;
+    bool heard = false;
+
+    entry->counters.announces++;
+    g_hash_table_iter_init(&iter, entry->known);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_known *k = value;
+
+        if (!k->connected || now_us - k->heard_us > 2000000 ||
+            !mw_name_equal(&k->heartbeat.zone, &entry->zone)) {
+            continue;
+        }
+        struct mw_msg *msg = mw_new_msg(MW_MSG_ANNOUNCE);
+
+        msg->announce = *announce;
+        msg->announce.via = entry->name;
+        msg->announce.listed =
+            g_memdup2(announce->listed,
+                      announce->listed_count * sizeof *announce->listed);
+        entry->output.send(entry->output.opaque, &k->name, msg);
+        mw_drop_msg(msg);
+        heard = heard || k->heartbeat.leads_zone;
+    }
+    if (!heard) {
+        return mw_fail(ctx, MW_ERR_UNREACHABLE,
+                       "no scheduler of zone %.*s is heard",
+                       MW_FMT(mw_name_str(&entry->zone)));
+    }
+    return 0;
+}
+
+uint64_t
+mw_entry_epoch(const struct mw_entry *entry)
+{
+    return entry->epoch;
+}
+
+void
+mw_entry_leave(struct mw_entry *entry)
+{
+    entry->leaving = true;
+}
+
+uint32_t
+mw_entry_open(const struct mw_entry *entry)
+{
+    return g_hash_table_size(entry->requests);
+}
+
+bool
+mw_entry_ready(const struct mw_entry *entry, int64_t now_us)
+{
+    return !entry->leaving && entry->document &&
+           mw_entry_leader(entry, now_us, &entry->zone) != NULL;
+}
+
+const struct mw_entry_counters *
+mw_entry_counters_of(const struct mw_entry *entry)
+{
+    return &entry->counters;
+}
+
+struct mw_document *
+mw_entry_document(const struct mw_entry *entry)
+{
+    return entry->document;
+}
+
+void
+mw_entry_each_process(const struct mw_entry *entry, void *opaque,
+                      void (*each)(void *opaque, const struct mw_name *name,
+                                   const struct mw_heartbeat *heartbeat,
+                                   int64_t heard_us))
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->known);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_known *k = value;
+
+        each(opaque, &k->name, &k->heartbeat, k->heard_us);
+    }
+}
--- /dev/null
+++ b/source/core/job.c
@@ -0,0 +1,208 @@
+#include "mimosawind/job.h"
+
+#include <glib.h>
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+bool
+mw_amount_fits(const struct mw_amount *need, const struct mw_amount *room)
+{
+    return need->accelerators <= room->accelerators &&
+           need->slots <= room->slots &&
+           need->processors <= room->processors &&
+           need->memory_mb <= room->memory_mb;
+}
+
+void
+mw_amount_add(struct mw_amount *sum, const struct mw_amount *amount,
+              uint32_t n)
+{
+    sum->accelerators += n * amount->accelerators;
+    sum->slots += n * amount->slots;
+    sum->processors += n * amount->processors;
+    sum->memory_mb += n * amount->memory_mb;
+}
+
+void
+mw_amount_sub(struct mw_amount *sum, const struct mw_amount *amount,
+              uint32_t n)
+{
+    sum->accelerators -= n * amount->accelerators;
+    sum->slots -= n * amount->slots;
+    sum->processors -= n * amount->processors;
+    sum->memory_mb -= n * amount->memory_mb;
+}
+
+static uint32_t
+less(uint32_t a, uint32_t b)
+{
+    return a > b ? a - b : 0;
+}
+
+struct mw_amount
+mw_amount_less(const struct mw_amount *a, const struct mw_amount *b)
+{
+    return (struct mw_amount){
+        .accelerators = less(a->accelerators, b->accelerators),
+        .slots = less(a->slots, b->slots),
+        .processors = less(a->processors, b->processors),
+        .memory_mb = less(a->memory_mb, b->memory_mb),
+    };
+}
+
+static uint32_t
+times(uint32_t need, uint32_t room, uint32_t most)
+{
+    return need == 0 ? most : MIN(most, room / need);
+}
+
+uint32_t
+mw_amount_times(const struct mw_amount *need, const struct mw_amount *room)
+{
+    uint32_t n = MW_TASKS_MAX;
+
+    n = times(need->accelerators, room->accelerators, n);
+    n = times(need->slots, room->slots, n);
+    n = times(need->processors, room->processors, n);
+    return times(need->memory_mb, room->memory_mb, n);
+}
+
+int
+mw_check_shape(struct mw_context *ctx, const struct mw_shape *shape)
+{
+    if (shape->tasks < 1 || shape->tasks > MW_TASKS_MAX) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE, "tasks: %u is not in 1..%d",
+                       shape->tasks, MW_TASKS_MAX);
+    }
+    if (shape->need.accelerators > MW_ACCELERATORS_MAX) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
+                       "accelerators: %u is not in 0..%d",
+                       shape->need.accelerators, MW_ACCELERATORS_MAX);
+    }
+    if (shape->need.processors > MW_PROCESSORS_MAX) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
+                       "processors: %u is not in 0..%d",
+                       shape->need.processors, MW_PROCESSORS_MAX);
+    }
+    if (shape->need.memory_mb > MW_MEMORY_MB_MAX) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
+                       "memory_mb: %u is not in 0..%d", shape->need.memory_mb,
+                       MW_MEMORY_MB_MAX);
+    }
+    if (shape->need.slots != 1) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE, "slots: a task takes one");
+    }
+    if ((unsigned)shape->adjacent > MW_ADJACENT_ENDPOINT) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
+                       "adjacent: one of zone, rack, endpoint");
+    }
+    return 0;
+}
+
+int
+mw_check_spec(struct mw_context *ctx, const struct mw_job_spec *spec)
+{
+    if (!mw_name_valid(&spec->key.org)) {
+        return mw_fail(ctx, MW_ERR_INVALID,
+                       "organisation: give letters, digits, . _ - :");
+    }
+    if (!mw_name_valid(&spec->key.request)) {
+        return mw_fail(ctx, MW_ERR_INVALID,
+                       "request: give letters, digits, . _ - :");
+    }
+    if (spec->class.len > 0 && !mw_name_valid(&spec->class)) {
+        return mw_fail(ctx, MW_ERR_INVALID,
+                       "class: give letters, digits, . _ - :");
+    }
+    if ((unsigned)spec->priority >= MW_PRIORITIES) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
+                       "priority: one of urgent, normal, batch");
+    }
+    return mw_check_shape(ctx, &spec->shape);
+}
+
+bool
+mw_spec_is_recorded(const struct mw_job_spec *spec)
+{
+    return !spec->idempotent || !spec->wait;
+}
+
+bool
+mw_spec_may_stop(const struct mw_job_spec *spec)
+{
+    if (!spec->idempotent) {
+        return false;
+    }
+    return spec->checkpoint || spec->priority == MW_URGENT;
+}
+
+bool
+mw_attempt_equal(const struct mw_attempt_id *a, const struct mw_attempt_id *b)
+{
+    return a->job == b->job && a->epoch == b->epoch &&
+           a->number == b->number && mw_name_equal(&a->zone, &b->zone);
+}
+
+unsigned int
+mw_hash_key(const void *key)
+{
+    const struct mw_job_key *k = key;
+
+    return mw_hash_name(&k->org) * 31 + mw_hash_name(&k->request);
+}
+
+int
+mw_same_key(const void *a, const void *b)
+{
+    const struct mw_job_key *x = a;
+    const struct mw_job_key *y = b;
+
+    return mw_name_equal(&x->org, &y->org) &&
+           mw_name_equal(&x->request, &y->request);
+}
+
+static int
+named_owner(const struct mw_name *request, const struct mw_name *zones,
+            size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        size_t len = zones[i].len;
+
+        if (request->len > len && request->ptr[len] == ':' &&
+            memcmp(request->ptr, zones[i].ptr, len) == 0) {
+            return (int)i;
+        }
+    }
+    return MW_ERR_MISSING;
+}
+
+static uint64_t
+score(const struct mw_job_key *key, const struct mw_name *zone)
+{
+    uint64_t seed = XXH3_64bits(zone->ptr, zone->len);
+
+    seed = XXH3_64bits_withSeed(key->org.ptr, key->org.len, seed);
+    return XXH3_64bits_withSeed(key->request.ptr, key->request.len, seed);
+}
+
+int
+mw_owner_of(const struct mw_job_key *key, const struct mw_name *zones,
+            size_t count)
+{
+    int best = named_owner(&key->request, zones, count);
+    uint64_t best_score = 0;
+
+    if (best >= 0) {
+        return best;
+    }
+    for (size_t i = 0; i < count; i++) {
+        uint64_t s = score(key, &zones[i]);
+
+        if (best < 0 || s > best_score) {
+            best = (int)i;
+            best_score = s;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/source/core/log-admit.c
@@ -0,0 +1,81 @@
+/*
+ * log-admit: changes of the configuration, one at a time.
+ */
+#include "log-impl.h"
+
+static void
+propose_member(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+               const struct mw_log_peer *peer, uint64_t incarnation)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_ADMIT);
+
+    record->admit.member = peer->name;
+    record->admit.incarnation = incarnation;
+    mw_log_append_entry(log, log->term, record);
+    mw_drop_record(record);
+    log->flush_due = true;
+    mw_log_flush(log, now_us);
+    mw_note(ctx, MW_PRIORITY_NOTICE, "event=%s group=%.*s member=%.*s",
+            incarnation ? "admit" : "remove", MW_FMT(mw_name_str(&log->group)),
+            MW_FMT(mw_name_str(&peer->name)));
+}
+
+static bool
+is_caught_up(const struct mw_log *log, const struct mw_log_peer *peer,
+             int64_t now_us)
+{
+    return peer->match >= mw_log_last(log) &&
+           now_us - peer->acked_sent_us <= MW_LEASE_US;
+}
+
+void
+mw_log_admit_next(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        struct mw_log_peer *peer = &log->peers[i];
+
+        if (log->pending_index || !mw_log_lease_live(log, now_us)) {
+            return;
+        }
+        if (i == log->self || peer->incarnation == 0 ||
+            log->config[i] == peer->incarnation ||
+            !is_caught_up(log, peer, now_us)) {
+            continue;
+        }
+        log->counters.admitted++;
+        propose_member(ctx, log, now_us, peer, peer->incarnation);
+    }
+}
+
+static bool
+has_diskless_member(const struct mw_log *log)
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (!log->peers[i].disk) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+mw_log_remove_silent(struct mw_context *ctx, struct mw_log *log,
+                     int64_t now_us)
+{
+    if (!has_diskless_member(log) || log->pending_index ||
+        !mw_log_lease_live(log, now_us)) {
+        return;
+    }
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        struct mw_log_peer *peer = &log->peers[i];
+        int64_t heard_us = MAX(peer->acked_sent_us, log->led_since_us);
+
+        if (i == log->self || log->config[i] == 0 ||
+            now_us - heard_us < MW_SILENT_US) {
+            continue;
+        }
+        log->counters.removed++;
+        propose_member(ctx, log, now_us, peer, 0);
+        return;
+    }
+}
--- /dev/null
+++ b/source/core/log-compact.c
@@ -0,0 +1,185 @@
+/*
+ * log-compact: snapshots, taken and handed over in bounded pieces.
+ */
+#include <string.h>
+
+#include "log-impl.h"
+
+static void
+add_record(void *out, struct mw_record *record)
+{
+    g_ptr_array_add(out, mw_keep_record(record));
+}
+
+void
+mw_log_compact(struct mw_log *log)
+{
+    GPtrArray *records =
+        g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
+    uint64_t term = mw_log_term_at(log, log->applied);
+
+    log->output.collect(log->output.opaque, records, add_record);
+    memcpy(log->base_config, log->config, sizeof log->base_config);
+    g_array_remove_range(log->entries, 0,
+                         (guint)(log->applied - log->base_index));
+    log->base_index = log->applied;
+    log->base_term = term;
+    g_ptr_array_unref(log->base_records);
+    log->base_records = records;
+    log->counters.snapshots_taken++;
+    mw_log_store_base(log);
+    mw_log_store_meta(log);
+    for (guint i = 0; i < log->entries->len; i++) {
+        mw_log_store_entry(log, log->base_index + 1 + i);
+    }
+}
+
+void
+mw_log_apply_base(struct mw_log *log)
+{
+    log->output.reset(log->output.opaque);
+    for (guint i = 0; i < log->base_records->len; i++) {
+        log->output.apply(log->output.opaque, log->base_index,
+                          log->base_records->pdata[i]);
+    }
+    log->commit = log->base_index;
+    log->applied = log->base_index;
+    memcpy(log->config, log->base_config, sizeof log->config);
+    mw_log_note_config(log);
+}
+
+static void
+begin_snapshot(struct mw_log *log, struct mw_log_peer *peer)
+{
+    peer->snapshot = g_ptr_array_ref(log->base_records);
+    peer->snapshot_index = log->base_index;
+    peer->snapshot_term = log->base_term;
+    memcpy(peer->snapshot_config, log->base_config,
+           sizeof peer->snapshot_config);
+    peer->snapshot_offset = 0;
+    log->counters.snapshots_sent++;
+}
+
+void
+mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned i)
+{
+    struct mw_log_peer *peer = &log->peers[i];
+
+    if (peer->snapshot && peer->snapshot_index < log->base_index) {
+        g_clear_pointer(&peer->snapshot, g_ptr_array_unref);
+    }
+    if (!peer->snapshot) {
+        begin_snapshot(log, peer);
+    }
+    struct mw_log_entry pieces[MW_LOG_PIECE_RECORDS];
+    uint64_t left = peer->snapshot->len - peer->snapshot_offset;
+    struct mw_log_msg msg = {
+        .kind = MW_LOG_SNAPSHOT,
+        .index = peer->snapshot_index,
+        .log_term = peer->snapshot_term,
+        .commit = log->commit,
+        .offset = peer->snapshot_offset,
+        .total = peer->snapshot->len,
+        .sent_us = now_us,
+        .entry_count = (uint32_t)MIN(left, MW_LOG_PIECE_RECORDS),
+        .entries = pieces,
+    };
+
+    memcpy(msg.config, peer->snapshot_config, sizeof msg.config);
+    for (uint32_t n = 0; n < msg.entry_count; n++) {
+        pieces[n].term = peer->snapshot_term;
+        pieces[n].record = peer->snapshot->pdata[peer->snapshot_offset + n];
+    }
+    mw_log_send(log, &peer->name, &msg);
+}
+
+static void
+reply_snapshot(struct mw_log *log, const struct mw_log_peer *peer,
+               const struct mw_log_msg *msg, uint64_t offset, bool done)
+{
+    struct mw_log_msg reply = {
+        .kind = MW_LOG_SNAPSHOT_REPLY,
+        .index = msg->index,
+        .offset = offset,
+        .ok = done,
+        .sent_us = msg->sent_us,
+    };
+
+    mw_log_send_held(log, &peer->name, &reply);
+}
+
+static void
+install(struct mw_log *log, const struct mw_log_msg *msg)
+{
+    g_array_set_size(log->entries, 0);
+    log->base_index = msg->index;
+    log->base_term = msg->log_term;
+    memcpy(log->base_config, msg->config, sizeof log->base_config);
+    g_ptr_array_unref(log->base_records);
+    log->base_records = g_steal_pointer(&log->incoming);
+    log->synced_index = 0;
+    log->counters.snapshots_received++;
+    mw_log_apply_base(log);
+    mw_log_store_base(log);
+    mw_log_store_meta(log);
+}
+
+void
+mw_log_on_snapshot(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+                   struct mw_log_peer *peer, const struct mw_log_msg *msg)
+{
+    if (msg->term < log->term) {
+        return;
+    }
+    mw_log_follow(ctx, log, now_us, msg->term);
+    log->leader = peer->name;
+    log->leader_heard_us = now_us;
+    if (msg->index <= log->commit) {
+        reply_snapshot(log, peer, msg, msg->total, true);
+        return;
+    }
+    if (msg->offset == 0 || log->incoming_index != msg->index) {
+        g_clear_pointer(&log->incoming, g_ptr_array_unref);
+        log->incoming =
+            g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
+        log->incoming_index = msg->index;
+    }
+    if (!log->incoming || msg->offset != log->incoming->len) {
+        reply_snapshot(log, peer, msg, log->incoming ? log->incoming->len : 0,
+                       false);
+        return;
+    }
+    for (uint32_t i = 0; i < msg->entry_count; i++) {
+        g_ptr_array_add(log->incoming, mw_keep_record(msg->entries[i].record));
+    }
+    uint64_t got = log->incoming->len;
+
+    if (got >= msg->total) {
+        install(log, msg);
+        reply_snapshot(log, peer, msg, got, true);
+        return;
+    }
+    reply_snapshot(log, peer, msg, got, false);
+}
+
+void
+mw_log_on_snapshot_reply(struct mw_context *ctx, struct mw_log *log,
+                         int64_t now_us, struct mw_log_peer *peer,
+                         const struct mw_log_msg *msg)
+{
+    if (log->role != MW_LEADER || msg->term != log->term) {
+        return;
+    }
+    peer->acked_sent_us = MAX(peer->acked_sent_us, msg->sent_us);
+    peer->resend_deadline_us = now_us + MW_LEASE_US;
+    if (msg->ok) {
+        g_clear_pointer(&peer->snapshot, g_ptr_array_unref);
+        peer->match = MAX(peer->match, msg->index);
+        peer->next = MAX(peer->next, peer->match + 1);
+        mw_log_advance(ctx, log, now_us);
+    }
+    else if (peer->snapshot && msg->index == peer->snapshot_index) {
+        peer->snapshot_offset = MIN(msg->offset, peer->snapshot->len);
+    }
+    mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
+}
--- /dev/null
+++ b/source/core/log-elect.c
@@ -0,0 +1,219 @@
+/*
+ * log-elect: pre-vote, vote, and the deadlines that start them.
+ */
+#include "log-impl.h"
+
+void
+mw_log_arm_election(struct mw_log *log, int64_t now_us)
+{
+    int64_t spread = g_rand_int_range(log->rand, 0, (gint32)MW_ELECTION_US);
+
+    log->election_deadline_us = now_us + MW_ELECTION_US + spread;
+    if (log->peer_count == 1) {
+        log->election_deadline_us = now_us;
+    }
+}
+
+static void
+set_role(struct mw_context *ctx, struct mw_log *log, enum mw_role role)
+{
+    if (log->role == role) {
+        return;
+    }
+    if (log->role == MW_LEADER || role == MW_LEADER) {
+        mw_note(ctx, MW_PRIORITY_NOTICE,
+                "event=role group=%.*s role=%.*s "
+                "term=%" G_GUINT64_FORMAT,
+                MW_FMT(mw_name_str(&log->group)), MW_FMT(mw_role_word(role)),
+                log->term);
+    }
+    log->role = role;
+}
+
+void
+mw_log_follow(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+              uint64_t term)
+{
+    if (term > log->term) {
+        log->term = term;
+        log->vote = (struct mw_name){0};
+        log->leader = (struct mw_name){0};
+        mw_log_store_meta(log);
+    }
+    log->lease_live = false;
+    log->handing_over = false;
+    set_role(ctx, log, MW_FOLLOWER);
+    mw_log_arm_election(log, now_us);
+}
+
+static uint32_t
+voted_mask(const struct mw_log *log)
+{
+    uint32_t mask = 1u << log->self;
+
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (log->peers[i].voted) {
+            mask |= 1u << i;
+        }
+    }
+    return mask;
+}
+
+static void
+ask_for_votes(struct mw_log *log, enum mw_log_msg_kind kind, bool authorised)
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        struct mw_log_msg msg = {
+            .kind = kind,
+            .index = mw_log_last(log),
+            .log_term = mw_log_term_at(log, mw_log_last(log)),
+            .ok = authorised,
+        };
+
+        log->peers[i].voted = false;
+        if (i == log->self) {
+            continue;
+        }
+        if (kind == MW_LOG_VOTE) {
+            mw_log_send_held(log, &log->peers[i].name, &msg);
+        }
+        else {
+            mw_log_send(log, &log->peers[i].name, &msg);
+        }
+    }
+}
+
+static void
+lead(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_NOOP);
+
+    log->counters.terms_won++;
+    set_role(ctx, log, MW_LEADER);
+    log->leader = log->peers[log->self].name;
+    log->led_since_us = now_us;
+    log->lease_live = true;
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        struct mw_log_peer *peer = &log->peers[i];
+
+        peer->match = 0;
+        peer->next = mw_log_last(log) + 1;
+        /* the vote itself shows that the peer heard this term */
+        peer->acked_sent_us = peer->voted ? now_us : now_us - MW_LEASE_US;
+        peer->resend_deadline_us = now_us;
+        g_clear_pointer(&peer->snapshot, g_ptr_array_unref);
+    }
+    log->term_start = mw_log_append_entry(log, log->term, record);
+    mw_drop_record(record);
+    log->heartbeat_deadline_us = now_us;
+    mw_log_flush(log, now_us);
+    mw_log_advance(ctx, log, now_us);
+}
+
+void
+mw_log_start_vote(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
+{
+    bool authorised = log->handing_over;
+
+    log->counters.elections++;
+    mw_log_follow(ctx, log, now_us, log->term + 1);
+    set_role(ctx, log, MW_CANDIDATE);
+    log->vote = log->peers[log->self].name;
+    mw_log_store_meta(log);
+    ask_for_votes(log, MW_LOG_VOTE, authorised);
+    if (mw_log_quorum(log, voted_mask(log))) {
+        lead(ctx, log, now_us);
+    }
+}
+
+void
+mw_log_start_prevote(struct mw_context *ctx, struct mw_log *log,
+                     int64_t now_us)
+{
+    mw_log_arm_election(log, now_us);
+    if (!mw_log_is_admitted(log) || now_us < log->quiet_deadline_us) {
+        return;
+    }
+    set_role(ctx, log, MW_PRE_CANDIDATE);
+    ask_for_votes(log, MW_LOG_PREVOTE, false);
+    if (mw_log_quorum(log, voted_mask(log))) {
+        mw_log_start_vote(ctx, log, now_us);
+    }
+}
+
+static bool
+is_up_to_date(const struct mw_log *log, const struct mw_log_msg *msg)
+{
+    uint64_t last_term = mw_log_term_at(log, mw_log_last(log));
+
+    if (msg->log_term != last_term) {
+        return msg->log_term > last_term;
+    }
+    return msg->index >= mw_log_last(log);
+}
+
+/* A member that may have promised a lease does not help to break it. */
+static bool
+is_bound(const struct mw_log *log, int64_t now_us)
+{
+    if (log->role == MW_LEADER) {
+        return mw_log_lease_live(log, now_us);
+    }
+    return now_us < log->quiet_deadline_us ||
+           (log->leader_heard_us > 0 &&
+            now_us - log->leader_heard_us < MW_ELECTION_US);
+}
+
+void
+mw_log_on_vote(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+               struct mw_log_peer *peer, const struct mw_log_msg *msg)
+{
+    struct mw_log_msg reply = {.index = msg->term};
+
+    if (is_bound(log, now_us) && !msg->ok) {
+        return;
+    }
+    if (msg->kind == MW_LOG_PREVOTE) {
+        reply.kind = MW_LOG_PREVOTE_REPLY;
+        reply.ok = msg->term >= log->term && is_up_to_date(log, msg);
+        mw_log_send(log, &peer->name, &reply);
+        return;
+    }
+    if (msg->term > log->term) {
+        mw_log_follow(ctx, log, now_us, msg->term);
+    }
+    bool free = log->vote.len == 0 || mw_name_equal(&log->vote, &peer->name);
+
+    reply.kind = MW_LOG_VOTE_REPLY;
+    reply.ok = msg->term == log->term && free && is_up_to_date(log, msg);
+    if (reply.ok && log->vote.len == 0) {
+        log->vote = peer->name;
+        mw_log_store_meta(log);
+        mw_log_arm_election(log, now_us);
+    }
+    mw_log_send_held(log, &peer->name, &reply);
+}
+
+void
+mw_log_on_vote_reply(struct mw_context *ctx, struct mw_log *log,
+                     int64_t now_us, struct mw_log_peer *peer,
+                     const struct mw_log_msg *msg)
+{
+    bool wanted = msg->kind == MW_LOG_PREVOTE_REPLY
+                      ? log->role == MW_PRE_CANDIDATE
+                      : log->role == MW_CANDIDATE && msg->term == log->term;
+
+    if (!wanted || !msg->ok || msg->index != log->term) {
+        return;
+    }
+    peer->voted = true;
+    if (!mw_log_quorum(log, voted_mask(log))) {
+        return;
+    }
+    if (msg->kind == MW_LOG_PREVOTE_REPLY) {
+        mw_log_start_vote(ctx, log, now_us);
+    }
+    else {
+        lead(ctx, log, now_us);
+    }
+}
--- /dev/null
+++ b/source/core/log-impl.h
@@ -0,0 +1,182 @@
+#ifndef MW_CORE_LOG_IMPL_H
+#define MW_CORE_LOG_IMPL_H
+
+#include <glib.h>
+
+#include "mimosawind/log.h"
+
+/* mw_log_held: a message that waits for the disk. */
+struct mw_log_held {
+    uint64_t sequence;
+    struct mw_name to;
+    struct mw_log_msg msg;
+};
+
+/* mw_log_peer: what is known of one member of the group. */
+struct mw_log_peer {
+    struct mw_name name;
+    bool disk;
+    uint64_t incarnation;
+    bool voted;
+    uint64_t match;
+    uint64_t next;
+    uint64_t snapshot_offset;
+    /* records of the snapshot being sent; NULL when none is */
+    GPtrArray *snapshot;
+    uint64_t snapshot_index;
+    uint64_t snapshot_term;
+    uint64_t snapshot_config[MW_MEMBERS_MAX];
+    int64_t acked_sent_us;
+    int64_t resend_deadline_us;
+};
+
+struct mw_log {
+    struct mw_name group;
+    struct mw_log_output output;
+    uint32_t compact_after;
+    GRand *rand;
+    unsigned self;
+    unsigned peer_count;
+    struct mw_log_peer peers[MW_MEMBERS_MAX];
+    uint64_t incarnation;
+
+    uint64_t term;
+    struct mw_name vote;
+    enum mw_role role;
+    struct mw_name leader;
+
+    /* entries[i] has index base_index + 1 + i */
+    GArray *entries;
+    uint64_t base_index;
+    uint64_t base_term;
+    uint64_t base_config[MW_MEMBERS_MAX];
+    GPtrArray *base_records;
+    uint64_t commit;
+    uint64_t applied;
+    uint64_t term_start;
+
+    /* configuration committed, and the one pending at pending_index */
+    uint64_t config[MW_MEMBERS_MAX];
+    uint64_t pending[MW_MEMBERS_MAX];
+    uint64_t pending_index;
+
+    uint64_t store_sequence;
+    uint64_t synced_sequence;
+    uint64_t synced_index;
+    GQueue held;
+    GQueue unsynced;
+
+    /* snapshot being received */
+    GPtrArray *incoming;
+    uint64_t incoming_index;
+
+    int64_t election_deadline_us;
+    int64_t heartbeat_deadline_us;
+    int64_t quiet_deadline_us;
+    int64_t leader_heard_us;
+    int64_t led_since_us;
+    bool handing_over;
+    bool restoring;
+    bool flush_due;
+    bool lease_live;
+    struct mw_log_counters counters;
+};
+
+/* mw_log_last: index of the last entry. */
+uint64_t mw_log_last(const struct mw_log *log);
+
+/* mw_log_term_at: term of an entry, 0 when it is not held. */
+uint64_t mw_log_term_at(const struct mw_log *log, uint64_t index);
+
+/* mw_log_entry_at: entry by index; it must be held. */
+struct mw_log_entry *mw_log_entry_at(const struct mw_log *log, uint64_t index);
+
+/* mw_log_find_peer: member by name, NULL for a stranger. */
+struct mw_log_peer *mw_log_find_peer(struct mw_log *log,
+                                     const struct mw_name *name);
+
+/* mw_log_is_voter: whether a peer counts in a configuration. */
+bool mw_log_is_voter(const struct mw_log *log, const uint64_t *config,
+                     unsigned peer);
+
+/* mw_log_quorum: whether the peers in the mask can elect or keep a lead. */
+bool mw_log_quorum(const struct mw_log *log, uint32_t mask);
+
+/* mw_log_may_commit: whether entries held by the mask are committed. */
+bool mw_log_may_commit(const struct mw_log *log, uint32_t mask);
+
+/* mw_log_is_admitted: whether this member itself counts. */
+bool mw_log_is_admitted(const struct mw_log *log);
+
+/* mw_log_note_config: follow ADMIT records in the entries held. */
+void mw_log_note_config(struct mw_log *log);
+
+/* mw_log_store_meta, mw_log_store_entry, mw_log_store_base: persist. */
+void mw_log_store_meta(struct mw_log *log);
+void mw_log_store_entry(struct mw_log *log, uint64_t index);
+void mw_log_store_base(struct mw_log *log);
+
+/* mw_log_append_entry: add at the end; takes its own reference. */
+uint64_t mw_log_append_entry(struct mw_log *log, uint64_t term,
+                             struct mw_record *record);
+
+/* mw_log_truncate: drop entries from index on. */
+void mw_log_truncate(struct mw_log *log, uint64_t index);
+
+/* mw_log_send_held: send once everything stored so far is synced. */
+void mw_log_send_held(struct mw_log *log, const struct mw_name *to,
+                      const struct mw_log_msg *msg);
+
+/* mw_log_send: send now, filling term and incarnation. */
+void mw_log_send(struct mw_log *log, const struct mw_name *to,
+                 struct mw_log_msg *msg);
+
+/* mw_log_follow: become a follower of a term. */
+void mw_log_follow(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+                   uint64_t term);
+
+/* mw_log_arm_election: choose the next election deadline. */
+void mw_log_arm_election(struct mw_log *log, int64_t now_us);
+
+/* election messages and timers */
+void mw_log_start_prevote(struct mw_context *ctx, struct mw_log *log,
+                          int64_t now_us);
+void mw_log_start_vote(struct mw_context *ctx, struct mw_log *log,
+                       int64_t now_us);
+void mw_log_on_vote(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+                    struct mw_log_peer *peer, const struct mw_log_msg *msg);
+void mw_log_on_vote_reply(struct mw_context *ctx, struct mw_log *log,
+                          int64_t now_us, struct mw_log_peer *peer,
+                          const struct mw_log_msg *msg);
+
+/* replication */
+void mw_log_replicate(struct mw_log *log, int64_t now_us, unsigned peer);
+void mw_log_on_append(struct mw_context *ctx, struct mw_log *log,
+                      int64_t now_us, struct mw_log_peer *peer,
+                      const struct mw_log_msg *msg);
+void mw_log_on_append_reply(struct mw_context *ctx, struct mw_log *log,
+                            int64_t now_us, struct mw_log_peer *peer,
+                            const struct mw_log_msg *msg);
+void mw_log_advance(struct mw_context *ctx, struct mw_log *log,
+                    int64_t now_us);
+void mw_log_apply_to(struct mw_log *log, uint64_t commit);
+bool mw_log_lease_live(const struct mw_log *log, int64_t now_us);
+
+/* snapshots */
+void mw_log_compact(struct mw_log *log);
+void mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned peer);
+void mw_log_on_snapshot(struct mw_context *ctx, struct mw_log *log,
+                        int64_t now_us, struct mw_log_peer *peer,
+                        const struct mw_log_msg *msg);
+void mw_log_on_snapshot_reply(struct mw_context *ctx, struct mw_log *log,
+                              int64_t now_us, struct mw_log_peer *peer,
+                              const struct mw_log_msg *msg);
+void mw_log_apply_base(struct mw_log *log);
+
+/* admission of new incarnations, removal of silent members */
+void mw_log_remove_silent(struct mw_context *ctx, struct mw_log *log,
+                          int64_t now_us);
+void mw_log_admit_next(struct mw_context *ctx, struct mw_log *log,
+                       int64_t now_us);
+
+#endif
--- /dev/null
+++ b/source/core/log-quorum.c
@@ -0,0 +1,161 @@
+/*
+ * log-quorum: who counts, and how many are enough.
+ */
+#include <string.h>
+
+#include "log-impl.h"
+
+bool
+mw_log_is_voter(const struct mw_log *log, const uint64_t *config,
+                unsigned peer)
+{
+    return config[peer] != 0 && config[peer] == log->peers[peer].incarnation;
+}
+
+bool
+mw_log_is_admitted(const struct mw_log *log)
+{
+    const uint64_t *config = log->pending_index ? log->pending : log->config;
+
+    return config[log->self] == log->incarnation;
+}
+
+/* An admitted incarnation is dead once a newer one has been heard. */
+static bool
+is_dead(const struct mw_log *log, const uint64_t *config, unsigned peer)
+{
+    return config[peer] != 0 && log->peers[peer].incarnation != 0 &&
+           log->peers[peer].incarnation != config[peer];
+}
+
+struct tally {
+    unsigned voters;
+    unsigned dead;
+    unsigned disks;
+    unsigned held;
+    unsigned held_disks;
+};
+
+static struct tally
+count(const struct mw_log *log, const uint64_t *config, uint32_t mask)
+{
+    struct tally t = {0};
+
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (config[i] == 0) {
+            continue;
+        }
+        t.voters++;
+        t.dead += is_dead(log, config, i);
+        t.disks += log->peers[i].disk;
+        if ((mask & (1u << i)) && mw_log_is_voter(log, config, i)) {
+            t.held++;
+            t.held_disks += log->peers[i].disk;
+        }
+    }
+    return t;
+}
+
+/* Whether nothing can have been committed without this member. */
+static bool
+holds_all(const struct mw_log *log, const uint64_t *config, struct tally t)
+{
+    if (!mw_log_is_voter(log, config, log->self)) {
+        return false;
+    }
+    return t.voters <= 2 || (log->peers[log->self].disk && t.disks == 1);
+}
+
+static bool
+elects(const struct mw_log *log, const uint64_t *config, uint32_t mask)
+{
+    struct tally t = count(log, config, mask);
+
+    if (holds_all(log, config, t)) {
+        bool pair =
+            t.voters == 2 && log->peers[log->self].disk && t.disks == 1;
+
+        if (pair && t.held >= 1) {
+            return true;
+        }
+        return t.held > (t.voters - t.dead) / 2;
+    }
+    return t.held > t.voters / 2;
+}
+
+static bool
+commits(const struct mw_log *log, const uint64_t *config, uint32_t mask)
+{
+    struct tally t = count(log, config, mask);
+
+    if (t.disks > 0 && t.held_disks == 0) {
+        return false;
+    }
+    return t.held > t.voters / 2;
+}
+
+/*
+ * The configuration before a pending admission must agree to it, but the
+ * incarnation that is being replaced can't: a member that holds everything
+ * leaves it out.
+ */
+static bool
+old_agrees(const struct mw_log *log, uint32_t mask)
+{
+    return elects(log, log->config, mask);
+}
+
+bool
+mw_log_quorum(const struct mw_log *log, uint32_t mask)
+{
+    if (log->pending_index && !elects(log, log->pending, mask)) {
+        return false;
+    }
+    return old_agrees(log, mask);
+}
+
+bool
+mw_log_may_commit(const struct mw_log *log, uint32_t mask)
+{
+    if (log->pending_index) {
+        return old_agrees(log, mask) && commits(log, log->pending, mask);
+    }
+    return commits(log, log->config, mask);
+}
+
+static void
+set_member(struct mw_log *log, uint64_t *config,
+           const struct mw_record_admit *admit)
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (mw_name_equal(&log->peers[i].name, &admit->member)) {
+            config[i] = admit->incarnation;
+        }
+    }
+}
+
+void
+mw_log_note_config(struct mw_log *log)
+{
+    memcpy(log->config, log->base_config, sizeof log->config);
+    log->pending_index = 0;
+    for (guint i = 0; i < log->entries->len; i++) {
+        uint64_t index = log->base_index + 1 + i;
+        struct mw_record *record = mw_log_entry_at(log, index)->record;
+
+        if (record->kind != MW_RECORD_ADMIT) {
+            continue;
+        }
+        if (index <= log->commit) {
+            set_member(log, log->config, &record->admit);
+            continue;
+        }
+        if (log->pending_index) {
+            /* only the newest may be uncommitted */
+            memcpy(log->config, log->pending, sizeof log->config);
+        }
+        memcpy(log->pending, log->config, sizeof log->pending);
+        set_member(log, log->pending, &record->admit);
+        log->pending_index = index;
+    }
+}
--- /dev/null
+++ b/source/core/log-replicate.c
@@ -0,0 +1,308 @@
+/*
+ * log-replicate: appending, acknowledging, committing and the lease.
+ */
+#include "log-impl.h"
+
+#define RESEND_US 500000
+#define WINDOW_ENTRIES 1024
+
+static size_t
+record_bytes(const struct mw_record *record)
+{
+    size_t bytes = sizeof *record;
+
+    switch (record->kind) {
+    case MW_RECORD_ACCEPT:
+        return bytes + mw_blob_str(record->accept.body).len;
+    case MW_RECORD_RESULT:
+        return bytes + mw_blob_str(record->result.output).len;
+    case MW_RECORD_INTENT:
+        return bytes + record->intent.part_count * sizeof(struct mw_part);
+    case MW_RECORD_DOCUMENT:
+        return bytes + mw_blob_str(record->document.document->text).len;
+    default:
+        return bytes;
+    }
+}
+
+/* Entries for one message: bounded in number and in bytes, at least one. */
+static uint32_t
+fill_entries(struct mw_log *log, uint64_t from, struct mw_log_msg *msg)
+{
+    size_t bytes = 0;
+    uint32_t n = 0;
+
+    msg->entries = mw_log_entry_at(log, from);
+    while (from + n <= mw_log_last(log) && n < MW_LOG_PIECE_RECORDS) {
+        bytes += record_bytes(msg->entries[n].record);
+        if (n > 0 && bytes > MW_LOG_PIECE_BYTES) {
+            break;
+        }
+        n++;
+    }
+    return n;
+}
+
+static void
+send_append(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer)
+{
+    struct mw_log_msg msg = {
+        .kind = MW_LOG_APPEND,
+        .index = peer->next - 1,
+        .log_term = mw_log_term_at(log, peer->next - 1),
+        .commit = log->commit,
+        .sent_us = now_us,
+    };
+
+    if (peer->next <= mw_log_last(log) &&
+        peer->next <= peer->match + WINDOW_ENTRIES) {
+        msg.entry_count = fill_entries(log, peer->next, &msg);
+    }
+    mw_log_send(log, &peer->name, &msg);
+    peer->next += msg.entry_count;
+}
+
+void
+mw_log_replicate(struct mw_log *log, int64_t now_us, unsigned i)
+{
+    struct mw_log_peer *peer = &log->peers[i];
+
+    if (now_us >= peer->resend_deadline_us) {
+        peer->next = MAX(peer->match + 1, 1);
+        peer->resend_deadline_us = now_us + RESEND_US;
+        peer->snapshot_offset = 0;
+    }
+    if (peer->next <= log->base_index || peer->snapshot) {
+        mw_log_send_snapshot(log, now_us, i);
+        return;
+    }
+    send_append(log, now_us, peer);
+    while (peer->next <= mw_log_last(log) &&
+           peer->next <= peer->match + WINDOW_ENTRIES) {
+        send_append(log, now_us, peer);
+    }
+}
+
+void
+mw_log_flush(struct mw_log *log, int64_t now_us)
+{
+    if (log->role != MW_LEADER) {
+        return;
+    }
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (i != log->self) {
+            mw_log_replicate(log, now_us, i);
+        }
+    }
+    log->flush_due = false;
+    log->heartbeat_deadline_us = now_us + MW_HEARTBEAT_US;
+}
+
+static uint32_t
+held_mask(const struct mw_log *log, uint64_t index)
+{
+    uint32_t mask = 0;
+
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        uint64_t match =
+            i == log->self ? log->synced_index : log->peers[i].match;
+
+        if (match >= index) {
+            mask |= 1u << i;
+        }
+    }
+    return mask;
+}
+
+static uint64_t
+best_commit(const struct mw_log *log)
+{
+    uint64_t best = log->commit;
+
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        uint64_t index =
+            i == log->self ? log->synced_index : log->peers[i].match;
+
+        if (index > best && mw_log_term_at(log, index) == log->term &&
+            mw_log_may_commit(log, held_mask(log, index))) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+void
+mw_log_apply_to(struct mw_log *log, uint64_t commit)
+{
+    log->commit = commit;
+    if (log->pending_index && log->pending_index <= commit) {
+        mw_log_note_config(log);
+    }
+    while (log->applied < log->commit) {
+        struct mw_log_entry *entry = mw_log_entry_at(log, ++log->applied);
+
+        log->counters.committed++;
+        log->output.apply(log->output.opaque, log->applied, entry->record);
+    }
+    if (!log->restoring && log->compact_after > 0 &&
+        log->entries->len > log->compact_after &&
+        log->applied - log->base_index > log->compact_after) {
+        mw_log_compact(log);
+    }
+}
+
+void
+mw_log_advance(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
+{
+    uint64_t commit = best_commit(log);
+
+    if (commit == log->commit) {
+        return;
+    }
+    bool admitted = log->pending_index && log->pending_index <= commit;
+
+    mw_log_apply_to(log, commit);
+    if (admitted) {
+        mw_log_flush(log, now_us);
+    }
+    mw_log_admit_next(ctx, log, now_us);
+}
+
+bool
+mw_log_lease_live(const struct mw_log *log, int64_t now_us)
+{
+    uint32_t mask = 1u << log->self;
+
+    if (log->role != MW_LEADER || log->handing_over) {
+        return false;
+    }
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (log->peers[i].acked_sent_us + MW_LEASE_US > now_us) {
+            mask |= 1u << i;
+        }
+    }
+    return mw_log_quorum(log, mask);
+}
+
+bool
+mw_log_leads(const struct mw_log *log, int64_t now_us)
+{
+    return log->role == MW_LEADER && log->applied >= log->term_start &&
+           mw_log_lease_live(log, now_us);
+}
+
+int
+mw_log_propose(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+               struct mw_record *record, uint64_t *index)
+{
+    if (!mw_log_leads(log, now_us)) {
+        log->counters.refused++;
+        return mw_fail(ctx, MW_ERR_NOT_LEADER, "the leader is %.*s",
+                       MW_FMT(mw_name_str(&log->leader)));
+    }
+    if (mw_log_last(log) - log->commit >= MW_LOG_UNCOMMITTED_MAX) {
+        log->counters.refused++;
+        return mw_fail(ctx, MW_ERR_OVERLOADED, "%d records wait for commit",
+                       MW_LOG_UNCOMMITTED_MAX);
+    }
+    uint64_t at = mw_log_append_entry(log, log->term, record);
+
+    if (index) {
+        *index = at;
+    }
+    log->counters.proposed++;
+    log->flush_due = true;
+    return 0;
+}
+
+static void
+reply_append(struct mw_log *log, const struct mw_log_peer *peer,
+             const struct mw_log_msg *msg, bool ok, uint64_t index)
+{
+    struct mw_log_msg reply = {
+        .kind = MW_LOG_APPEND_REPLY,
+        .ok = ok,
+        .index = index,
+        .sent_us = msg->sent_us,
+    };
+
+    mw_log_send_held(log, &peer->name, &reply);
+}
+
+static void
+take_entries(struct mw_log *log, const struct mw_log_msg *msg)
+{
+    for (uint32_t i = 0; i < msg->entry_count; i++) {
+        uint64_t index = msg->index + 1 + i;
+
+        if (index <= log->base_index) {
+            continue;
+        }
+        if (index <= mw_log_last(log)) {
+            if (mw_log_term_at(log, index) == msg->entries[i].term) {
+                continue;
+            }
+            mw_log_truncate(log, index);
+        }
+        mw_log_append_entry(log, msg->entries[i].term, msg->entries[i].record);
+    }
+}
+
+void
+mw_log_on_append(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+                 struct mw_log_peer *peer, const struct mw_log_msg *msg)
+{
+    if (msg->term < log->term) {
+        reply_append(log, peer, msg, false, 0);
+        return;
+    }
+    mw_log_follow(ctx, log, now_us, msg->term);
+    log->leader = peer->name;
+    log->leader_heard_us = now_us;
+    bool gap = msg->index > mw_log_last(log);
+    bool older = msg->index < log->base_index;
+
+    if (gap || (!older && mw_log_term_at(log, msg->index) != msg->log_term)) {
+        uint64_t hint = gap ? mw_log_last(log) : msg->index - 1;
+
+        reply_append(log, peer, msg, false, MAX(hint, log->commit));
+        return;
+    }
+    take_entries(log, msg);
+    uint64_t match = msg->index + msg->entry_count;
+
+    if (msg->commit > log->commit) {
+        uint64_t commit = MIN(msg->commit, match);
+
+        if (commit > log->commit) {
+            mw_log_apply_to(log, commit);
+        }
+    }
+    reply_append(log, peer, msg, true, match);
+}
+
+void
+mw_log_on_append_reply(struct mw_context *ctx, struct mw_log *log,
+                       int64_t now_us, struct mw_log_peer *peer,
+                       const struct mw_log_msg *msg)
+{
+    if (log->role != MW_LEADER || msg->term != log->term) {
+        return;
+    }
+    peer->acked_sent_us = MAX(peer->acked_sent_us, msg->sent_us);
+    if (!msg->ok) {
+        peer->next = MIN(peer->next, msg->index + 1);
+        mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
+        return;
+    }
+    peer->resend_deadline_us = now_us + RESEND_US;
+    if (msg->index > peer->match) {
+        peer->match = msg->index;
+        peer->next = MAX(peer->next, peer->match + 1);
+        mw_log_advance(ctx, log, now_us);
+    }
+    if (peer->next <= mw_log_last(log)) {
+        mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
+    }
+    mw_log_admit_next(ctx, log, now_us);
+}
--- /dev/null
+++ b/source/core/log-state.c
@@ -0,0 +1,396 @@
+/*
+ * log-state: the entries held, what is stored, and the life of a log.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "log-impl.h"
+
+static void
+clear_entry(void *data)
+{
+    struct mw_log_entry *entry = data;
+
+    mw_drop_record(entry->record);
+}
+
+static void
+found_config(struct mw_log *log)
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        log->base_config[i] = log->peers[i].disk ? MW_FOUNDING_INCARNATION : 0;
+    }
+    memcpy(log->config, log->base_config, sizeof log->config);
+}
+
+struct mw_log *
+mw_new_log(const struct mw_log_setup *setup)
+{
+    struct mw_log *log = g_new0(struct mw_log, 1);
+
+    log->group = setup->group;
+    log->output = setup->output;
+    log->compact_after = setup->compact_after;
+    log->rand = g_rand_new_with_seed(setup->seed);
+    log->incarnation = setup->incarnation;
+    log->peer_count = setup->member_count;
+    for (unsigned i = 0; i < setup->member_count; i++) {
+        log->peers[i].name = setup->members[i].name;
+        log->peers[i].disk = setup->members[i].disk;
+        if (mw_name_equal(&setup->members[i].name, &setup->self)) {
+            log->self = i;
+            log->peers[i].incarnation = setup->incarnation;
+        }
+    }
+    log->entries = g_array_new(FALSE, TRUE, sizeof(struct mw_log_entry));
+    g_array_set_clear_func(log->entries, clear_entry);
+    log->base_records =
+        g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
+    g_queue_init(&log->held);
+    g_queue_init(&log->unsynced);
+    found_config(log);
+    log->quiet_deadline_us = setup->now_us + MW_ELECTION_US;
+    if (log->peer_count == 1) {
+        log->quiet_deadline_us = setup->now_us;
+    }
+    mw_log_arm_election(log, setup->now_us);
+    return log;
+}
+
+static void
+free_held(void *data)
+{
+    struct mw_log_held *held = data;
+
+    mw_log_msg_clear(&held->msg);
+    g_free(held);
+}
+
+void
+mw_drop_log(struct mw_log *log)
+{
+    if (!log) {
+        return;
+    }
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        g_clear_pointer(&log->peers[i].snapshot, g_ptr_array_unref);
+    }
+    g_queue_clear_full(&log->held, free_held);
+    g_queue_clear_full(&log->unsynced, g_free);
+    g_clear_pointer(&log->incoming, g_ptr_array_unref);
+    g_ptr_array_unref(log->base_records);
+    g_array_unref(log->entries);
+    g_rand_free(log->rand);
+    g_free(log);
+}
+
+uint64_t
+mw_log_last(const struct mw_log *log)
+{
+    return log->base_index + log->entries->len;
+}
+
+struct mw_log_entry *
+mw_log_entry_at(const struct mw_log *log, uint64_t index)
+{
+    return &g_array_index(log->entries, struct mw_log_entry,
+                          index - log->base_index - 1);
+}
+
+uint64_t
+mw_log_term_at(const struct mw_log *log, uint64_t index)
+{
+    if (index == log->base_index) {
+        return log->base_term;
+    }
+    if (index < log->base_index || index > mw_log_last(log)) {
+        return 0;
+    }
+    return mw_log_entry_at(log, index)->term;
+}
+
+struct mw_log_peer *
+mw_log_find_peer(struct mw_log *log, const struct mw_name *name)
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (mw_name_equal(&log->peers[i].name, name)) {
+            return &log->peers[i];
+        }
+    }
+    return NULL;
+}
+
+/* A pair of numbers: the sequence of a stored entry and its index. */
+struct unsynced {
+    uint64_t sequence;
+    uint64_t index;
+};
+
+static void
+store(struct mw_log *log, struct mw_store_item *item, uint64_t index)
+{
+    struct unsynced *mark = g_new(struct unsynced, 1);
+
+    item->sequence = ++log->store_sequence;
+    *mark = (struct unsynced){item->sequence, index};
+    g_queue_push_tail(&log->unsynced, mark);
+    log->output.store(log->output.opaque, item);
+}
+
+void
+mw_log_store_meta(struct mw_log *log)
+{
+    struct mw_store_item item = {
+        .kind = MW_STORE_META,
+        .term = log->term,
+        .vote = log->vote,
+        .incarnation = log->incarnation,
+        .commit = log->commit,
+    };
+
+    store(log, &item, 0);
+}
+
+void
+mw_log_store_entry(struct mw_log *log, uint64_t index)
+{
+    struct mw_log_entry *entry = mw_log_entry_at(log, index);
+    struct mw_store_item item = {
+        .kind = MW_STORE_ENTRY,
+        .term = entry->term,
+        .index = index,
+        .commit = log->commit,
+        .record_count = 1,
+        .records = &entry->record,
+    };
+
+    store(log, &item, index);
+}
+
+void
+mw_log_store_base(struct mw_log *log)
+{
+    struct mw_store_item item = {
+        .kind = MW_STORE_BASE,
+        .term = log->base_term,
+        .index = log->base_index,
+        .record_count = log->base_records->len,
+        .records = (struct mw_record **)log->base_records->pdata,
+    };
+
+    memcpy(item.config, log->base_config, sizeof item.config);
+    store(log, &item, log->base_index);
+}
+
+uint64_t
+mw_log_append_entry(struct mw_log *log, uint64_t term,
+                    struct mw_record *record)
+{
+    struct mw_log_entry entry = {term, mw_keep_record(record)};
+
+    g_array_append_val(log->entries, entry);
+    mw_log_store_entry(log, mw_log_last(log));
+    if (record->kind == MW_RECORD_ADMIT) {
+        mw_log_note_config(log);
+    }
+    return mw_log_last(log);
+}
+
+void
+mw_log_truncate(struct mw_log *log, uint64_t index)
+{
+    if (index <= log->base_index || index > mw_log_last(log)) {
+        return;
+    }
+    g_array_set_size(log->entries, (guint)(index - log->base_index - 1));
+    log->synced_index = MIN(log->synced_index, index - 1);
+    for (GList *l = log->unsynced.head; l; l = l->next) {
+        struct unsynced *mark = l->data;
+
+        if (mark->index >= index) {
+            mark->index = 0;
+        }
+    }
+    mw_log_note_config(log);
+}
+
+static void
+restore_entry(struct mw_log *log, const struct mw_store_item *item)
+{
+    struct mw_log_entry entry = {item->term, mw_keep_record(item->records[0])};
+
+    mw_log_truncate(log, item->index);
+    g_array_append_val(log->entries, entry);
+}
+
+static void
+restore_base(struct mw_log *log, const struct mw_store_item *item)
+{
+    uint64_t last = mw_log_last(log);
+
+    if (item->index >= last) {
+        g_array_set_size(log->entries, 0);
+    }
+    else {
+        g_array_remove_range(log->entries, 0,
+                             (guint)(item->index - log->base_index));
+    }
+    log->base_index = item->index;
+    log->base_term = item->term;
+    memcpy(log->base_config, item->config, sizeof log->base_config);
+    g_ptr_array_set_size(log->base_records, 0);
+    for (uint32_t i = 0; i < item->record_count; i++) {
+        g_ptr_array_add(log->base_records, mw_keep_record(item->records[i]));
+    }
+    mw_log_apply_base(log);
+}
+
+int
+mw_log_restore(struct mw_context *ctx, struct mw_log *log,
+               const struct mw_store_item *item)
+{
+    log->restoring = true;
+    switch (item->kind) {
+    case MW_STORE_META:
+        log->term = item->term;
+        log->vote = item->vote;
+        log->incarnation = item->incarnation;
+        log->peers[log->self].incarnation = item->incarnation;
+        break;
+    case MW_STORE_ENTRY:
+        if (item->index <= log->base_index ||
+            item->index > mw_log_last(log) + 1) {
+            return mw_fail(ctx, MW_ERR_DAMAGED,
+                           "entry %" PRIu64 " follows %" PRIu64, item->index,
+                           mw_log_last(log));
+        }
+        restore_entry(log, item);
+        break;
+    case MW_STORE_BASE:
+        restore_base(log, item);
+        break;
+    default:
+        return mw_fail(ctx, MW_ERR_VERSION, "stored item of kind %d",
+                       (int)item->kind);
+    }
+    log->synced_index = mw_log_last(log);
+    mw_log_note_config(log);
+    if (item->commit > log->commit && item->commit <= log->synced_index) {
+        mw_log_apply_to(log, item->commit);
+    }
+    log->restoring = false;
+    return 0;
+}
+
+void
+mw_log_send(struct mw_log *log, const struct mw_name *to,
+            struct mw_log_msg *msg)
+{
+    msg->term = log->term;
+    msg->incarnation = log->incarnation;
+    log->output.send(log->output.opaque, to, msg);
+}
+
+void
+mw_log_send_held(struct mw_log *log, const struct mw_name *to,
+                 const struct mw_log_msg *msg)
+{
+    struct mw_log_held *held = g_new0(struct mw_log_held, 1);
+
+    mw_log_msg_copy(&held->msg, msg);
+    held->msg.term = log->term;
+    held->msg.incarnation = log->incarnation;
+    held->to = *to;
+    held->sequence = log->store_sequence;
+    if (held->sequence <= log->synced_sequence) {
+        log->output.send(log->output.opaque, to, &held->msg);
+        free_held(held);
+        return;
+    }
+    g_queue_push_tail(&log->held, held);
+}
+
+static void
+release_held(struct mw_log *log)
+{
+    struct mw_log_held *held = g_queue_peek_head(&log->held);
+
+    while (held && held->sequence <= log->synced_sequence) {
+        g_queue_pop_head(&log->held);
+        if (held->msg.term == log->term) {
+            log->output.send(log->output.opaque, &held->to, &held->msg);
+        }
+        free_held(held);
+        held = g_queue_peek_head(&log->held);
+    }
+}
+
+void
+mw_log_synced(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+              uint64_t sequence)
+{
+    struct unsynced *mark = g_queue_peek_head(&log->unsynced);
+
+    log->synced_sequence = MAX(log->synced_sequence, sequence);
+    while (mark && mark->sequence <= log->synced_sequence) {
+        log->synced_index = MAX(log->synced_index, mark->index);
+        g_free(g_queue_pop_head(&log->unsynced));
+        mark = g_queue_peek_head(&log->unsynced);
+    }
+    release_held(log);
+    if (log->role == MW_LEADER) {
+        mw_log_advance(ctx, log, now_us);
+    }
+}
+
+void
+mw_log_msg_clear(struct mw_log_msg *msg)
+{
+    for (uint32_t i = 0; i < msg->entry_count; i++) {
+        mw_drop_record(msg->entries[i].record);
+    }
+    g_free(msg->entries);
+    msg->entries = NULL;
+    msg->entry_count = 0;
+}
+
+void
+mw_log_msg_copy(struct mw_log_msg *to, const struct mw_log_msg *from)
+{
+    *to = *from;
+    to->entries =
+        g_memdup2(from->entries, from->entry_count * sizeof *from->entries);
+    for (uint32_t i = 0; i < to->entry_count; i++) {
+        mw_keep_record(to->entries[i].record);
+    }
+}
+
+void
+mw_log_look(const struct mw_log *log, struct mw_log_view *view)
+{
+    *view = (struct mw_log_view){
+        .role = log->role,
+        .term = log->term,
+        .commit = log->commit,
+        .last = mw_log_last(log),
+        .base = log->base_index,
+        .incarnation = log->incarnation,
+        .admitted = mw_log_is_admitted(log),
+        .leader = log->leader,
+        .counters = &log->counters,
+    };
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        view->voters += log->config[i] != 0;
+        view->disks += log->config[i] != 0 && log->peers[i].disk;
+    }
+}
+
+struct mw_str
+mw_role_word(enum mw_role role)
+{
+    static const struct mw_str words[] = {
+        MW_STR("follower"), MW_STR("pre-candidate"), MW_STR("candidate"),
+        MW_STR("leader")};
+
+    return words[role];
+}
--- /dev/null
+++ b/source/core/log-step.c
@@ -0,0 +1,152 @@
+/*
+ * log-step: the entry points for messages, deadlines and handing over.
+ */
+#include "log-impl.h"
+
+/* Returns false for a message that must not be acted on. */
+static bool
+note_incarnation(struct mw_log *log, struct mw_log_peer *peer,
+                 const struct mw_log_msg *msg)
+{
+    if (msg->incarnation < peer->incarnation) {
+        log->counters.stale_incarnation++;
+        return false;
+    }
+    if (msg->incarnation > peer->incarnation) {
+        peer->incarnation = msg->incarnation;
+        peer->voted = false;
+        peer->match = 0;
+        peer->next = 1;
+        peer->acked_sent_us = 0;
+        g_clear_pointer(&peer->snapshot, g_ptr_array_unref);
+    }
+    return true;
+}
+
+static void
+on_timeout_now(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+               const struct mw_log_msg *msg)
+{
+    if (msg->term != log->term || !mw_log_is_admitted(log)) {
+        return;
+    }
+    log->handing_over = true;
+    mw_log_start_vote(ctx, log, now_us);
+}
+
+void
+mw_log_receive(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+               const struct mw_name *from, const struct mw_log_msg *msg)
+{
+    struct mw_log_peer *peer = mw_log_find_peer(log, from);
+
+    if (!peer || peer == &log->peers[log->self] ||
+        !note_incarnation(log, peer, msg)) {
+        return;
+    }
+    bool asks = msg->kind == MW_LOG_PREVOTE || msg->kind == MW_LOG_VOTE;
+    bool prevote = msg->kind == MW_LOG_PREVOTE_REPLY;
+
+    if (!asks && !prevote && msg->term > log->term) {
+        mw_log_follow(ctx, log, now_us, msg->term);
+    }
+    switch (msg->kind) {
+    case MW_LOG_PREVOTE:
+    case MW_LOG_VOTE:
+        mw_log_on_vote(ctx, log, now_us, peer, msg);
+        break;
+    case MW_LOG_PREVOTE_REPLY:
+    case MW_LOG_VOTE_REPLY:
+        mw_log_on_vote_reply(ctx, log, now_us, peer, msg);
+        break;
+    case MW_LOG_APPEND:
+        mw_log_on_append(ctx, log, now_us, peer, msg);
+        break;
+    case MW_LOG_APPEND_REPLY:
+        mw_log_on_append_reply(ctx, log, now_us, peer, msg);
+        break;
+    case MW_LOG_SNAPSHOT:
+        mw_log_on_snapshot(ctx, log, now_us, peer, msg);
+        break;
+    case MW_LOG_SNAPSHOT_REPLY:
+        mw_log_on_snapshot_reply(ctx, log, now_us, peer, msg);
+        break;
+    case MW_LOG_TIMEOUT_NOW:
+        on_timeout_now(ctx, log, now_us, msg);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+tick_leader(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
+{
+    bool live = mw_log_lease_live(log, now_us);
+
+    if (log->lease_live && !live) {
+        log->counters.lease_lost++;
+        mw_note(ctx, MW_PRIORITY_WARNING, "event=lease_lost group=%.*s",
+                MW_FMT(mw_name_str(&log->group)));
+    }
+    log->lease_live = live;
+    if (!live && now_us >= log->election_deadline_us) {
+        mw_log_follow(ctx, log, now_us, log->term);
+        return;
+    }
+    if (live) {
+        log->election_deadline_us = now_us + 2 * MW_ELECTION_US;
+    }
+    if (now_us >= log->heartbeat_deadline_us || log->flush_due) {
+        mw_log_flush(log, now_us);
+    }
+    mw_log_admit_next(ctx, log, now_us);
+    mw_log_remove_silent(ctx, log, now_us);
+}
+
+void
+mw_log_tick(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
+{
+    if (log->role == MW_LEADER) {
+        tick_leader(ctx, log, now_us);
+        return;
+    }
+    if (now_us >= log->election_deadline_us) {
+        mw_log_start_prevote(ctx, log, now_us);
+    }
+}
+
+int64_t
+mw_log_deadline(const struct mw_log *log)
+{
+    if (log->role == MW_LEADER) {
+        return log->flush_due ? 0 : log->heartbeat_deadline_us;
+    }
+    return log->election_deadline_us;
+}
+
+void
+mw_log_hand_over(struct mw_log *log, int64_t now_us)
+{
+    struct mw_log_peer *best = NULL;
+
+    if (log->role != MW_LEADER || log->handing_over) {
+        return;
+    }
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        struct mw_log_peer *peer = &log->peers[i];
+
+        if (i != log->self && mw_log_is_voter(log, log->config, i) &&
+            (!best || peer->match > best->match)) {
+            best = peer;
+        }
+    }
+    if (!best || best->match < mw_log_last(log)) {
+        return;
+    }
+    struct mw_log_msg msg = {.kind = MW_LOG_TIMEOUT_NOW};
+
+    log->handing_over = true;
+    log->election_deadline_us = now_us + MW_ELECTION_US;
+    mw_log_send(log, &best->name, &msg);
+}
--- /dev/null
+++ b/source/core/message.c
@@ -0,0 +1,92 @@
+#include "mimosawind/message.h"
+
+#include <glib.h>
+
+struct mw_msg *
+mw_new_msg(enum mw_msg_kind kind)
+{
+    struct mw_msg *msg = g_new0(struct mw_msg, 1);
+
+    msg->refs = 1;
+    msg->kind = kind;
+    return msg;
+}
+
+struct mw_msg *
+mw_keep_msg(struct mw_msg *msg)
+{
+    if (msg) {
+        g_atomic_int_inc(&msg->refs);
+    }
+    return msg;
+}
+
+static void
+clear(struct mw_msg *msg)
+{
+    switch (msg->kind) {
+    case MW_MSG_LOG:
+        mw_log_msg_clear(&msg->log.msg);
+        break;
+    case MW_MSG_SUBMIT:
+        mw_drop_blob(msg->submit.body);
+        break;
+    case MW_MSG_ANSWER:
+        mw_drop_blob(msg->answer.output);
+        mw_drop_blob(msg->answer.detail);
+        break;
+    case MW_MSG_ANNOUNCE:
+        g_free(msg->announce.listed);
+        break;
+    case MW_MSG_ORDER:
+        mw_drop_blob(msg->order.body);
+        break;
+    case MW_MSG_REPORT:
+        mw_drop_blob(msg->report.output);
+        break;
+    case MW_MSG_CHANGE:
+        mw_drop_document(msg->change.document);
+        break;
+    case MW_MSG_CHANGED:
+        mw_drop_blob(msg->changed.detail);
+        break;
+    case MW_MSG_DOCUMENT:
+        mw_drop_document(msg->document.document);
+        break;
+    case MW_MSG_JUDGE:
+        mw_drop_document(msg->judge.document);
+        break;
+    case MW_MSG_JUDGED:
+        mw_drop_blob(msg->judged.detail);
+        break;
+    case MW_MSG_SEEN:
+        mw_drop_blob(msg->seen.text);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+mw_drop_msg(struct mw_msg *msg)
+{
+    if (msg && g_atomic_int_dec_and_test(&msg->refs)) {
+        clear(msg);
+        g_free(msg);
+    }
+}
+
+struct mw_str
+mw_msg_word(enum mw_msg_kind kind)
+{
+    static const struct mw_str words[] = {
+        MW_STR("none"),     MW_STR("hello"),    MW_STR("heartbeat"),
+        MW_STR("log"),      MW_STR("submit"),   MW_STR("query"),
+        MW_STR("answer"),   MW_STR("announce"), MW_STR("order"),
+        MW_STR("report"),   MW_STR("change"),   MW_STR("changed"),
+        MW_STR("document"), MW_STR("judge"),    MW_STR("judged"),
+        MW_STR("look"),     MW_STR("seen"),
+    };
+
+    return kind < MW_MSG_LAST ? words[kind] : MW_STR("unknown");
+}
--- /dev/null
+++ b/source/core/zone-attempt.c
@@ -0,0 +1,597 @@
+/*
+ * zone-attempt: one try to run a gang, from its place to its end.
+ *
+ * A gang on several endpoints is reserved on all of them first.  A recorded
+ * job then waits for its start intent to be committed.  Any refusal or loss
+ * stops the rest: a gang never runs in part.
+ */
+#include "zone-impl.h"
+
+void
+mw_set_active(struct mw_zone *zone, struct mw_job *job, bool active)
+{
+    if (active == (job->active_index >= 0)) {
+        return;
+    }
+    if (active) {
+        job->active_index = (int)zone->active->len;
+        g_ptr_array_add(zone->active, job);
+        return;
+    }
+    int index = job->active_index;
+
+    g_ptr_array_remove_index_fast(zone->active, (guint)index);
+    job->active_index = -1;
+    if ((guint)index < zone->active->len) {
+        struct mw_job *moved = zone->active->pdata[index];
+
+        moved->active_index = index;
+    }
+}
+
+void
+mw_send_order(struct mw_zone *zone, struct mw_job *job, struct mw_place *place,
+              enum mw_order_kind kind)
+{
+    struct mw_order order = {
+        .kind = kind,
+        .attempt = {.zone = zone->name,
+                    .job = job->id,
+                    .epoch = job->epoch,
+                    .number = job->number},
+        .endpoint = place->endpoint->name,
+        .address = place->endpoint->address,
+        .via = place->endpoint->via,
+        .tasks = place->tasks,
+        .need = job->spec.shape.need,
+        .checkpoint = job->spec.checkpoint,
+        .idempotent = job->spec.idempotent,
+        .resume = job->resume,
+        .body = kind == MW_ORDER_START ? job->body : NULL,
+    };
+
+    if (kind == MW_ORDER_ASK) {
+        zone->counters.asked++;
+    }
+    zone->output.order(zone->output.opaque, &order);
+}
+
+static void
+reserve(struct mw_zone *zone, struct mw_job *job)
+{
+    job->state = MW_JOB_RESERVING;
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        job->places[i].state = MW_PART_RESERVING;
+        mw_send_order(zone, job, &job->places[i], MW_ORDER_RESERVE);
+    }
+}
+
+static void
+record_intent(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_INTENT);
+
+    job->state = MW_JOB_INTENDING;
+    record->intent.attempt =
+        (struct mw_attempt_id){zone->name, job->id, job->epoch, job->number};
+    record->intent.part_count = job->place_count;
+    record->intent.parts = g_new0(struct mw_part, job->place_count);
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        record->intent.parts[i].endpoint = job->places[i].endpoint->name;
+        record->intent.parts[i].tasks = job->places[i].tasks;
+    }
+    bool allowed =
+        job->spec.idempotent || zone->output.may_record(zone->output.opaque);
+    int err = allowed ? zone->output.propose(zone->output.opaque, record)
+                      : MW_ERR_NO_QUORUM;
+
+    mw_drop_record(record);
+    if (err) {
+        mw_stop_job(ctx, zone, now_us, job, 0, true);
+    }
+}
+
+/* Everything is in place: go on towards the start. */
+static void
+go_on(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+      struct mw_job *job)
+{
+    if (job->recorded) {
+        record_intent(ctx, zone, now_us, job);
+    }
+    else {
+        mw_start_gang(ctx, zone, now_us, job);
+    }
+}
+
+static void
+place_cleared(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job)
+{
+    if (job->place_count > 1) {
+        reserve(zone, job);
+        return;
+    }
+    go_on(ctx, zone, now_us, job);
+}
+
+void
+mw_begin_attempt(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                 struct mw_job *job)
+{
+    job->epoch = zone->epoch;
+    job->number++;
+    job->intent = false;
+    job->started_us = 0;
+    job->placed_us = now_us;
+    job->stop_error = 0;
+    job->stop_requeues = false;
+    job->cancelled = false;
+    mw_set_active(zone, job, true);
+    if (mw_place_is_clear(job)) {
+        place_cleared(ctx, zone, now_us, job);
+        return;
+    }
+    job->state = MW_JOB_RECLAIMING;
+    g_ptr_array_add(zone->reclaiming, job);
+    mw_evict_for(ctx, zone, now_us, job);
+}
+
+void
+mw_resume_reclaiming(struct mw_context *ctx, struct mw_zone *zone,
+                     int64_t now_us)
+{
+    for (guint i = 0; i < zone->reclaiming->len;) {
+        struct mw_job *job = zone->reclaiming->pdata[i];
+
+        if (!mw_place_is_clear(job)) {
+            i++;
+            continue;
+        }
+        g_ptr_array_remove_index(zone->reclaiming, i);
+        place_cleared(ctx, zone, now_us, job);
+    }
+}
+
+void
+mw_start_gang(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job)
+{
+    (void)ctx;
+    job->state = MW_JOB_RUNNING;
+    job->started_us = now_us;
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        struct mw_place *place = &job->places[i];
+
+        place->state = MW_PART_RUNNING;
+        place->ask_deadline_us = now_us + 2 * MW_ASK_US;
+        mw_send_order(zone, job, place, MW_ORDER_START);
+    }
+}
+
+void
+mw_intent_applied(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                  struct mw_job *job)
+{
+    job->intent = true;
+    if (job->cancelled) {
+        enum mw_ran ran = job->spec.idempotent ? MW_NOT_RUN : MW_MAY_HAVE_RUN;
+        bool again = job->stop_requeues && job->spec.idempotent;
+        int error = job->stop_error ? job->stop_error : MW_ERR_STOPPED;
+
+        mw_leave_place(zone, job);
+        mw_set_active(zone, job, false);
+        if (again) {
+            mw_queue_job(zone, job, true);
+        }
+        else {
+            mw_finish_job(ctx, zone, now_us, job, error, ran);
+        }
+        return;
+    }
+    mw_start_gang(ctx, zone, now_us, job);
+}
+
+static bool
+is_live(const struct mw_place *place)
+{
+    return place->state == MW_PART_RESERVING ||
+           place->state == MW_PART_RESERVED || place->state == MW_PART_RUNNING;
+}
+
+void
+mw_stop_job(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+            struct mw_job *job, int error, bool requeue)
+{
+    job->stop_error = error;
+    job->stop_requeues = requeue;
+    if (job->state == MW_JOB_INTENDING) {
+        job->cancelled = true;
+        return;
+    }
+    if (job->state == MW_JOB_QUEUED) {
+        mw_unqueue_job(zone, job);
+        mw_finish_job(ctx, zone, now_us, job, error, MW_NOT_RUN);
+        return;
+    }
+    if (job->state == MW_JOB_RECLAIMING) {
+        g_ptr_array_remove(zone->reclaiming, job);
+    }
+    job->state = MW_JOB_STOPPING;
+    job->stop_deadline_us = now_us + MW_STOP_RESEND_US;
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        struct mw_place *place = &job->places[i];
+
+        if (is_live(place)) {
+            mw_send_order(zone, job, place, MW_ORDER_STOP);
+            place->state = MW_PART_STOPPING;
+        }
+        else if (place->state == MW_PART_PLANNED) {
+            place->state = MW_PART_GONE;
+        }
+    }
+    mw_stopped_check(ctx, zone, now_us, job);
+}
+
+static unsigned
+count_parts(const struct mw_job *job, enum mw_part_state state)
+{
+    unsigned n = 0;
+
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        n += job->places[i].state == state;
+    }
+    return n;
+}
+
+/* The outputs of all parts, in the order of the parts. */
+static struct mw_blob *
+join_outputs(const struct mw_job *job)
+{
+    GString *text = g_string_new(NULL);
+
+    if (job->place_count == 1) {
+        g_string_free(text, TRUE);
+        return mw_keep_blob(job->places[0].output);
+    }
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        struct mw_str part = mw_blob_str(job->places[i].output);
+
+        g_string_append_len(text, part.ptr, (gssize)part.len);
+    }
+    struct mw_blob *blob = mw_new_blob((struct mw_str){text->str, text->len});
+
+    g_string_free(text, TRUE);
+    return blob;
+}
+
+static void
+finish_whole(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+             struct mw_job *job)
+{
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        mw_note_success(ctx, zone, job->places[i].endpoint);
+    }
+    mw_learn_runtime(zone, job, now_us - job->started_us);
+    job->output = join_outputs(job);
+    mw_leave_place(zone, job);
+    mw_set_active(zone, job, false);
+    mw_finish_job(ctx, zone, now_us, job, 0, MW_RAN);
+}
+
+void
+mw_stopped_check(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                 struct mw_job *job)
+{
+    unsigned finished = count_parts(job, MW_PART_FINISHED);
+    bool started = job->started_us != 0;
+
+    if (job->state != MW_JOB_STOPPING) {
+        return;
+    }
+    if (finished + count_parts(job, MW_PART_GONE) < job->place_count) {
+        return;
+    }
+    if (finished == job->place_count && job->stop_error != MW_ERR_FAILED) {
+        finish_whole(ctx, zone, now_us, job);
+        return;
+    }
+    mw_leave_place(zone, job);
+    mw_set_active(zone, job, false);
+    if (job->stop_requeues && (job->spec.idempotent || !job->intent)) {
+        zone->counters.retries++;
+        if (job->spec.checkpoint && job->started_us) {
+            job->resume = job->number;
+        }
+        mw_queue_job(zone, job, true);
+        return;
+    }
+    enum mw_ran ran = started       ? MW_MAY_HAVE_RUN
+                      : job->intent ? MW_MAY_HAVE_RUN
+                                    : MW_NOT_RUN;
+    int error = job->stop_error ? job->stop_error : MW_ERR_STOPPED;
+
+    if (error == MW_ERR_FAILED) {
+        ran = MW_RAN;
+    }
+    mw_finish_job(ctx, zone, now_us, job, error, ran);
+}
+
+static void
+break_gang(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+           struct mw_job *job, int error, bool requeue)
+{
+    if (job->place_count > 1) {
+        zone->counters.gangs_broken++;
+    }
+    mw_stop_job(ctx, zone, now_us, job, error, requeue);
+}
+
+void
+mw_lose_place(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job, struct mw_place *place, bool for_good)
+{
+    switch (job->state) {
+    case MW_JOB_STOPPING:
+        if (place->state == MW_PART_STOPPING) {
+            place->state = MW_PART_GONE;
+        }
+        mw_stopped_check(ctx, zone, now_us, job);
+        return;
+    case MW_JOB_RECLAIMING:
+    case MW_JOB_INTENDING:
+        break_gang(ctx, zone, now_us, job, 0, true);
+        return;
+    case MW_JOB_RESERVING:
+        place->state = MW_PART_GONE;
+        break_gang(ctx, zone, now_us, job, 0, true);
+        return;
+    case MW_JOB_RUNNING:
+        break;
+    default:
+        return;
+    }
+    if (place->state == MW_PART_FINISHED) {
+        return;
+    }
+    if (!job->spec.idempotent && !for_good) {
+        /* it may come back with the answer */
+        place->lost_deadline_us = now_us + MW_UNKNOWN_AFTER_US;
+        return;
+    }
+    place->state = MW_PART_GONE;
+    if (!job->spec.idempotent) {
+        zone->counters.unknown++;
+    }
+    break_gang(ctx, zone, now_us, job,
+               job->spec.idempotent ? 0 : MW_ERR_UNKNOWN,
+               job->spec.idempotent);
+}
+
+static void
+on_reserved(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+            struct mw_job *job, struct mw_place *place)
+{
+    if (place->state != MW_PART_RESERVING) {
+        return;
+    }
+    place->state = MW_PART_RESERVED;
+    if (job->state == MW_JOB_RESERVING &&
+        count_parts(job, MW_PART_RESERVED) == job->place_count) {
+        go_on(ctx, zone, now_us, job);
+    }
+}
+
+static void
+on_finished(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+            struct mw_job *job, struct mw_place *place,
+            const struct mw_report *report)
+{
+    if (place->state != MW_PART_RUNNING && place->state != MW_PART_STOPPING) {
+        return;
+    }
+    place->state = MW_PART_FINISHED;
+    place->output = mw_keep_blob(report->output);
+    if (job->state == MW_JOB_STOPPING) {
+        mw_stopped_check(ctx, zone, now_us, job);
+        return;
+    }
+    if (count_parts(job, MW_PART_FINISHED) == job->place_count) {
+        finish_whole(ctx, zone, now_us, job);
+    }
+}
+
+static void
+on_failed(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+          struct mw_job *job, struct mw_place *place)
+{
+    bool was_stopping = job->state == MW_JOB_STOPPING;
+
+    if (!is_live(place) && place->state != MW_PART_STOPPING) {
+        return;
+    }
+    place->state = MW_PART_GONE;
+    if (was_stopping) {
+        mw_stopped_check(ctx, zone, now_us, job);
+        return;
+    }
+    mw_note_failure(ctx, zone, now_us, place->endpoint, job);
+    bool again = job->spec.idempotent && job->failures < MW_ATTEMPTS_MAX &&
+                 job->failures < zone->live_endpoints;
+
+    if (!again && job->failures > 1) {
+        mw_excuse_failures(zone, job);
+    }
+    break_gang(ctx, zone, now_us, job, again ? 0 : MW_ERR_FAILED, again);
+}
+
+static void
+on_refused(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+           struct mw_job *job, struct mw_place *place)
+{
+    if (job->state == MW_JOB_STOPPING || !is_live(place)) {
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+        return;
+    }
+    place->state = MW_PART_GONE;
+    mw_note_failure(ctx, zone, now_us, place->endpoint, job);
+    bool again = job->failures < MW_ATTEMPTS_MAX;
+
+    break_gang(ctx, zone, now_us, job, again ? 0 : MW_ERR_UNREACHABLE, again);
+}
+
+static void
+on_lost(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+        struct mw_job *job, struct mw_place *place)
+{
+    if (job->state == MW_JOB_RUNNING && job->recorded) {
+        place->ask_deadline_us = now_us;
+        return;
+    }
+    if (job->state == MW_JOB_RUNNING || job->state == MW_JOB_RESERVING) {
+        if (is_live(place)) {
+            mw_send_order(zone, job, place, MW_ORDER_STOP);
+        }
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+    }
+}
+
+void
+mw_zone_report(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+               const struct mw_report *report)
+{
+    struct mw_job *job = g_hash_table_lookup(zone->jobs, &report->attempt.job);
+    struct mw_endpoint *e =
+        g_hash_table_lookup(zone->endpoints, &report->endpoint);
+    struct mw_place *place = job && e ? mw_job_place_on(job, e) : NULL;
+
+    if (!zone->leading || !place || !job->holds_place ||
+        job->epoch != report->attempt.epoch ||
+        job->number != report->attempt.number) {
+        zone->counters.stale_reports++;
+        return;
+    }
+    switch (report->outcome) {
+    case MW_OUTCOME_RESERVED:
+        on_reserved(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_STARTED:
+        place->ask_deadline_us = now_us + MW_ASK_US;
+        break;
+    case MW_OUTCOME_FINISHED:
+        on_finished(ctx, zone, now_us, job, place, report);
+        break;
+    case MW_OUTCOME_FAILED:
+        on_failed(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_STOPPED:
+    case MW_OUTCOME_ABSENT:
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+        break;
+    case MW_OUTCOME_REFUSED:
+        on_refused(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_LOST:
+        on_lost(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_CHECKPOINTED:
+        job->checkpoint_us = now_us;
+        job->resume = job->number;
+        break;
+    default:
+        zone->counters.stale_reports++;
+        break;
+    }
+}
+
+static void
+tick_place(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+           struct mw_job *job, struct mw_place *place)
+{
+    if (place->lost_deadline_us > 0 && now_us >= place->lost_deadline_us &&
+        place->state == MW_PART_RUNNING) {
+        place->lost_deadline_us = 0;
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+        return;
+    }
+    if (place->state == MW_PART_STOPPING && !place->endpoint->up) {
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+        return;
+    }
+    if (place->state == MW_PART_STOPPING && now_us >= job->stop_deadline_us) {
+        mw_send_order(zone, job, place, MW_ORDER_STOP);
+    }
+}
+
+static void
+tick_job(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+         struct mw_job *job)
+{
+    for (uint32_t i = 0; i < job->place_count && job->holds_place; i++) {
+        tick_place(ctx, zone, now_us, job, &job->places[i]);
+    }
+    if (job->state == MW_JOB_STOPPING && now_us >= job->stop_deadline_us) {
+        job->stop_deadline_us = now_us + MW_STOP_RESEND_US;
+    }
+    bool late = job->spec.deadline_us > 0 && now_us >= job->spec.deadline_us;
+
+    if (late && !job->recorded && job->state == MW_JOB_RUNNING) {
+        mw_stop_job(ctx, zone, now_us, job, MW_ERR_DEADLINE, false);
+    }
+}
+
+void
+mw_active_tick(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us)
+{
+    for (guint i = zone->active->len; i > 0; i--) {
+        if (i <= zone->active->len) {
+            tick_job(ctx, zone, now_us, zone->active->pdata[i - 1]);
+        }
+    }
+}
+
+/* A new leader takes over attempts whose intent is recorded. */
+static void
+adopt(struct mw_zone *zone, int64_t now_us, struct mw_job *job)
+{
+    struct mw_found found = {.count = job->place_count};
+
+    for (uint32_t i = 0; i < found.count; i++) {
+        found.places[i] = job->places[i];
+        found.places[i].state = MW_PART_RUNNING;
+        found.places[i].ask_deadline_us = now_us;
+        found.places[i].lost_deadline_us = now_us + MW_UNKNOWN_AFTER_US;
+    }
+    mw_take_place(zone, job, &found,
+                  mw_spec_may_stop(&job->spec) ? MW_HOLD_SOFT : MW_HOLD_FIRM,
+                  NULL);
+    job->state = MW_JOB_RUNNING;
+    job->started_us = now_us;
+    mw_set_active(zone, job, true);
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        if (job->places[i].endpoint->up) {
+            mw_send_order(zone, job, &job->places[i], MW_ORDER_ASK);
+        }
+    }
+}
+
+void
+mw_adopt_jobs(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    (void)ctx;
+    g_hash_table_iter_init(&iter, zone->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_job *job = value;
+
+        if (job->state == MW_JOB_RUNNING && job->intent) {
+            adopt(zone, now_us, job);
+        }
+        else if (job->state == MW_JOB_QUEUED && !job->in_queue) {
+            mw_queue_job(zone, job, false);
+        }
+    }
+}
--- /dev/null
+++ b/source/core/zone-cell.c
@@ -0,0 +1,270 @@
+/*
+ * zone-cell: the places kept for guaranteed shapes.
+ *
+ * Each guaranteed shape has a cell: a count of resources on given
+ * endpoints.  On every endpoint the cells and the firm work beyond them
+ * together fit, so a claim needs at most the stopping of soft work.  A cell
+ * that nobody claims may move to any place with room for it.
+ */
+#include <string.h>
+
+#include "zone-impl.h"
+
+void
+mw_lift_cell(struct mw_zone *zone, struct mw_cell *cell)
+{
+    for (uint32_t i = 0; cell->placed && i < cell->part_count; i++) {
+        struct mw_cell_part *part = &cell->parts[i];
+
+        mw_amount_sub(&part->endpoint->cells, &cell->guarantee->shape.need,
+                      part->tasks);
+    }
+    if (cell->placed) {
+        zone->dirty = true;
+    }
+    cell->placed = false;
+    g_clear_pointer(&cell->parts, g_free);
+    cell->part_count = 0;
+}
+
+void
+mw_put_cell(struct mw_zone *zone, struct mw_cell *cell,
+            const struct mw_found *found)
+{
+    cell->part_count = found->count;
+    cell->parts = g_new0(struct mw_cell_part, found->count);
+    for (uint32_t i = 0; i < found->count; i++) {
+        struct mw_cell_part *part = &cell->parts[i];
+
+        part->endpoint = found->places[i].endpoint;
+        part->tasks = found->places[i].tasks;
+        mw_amount_add(&part->endpoint->cells, &cell->guarantee->shape.need,
+                      part->tasks);
+    }
+    cell->placed = true;
+    zone->dirty = true;
+}
+
+struct mw_amount
+mw_cell_room(const struct mw_cell *cell, uint32_t i)
+{
+    const struct mw_cell_part *part = &cell->parts[i];
+    struct mw_amount whole = {0};
+
+    mw_amount_add(&whole, &cell->guarantee->shape.need, part->tasks);
+    return mw_amount_less(&whole, &part->claimed);
+}
+
+static uint32_t
+cell_size(const struct mw_cell *cell)
+{
+    const struct mw_shape *shape = &cell->guarantee->shape;
+
+    return shape->tasks * MAX(shape->need.accelerators, 1);
+}
+
+static int
+by_size(const void *a, const void *b)
+{
+    const struct mw_cell *x = *(struct mw_cell *const *)a;
+    const struct mw_cell *y = *(struct mw_cell *const *)b;
+    uint32_t sx = cell_size(x);
+    uint32_t sy = cell_size(y);
+
+    if (x->guarantee->shape.adjacent != y->guarantee->shape.adjacent) {
+        return x->guarantee->shape.adjacent == MW_ADJACENT_ZONE ? 1
+               : y->guarantee->shape.adjacent == MW_ADJACENT_ZONE
+                   ? -1
+                   : (int)y->guarantee->shape.adjacent -
+                         (int)x->guarantee->shape.adjacent;
+    }
+    return sx == sy ? 0 : sx < sy ? 1 : -1;
+}
+
+/* Whether the place of an unclaimed cell still keeps the promise. */
+static bool
+is_sound(const struct mw_cell *cell)
+{
+    for (uint32_t i = 0; i < cell->part_count; i++) {
+        const struct mw_endpoint *e = cell->parts[i].endpoint;
+        struct mw_amount sum = e->cells;
+
+        mw_amount_add(&sum, &e->firm, 1);
+        if (!mw_endpoint_usable(e) || e->quarantined ||
+            !mw_amount_fits(&sum, &e->total)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+place_cell(struct mw_zone *zone, int64_t now_us, struct mw_cell *cell)
+{
+    struct mw_found found;
+
+    if (!mw_find_place(zone, now_us, &cell->guarantee->shape, MW_ROOM_CELL,
+                       NULL, &found)) {
+        return false;
+    }
+    mw_put_cell(zone, cell, &found);
+    return true;
+}
+
+static unsigned
+place_missing(struct mw_zone *zone, int64_t now_us)
+{
+    unsigned missing = 0;
+
+    for (guint i = 0; i < zone->cells->len; i++) {
+        struct mw_cell *cell = zone->cells->pdata[i];
+
+        if (!cell->placed && !place_cell(zone, now_us, cell)) {
+            missing++;
+        }
+    }
+    return missing;
+}
+
+/* Second try: lift every unclaimed cell and place the largest first. */
+static unsigned
+rearrange(struct mw_zone *zone, int64_t now_us)
+{
+    for (guint i = 0; i < zone->cells->len; i++) {
+        struct mw_cell *cell = zone->cells->pdata[i];
+
+        if (cell->claims->len == 0) {
+            mw_lift_cell(zone, cell);
+        }
+    }
+    return place_missing(zone, now_us);
+}
+
+void
+mw_plan_cells(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us)
+{
+    zone->replan = false;
+    for (guint i = 0; i < zone->cells->len; i++) {
+        struct mw_cell *cell = zone->cells->pdata[i];
+
+        if (cell->placed && cell->claims->len == 0 && !is_sound(cell)) {
+            mw_lift_cell(zone, cell);
+        }
+    }
+    unsigned missing = place_missing(zone, now_us);
+
+    if (missing > 0) {
+        missing = rearrange(zone, now_us);
+    }
+    if (missing != zone->counters.cells_lost) {
+        mw_note(ctx, MW_PRIORITY_WARNING,
+                "event=guarantees zone=%.*s without_place=%u of=%u",
+                MW_FMT(mw_name_str(&zone->name)), missing, zone->cells->len);
+    }
+    zone->counters.cells_lost = missing;
+}
+
+static void
+free_cell(void *data)
+{
+    struct mw_cell *cell = data;
+
+    g_ptr_array_unref(cell->claims);
+    g_free(cell->parts);
+    g_free(cell);
+}
+
+static void
+add_cells(struct mw_zone *zone, struct mw_zone_org *org,
+          const struct mw_guarantee *guarantee)
+{
+    for (uint32_t n = 0; n < guarantee->count; n++) {
+        struct mw_cell *cell = g_new0(struct mw_cell, 1);
+
+        cell->org = org;
+        cell->guarantee = guarantee;
+        cell->claims = g_ptr_array_new();
+        g_ptr_array_add(zone->cells, cell);
+        g_ptr_array_add(org->cells, cell);
+        org->weight += cell_size(cell);
+    }
+}
+
+/* Work that claimed a cell keeps running, outside every guarantee. */
+static void
+release_claims(struct mw_cell *cell)
+{
+    for (guint i = 0; i < cell->claims->len; i++) {
+        struct mw_job *job = cell->claims->pdata[i];
+        bool soft = mw_spec_may_stop(&job->spec);
+
+        job->hold = soft ? MW_HOLD_SOFT : MW_HOLD_FIRM;
+        job->cell = NULL;
+        for (uint32_t p = 0; p < job->place_count; p++) {
+            struct mw_endpoint *e = job->places[p].endpoint;
+
+            mw_amount_add(soft ? &e->soft : &e->firm, &job->spec.shape.need,
+                          job->places[p].tasks);
+        }
+    }
+    g_ptr_array_set_size(cell->claims, 0);
+}
+
+void
+mw_drop_cells(struct mw_zone *zone)
+{
+    for (guint i = 0; i < zone->cells->len; i++) {
+        struct mw_cell *cell = zone->cells->pdata[i];
+
+        release_claims(cell);
+        mw_lift_cell(zone, cell);
+    }
+    for (guint i = 0; i < zone->org_list->len; i++) {
+        struct mw_zone_org *org = zone->org_list->pdata[i];
+
+        g_ptr_array_set_size(org->cells, 0);
+        org->weight = 1;
+    }
+    g_ptr_array_set_size(zone->cells, 0);
+}
+
+/* Jobs that hold a place claim a cell of their organisation again. */
+void
+mw_reclaim_running(struct mw_zone *zone)
+{
+    for (guint i = 0; i < zone->active->len; i++) {
+        struct mw_job *job = zone->active->pdata[i];
+
+        if (job->place_count > 0 && job->hold != MW_HOLD_CLAIM) {
+            mw_cell_follows(zone, job);
+        }
+    }
+}
+
+void
+mw_build_cells(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us)
+{
+    mw_drop_cells(zone);
+    for (uint32_t i = 0; zone->document && i < zone->document->org_count;
+         i++) {
+        const struct mw_org *spec = &zone->document->orgs[i];
+        struct mw_zone_org *org = mw_get_org(zone, &spec->name);
+
+        org->queued_max =
+            spec->queued_max ? spec->queued_max : MW_ORG_QUEUED_MAX;
+        for (uint32_t g = 0; g < spec->guarantee_count; g++) {
+            if (mw_name_equal(&spec->guarantees[g].zone, &zone->name)) {
+                add_cells(zone, org, &spec->guarantees[g]);
+            }
+        }
+    }
+    g_ptr_array_sort(zone->cells, by_size);
+    mw_reclaim_running(zone);
+    mw_plan_cells(ctx, zone, now_us);
+}
+
+void
+mw_init_cells(struct mw_zone *zone)
+{
+    zone->cells = g_ptr_array_new_with_free_func(free_cell);
+}
--- /dev/null
+++ b/source/core/zone-claim.c
@@ -0,0 +1,317 @@
+/*
+ * zone-claim: use of a guaranteed shape by its organisation.
+ */
+#include <string.h>
+
+#include "zone-impl.h"
+
+static uint32_t
+part_capacity(const struct mw_cell *cell, uint32_t i, const struct mw_job *job,
+              bool evict)
+{
+    struct mw_amount room = mw_cell_room(cell, i);
+    const struct mw_endpoint *e = cell->parts[i].endpoint;
+
+    if (!mw_endpoint_usable(e)) {
+        return 0;
+    }
+    if (!evict) {
+        struct mw_amount free = mw_endpoint_free(e);
+        uint32_t n = mw_amount_times(&job->spec.shape.need, &free);
+
+        return MIN(n, mw_amount_times(&job->spec.shape.need, &room));
+    }
+    return mw_amount_times(&job->spec.shape.need, &room);
+}
+
+static bool
+is_near_enough(const struct mw_cell *cell, const struct mw_job *job)
+{
+    if (job->spec.shape.adjacent != MW_ADJACENT_RACK) {
+        return true;
+    }
+    for (uint32_t i = 1; i < cell->part_count; i++) {
+        if (cell->parts[i].endpoint->rack != cell->parts[0].endpoint->rack) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+fit_cell(const struct mw_cell *cell, const struct mw_job *job, bool evict,
+         struct mw_found *found)
+{
+    const struct mw_shape *shape = &job->spec.shape;
+    bool together = shape->adjacent == MW_ADJACENT_ENDPOINT;
+    uint32_t left = shape->tasks;
+
+    found->count = 0;
+    if (!cell->placed || !is_near_enough(cell, job)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < cell->part_count && left > 0; i++) {
+        uint32_t n = part_capacity(cell, i, job, evict);
+
+        if (n == 0 || (together && n < shape->tasks)) {
+            continue;
+        }
+        n = MIN(n, left);
+        found->places[found->count++] = (struct mw_place){
+            .endpoint = cell->parts[i].endpoint,
+            .tasks = n,
+            .cell_part = i,
+        };
+        left -= n;
+    }
+    return left == 0;
+}
+
+/* Accelerators and slots that others would have to leave. */
+static uint32_t
+disturbs(const struct mw_job *job, const struct mw_found *found)
+{
+    uint32_t sum = 0;
+
+    for (uint32_t i = 0; i < found->count; i++) {
+        struct mw_amount need = {0};
+        struct mw_amount free = mw_endpoint_free(found->places[i].endpoint);
+
+        mw_amount_add(&need, &job->spec.shape.need, found->places[i].tasks);
+        need = mw_amount_less(&need, &free);
+        sum += need.accelerators + need.slots;
+    }
+    return sum;
+}
+
+static uint32_t
+room_left(const struct mw_cell *cell)
+{
+    uint32_t sum = 0;
+
+    for (uint32_t i = 0; i < cell->part_count; i++) {
+        sum += mw_cell_room(cell, i).accelerators;
+    }
+    return sum;
+}
+
+/* The cell that disturbs least, then the one with least room to spare. */
+static struct mw_cell *
+best_cell(struct mw_zone_org *org, const struct mw_job *job, bool evict,
+          struct mw_found *found)
+{
+    struct mw_cell *best = NULL;
+    uint64_t best_cost = UINT64_MAX;
+    struct mw_found trial;
+
+    for (guint i = 0; i < org->cells->len; i++) {
+        struct mw_cell *cell = org->cells->pdata[i];
+
+        if (!fit_cell(cell, job, evict, &trial)) {
+            continue;
+        }
+        uint64_t cost =
+            ((uint64_t)disturbs(job, &trial) << 32) + room_left(cell);
+
+        if (cost < best_cost) {
+            best = cell;
+            best_cost = cost;
+            found->count = trial.count;
+            memcpy(found->places, trial.places,
+                   trial.count * sizeof trial.places[0]);
+        }
+    }
+    return best;
+}
+
+/*
+ * An unclaimed cell whose place is taken by others may move to a place
+ * where nobody has to leave.
+ */
+static struct mw_cell *
+move_cell(struct mw_zone *zone, int64_t now_us, const struct mw_job *job,
+          struct mw_found *found)
+{
+    struct mw_found place;
+
+    for (guint i = 0; i < job->org->cells->len; i++) {
+        struct mw_cell *cell = job->org->cells->pdata[i];
+
+        if (!cell->placed || cell->claims->len > 0 ||
+            !fit_cell(cell, job, true, found)) {
+            continue;
+        }
+        struct mw_cell old = *cell;
+
+        cell->parts = g_memdup2(old.parts, old.part_count * sizeof *old.parts);
+        mw_lift_cell(zone, cell);
+        if (mw_find_place(zone, now_us, &cell->guarantee->shape, MW_ROOM_FIRM,
+                          NULL, &place)) {
+            mw_put_cell(zone, cell, &place);
+            zone->counters.cells_moved++;
+            g_free(old.parts);
+            if (fit_cell(cell, job, false, found)) {
+                return cell;
+            }
+            continue;
+        }
+        *cell = old;
+        for (uint32_t p = 0; p < cell->part_count; p++) {
+            mw_amount_add(&cell->parts[p].endpoint->cells,
+                          &cell->guarantee->shape.need, cell->parts[p].tasks);
+        }
+        return NULL;
+    }
+    return NULL;
+}
+
+/* Claims of the same organisation that the job may push out. */
+static bool
+yields_to(const struct mw_job *claim, const struct mw_job *job)
+{
+    return mw_spec_may_stop(&claim->spec) &&
+           claim->spec.priority > job->spec.priority &&
+           claim->state == MW_JOB_RUNNING;
+}
+
+static struct mw_cell *
+find_yielding(struct mw_job *job, int64_t now_us)
+{
+    struct mw_cell *best = NULL;
+    int64_t best_lost = INT64_MAX;
+    struct mw_found trial;
+
+    for (guint i = 0; i < job->org->cells->len; i++) {
+        struct mw_cell *cell = job->org->cells->pdata[i];
+        int64_t lost = 0;
+        struct mw_cell empty = *cell;
+
+        empty.parts =
+            g_memdup2(cell->parts, cell->part_count * sizeof *cell->parts);
+        for (guint c = 0; c < cell->claims->len; c++) {
+            struct mw_job *claim = cell->claims->pdata[c];
+
+            if (!yields_to(claim, job)) {
+                continue;
+            }
+            lost += mw_lost_work(claim, now_us);
+            for (uint32_t p = 0; p < claim->place_count; p++) {
+                mw_amount_sub(&empty.parts[claim->places[p].cell_part].claimed,
+                              &claim->spec.shape.need, claim->places[p].tasks);
+            }
+        }
+        if (fit_cell(&empty, job, true, &trial) && lost < best_lost) {
+            best = cell;
+            best_lost = lost;
+        }
+        g_free(empty.parts);
+    }
+    return best;
+}
+
+/*
+ * Lower work of the same organisation is stopped first; the job claims the
+ * room on a later pass, when it has left.
+ */
+static void
+push_out(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+         struct mw_job *job)
+{
+    struct mw_cell *cell = find_yielding(job, now_us);
+
+    for (guint c = 0; cell && c < cell->claims->len; c++) {
+        struct mw_job *claim = cell->claims->pdata[c];
+
+        if (yields_to(claim, job)) {
+            zone->counters.victims++;
+            mw_stop_job(ctx, zone, now_us, claim, 0, true);
+            return;
+        }
+    }
+}
+
+bool
+mw_claim_cell(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job, bool evict)
+{
+    struct mw_found found;
+    struct mw_cell *cell = NULL;
+
+    if (job->org->cells->len == 0) {
+        return false;
+    }
+    if (evict) {
+        cell = move_cell(zone, now_us, job, &found);
+    }
+    if (!cell) {
+        cell = best_cell(job->org, job, evict, &found);
+    }
+    if (!cell) {
+        if (evict && job->spec.priority == MW_URGENT) {
+            push_out(ctx, zone, now_us, job);
+        }
+        return false;
+    }
+    mw_take_place(zone, job, &found, MW_HOLD_CLAIM, cell);
+    zone->counters.placed_claim++;
+    return true;
+}
+
+/* Whether a job's shape is that of a guarantee, or lies inside it. */
+static bool
+covers(const struct mw_cell *cell, const struct mw_job *job)
+{
+    const struct mw_shape *g = &cell->guarantee->shape;
+    const struct mw_shape *s = &job->spec.shape;
+
+    return mw_amount_fits(&s->need, &g->need) && s->tasks <= g->tasks &&
+           (g->adjacent == s->adjacent || g->adjacent == MW_ADJACENT_ZONE);
+}
+
+static bool
+follow(struct mw_zone *zone, struct mw_cell *cell, struct mw_job *job)
+{
+    struct mw_found found = {.count = job->place_count};
+
+    memcpy(found.places, job->places, job->place_count * sizeof *job->places);
+    for (uint32_t i = 0; i < found.count; i++) {
+        struct mw_amount need = {0};
+        struct mw_endpoint *e = found.places[i].endpoint;
+        struct mw_amount room;
+
+        mw_amount_add(&need, &cell->guarantee->shape.need,
+                      found.places[i].tasks);
+        room = mw_amount_less(&e->total, &e->cells);
+        if (!mw_amount_fits(&need, &room)) {
+            return false;
+        }
+    }
+    mw_put_cell(zone, cell, &found);
+    return true;
+}
+
+void
+mw_cell_follows(struct mw_zone *zone, struct mw_job *job)
+{
+    for (guint i = 0; i < job->org->cells->len; i++) {
+        struct mw_cell *cell = job->org->cells->pdata[i];
+
+        if (cell->claims->len > 0 || cell->placed || !covers(cell, job) ||
+            job->spec.shape.tasks != cell->guarantee->shape.tasks) {
+            continue;
+        }
+        if (!follow(zone, cell, job)) {
+            continue;
+        }
+        struct mw_found found = {.count = job->place_count};
+
+        memcpy(found.places, job->places,
+               job->place_count * sizeof *job->places);
+        for (uint32_t p = 0; p < found.count; p++) {
+            found.places[p].cell_part = p;
+        }
+        mw_leave_place(zone, job);
+        mw_take_place(zone, job, &found, MW_HOLD_CLAIM, cell);
+        return;
+    }
+}
--- /dev/null
+++ b/source/core/zone-endpoint.c
@@ -0,0 +1,349 @@
+/*
+ * zone-endpoint: announcements, leases, and the index of free accelerators.
+ */
+#include <string.h>
+
+#include "zone-impl.h"
+
+struct mw_amount
+mw_endpoint_free(const struct mw_endpoint *e)
+{
+    return mw_amount_less(&e->total, &e->used);
+}
+
+struct mw_amount
+mw_endpoint_room(const struct mw_endpoint *e, enum mw_room room)
+{
+    struct mw_amount free = mw_endpoint_free(e);
+
+    if (room == MW_ROOM_FREE) {
+        return free;
+    }
+    struct mw_amount outside = mw_amount_less(&e->total, &e->cells);
+
+    outside = mw_amount_less(&outside, &e->firm);
+    if (room == MW_ROOM_CELL) {
+        return outside;
+    }
+    return (struct mw_amount){
+        .accelerators = MIN(free.accelerators, outside.accelerators),
+        .slots = MIN(free.slots, outside.slots),
+        .processors = MIN(free.processors, outside.processors),
+        .memory_mb = MIN(free.memory_mb, outside.memory_mb),
+    };
+}
+
+bool
+mw_endpoint_usable(const struct mw_endpoint *e)
+{
+    return e->up && !e->leaving;
+}
+
+static void
+unlink_bucket(struct mw_zone *zone, struct mw_endpoint *e)
+{
+    if (e->bucket < 0) {
+        return;
+    }
+    if (e->bucket_prev) {
+        e->bucket_prev->bucket_next = e->bucket_next;
+    }
+    else {
+        zone->bucket[e->bucket] = e->bucket_next;
+    }
+    if (e->bucket_next) {
+        e->bucket_next->bucket_prev = e->bucket_prev;
+    }
+    e->bucket_prev = NULL;
+    e->bucket_next = NULL;
+}
+
+static void
+recount_rack(struct mw_rack *rack)
+{
+    rack->free_accelerators = 0;
+    rack->total_accelerators = 0;
+    for (guint i = 0; i < rack->endpoints->len; i++) {
+        struct mw_endpoint *e = rack->endpoints->pdata[i];
+
+        if (e->bucket >= 0) {
+            rack->free_accelerators += mw_endpoint_free(e).accelerators;
+        }
+        if (mw_endpoint_usable(e)) {
+            rack->total_accelerators += e->total.accelerators;
+        }
+    }
+}
+
+void
+mw_index_endpoint(struct mw_zone *zone, struct mw_endpoint *e)
+{
+    struct mw_amount free = mw_endpoint_free(e);
+    bool indexed = mw_endpoint_usable(e) && free.slots > 0;
+    int bucket =
+        indexed ? (int)MIN(free.accelerators, MW_ACCELERATORS_MAX) : -1;
+
+    if (bucket != e->bucket) {
+        unlink_bucket(zone, e);
+        e->bucket = bucket;
+        if (bucket >= 0) {
+            e->bucket_next = zone->bucket[bucket];
+            if (e->bucket_next) {
+                e->bucket_next->bucket_prev = e;
+            }
+            zone->bucket[bucket] = e;
+        }
+    }
+    recount_rack(e->rack);
+}
+
+static struct mw_rack *
+get_rack(struct mw_zone *zone, const struct mw_name *name)
+{
+    for (guint i = 0; i < zone->racks->len; i++) {
+        struct mw_rack *rack = zone->racks->pdata[i];
+
+        if (mw_name_equal(&rack->name, name)) {
+            return rack;
+        }
+    }
+    struct mw_rack *rack = g_new0(struct mw_rack, 1);
+
+    rack->name = *name;
+    rack->endpoints = g_ptr_array_new();
+    g_ptr_array_add(zone->racks, rack);
+    return rack;
+}
+
+static struct mw_endpoint *
+add_endpoint(struct mw_zone *zone, const struct mw_announce *announce)
+{
+    struct mw_endpoint *e = g_new0(struct mw_endpoint, 1);
+
+    e->name = announce->endpoint;
+    e->bucket = -1;
+    e->jobs = g_ptr_array_new();
+    e->rack = get_rack(zone, &announce->rack);
+    g_ptr_array_add(e->rack->endpoints, e);
+    g_hash_table_insert(zone->endpoints, &e->name, e);
+    g_ptr_array_add(zone->endpoint_list, e);
+    return e;
+}
+
+static void
+move_rack(struct mw_zone *zone, struct mw_endpoint *e,
+          const struct mw_name *name)
+{
+    if (mw_name_equal(&e->rack->name, name)) {
+        return;
+    }
+    g_ptr_array_remove(e->rack->endpoints, e);
+    recount_rack(e->rack);
+    e->rack = get_rack(zone, name);
+    g_ptr_array_add(e->rack->endpoints, e);
+}
+
+static void
+lose_all(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+         struct mw_endpoint *e, bool for_good)
+{
+    GPtrArray *jobs = g_ptr_array_copy(e->jobs, NULL, NULL);
+
+    for (guint i = 0; i < jobs->len; i++) {
+        struct mw_job *job = jobs->pdata[i];
+        struct mw_place *place = mw_job_place_on(job, e);
+
+        if (place) {
+            mw_lose_place(ctx, zone, now_us, job, place, for_good);
+        }
+    }
+    g_ptr_array_unref(jobs);
+}
+
+static void
+set_up(struct mw_context *ctx, struct mw_zone *zone, struct mw_endpoint *e,
+       bool up, bool leaving)
+{
+    bool was = mw_endpoint_usable(e);
+
+    e->up = up;
+    e->leaving = leaving;
+    mw_index_endpoint(zone, e);
+    if (was == mw_endpoint_usable(e)) {
+        return;
+    }
+    zone->live_endpoints += was ? -1 : 1;
+    zone->replan = true;
+    zone->dirty = true;
+    mw_note(ctx, MW_PRIORITY_NOTICE, "event=endpoint name=%.*s state=%s",
+            MW_FMT(mw_name_str(&e->name)),
+            !up       ? "lost"
+            : leaving ? "leaving"
+                      : "up");
+}
+
+static void
+note_largest(struct mw_zone *zone, const struct mw_amount *total)
+{
+    struct mw_amount *l = &zone->largest;
+
+    l->accelerators = MAX(l->accelerators, total->accelerators);
+    l->slots = MAX(l->slots, total->slots);
+    l->processors = MAX(l->processors, total->processors);
+    l->memory_mb = MAX(l->memory_mb, total->memory_mb);
+}
+
+static int
+check_announce(struct mw_context *ctx, const struct mw_announce *a)
+{
+    if (!mw_name_valid(&a->endpoint)) {
+        return mw_fail(ctx, MW_ERR_INVALID, "endpoint: give a name");
+    }
+    if (a->total.accelerators > MW_ACCELERATORS_MAX) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
+                       "accelerators: %u is not in 0..%d",
+                       a->total.accelerators, MW_ACCELERATORS_MAX);
+    }
+    if (a->total.slots < 1 || a->total.slots > MW_SLOTS_MAX) {
+        return mw_fail(ctx, MW_ERR_OUT_OF_RANGE, "slots: %u is not in 1..%d",
+                       a->total.slots, MW_SLOTS_MAX);
+    }
+    return 0;
+}
+
+static struct mw_job *
+job_of_attempt(const struct mw_zone *zone, const struct mw_attempt_id *id)
+{
+    struct mw_job *job = g_hash_table_lookup(zone->jobs, &id->job);
+
+    if (!job || !mw_name_equal(&id->zone, &zone->name) ||
+        job->epoch != id->epoch || job->number != id->number) {
+        return NULL;
+    }
+    return job;
+}
+
+/* An attempt that nobody here knows: end it and let go of its result. */
+static void
+stop_orphan(struct mw_zone *zone, const struct mw_endpoint *e,
+            const struct mw_listed *listed)
+{
+    struct mw_order order = {
+        .kind = listed->finished ? MW_ORDER_FORGET : MW_ORDER_STOP,
+        .attempt = listed->attempt,
+        .endpoint = e->name,
+        .address = e->address,
+        .via = e->via,
+    };
+
+    zone->counters.orphans_stopped++;
+    zone->output.order(zone->output.opaque, &order);
+}
+
+static void
+mark_listed(struct mw_zone *zone, struct mw_endpoint *e, int64_t now_us,
+            const struct mw_listed *listed)
+{
+    struct mw_job *job = job_of_attempt(zone, &listed->attempt);
+    struct mw_place *place = job ? mw_job_place_on(job, e) : NULL;
+
+    if (!place || place->state == MW_PART_GONE) {
+        stop_orphan(zone, e, listed);
+        return;
+    }
+    place->lost_deadline_us = 0;
+    if (listed->finished && place->state == MW_PART_RUNNING) {
+        mw_send_order(zone, job, place, MW_ORDER_ASK);
+    }
+    place->ask_deadline_us = now_us + MW_ASK_US;
+}
+
+/* Parts that should run here but are not listed are asked about. */
+static void
+ask_unlisted(struct mw_zone *zone, struct mw_endpoint *e, int64_t now_us)
+{
+    for (guint i = 0; i < e->jobs->len; i++) {
+        struct mw_job *job = e->jobs->pdata[i];
+        struct mw_place *place = mw_job_place_on(job, e);
+
+        if (!place || place->state != MW_PART_RUNNING ||
+            now_us < place->ask_deadline_us) {
+            continue;
+        }
+        place->ask_deadline_us = now_us + MW_ASK_US;
+        mw_send_order(zone, job, place, MW_ORDER_ASK);
+    }
+}
+
+static void
+reconcile(struct mw_zone *zone, struct mw_endpoint *e, int64_t now_us,
+          const struct mw_announce *announce)
+{
+    if (!zone->leading) {
+        return;
+    }
+    for (uint32_t i = 0; i < announce->listed_count; i++) {
+        mark_listed(zone, e, now_us, &announce->listed[i]);
+    }
+    ask_unlisted(zone, e, now_us);
+}
+
+int
+mw_zone_announce(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                 const struct mw_announce *announce)
+{
+    int err = check_announce(ctx, announce);
+
+    if (err) {
+        return err;
+    }
+    struct mw_endpoint *e =
+        g_hash_table_lookup(zone->endpoints, &announce->endpoint);
+
+    if (!e) {
+        e = add_endpoint(zone, announce);
+    }
+    if (announce->incarnation < e->incarnation) {
+        zone->counters.stale_reports++;
+        return 0;
+    }
+    move_rack(zone, e, &announce->rack);
+    e->address = announce->address;
+    e->via = announce->via;
+    e->lease_deadline_us = now_us + MW_ENDPOINT_LEASE_US;
+    if (memcmp(&e->total, &announce->total, sizeof e->total) != 0) {
+        e->total = announce->total;
+        note_largest(zone, &e->total);
+        zone->replan = true;
+        mw_index_endpoint(zone, e);
+    }
+    if (announce->incarnation > e->incarnation) {
+        bool restarted = e->incarnation != 0;
+
+        e->incarnation = announce->incarnation;
+        if (restarted) {
+            lose_all(ctx, zone, now_us, e, true);
+        }
+    }
+    set_up(ctx, zone, e, true, announce->leaving);
+    reconcile(zone, e, now_us, announce);
+    return 0;
+}
+
+void
+mw_expire_endpoints(struct mw_context *ctx, struct mw_zone *zone,
+                    int64_t now_us)
+{
+    for (guint i = 0; i < zone->endpoint_list->len; i++) {
+        struct mw_endpoint *e = zone->endpoint_list->pdata[i];
+
+        if (!e->up || now_us < e->lease_deadline_us) {
+            continue;
+        }
+        zone->counters.endpoints_lost++;
+        set_up(ctx, zone, e, false, e->leaving);
+        if (zone->leading) {
+            lose_all(ctx, zone, now_us, e, false);
+        }
+    }
+}
--- /dev/null
+++ b/source/core/zone-find.c
@@ -0,0 +1,353 @@
+/*
+ * zone-find: where a shape can go.
+ *
+ * Single tasks and loose gangs walk the index from the fullest endpoints to
+ * the emptiest, so that small work fills what is broken already.  Gangs of
+ * one rack look at the racks' sums first.  None of it looks at every
+ * endpoint of the zone for a job, but for MW_ROOM_CELL, which is only used
+ * when guarantees are planned.
+ */
+#include <string.h>
+
+#include "zone-impl.h"
+
+#define SCAN_MAX 16
+
+struct search {
+    struct mw_zone *zone;
+    int64_t now_us;
+    const struct mw_shape *shape;
+    enum mw_room room;
+    const struct mw_job *job;
+};
+
+static bool
+has_failed_on(const struct mw_job *job, const struct mw_endpoint *e)
+{
+    for (uint32_t i = 0; job && i < MIN(job->failures, MW_ATTEMPTS_MAX); i++) {
+        if (job->failed_on[i] == e) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tasks of the shape that the endpoint can take, 0 when it may not. */
+static uint32_t
+capacity(const struct search *s, const struct mw_endpoint *e)
+{
+    if (!mw_endpoint_usable(e) || has_failed_on(s->job, e)) {
+        return 0;
+    }
+    if (s->room == MW_ROOM_CELL) {
+        if (e->quarantined) {
+            return 0;
+        }
+    }
+    else if (!mw_probe_allows(e, s->job, s->now_us) ||
+             !mw_hold_allows(s->zone, e->rack, s->job, s->now_us)) {
+        return 0;
+    }
+    struct mw_amount room = mw_endpoint_room(e, s->room);
+
+    return mw_amount_times(&s->shape->need, &room);
+}
+
+static void
+add_place(struct mw_found *found, struct mw_endpoint *e, uint32_t tasks)
+{
+    found->places[found->count++] = (struct mw_place){
+        .endpoint = e,
+        .tasks = tasks,
+    };
+}
+
+/* Lower is better: leave whole racks and other cells alone. */
+static uint64_t
+spoils(const struct mw_endpoint *e)
+{
+    uint64_t unclaimed = e->cells.accelerators;
+
+    return unclaimed * 4096 + e->rack->free_accelerators;
+}
+
+static struct mw_endpoint *
+best_in_bucket(const struct search *s, int bucket)
+{
+    struct mw_endpoint *best = NULL;
+    int scanned = 0;
+
+    for (struct mw_endpoint *e = s->zone->bucket[bucket];
+         e && scanned < SCAN_MAX; e = e->bucket_next) {
+        if (capacity(s, e) < s->shape->tasks) {
+            scanned++;
+            continue;
+        }
+        scanned++;
+        if (!best || spoils(e) < spoils(best)) {
+            best = e;
+        }
+    }
+    return best;
+}
+
+/* Move the front of a long bucket to its end, so that scans rotate. */
+static void
+rotate_bucket(struct mw_zone *zone, int bucket)
+{
+    struct mw_endpoint *e = zone->bucket[bucket];
+    struct mw_endpoint *last = e;
+
+    for (int i = 0; last && i < SCAN_MAX; i++) {
+        last = last->bucket_next;
+    }
+    if (!last) {
+        return;
+    }
+    while (last->bucket_next) {
+        last = last->bucket_next;
+    }
+    struct mw_endpoint *cut = e;
+
+    for (int i = 1; i < SCAN_MAX; i++) {
+        cut = cut->bucket_next;
+    }
+    zone->bucket[bucket] = cut->bucket_next;
+    cut->bucket_next->bucket_prev = NULL;
+    cut->bucket_next = NULL;
+    last->bucket_next = e;
+    e->bucket_prev = last;
+}
+
+static bool
+find_one_endpoint(const struct search *s, struct mw_found *found)
+{
+    uint32_t need = s->shape->need.accelerators * s->shape->tasks;
+
+    for (uint32_t b = need; b < MW_FREE_BUCKETS; b++) {
+        struct mw_endpoint *e = best_in_bucket(s, (int)b);
+
+        if (e) {
+            add_place(found, e, s->shape->tasks);
+            return true;
+        }
+        rotate_bucket(s->zone, (int)b);
+    }
+    return false;
+}
+
+static int
+by_capacity(const void *a, const void *b)
+{
+    const struct mw_place *x = a;
+    const struct mw_place *y = b;
+
+    if (x->tasks != y->tasks) {
+        return x->tasks < y->tasks ? 1 : -1;
+    }
+    return 0;
+}
+
+/* Fill the rack's endpoints, largest capacity first. */
+static bool
+fill_rack(const struct search *s, const struct mw_rack *rack,
+          struct mw_found *found)
+{
+    uint32_t left = s->shape->tasks;
+    guint members = MIN(rack->endpoints->len, MW_TASKS_MAX);
+
+    found->count = 0;
+    for (guint i = 0; i < members; i++) {
+        struct mw_endpoint *e = rack->endpoints->pdata[i];
+        uint32_t n = capacity(s, e);
+
+        if (n > 0) {
+            add_place(found, e, n);
+        }
+    }
+    qsort(found->places, found->count, sizeof found->places[0], by_capacity);
+    for (uint32_t i = 0; i < found->count; i++) {
+        struct mw_place *place = &found->places[i];
+
+        place->tasks = MIN(place->tasks, left);
+        left -= place->tasks;
+        if (left == 0) {
+            found->count = i + 1;
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+find_one_rack(const struct search *s, struct mw_found *found)
+{
+    uint32_t need = s->shape->need.accelerators * s->shape->tasks;
+    struct mw_rack *best = NULL;
+    uint32_t best_left = UINT32_MAX;
+
+    for (guint i = 0; i < s->zone->racks->len; i++) {
+        struct mw_rack *rack = s->zone->racks->pdata[i];
+        uint32_t free = s->room == MW_ROOM_CELL ? rack->total_accelerators
+                                                : rack->free_accelerators;
+
+        if (free < need || free - need >= best_left) {
+            continue;
+        }
+        if (fill_rack(s, rack, found)) {
+            best = rack;
+            best_left = free - need;
+        }
+    }
+    return best && fill_rack(s, best, found);
+}
+
+static uint32_t
+gather_bucket(const struct search *s, int bucket, uint32_t left,
+              struct mw_found *found)
+{
+    int misses = 0;
+
+    for (struct mw_endpoint *e = s->zone->bucket[bucket];
+         e && left > 0 && misses < SCAN_MAX && found->count < MW_TASKS_MAX;
+         e = e->bucket_next) {
+        uint32_t n = MIN(capacity(s, e), left);
+
+        if (n == 0) {
+            misses++;
+            continue;
+        }
+        add_place(found, e, n);
+        left -= n;
+    }
+    return left;
+}
+
+static bool
+find_across_zone(const struct search *s, struct mw_found *found)
+{
+    uint32_t left = s->shape->tasks;
+
+    if (left == 1) {
+        return find_one_endpoint(s, found);
+    }
+    found->count = 0;
+    for (uint32_t b = s->shape->need.accelerators; b < MW_FREE_BUCKETS; b++) {
+        left = gather_bucket(s, (int)b, left, found);
+        if (left == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Cells look at every endpoint; they are planned rarely. */
+static bool
+find_cell_across_zone(const struct search *s, struct mw_found *found)
+{
+    uint32_t left = s->shape->tasks;
+
+    found->count = 0;
+    for (guint i = 0; i < s->zone->endpoint_list->len && left > 0; i++) {
+        struct mw_endpoint *e = s->zone->endpoint_list->pdata[i];
+        uint32_t n = MIN(capacity(s, e), left);
+
+        if (n > 0 && found->count < MW_TASKS_MAX) {
+            add_place(found, e, n);
+            left -= n;
+        }
+    }
+    return left == 0;
+}
+
+static bool
+find_cell_endpoint(const struct search *s, struct mw_found *found)
+{
+    struct mw_endpoint *best = NULL;
+    uint32_t best_room = UINT32_MAX;
+
+    for (guint i = 0; i < s->zone->endpoint_list->len; i++) {
+        struct mw_endpoint *e = s->zone->endpoint_list->pdata[i];
+        uint32_t room = mw_endpoint_room(e, s->room).accelerators;
+
+        if (capacity(s, e) >= s->shape->tasks && room < best_room) {
+            best = e;
+            best_room = room;
+        }
+    }
+    if (best) {
+        add_place(found, best, s->shape->tasks);
+    }
+    return best != NULL;
+}
+
+bool
+mw_find_place(struct mw_zone *zone, int64_t now_us,
+              const struct mw_shape *shape, enum mw_room room,
+              const struct mw_job *job, struct mw_found *found)
+{
+    struct search s = {zone, now_us, shape, room, job};
+
+    found->count = 0;
+    if (shape->adjacent == MW_ADJACENT_RACK) {
+        return find_one_rack(&s, found);
+    }
+    if (room == MW_ROOM_CELL) {
+        return shape->adjacent == MW_ADJACENT_ENDPOINT || shape->tasks == 1
+                   ? find_cell_endpoint(&s, found)
+                   : find_cell_across_zone(&s, found);
+    }
+    if (shape->adjacent == MW_ADJACENT_ENDPOINT) {
+        return find_one_endpoint(&s, found);
+    }
+    return find_across_zone(&s, found);
+}
+
+static bool
+fits_rack_empty(const struct mw_shape *shape, const struct mw_rack *rack)
+{
+    uint32_t tasks = 0;
+
+    for (guint i = 0; i < rack->endpoints->len; i++) {
+        const struct mw_endpoint *e = rack->endpoints->pdata[i];
+
+        tasks += mw_amount_times(&shape->need, &e->total);
+    }
+    return tasks >= shape->tasks;
+}
+
+bool
+mw_shape_possible(const struct mw_zone *zone, const struct mw_shape *shape)
+{
+    struct mw_amount whole = {0};
+    uint32_t tasks = 0;
+
+    if (zone->endpoint_list->len == 0) {
+        return true;
+    }
+    mw_amount_add(&whole, &shape->need,
+                  shape->adjacent == MW_ADJACENT_ENDPOINT ? shape->tasks : 1);
+    if (!mw_amount_fits(&whole, &zone->largest)) {
+        return false;
+    }
+    if (shape->adjacent == MW_ADJACENT_ENDPOINT || shape->tasks == 1) {
+        return true;
+    }
+    for (guint i = 0; i < zone->racks->len; i++) {
+        if (fits_rack_empty(shape, zone->racks->pdata[i])) {
+            return true;
+        }
+    }
+    if (shape->adjacent == MW_ADJACENT_RACK) {
+        return false;
+    }
+    for (guint i = 0; i < zone->endpoint_list->len; i++) {
+        const struct mw_endpoint *e = zone->endpoint_list->pdata[i];
+
+        tasks += mw_amount_times(&shape->need, &e->total);
+        if (tasks >= shape->tasks) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/source/core/zone-job.c
@@ -0,0 +1,514 @@
+/*
+ * zone-job: submissions, resends, questions, cancellations and answers.
+ */
+#include "zone-impl.h"
+
+static void
+clear_waiters(struct mw_job *job)
+{
+    g_array_set_size(job->waiters, 0);
+}
+
+void
+mw_free_job(void *data)
+{
+    struct mw_job *job = data;
+
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        mw_drop_blob(job->places[i].output);
+    }
+    g_free(job->places);
+    g_array_unref(job->waiters);
+    mw_drop_blob(job->body);
+    mw_drop_blob(job->output);
+    g_free(job);
+}
+
+GPtrArray *
+mw_all_jobs(const struct mw_zone *zone)
+{
+    GPtrArray *jobs = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, zone->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(jobs, value);
+    }
+    return jobs;
+}
+
+struct mw_job *
+mw_add_job(struct mw_zone *zone, uint64_t id, const struct mw_job_spec *spec,
+           struct mw_blob *body, int64_t now_us)
+{
+    struct mw_job *job = g_new0(struct mw_job, 1);
+
+    job->id = id;
+    job->spec = *spec;
+    job->body = mw_keep_blob(body);
+    job->org = mw_get_org(zone, &spec->key.org);
+    job->recorded = mw_spec_is_recorded(spec);
+    job->level = spec->priority;
+    job->waiters = g_array_new(FALSE, FALSE, sizeof(struct mw_waiter));
+    job->submitted_us = now_us;
+    job->active_index = -1;
+    zone->next_job = MAX(zone->next_job, id + 1);
+    g_hash_table_insert(zone->jobs, &job->id, job);
+    g_hash_table_insert(zone->jobs_by_key, &job->spec.key, job);
+    return job;
+}
+
+void
+mw_remove_job(struct mw_zone *zone, struct mw_job *job)
+{
+    mw_unqueue_job(zone, job);
+    mw_leave_place(zone, job);
+    mw_set_active(zone, job, false);
+    g_ptr_array_remove(zone->reclaiming, job);
+    g_hash_table_remove(zone->jobs_by_key, &job->spec.key);
+    g_hash_table_remove(zone->jobs, &job->id);
+}
+
+void
+mw_answer_one(struct mw_zone *zone, const struct mw_waiter *waiter,
+              const struct mw_job *job, int error, enum mw_ran ran,
+              struct mw_str detail)
+{
+    struct mw_answer answer = {
+        .error = error,
+        .ran = ran,
+        .state = job ? job->state : MW_JOB_DONE,
+        .job = job ? job->id : 0,
+        .zone = zone->name,
+        .detail = detail,
+    };
+
+    if (job && job->state == MW_JOB_HANDED) {
+        answer.zone = job->handed_to;
+    }
+    if (job && job->state == MW_JOB_DONE) {
+        answer.output = job->output;
+    }
+    zone->output.answer(zone->output.opaque, waiter, &answer);
+}
+
+void
+mw_answer_waiters(struct mw_zone *zone, struct mw_job *job)
+{
+    for (guint i = 0; i < job->waiters->len; i++) {
+        struct mw_waiter *waiter =
+            &g_array_index(job->waiters, struct mw_waiter, i);
+
+        mw_answer_one(zone, waiter, job, job->error, job->ran, MW_STR(""));
+    }
+    clear_waiters(job);
+}
+
+/* The endpoints may let go of their results. */
+static void
+forget_parts(struct mw_zone *zone, struct mw_job *job)
+{
+    for (uint32_t i = 0; zone->leading && i < job->place_count; i++) {
+        if (job->started_us && job->places[i].endpoint->up) {
+            mw_send_order(zone, job, &job->places[i], MW_ORDER_FORGET);
+        }
+    }
+}
+
+static void
+count_end(struct mw_zone *zone, int error)
+{
+    if (error == 0) {
+        zone->counters.finished++;
+    }
+    else if (error == MW_ERR_CANCELLED) {
+        zone->counters.cancelled++;
+    }
+    else {
+        zone->counters.refused++;
+    }
+}
+
+void
+mw_settle_job(struct mw_zone *zone, int64_t now_us, struct mw_job *job,
+              int error, enum mw_ran ran, struct mw_blob *output)
+{
+    if (job->state != MW_JOB_DONE) {
+        count_end(zone, error);
+    }
+    job->state = MW_JOB_DONE;
+    job->error = error;
+    job->ran = ran;
+    job->done_us = now_us;
+    if (output != job->output) {
+        mw_drop_blob(job->output);
+        job->output = mw_keep_blob(output);
+    }
+    g_clear_pointer(&job->body, mw_drop_blob);
+    mw_answer_waiters(zone, job);
+}
+
+static int
+record_result(struct mw_zone *zone, const struct mw_job *job, int error,
+              enum mw_ran ran)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_RESULT);
+
+    record->result.job = job->id;
+    record->result.error = error;
+    record->result.ran = ran;
+    record->result.output = mw_keep_blob(job->output);
+    int err = zone->output.propose(zone->output.opaque, record);
+
+    mw_drop_record(record);
+    return err;
+}
+
+/*
+ * A finished job is answered at once: it has run, whatever becomes of the
+ * record.  A refusal waits for its record, so that no later leader runs a
+ * job that was said not to run.
+ */
+void
+mw_finish_job(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job, int error, enum mw_ran ran)
+{
+    (void)ctx;
+    if (!job->recorded) {
+        mw_settle_job(zone, now_us, job, error, ran, job->output);
+        forget_parts(zone, job);
+        mw_remove_job(zone, job);
+        return;
+    }
+    job->error = error;
+    job->ran = ran;
+    record_result(zone, job, error, ran);
+    if (error == 0) {
+        mw_settle_job(zone, now_us, job, error, ran, job->output);
+        return;
+    }
+    job->state = MW_JOB_STOPPING;
+}
+
+void
+mw_result_applied(struct mw_zone *zone, int64_t now_us, struct mw_job *job,
+                  const struct mw_record_result *result)
+{
+    mw_unqueue_job(zone, job);
+    mw_leave_place(zone, job);
+    mw_set_active(zone, job, false);
+    mw_settle_job(zone, now_us, job, result->error, result->ran,
+                  result->output);
+    job->settled = true;
+    forget_parts(zone, job);
+}
+
+static void
+add_waiter(struct mw_job *job, const struct mw_waiter *waiter)
+{
+    for (guint i = 0; i < job->waiters->len; i++) {
+        struct mw_waiter *w =
+            &g_array_index(job->waiters, struct mw_waiter, i);
+
+        if (w->ref == waiter->ref &&
+            mw_name_equal(&w->process, &waiter->process)) {
+            *w = *waiter;
+            return;
+        }
+    }
+    g_array_append_val(job->waiters, *waiter);
+}
+
+/* A request that is known already: answer now, or when it is done. */
+static void
+join(struct mw_zone *zone, struct mw_job *job, const struct mw_waiter *waiter)
+{
+    bool answered = job->state == MW_JOB_DONE || job->state == MW_JOB_HANDED ||
+                    (!waiter->until_done && job->state != MW_JOB_ACCEPTING);
+
+    if (!answered) {
+        add_waiter(job, waiter);
+        return;
+    }
+    int error = job->state == MW_JOB_HANDED ? MW_ERR_NOT_OWNER
+                : job->state == MW_JOB_DONE ? job->error
+                                            : 0;
+    enum mw_ran ran = job->state == MW_JOB_DONE        ? job->ran
+                      : job->state == MW_JOB_HANDED    ? MW_NOT_RUN
+                      : job->started_us || job->intent ? MW_MAY_HAVE_RUN
+                                                       : MW_NOT_RUN;
+
+    mw_answer_one(zone, waiter, job, error, ran, MW_STR(""));
+}
+
+static int
+admit(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+      const struct mw_job_spec *spec)
+{
+    const struct mw_org *org = mw_find_org(zone->document, &spec->key.org);
+    struct mw_zone_org *queue;
+
+    if (!zone->leading) {
+        return mw_fail(ctx, MW_ERR_NOT_LEADER, "this process does not lead");
+    }
+    if (!zone->document || !org) {
+        return mw_fail(ctx, MW_ERR_DENIED,
+                       "organisation %.*s is not in the document in force",
+                       MW_FMT(mw_name_str(&spec->key.org)));
+    }
+    if (spec->deadline_us > 0 && now_us >= spec->deadline_us) {
+        return mw_fail(ctx, MW_ERR_DEADLINE, "it passed before admission");
+    }
+    if (!mw_shape_possible(zone, &spec->shape)) {
+        return mw_fail(ctx, MW_ERR_IMPOSSIBLE, "%u tasks of %u accelerators",
+                       spec->shape.tasks, spec->shape.need.accelerators);
+    }
+    queue = mw_get_org(zone, &spec->key.org);
+    if (queue->queued >= queue->queued_max || zone->queued >= MW_QUEUED_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED, "%u jobs are queued",
+                       queue->queued);
+    }
+    if (mw_spec_is_recorded(spec) &&
+        !zone->output.may_record(zone->output.opaque)) {
+        return mw_fail(ctx, MW_ERR_NO_QUORUM,
+                       "no synced disk and second VM in this zone");
+    }
+    if (zone->out && !mw_spec_is_recorded(spec)) {
+        return mw_fail(ctx, MW_ERR_OUT, "zone %.*s",
+                       MW_FMT(mw_name_str(&zone->name)));
+    }
+    return 0;
+}
+
+static void
+refuse(struct mw_context *ctx, struct mw_zone *zone,
+       const struct mw_waiter *waiter, int error)
+{
+    zone->counters.refused++;
+    mw_answer_one(zone, waiter, NULL, error, MW_NOT_RUN, mw_detail(ctx));
+}
+
+static void
+accept_job(struct mw_context *ctx, struct mw_zone *zone, struct mw_job *job,
+           const struct mw_waiter *waiter)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_ACCEPT);
+
+    record->accept.job = job->id;
+    record->accept.spec = job->spec;
+    record->accept.body = mw_keep_blob(job->body);
+    job->state = MW_JOB_ACCEPTING;
+    int err = zone->output.propose(zone->output.opaque, record);
+
+    mw_drop_record(record);
+    if (err) {
+        refuse(ctx, zone, waiter, err);
+        mw_remove_job(zone, job);
+        return;
+    }
+    add_waiter(job, waiter);
+}
+
+void
+mw_zone_submit(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+               const struct mw_job_spec *spec, struct mw_blob *body,
+               const struct mw_waiter *waiter)
+{
+    struct mw_job *known = g_hash_table_lookup(zone->jobs_by_key, &spec->key);
+
+    zone->counters.submitted++;
+    ctx->detail_len = 0;
+    if (known && zone->leading) {
+        zone->counters.resent++;
+        join(zone, known, waiter);
+        return;
+    }
+    int err = admit(ctx, zone, now_us, spec);
+
+    if (err) {
+        refuse(ctx, zone, waiter, err);
+        return;
+    }
+    struct mw_job *job = mw_add_job(zone, zone->next_job, spec, body, now_us);
+
+    if (job->recorded) {
+        accept_job(ctx, zone, job, waiter);
+        return;
+    }
+    add_waiter(job, waiter);
+    if (job->org->queue[job->level].length > 0 ||
+        !mw_try_job(ctx, zone, now_us, job)) {
+        mw_queue_job(zone, job, false);
+    }
+}
+
+void
+mw_accept_applied(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                  const struct mw_record_accept *accept)
+{
+    struct mw_job *job = g_hash_table_lookup(zone->jobs, &accept->job);
+
+    if (!job) {
+        job =
+            mw_add_job(zone, accept->job, &accept->spec, accept->body, now_us);
+        job->replayed = true;
+        /* deadlines are of the clock of the process that took it */
+        job->spec.deadline_us = 0;
+    }
+    zone->counters.accepted++;
+    if (!zone->leading) {
+        job->state = MW_JOB_QUEUED;
+        return;
+    }
+    mw_queue_job(zone, job, false);
+    if (job->cancelled) {
+        mw_stop_job(ctx, zone, now_us, job, MW_ERR_CANCELLED, false);
+        return;
+    }
+    for (guint i = 0; i < job->waiters->len;) {
+        struct mw_waiter *w =
+            &g_array_index(job->waiters, struct mw_waiter, i);
+
+        if (w->until_done) {
+            i++;
+            continue;
+        }
+        mw_answer_one(zone, w, job, 0, MW_NOT_RUN, MW_STR(""));
+        g_array_remove_index(job->waiters, i);
+    }
+}
+
+void
+mw_zone_query(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              const struct mw_job_key *key, const struct mw_waiter *waiter)
+{
+    struct mw_job *job = g_hash_table_lookup(zone->jobs_by_key, key);
+
+    (void)now_us;
+    ctx->detail_len = 0;
+    if (!zone->leading) {
+        mw_answer_one(zone, waiter, NULL, MW_ERR_NOT_LEADER, MW_MAY_HAVE_RUN,
+                      MW_STR(""));
+        return;
+    }
+    if (!job) {
+        mw_answer_one(zone, waiter, NULL, MW_ERR_NOT_FOUND, MW_MAY_HAVE_RUN,
+                      MW_STR(""));
+        return;
+    }
+    join(zone, job, waiter);
+}
+
+void
+mw_zone_cancel(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+               const struct mw_job_key *key, const struct mw_waiter *waiter)
+{
+    struct mw_job *job = g_hash_table_lookup(zone->jobs_by_key, key);
+
+    if (!zone->leading || !job || job->state == MW_JOB_DONE ||
+        job->state == MW_JOB_HANDED) {
+        mw_zone_query(ctx, zone, now_us, key, waiter);
+        return;
+    }
+    add_waiter(job, waiter);
+    if (job->state == MW_JOB_ACCEPTING) {
+        job->cancelled = true;
+        return;
+    }
+    if (job->state != MW_JOB_STOPPING || job->stop_requeues) {
+        bool stopping = job->state == MW_JOB_STOPPING;
+
+        job->stop_error = MW_ERR_CANCELLED;
+        job->stop_requeues = false;
+        if (!stopping) {
+            mw_stop_job(ctx, zone, now_us, job, MW_ERR_CANCELLED, false);
+        }
+    }
+}
+
+static void
+expire_queued(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              GQueue *queue)
+{
+    GList *link = queue->head;
+
+    while (link) {
+        struct mw_job *job = link->data;
+        int64_t deadline = job->spec.deadline_us;
+
+        link = link->next;
+        if (deadline > 0 && now_us >= deadline) {
+            mw_unqueue_job(zone, job);
+            mw_finish_job(ctx, zone, now_us, job, MW_ERR_DEADLINE,
+                          job->number ? MW_MAY_HAVE_RUN : MW_NOT_RUN);
+        }
+    }
+}
+
+static void
+forget_old(struct mw_zone *zone, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, zone->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_job *job = value;
+
+        if (!job->settled || now_us - job->done_us < MW_RESULT_KEPT_US) {
+            continue;
+        }
+        struct mw_record *record = mw_new_record(MW_RECORD_FORGET);
+
+        record->forget.job = job->id;
+        if (zone->output.propose(zone->output.opaque, record) == 0) {
+            job->done_us = now_us;
+        }
+        mw_drop_record(record);
+    }
+}
+
+#define TICK_US 250000
+#define FORGET_EVERY_US 60000000
+
+static void
+tick_timers(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us)
+{
+    mw_expire_endpoints(ctx, zone, now_us);
+    if (!zone->leading) {
+        return;
+    }
+    for (guint i = 0; i < zone->org_list->len; i++) {
+        struct mw_zone_org *org = zone->org_list->pdata[i];
+
+        for (int level = 0; level < MW_PRIORITIES; level++) {
+            expire_queued(ctx, zone, now_us, &org->queue[level]);
+        }
+    }
+    mw_active_tick(ctx, zone, now_us);
+    mw_out_tick(ctx, zone, now_us);
+    if (now_us >= zone->forget_deadline_us) {
+        zone->forget_deadline_us = now_us + FORGET_EVERY_US;
+        forget_old(zone, now_us);
+    }
+    if (zone->queued > 0) {
+        zone->dirty = true;
+    }
+}
+
+void
+mw_zone_tick(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us)
+{
+    if (now_us >= zone->tick_deadline_us) {
+        zone->tick_deadline_us = now_us + TICK_US;
+        tick_timers(ctx, zone, now_us);
+    }
+    mw_schedule(ctx, zone, now_us);
+}
+
+int64_t
+mw_zone_deadline(const struct mw_zone *zone)
+{
+    return zone->tick_deadline_us;
+}
--- /dev/null
+++ b/source/core/zone-learn.c
@@ -0,0 +1,87 @@
+/*
+ * zone-learn: run times as they are, by organisation and class.
+ *
+ * What callers declare is off by ten times either way.  A bounded histogram
+ * over powers of two, halved as it fills, stands in for it.
+ */
+#include "zone-impl.h"
+
+#define CLASSES_MAX 4096
+#define DECAY_AT 256
+
+static int
+bucket_of(int64_t runtime_us)
+{
+    int bucket = 0;
+
+    while (runtime_us > 1 && bucket < MW_RUNTIME_BUCKETS - 1) {
+        runtime_us >>= 1;
+        bucket++;
+    }
+    return bucket;
+}
+
+static struct mw_job_key
+class_key(const struct mw_job *job)
+{
+    return (struct mw_job_key){job->spec.key.org, job->spec.class};
+}
+
+void
+mw_learn_runtime(struct mw_zone *zone, const struct mw_job *job,
+                 int64_t runtime_us)
+{
+    struct mw_job_key key = class_key(job);
+    struct mw_runtime *r = g_hash_table_lookup(zone->runtimes, &key);
+
+    if (!r) {
+        if (g_hash_table_size(zone->runtimes) >= CLASSES_MAX) {
+            return;
+        }
+        r = g_new0(struct mw_runtime, 1);
+        r->key = key;
+        g_hash_table_insert(zone->runtimes, &r->key, r);
+    }
+    if (r->count >= DECAY_AT) {
+        r->count = 0;
+        for (int i = 0; i < MW_RUNTIME_BUCKETS; i++) {
+            r->bucket[i] /= 2;
+            r->count += r->bucket[i];
+        }
+    }
+    r->bucket[bucket_of(runtime_us)]++;
+    r->count++;
+}
+
+/* Median of the learnt run times that are longer than what has passed. */
+int64_t
+mw_expect_left(const struct mw_zone *zone, const struct mw_job *job,
+               int64_t now_us)
+{
+    struct mw_job_key key = class_key(job);
+    const struct mw_runtime *r = g_hash_table_lookup(zone->runtimes, &key);
+    int64_t passed = job->started_us ? now_us - job->started_us : 0;
+    int from = bucket_of(passed);
+    uint32_t beyond = 0;
+
+    if (!r || r->count == 0) {
+        return MAX(job->spec.runtime_us - passed, passed);
+    }
+    for (int i = from; i < MW_RUNTIME_BUCKETS; i++) {
+        beyond += r->bucket[i];
+    }
+    if (beyond == 0) {
+        return passed;
+    }
+    uint32_t seen = 0;
+
+    for (int i = from; i < MW_RUNTIME_BUCKETS; i++) {
+        seen += r->bucket[i];
+        if (2 * seen >= beyond) {
+            int64_t middle = ((int64_t)1 << i) + ((int64_t)1 << i) / 2;
+
+            return MAX(middle - passed, 0);
+        }
+    }
+    return passed;
+}
