--- /dev/null
+++ b/source/core/zone-place.c
@@ -0,0 +1,216 @@
+/*
+ * zone-place: taking a place, giving it back, and clearing it of others.
+ */
+#include <string.h>
+
+#include "zone-impl.h"
+
+struct mw_place *
+mw_job_place_on(struct mw_job *job, const struct mw_endpoint *e)
+{
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        if (job->places[i].endpoint == e) {
+            return &job->places[i];
+        }
+    }
+    return NULL;
+}
+
+static struct mw_amount *
+hold_of(struct mw_endpoint *e, enum mw_hold hold)
+{
+    return hold == MW_HOLD_SOFT   ? &e->soft
+           : hold == MW_HOLD_FIRM ? &e->firm
+                                  : NULL;
+}
+
+void
+mw_take_place(struct mw_zone *zone, struct mw_job *job,
+              const struct mw_found *found, enum mw_hold hold,
+              struct mw_cell *cell)
+{
+    const struct mw_amount *need = &job->spec.shape.need;
+
+    g_free(job->places);
+    job->place_count = found->count;
+    job->places =
+        g_memdup2(found->places, found->count * sizeof found->places[0]);
+    job->hold = hold;
+    job->cell = cell;
+    job->holds_place = true;
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        struct mw_place *place = &job->places[i];
+        struct mw_endpoint *e = place->endpoint;
+        struct mw_amount *held = hold_of(e, hold);
+
+        mw_amount_add(&e->used, need, place->tasks);
+        if (held) {
+            mw_amount_add(held, need, place->tasks);
+        }
+        if (cell) {
+            mw_amount_add(&cell->parts[place->cell_part].claimed, need,
+                          place->tasks);
+        }
+        if (e->quarantined) {
+            e->probe_job = job->id;
+            zone->counters.probes++;
+        }
+        g_ptr_array_add(e->jobs, job);
+        mw_index_endpoint(zone, e);
+    }
+    if (cell) {
+        g_ptr_array_add(cell->claims, job);
+    }
+    job->org->usage +=
+        (uint64_t)job->spec.shape.tasks * MAX(need->accelerators, 1);
+}
+
+void
+mw_leave_place(struct mw_zone *zone, struct mw_job *job)
+{
+    const struct mw_amount *need = &job->spec.shape.need;
+
+    if (!job->holds_place) {
+        return;
+    }
+    job->holds_place = false;
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        struct mw_place *place = &job->places[i];
+        struct mw_endpoint *e = place->endpoint;
+        struct mw_amount *held = hold_of(e, job->hold);
+
+        mw_amount_sub(&e->used, need, place->tasks);
+        if (held) {
+            mw_amount_sub(held, need, place->tasks);
+        }
+        if (job->cell) {
+            mw_amount_sub(&job->cell->parts[place->cell_part].claimed, need,
+                          place->tasks);
+        }
+        if (e->probe_job == job->id) {
+            e->probe_job = 0;
+        }
+        g_ptr_array_remove_fast(e->jobs, job);
+        mw_index_endpoint(zone, e);
+    }
+    if (job->cell) {
+        g_ptr_array_remove_fast(job->cell->claims, job);
+        if (job->cell->claims->len == 0) {
+            zone->replan = true;
+        }
+        job->cell = NULL;
+    }
+    if (job->hold == MW_HOLD_FIRM && zone->counters.cells_lost > 0) {
+        zone->replan = true;
+    }
+    job->org->usage -=
+        (uint64_t)job->spec.shape.tasks * MAX(need->accelerators, 1);
+    zone->dirty = true;
+}
+
+bool
+mw_place_is_clear(const struct mw_job *job)
+{
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        const struct mw_endpoint *e = job->places[i].endpoint;
+
+        if (!mw_amount_fits(&e->used, &e->total)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+int64_t
+mw_lost_work(const struct mw_job *job, int64_t now_us)
+{
+    int64_t since = MAX(job->started_us, job->checkpoint_us);
+
+    if (job->started_us == 0 || job->spec.checkpoint) {
+        return 0;
+    }
+    return (now_us - since) * job->spec.shape.tasks *
+           MAX(job->spec.shape.need.accelerators, 1);
+}
+
+static bool
+is_stopping(const struct mw_job *job)
+{
+    return job->state == MW_JOB_STOPPING;
+}
+
+static bool
+relieves(const struct mw_amount *over, const struct mw_amount *need)
+{
+    return (over->accelerators > 0 && need->accelerators > 0) ||
+           (over->slots > 0 && need->slots > 0) ||
+           (over->processors > 0 && need->processors > 0) ||
+           (over->memory_mb > 0 && need->memory_mb > 0);
+}
+
+/* What is still too much on an endpoint once the stopping ones have left. */
+static struct mw_amount
+overload(struct mw_endpoint *e)
+{
+    struct mw_amount leaving = {0};
+
+    for (guint i = 0; i < e->jobs->len; i++) {
+        struct mw_job *job = e->jobs->pdata[i];
+
+        if (is_stopping(job)) {
+            mw_amount_add(&leaving, &job->spec.shape.need,
+                          mw_job_place_on(job, e)->tasks);
+        }
+    }
+    struct mw_amount stays = mw_amount_less(&e->used, &leaving);
+
+    return mw_amount_less(&stays, &e->total);
+}
+
+static struct mw_job *
+cheapest_victim(struct mw_endpoint *e, const struct mw_amount *over,
+                int64_t now_us, const struct mw_job *job)
+{
+    struct mw_job *best = NULL;
+    int64_t best_lost = INT64_MAX;
+
+    for (guint i = 0; i < e->jobs->len; i++) {
+        struct mw_job *other = e->jobs->pdata[i];
+
+        if (other == job || other->hold != MW_HOLD_SOFT ||
+            is_stopping(other) || !relieves(over, &other->spec.shape.need)) {
+            continue;
+        }
+        int64_t lost = mw_lost_work(other, now_us);
+
+        if (lost < best_lost || (lost == best_lost && best &&
+                                 other->spec.priority > best->spec.priority)) {
+            best = other;
+            best_lost = lost;
+        }
+    }
+    return best;
+}
+
+void
+mw_evict_for(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+             struct mw_job *job)
+{
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        struct mw_endpoint *e = job->places[i].endpoint;
+        struct mw_amount over = overload(e);
+
+        while (over.accelerators + over.slots + over.processors +
+                   over.memory_mb >
+               0) {
+            struct mw_job *victim = cheapest_victim(e, &over, now_us, job);
+
+            if (!victim) {
+                break;
+            }
+            zone->counters.victims++;
+            mw_stop_job(ctx, zone, now_us, victim, 0, true);
+            over = overload(e);
+        }
+    }
+}
--- /dev/null
+++ b/source/core/zone-quarantine.c
@@ -0,0 +1,100 @@
+/*
+ * zone-quarantine: endpoints that fail everything they are given.
+ *
+ * Such an endpoint is always free and so draws work to it.  A streak of
+ * failures of different jobs takes it out; probes with single jobs that may
+ * be repeated bring it back.  A job that fails wherever it runs is to blame
+ * itself, and the endpoints it tried are excused.
+ */
+#include "zone-impl.h"
+
+static void
+set_quarantine(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+               struct mw_endpoint *e)
+{
+    uint32_t most = zone->live_endpoints / MW_QUARANTINE_SHARE;
+
+    if (!e->quarantined && zone->quarantined >= MAX(most, 1)) {
+        return;
+    }
+    if (!e->quarantined) {
+        zone->quarantined++;
+        zone->counters.quarantined++;
+        e->quarantine_us = MW_QUARANTINE_US;
+        zone->replan = true;
+        mw_note(ctx, MW_PRIORITY_WARNING, "event=quarantine endpoint=%.*s",
+                MW_FMT(mw_name_str(&e->name)));
+    }
+    else {
+        e->quarantine_us = MIN(2 * e->quarantine_us, MW_QUARANTINE_MAX_US);
+    }
+    e->quarantined = true;
+    e->probe_job = 0;
+    e->probe_deadline_us = now_us + e->quarantine_us;
+}
+
+void
+mw_note_failure(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                struct mw_endpoint *e, struct mw_job *job)
+{
+    if (job->failures < MW_ATTEMPTS_MAX) {
+        job->failed_on[job->failures] = e;
+    }
+    job->failures++;
+    if (e->streak_job != job->id) {
+        e->streak++;
+        e->streak_job = job->id;
+    }
+    if (e->quarantined || e->streak >= MW_QUARANTINE_STREAK) {
+        set_quarantine(ctx, zone, now_us, e);
+    }
+}
+
+static void
+end_quarantine(struct mw_context *ctx, struct mw_zone *zone,
+               struct mw_endpoint *e)
+{
+    if (!e->quarantined) {
+        return;
+    }
+    e->quarantined = false;
+    e->probe_job = 0;
+    zone->quarantined--;
+    zone->replan = true;
+    zone->dirty = true;
+    mw_note(ctx, MW_PRIORITY_NOTICE, "event=quarantine_end endpoint=%.*s",
+            MW_FMT(mw_name_str(&e->name)));
+}
+
+void
+mw_note_success(struct mw_context *ctx, struct mw_zone *zone,
+                struct mw_endpoint *e)
+{
+    e->streak = 0;
+    e->streak_job = 0;
+    end_quarantine(ctx, zone, e);
+}
+
+void
+mw_excuse_failures(struct mw_zone *zone, struct mw_job *job)
+{
+    for (uint32_t i = 0; i < MIN(job->failures, MW_ATTEMPTS_MAX); i++) {
+        struct mw_endpoint *e = job->failed_on[i];
+
+        if (e->streak > 0 && !e->quarantined) {
+            e->streak--;
+        }
+    }
+    zone->dirty = true;
+}
+
+bool
+mw_probe_allows(const struct mw_endpoint *e, const struct mw_job *job,
+                int64_t now_us)
+{
+    if (!e->quarantined) {
+        return true;
+    }
+    return job && mw_spec_may_stop(&job->spec) && job->spec.shape.tasks == 1 &&
+           e->probe_job == 0 && now_us >= e->probe_deadline_us;
+}
--- /dev/null
+++ b/source/core/zone-queue.c
@@ -0,0 +1,277 @@
+/*
+ * zone-queue: whose turn it is.
+ *
+ * Urgent work first, then normal, then batch.  Within one level the
+ * organisation that uses least in proportion to its guarantee goes first;
+ * work that waits long moves up a level.  When the head of a queue finds no
+ * place, a few behind it are tried.
+ */
+#include "zone-impl.h"
+
+#define BACKFILL_TRIES 8
+#define FAILED_SHAPES_MAX 32
+#define HOLD_AFTER_US 30000000
+#define HOLD_ACCELERATORS 8
+
+/* Shapes that found no place in this pass; a larger one won't either. */
+struct pass {
+    int64_t now_us;
+    unsigned count;
+    struct {
+        struct mw_shape shape;
+        bool soft;
+    } failed[FAILED_SHAPES_MAX];
+};
+
+struct mw_zone_org *
+mw_get_org(struct mw_zone *zone, const struct mw_name *name)
+{
+    struct mw_zone_org *org = g_hash_table_lookup(zone->orgs, name);
+
+    if (org) {
+        return org;
+    }
+    org = g_new0(struct mw_zone_org, 1);
+    org->name = *name;
+    org->weight = 1;
+    org->queued_max = MW_ORG_QUEUED_MAX;
+    org->cells = g_ptr_array_new();
+    for (int i = 0; i < MW_PRIORITIES; i++) {
+        g_queue_init(&org->queue[i]);
+    }
+    g_hash_table_insert(zone->orgs, &org->name, org);
+    g_ptr_array_add(zone->org_list, org);
+    return org;
+}
+
+void
+mw_queue_job(struct mw_zone *zone, struct mw_job *job, bool first)
+{
+    GQueue *queue = &job->org->queue[job->level];
+
+    job->state = MW_JOB_QUEUED;
+    job->queue_link = (GList){.data = job};
+    if (first) {
+        g_queue_push_head_link(queue, &job->queue_link);
+    }
+    else {
+        g_queue_push_tail_link(queue, &job->queue_link);
+    }
+    job->in_queue = true;
+    job->org->queued++;
+    zone->queued++;
+    zone->dirty = true;
+}
+
+void
+mw_unqueue_job(struct mw_zone *zone, struct mw_job *job)
+{
+    if (!job->in_queue) {
+        return;
+    }
+    g_queue_unlink(&job->org->queue[job->level], &job->queue_link);
+    job->in_queue = false;
+    job->org->queued--;
+    zone->queued--;
+    mw_release_hold(zone, job);
+}
+
+static bool
+place_outside(struct mw_zone *zone, int64_t now_us, struct mw_job *job)
+{
+    bool soft = mw_spec_may_stop(&job->spec);
+    struct mw_found found;
+
+    if (!mw_find_place(zone, now_us, &job->spec.shape,
+                       soft ? MW_ROOM_FREE : MW_ROOM_FIRM, job, &found)) {
+        return false;
+    }
+    mw_take_place(zone, job, &found, soft ? MW_HOLD_SOFT : MW_HOLD_FIRM, NULL);
+    if (soft) {
+        zone->counters.placed_free++;
+    }
+    else {
+        zone->counters.placed_firm++;
+    }
+    return true;
+}
+
+static bool
+known_to_fail(const struct pass *pass, const struct mw_job *job)
+{
+    const struct mw_shape *s = &job->spec.shape;
+    bool soft = mw_spec_may_stop(&job->spec);
+
+    for (unsigned i = 0; pass && i < pass->count; i++) {
+        const struct mw_shape *f = &pass->failed[i].shape;
+
+        if (pass->failed[i].soft == soft && f->adjacent == s->adjacent &&
+            f->tasks <= s->tasks && mw_amount_fits(&f->need, &s->need)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_failed(struct pass *pass, const struct mw_job *job)
+{
+    if (pass && pass->count < FAILED_SHAPES_MAX && job->failures == 0) {
+        pass->failed[pass->count].shape = job->spec.shape;
+        pass->failed[pass->count].soft = mw_spec_may_stop(&job->spec);
+        pass->count++;
+    }
+}
+
+static bool
+find_any(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+         struct mw_job *job, struct pass *pass)
+{
+    zone->counters.tries++;
+    if (mw_claim_cell(ctx, zone, now_us, job, false)) {
+        return true;
+    }
+    if (!known_to_fail(pass, job)) {
+        if (place_outside(zone, now_us, job)) {
+            return true;
+        }
+        note_failed(pass, job);
+    }
+    if (mw_claim_cell(ctx, zone, now_us, job, true)) {
+        zone->counters.reclaims++;
+        return true;
+    }
+    return false;
+}
+
+static bool
+try_in_pass(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+            struct mw_job *job, struct pass *pass)
+{
+    if (!mw_ramp_allows(zone, now_us) ||
+        !find_any(ctx, zone, now_us, job, pass)) {
+        return false;
+    }
+    mw_unqueue_job(zone, job);
+    mw_begin_attempt(ctx, zone, now_us, job);
+    return true;
+}
+
+bool
+mw_try_job(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+           struct mw_job *job)
+{
+    return try_in_pass(ctx, zone, now_us, job, NULL);
+}
+
+static void
+consider_hold(struct mw_zone *zone, int64_t now_us, struct mw_job *job)
+{
+    uint32_t size = job->spec.shape.tasks * job->spec.shape.need.accelerators;
+
+    if (size >= HOLD_ACCELERATORS &&
+        now_us - job->submitted_us >= HOLD_AFTER_US) {
+        mw_hold_racks(zone, now_us, job);
+    }
+}
+
+static bool
+try_org(struct mw_context *ctx, struct mw_zone *zone, struct pass *pass,
+        struct mw_zone_org *org, int level)
+{
+    GList *link = org->queue[level].head;
+
+    for (int i = 0; link && i < BACKFILL_TRIES; i++) {
+        struct mw_job *job = link->data;
+
+        link = link->next;
+        if (try_in_pass(ctx, zone, pass->now_us, job, pass)) {
+            return true;
+        }
+        if (i == 0) {
+            consider_hold(zone, pass->now_us, job);
+        }
+    }
+    return false;
+}
+
+static struct mw_zone_org *
+next_org(const struct mw_zone *zone, int level)
+{
+    struct mw_zone_org *best = NULL;
+
+    for (guint i = 0; i < zone->org_list->len; i++) {
+        struct mw_zone_org *org = zone->org_list->pdata[i];
+
+        if (org->blocked[level] || org->queue[level].length == 0) {
+            continue;
+        }
+        if (!best || org->usage * best->weight < best->usage * org->weight) {
+            best = org;
+        }
+    }
+    return best;
+}
+
+static void
+schedule_level(struct mw_context *ctx, struct mw_zone *zone, struct pass *pass,
+               int level)
+{
+    struct mw_zone_org *org;
+
+    for (guint i = 0; i < zone->org_list->len; i++) {
+        org = zone->org_list->pdata[i];
+        org->blocked[level] = false;
+    }
+    org = next_org(zone, level);
+    while (org) {
+        if (!try_org(ctx, zone, pass, org, level)) {
+            org->blocked[level] = true;
+        }
+        org = next_org(zone, level);
+    }
+}
+
+/* One aged job of each organisation moves up a level. */
+static void
+promote_aged(struct mw_zone *zone, int64_t now_us)
+{
+    for (guint i = 0; i < zone->org_list->len; i++) {
+        struct mw_zone_org *org = zone->org_list->pdata[i];
+        struct mw_job *job = g_queue_peek_head(&org->queue[MW_BATCH]);
+
+        if (!job || now_us - job->submitted_us < MW_AGE_US) {
+            continue;
+        }
+        mw_unqueue_job(zone, job);
+        job->level = MW_NORMAL;
+        mw_queue_job(zone, job, false);
+    }
+}
+
+void
+mw_schedule(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us)
+{
+    if (!zone->leading) {
+        return;
+    }
+    if (zone->replan) {
+        mw_plan_cells(ctx, zone, now_us);
+    }
+    mw_resume_reclaiming(ctx, zone, now_us);
+    if (zone->out || !zone->dirty) {
+        return;
+    }
+    zone->dirty = false;
+    zone->counters.passes++;
+    if (zone->queued == 0) {
+        return;
+    }
+    struct pass pass = {.now_us = now_us};
+
+    promote_aged(zone, now_us);
+    for (int level = 0; level < MW_PRIORITIES; level++) {
+        schedule_level(ctx, zone, &pass, level);
+    }
+    zone->dirty = false;
+}
--- /dev/null
+++ b/source/core/zone-view.c
@@ -0,0 +1,146 @@
+/*
+ * zone-view: what others may read of the scheduler's state.
+ */
+#include "zone-impl.h"
+
+bool
+mw_zone_is_out(const struct mw_zone *zone)
+{
+    return zone->out;
+}
+
+uint64_t
+mw_zone_version(const struct mw_zone *zone)
+{
+    return zone->document ? zone->document->version : 0;
+}
+
+struct mw_document *
+mw_zone_document(const struct mw_zone *zone)
+{
+    return zone->document;
+}
+
+const struct mw_zone_counters *
+mw_zone_counters_of(const struct mw_zone *zone)
+{
+    return &zone->counters;
+}
+
+void
+mw_zone_each_endpoint(const struct mw_zone *zone, void *opaque,
+                      void (*each)(void *opaque,
+                                   const struct mw_endpoint_view *view))
+{
+    for (guint i = 0; i < zone->endpoint_list->len; i++) {
+        const struct mw_endpoint *e = zone->endpoint_list->pdata[i];
+        struct mw_endpoint_view view = {
+            .name = e->name,
+            .address = e->address,
+            .rack = e->rack->name,
+            .total = e->total,
+            .used = e->used,
+            .cells = e->cells,
+            .up = e->up,
+            .leaving = e->leaving,
+            .quarantined = e->quarantined,
+            .parts = e->jobs->len,
+        };
+
+        each(opaque, &view);
+    }
+}
+
+void
+mw_zone_each_job(const struct mw_zone *zone, void *opaque,
+                 void (*each)(void *opaque, const struct mw_job_view *view))
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, zone->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_job *job = value;
+        struct mw_job_view view = {
+            .id = job->id,
+            .spec = &job->spec,
+            .state = job->state,
+            .error = job->error,
+            .ran = job->ran,
+            .attempts = job->number,
+            .part_count = job->holds_place ? job->place_count : 0,
+            .claimed = job->holds_place && job->hold == MW_HOLD_CLAIM,
+            .firm = job->holds_place && job->hold == MW_HOLD_FIRM,
+            .submitted_us = job->submitted_us,
+            .started_us = job->started_us,
+        };
+
+        each(opaque, &view);
+    }
+}
+
+void
+mw_zone_each_cell(const struct mw_zone *zone, void *opaque,
+                  void (*each)(void *opaque, const struct mw_cell_view *view))
+{
+    for (guint i = 0; i < zone->cells->len; i++) {
+        const struct mw_cell *cell = zone->cells->pdata[i];
+        struct mw_cell_view view = {
+            .org = cell->org->name,
+            .shape = &cell->guarantee->shape,
+            .placed = cell->placed,
+            .claimed = cell->claims->len > 0,
+        };
+
+        each(opaque, &view);
+    }
+}
+
+void
+mw_zone_each_part(const struct mw_zone *zone, uint64_t id, void *opaque,
+                  void (*each)(void *opaque, const struct mw_part *part))
+{
+    const struct mw_job *job = g_hash_table_lookup(zone->jobs, &id);
+
+    for (uint32_t i = 0; job && job->holds_place && i < job->place_count;
+         i++) {
+        struct mw_part part = {job->places[i].endpoint->name,
+                               job->places[i].tasks};
+
+        each(opaque, &part);
+    }
+}
+
+struct mw_str
+mw_job_state_word(enum mw_job_state state)
+{
+    static const struct mw_str words[] = {
+        MW_STR("queued"),    MW_STR("reclaiming"), MW_STR("intending"),
+        MW_STR("reserving"), MW_STR("running"),    MW_STR("stopping"),
+        MW_STR("done"),      MW_STR("accepting"),  MW_STR("handed"),
+    };
+
+    return state < MW_JOB_STATES ? words[state] : MW_STR("unknown");
+}
+
+struct mw_str
+mw_order_word(enum mw_order_kind kind)
+{
+    static const struct mw_str words[] = {MW_STR("reserve"), MW_STR("start"),
+                                          MW_STR("stop"), MW_STR("ask"),
+                                          MW_STR("forget")};
+
+    return kind < MW_ORDER_KINDS ? words[kind] : MW_STR("unknown");
+}
+
+struct mw_str
+mw_outcome_word(enum mw_outcome outcome)
+{
+    static const struct mw_str words[] = {
+        MW_STR("reserved"), MW_STR("started"), MW_STR("finished"),
+        MW_STR("failed"),   MW_STR("stopped"), MW_STR("absent"),
+        MW_STR("refused"),  MW_STR("lost"),    MW_STR("checkpointed"),
+    };
+
+    return outcome < MW_OUTCOMES ? words[outcome] : MW_STR("unknown");
+}
