--- /dev/null
+++ b/source/wire/frame.c
@@ -0,0 +1,528 @@
+/*
+ * frame: the payload of one frame, both ways.
+ */
+#include <string.h>
+
+#include "pack.h"
+
+#define FRAME(kind_name, field)                                               \
+    wire->body_case = MW__WIRE__FRAME__BODY_##kind_name;                      \
+    wire->field = mw_scratch_new(s, sizeof *wire->field);                     \
+    mw__wire__##field##__init(wire->field)
+
+static void
+pack_heartbeat(struct mw_scratch *s, const struct mw_heartbeat *beat,
+               Mw__Wire__Frame *wire)
+{
+    FRAME(HEARTBEAT, heartbeat);
+    wire->heartbeat->role = beat->role;
+    wire->heartbeat->zone = mw_pack_name(&beat->zone);
+    wire->heartbeat->leads_zone = beat->leads_zone;
+    wire->heartbeat->leads_region = beat->leads_region;
+    wire->heartbeat->out = beat->out;
+    wire->heartbeat->leaving = beat->leaving;
+    wire->heartbeat->epoch = beat->epoch;
+    wire->heartbeat->trial_version = beat->version[MW_TRIAL];
+    wire->heartbeat->production_version = beat->version[MW_PRODUCTION];
+}
+
+static void
+pack_answer(struct mw_scratch *s, const struct mw_msg_answer *answer,
+            Mw__Wire__Frame *wire)
+{
+    FRAME(ANSWER, answer);
+    wire->answer->ref = answer->ref;
+    wire->answer->key = mw_pack_key(s, &answer->key);
+    wire->answer->error = answer->error;
+    wire->answer->ran = answer->ran;
+    wire->answer->state = answer->state;
+    wire->answer->job = answer->job;
+    wire->answer->zone = mw_pack_name(&answer->zone);
+    wire->answer->output = mw_pack_blob(answer->output);
+    wire->answer->has_output = answer->output != NULL;
+    wire->answer->detail = mw_pack_blob(answer->detail);
+}
+
+static void
+pack_announce(struct mw_scratch *s, const struct mw_announce *announce,
+              Mw__Wire__Frame *wire)
+{
+    FRAME(ANNOUNCE, announce);
+    wire->announce->endpoint = mw_pack_name(&announce->endpoint);
+    wire->announce->address = mw_pack_name(&announce->address);
+    wire->announce->rack = mw_pack_name(&announce->rack);
+    wire->announce->total = mw_pack_amount(s, &announce->total);
+    wire->announce->incarnation = announce->incarnation;
+    wire->announce->leaving = announce->leaving;
+    wire->announce->n_listed = announce->listed_count;
+    wire->announce->listed = mw_scratch_new(
+        s, (announce->listed_count + 1) * sizeof *wire->announce->listed);
+    for (uint32_t i = 0; i < announce->listed_count; i++) {
+        Mw__Wire__Listed *listed = mw_scratch_new(s, sizeof *listed);
+
+        mw__wire__listed__init(listed);
+        listed->attempt = mw_pack_attempt(s, &announce->listed[i].attempt);
+        listed->finished = announce->listed[i].finished;
+        wire->announce->listed[i] = listed;
+    }
+}
+
+static void
+pack_order(struct mw_scratch *s, const struct mw_order *order,
+           Mw__Wire__Frame *wire)
+{
+    FRAME(ORDER, order);
+    wire->order->kind = order->kind;
+    wire->order->attempt = mw_pack_attempt(s, &order->attempt);
+    wire->order->endpoint = mw_pack_name(&order->endpoint);
+    wire->order->address = mw_pack_name(&order->address);
+    wire->order->tasks = order->tasks;
+    wire->order->need = mw_pack_amount(s, &order->need);
+    wire->order->checkpoint = order->checkpoint;
+    wire->order->idempotent = order->idempotent;
+    wire->order->resume = order->resume;
+    wire->order->body = mw_pack_blob(order->body);
+}
+
+static void
+pack_report(struct mw_scratch *s, const struct mw_report *report,
+            Mw__Wire__Frame *wire)
+{
+    FRAME(REPORT, report);
+    wire->report->outcome = report->outcome;
+    wire->report->attempt = mw_pack_attempt(s, &report->attempt);
+    wire->report->endpoint = mw_pack_name(&report->endpoint);
+    wire->report->output = mw_pack_blob(report->output);
+    wire->report->has_output = report->output != NULL;
+}
+
+static void
+pack_change(struct mw_scratch *s, const struct mw_change *change,
+            Mw__Wire__Frame *wire)
+{
+    FRAME(CHANGE, change);
+    wire->change->ref = change->ref;
+    wire->change->kind = change->kind;
+    wire->change->operator_name = mw_pack_name(&change->operator);
+    wire->change->version = change->version;
+    if (change->document) {
+        wire->change->document = mw_pack_blob(change->document->text);
+    }
+    wire->change->zone = mw_pack_name(&change->zone);
+    wire->change->out = change->out;
+}
+
+static void
+pack_request(struct mw_scratch *s, const struct mw_msg *msg, int64_t now_us,
+             Mw__Wire__Frame *wire)
+{
+    if (msg->kind == MW_MSG_SUBMIT) {
+        FRAME(SUBMIT, submit);
+        wire->submit->ref = msg->submit.ref;
+        wire->submit->spec = mw_pack_spec(s, &msg->submit.spec, now_us);
+        wire->submit->body = mw_pack_blob(msg->submit.body);
+        return;
+    }
+    FRAME(QUERY, query);
+    wire->query->ref = msg->query.ref;
+    wire->query->key = mw_pack_key(s, &msg->query.key);
+    wire->query->cancel = msg->query.cancel;
+    wire->query->until_done = msg->query.until_done;
+}
+
+static void
+pack_document_msg(struct mw_scratch *s, const struct mw_msg *msg,
+                  Mw__Wire__Frame *wire)
+{
+    if (msg->kind == MW_MSG_DOCUMENT) {
+        FRAME(DOCUMENT, document);
+        wire->document->environment = msg->document.environment;
+        wire->document->operator_name = mw_pack_name(&msg->document.operator);
+        wire->document->text = mw_pack_blob(msg->document.document->text);
+        return;
+    }
+    if (msg->kind == MW_MSG_JUDGE) {
+        FRAME(JUDGE, judge);
+        wire->judge->ref = msg->judge.ref;
+        wire->judge->text = mw_pack_blob(msg->judge.document->text);
+        return;
+    }
+    FRAME(JUDGED, judged);
+    wire->judged->ref = msg->judged.ref;
+    wire->judged->error = msg->judged.error;
+    wire->judged->zone = mw_pack_name(&msg->judged.zone);
+    wire->judged->detail = mw_pack_blob(msg->judged.detail);
+}
+
+static void
+pack_small(struct mw_scratch *s, const struct mw_msg *msg,
+           const struct mw_name *name, Mw__Wire__Frame *wire)
+{
+    if (msg->kind == MW_MSG_HELLO) {
+        FRAME(HELLO, hello);
+        wire->hello->role = msg->hello.role;
+        wire->hello->zone = mw_pack_name(&msg->hello.zone);
+        wire->hello->incarnation = msg->hello.incarnation;
+        wire->hello->name = mw_pack_name(name);
+        wire->hello->version = MW_WIRE_VERSION;
+        return;
+    }
+    if (msg->kind == MW_MSG_CHANGED) {
+        FRAME(CHANGED, changed);
+        wire->changed->ref = msg->changed.ref;
+        wire->changed->error = msg->changed.error;
+        wire->changed->version = msg->changed.version;
+        wire->changed->detail = mw_pack_blob(msg->changed.detail);
+        return;
+    }
+    if (msg->kind == MW_MSG_LOOK) {
+        FRAME(LOOK, look);
+        wire->look->ref = msg->look.ref;
+        wire->look->what = mw_pack_name(&msg->look.what);
+        return;
+    }
+    FRAME(SEEN, seen);
+    wire->seen->ref = msg->seen.ref;
+    wire->seen->text = mw_pack_blob(msg->seen.text);
+}
+
+static void
+pack_msg(struct mw_scratch *s, const struct mw_msg *msg,
+         const struct mw_name *name, int64_t now_us, Mw__Wire__Frame *wire)
+{
+    switch (msg->kind) {
+    case MW_MSG_HEARTBEAT:
+        pack_heartbeat(s, &msg->heartbeat, wire);
+        break;
+    case MW_MSG_LOG:
+        wire->body_case = MW__WIRE__FRAME__BODY_LOG;
+        wire->log = mw_pack_log(s, &msg->log);
+        break;
+    case MW_MSG_SUBMIT:
+    case MW_MSG_QUERY:
+        pack_request(s, msg, now_us, wire);
+        break;
+    case MW_MSG_ANSWER:
+        pack_answer(s, &msg->answer, wire);
+        break;
+    case MW_MSG_ANNOUNCE:
+        pack_announce(s, &msg->announce, wire);
+        break;
+    case MW_MSG_ORDER:
+        pack_order(s, &msg->order, wire);
+        break;
+    case MW_MSG_REPORT:
+        pack_report(s, &msg->report, wire);
+        break;
+    case MW_MSG_CHANGE:
+        pack_change(s, &msg->change, wire);
+        break;
+    case MW_MSG_DOCUMENT:
+    case MW_MSG_JUDGE:
+    case MW_MSG_JUDGED:
+        pack_document_msg(s, msg, wire);
+        break;
+    default:
+        pack_small(s, msg, name, wire);
+        break;
+    }
+}
+
+struct mw_blob *
+mw_encode_msg(const struct mw_msg *msg, const struct mw_name *name,
+              int64_t now_us)
+{
+    struct mw_scratch s = {g_ptr_array_new_with_free_func(g_free)};
+    Mw__Wire__Frame wire = MW__WIRE__FRAME__INIT;
+
+    pack_msg(&s, msg, name, now_us, &wire);
+    size_t size = mw__wire__frame__get_packed_size(&wire);
+    struct mw_blob *blob = g_malloc(sizeof *blob + size + 1);
+
+    blob->refs = 1;
+    blob->len = mw__wire__frame__pack(&wire, (uint8_t *)blob->ptr);
+    g_ptr_array_unref(s.blocks);
+    return blob;
+}
+
+static bool
+error_in_range(int error)
+{
+    return error <= 0 && error > MW_ERR_LAST;
+}
+
+static int
+unpack_hello(const Mw__Wire__Hello *wire, struct mw_hello *hello,
+             struct mw_name *peer)
+{
+    struct mw_name name;
+    int err = mw_unpack_name(wire->zone, &hello->zone);
+
+    if (wire->version != MW_WIRE_VERSION) {
+        return MW_ERR_VERSION;
+    }
+    if (wire->role > MW_ROLE_CONTROL) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    hello->role = (enum mw_process_role)wire->role;
+    hello->incarnation = wire->incarnation;
+    if (!err) {
+        err = mw_unpack_name(wire->name, &name);
+    }
+    if (!err && !mw_name_valid(&name)) {
+        return MW_ERR_INVALID;
+    }
+    if (!err && peer) {
+        *peer = name;
+    }
+    return err;
+}
+
+static int
+unpack_heartbeat(const Mw__Wire__Heartbeat *wire, struct mw_heartbeat *beat)
+{
+    if (wire->role > MW_ROLE_CONTROL) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    beat->role = (enum mw_process_role)wire->role;
+    beat->leads_zone = wire->leads_zone;
+    beat->leads_region = wire->leads_region;
+    beat->out = wire->out;
+    beat->leaving = wire->leaving;
+    beat->epoch = wire->epoch;
+    beat->version[MW_TRIAL] = wire->trial_version;
+    beat->version[MW_PRODUCTION] = wire->production_version;
+    return mw_unpack_name(wire->zone, &beat->zone);
+}
+
+static int
+unpack_answer(const Mw__Wire__Answer *wire, struct mw_msg_answer *answer)
+{
+    if (!error_in_range(wire->error) || wire->ran > MW_RAN ||
+        wire->state >= MW_JOB_STATES) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    answer->ref = wire->ref;
+    answer->error = wire->error;
+    answer->ran = (enum mw_ran)wire->ran;
+    answer->state = (enum mw_job_state)wire->state;
+    answer->job = wire->job;
+    answer->output = wire->has_output ? mw_unpack_blob(wire->output) : NULL;
+    answer->detail = mw_unpack_blob(wire->detail);
+    int err = mw_unpack_key(wire->key, &answer->key);
+
+    return err ? err : mw_unpack_name(wire->zone, &answer->zone);
+}
+
+static int
+unpack_announce(const Mw__Wire__Announce *wire, struct mw_announce *announce)
+{
+    int err = mw_unpack_name(wire->endpoint, &announce->endpoint);
+
+    if (wire->n_listed > MW_LISTED_MAX) {
+        return MW_ERR_TOO_LARGE;
+    }
+    if (!err) {
+        err = mw_unpack_name(wire->address, &announce->address);
+    }
+    if (!err) {
+        err = mw_unpack_name(wire->rack, &announce->rack);
+    }
+    mw_unpack_amount(wire->total, &announce->total);
+    announce->incarnation = wire->incarnation;
+    announce->leaving = wire->leaving;
+    announce->listed = g_new0(struct mw_listed, wire->n_listed);
+    announce->listed_count = (uint32_t)wire->n_listed;
+    for (size_t i = 0; i < wire->n_listed && !err; i++) {
+        err = mw_unpack_attempt(wire->listed[i]->attempt,
+                                &announce->listed[i].attempt);
+        announce->listed[i].finished = wire->listed[i]->finished;
+    }
+    return err;
+}
+
+static int
+unpack_order(const Mw__Wire__Order *wire, struct mw_order *order)
+{
+    int err = mw_unpack_attempt(wire->attempt, &order->attempt);
+
+    if (wire->kind >= MW_ORDER_KINDS) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    order->kind = (enum mw_order_kind)wire->kind;
+    if (!err) {
+        err = mw_unpack_name(wire->endpoint, &order->endpoint);
+    }
+    if (!err) {
+        err = mw_unpack_name(wire->address, &order->address);
+    }
+    order->tasks = wire->tasks;
+    mw_unpack_amount(wire->need, &order->need);
+    order->checkpoint = wire->checkpoint;
+    order->idempotent = wire->idempotent;
+    order->resume = wire->resume;
+    order->body = mw_unpack_blob(wire->body);
+    return err;
+}
+
+static int
+unpack_report(const Mw__Wire__Report *wire, struct mw_report *report)
+{
+    int err = mw_unpack_attempt(wire->attempt, &report->attempt);
+
+    if (wire->outcome >= MW_OUTCOMES) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    report->outcome = (enum mw_outcome)wire->outcome;
+    report->output = wire->has_output ? mw_unpack_blob(wire->output) : NULL;
+    return err ? err : mw_unpack_name(wire->endpoint, &report->endpoint);
+}
+
+static struct mw_document *
+unpack_text(struct mw_context *ctx, ProtobufCBinaryData data, int *err)
+{
+    return mw_parse_document(
+        ctx, (struct mw_str){(const char *)data.data, data.len}, err);
+}
+
+static int
+unpack_change(struct mw_context *ctx, const Mw__Wire__Change *wire,
+              struct mw_change *change)
+{
+    int err = mw_unpack_name(wire->operator_name, &change->operator);
+
+    if (wire->kind > MW_CHANGE_ZONE) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    change->ref = wire->ref;
+    change->kind = (enum mw_change_kind)wire->kind;
+    change->version = wire->version;
+    change->out = wire->out;
+    if (!err && change->kind == MW_CHANGE_TRY) {
+        change->document = unpack_text(ctx, wire->document, &err);
+    }
+    return err ? err : mw_unpack_name(wire->zone, &change->zone);
+}
+
+static int
+unpack_document(struct mw_context *ctx, const Mw__Wire__Document *wire,
+                struct mw_msg_document *document)
+{
+    int err = 0;
+
+    if (wire->environment >= MW_ENVIRONMENTS) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    document->environment = (enum mw_environment)wire->environment;
+    document->document = unpack_text(ctx, wire->text, &err);
+    return err ? err
+               : mw_unpack_name(wire->operator_name, &document->operator);
+}
+
+static int
+unpack_judged(const Mw__Wire__Judged *wire, struct mw_judged *judged)
+{
+    if (!error_in_range(wire->error)) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    judged->ref = wire->ref;
+    judged->error = wire->error;
+    judged->detail = mw_unpack_blob(wire->detail);
+    return mw_unpack_name(wire->zone, &judged->zone);
+}
+
+static int
+unpack_changed(const Mw__Wire__Changed *wire, struct mw_changed *changed)
+{
+    if (!error_in_range(wire->error)) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    changed->ref = wire->ref;
+    changed->error = wire->error;
+    changed->version = wire->version;
+    changed->detail = mw_unpack_blob(wire->detail);
+    return 0;
+}
+
+static int
+unpack_msg(struct mw_context *ctx, const Mw__Wire__Frame *wire, int64_t now_us,
+           struct mw_name *peer, struct mw_msg *msg)
+{
+    int err = 0;
+
+    switch (msg->kind) {
+    case MW_MSG_HELLO:
+        return unpack_hello(wire->hello, &msg->hello, peer);
+    case MW_MSG_HEARTBEAT:
+        return unpack_heartbeat(wire->heartbeat, &msg->heartbeat);
+    case MW_MSG_LOG:
+        return mw_unpack_log(ctx, wire->log, &msg->log);
+    case MW_MSG_SUBMIT:
+        msg->submit.ref = wire->submit->ref;
+        msg->submit.body = mw_unpack_blob(wire->submit->body);
+        return mw_unpack_spec(wire->submit->spec, now_us, &msg->submit.spec);
+    case MW_MSG_QUERY:
+        msg->query.ref = wire->query->ref;
+        msg->query.cancel = wire->query->cancel;
+        msg->query.until_done = wire->query->until_done;
+        return mw_unpack_key(wire->query->key, &msg->query.key);
+    case MW_MSG_ANSWER:
+        return unpack_answer(wire->answer, &msg->answer);
+    case MW_MSG_ANNOUNCE:
+        return unpack_announce(wire->announce, &msg->announce);
+    case MW_MSG_ORDER:
+        return unpack_order(wire->order, &msg->order);
+    case MW_MSG_REPORT:
+        return unpack_report(wire->report, &msg->report);
+    case MW_MSG_CHANGE:
+        return unpack_change(ctx, wire->change, &msg->change);
+    case MW_MSG_CHANGED:
+        return unpack_changed(wire->changed, &msg->changed);
+    case MW_MSG_DOCUMENT:
+        return unpack_document(ctx, wire->document, &msg->document);
+    case MW_MSG_JUDGE:
+        msg->judge.ref = wire->judge->ref;
+        msg->judge.document = unpack_text(ctx, wire->judge->text, &err);
+        return err;
+    case MW_MSG_JUDGED:
+        return unpack_judged(wire->judged, &msg->judged);
+    case MW_MSG_LOOK:
+        msg->look.ref = wire->look->ref;
+        return mw_unpack_name(wire->look->what, &msg->look.what);
+    case MW_MSG_SEEN:
+        msg->seen.ref = wire->seen->ref;
+        msg->seen.text = mw_unpack_blob(wire->seen->text);
+        return 0;
+    default:
+        return mw_fail(ctx, MW_ERR_VERSION, "frame of an unknown kind");
+    }
+}
+
+struct mw_msg *
+mw_decode_msg(struct mw_context *ctx, struct mw_str payload, int64_t now_us,
+              struct mw_name *peer, int *error)
+{
+    Mw__Wire__Frame *wire;
+
+    ctx->detail_len = 0;
+    if (payload.len > MW_FRAME_BYTES_MAX) {
+        *error =
+            mw_fail(ctx, MW_ERR_TOO_LARGE, "frame of %zu bytes", payload.len);
+        return NULL;
+    }
+    wire = mw__wire__frame__unpack(NULL, payload.len,
+                                   (const uint8_t *)payload.ptr);
+    if (!wire) {
+        *error = mw_fail(ctx, MW_ERR_INVALID, "frame is not well formed");
+        return NULL;
+    }
+    struct mw_msg *msg = mw_new_msg((enum mw_msg_kind)wire->body_case);
+
+    *error = unpack_msg(ctx, wire, now_us, peer, msg);
+    mw__wire__frame__free_unpacked(wire, NULL);
+    if (*error) {
+        mw_drop_msg(msg);
+        return NULL;
+    }
+    return msg;
+}
--- /dev/null
+++ b/source/wire/json-read.c
@@ -0,0 +1,203 @@
+#include "json-read.h"
+
+#include <string.h>
+
+const char *const mw_adjacent_words[] = {"zone", "rack", "endpoint", NULL};
+const char *const mw_priority_words[] = {"urgent", "normal", "batch", NULL};
+
+json_t *
+mw_read_text(struct mw_context *ctx, struct mw_str text, int *error)
+{
+    json_error_t at;
+    json_t *root = json_loadb(text.ptr, text.len, JSON_REJECT_DUPLICATES, &at);
+
+    *error = 0;
+    if (!root) {
+        *error = mw_fail(ctx, MW_ERR_SYNTAX, "line %d, column %d: %s", at.line,
+                         at.column, at.text);
+    }
+    return root;
+}
+
+static int
+fail(struct mw_reader *reader, int error, const char *key, const char *text)
+{
+    if (!reader->error) {
+        reader->error = mw_fail(reader->ctx, error, "%s%s%s: %s", reader->path,
+                                reader->path[0] ? "." : "", key, text);
+    }
+    return reader->error;
+}
+
+static bool
+is_known(const char *key, const char *const *known)
+{
+    for (; *known; known++) {
+        if (strcmp(key, *known) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+struct mw_reader
+mw_read_object(struct mw_context *ctx, json_t *object, const char *path,
+               const char *const *known)
+{
+    struct mw_reader reader = {.ctx = ctx, .object = object};
+    const char *key;
+    json_t *value;
+
+    g_strlcpy(reader.path, path, sizeof reader.path);
+    if (!json_is_object(object)) {
+        reader.error = mw_fail(ctx, MW_ERR_WRONG_TYPE, "%s: give an object",
+                               path[0] ? path : "top");
+        return reader;
+    }
+    json_object_foreach(object, key, value)
+    {
+        if (!is_known(key, known)) {
+            fail(&reader, MW_ERR_UNKNOWN_KEY, key, "remove it");
+        }
+    }
+    return reader;
+}
+
+static json_t *
+find(struct mw_reader *reader, const char *key)
+{
+    return reader->error ? NULL : json_object_get(reader->object, key);
+}
+
+int64_t
+mw_read_int(struct mw_reader *reader, const char *key, int64_t least,
+            int64_t most, int64_t otherwise)
+{
+    json_t *value = find(reader, key);
+    char text[96];
+
+    if (!value) {
+        return otherwise;
+    }
+    if (!json_is_integer(value)) {
+        fail(reader, MW_ERR_WRONG_TYPE, key, "give a whole number");
+        return otherwise;
+    }
+    int64_t number = json_integer_value(value);
+
+    if (number < least || number > most) {
+        g_snprintf(text, sizeof text,
+                   "%" G_GINT64_FORMAT " is not in %" G_GINT64_FORMAT
+                   "..%" G_GINT64_FORMAT,
+                   number, least, most);
+        fail(reader, MW_ERR_OUT_OF_RANGE, key, text);
+        return otherwise;
+    }
+    return number;
+}
+
+bool
+mw_read_bool(struct mw_reader *reader, const char *key, bool otherwise)
+{
+    json_t *value = find(reader, key);
+
+    if (!value) {
+        return otherwise;
+    }
+    if (!json_is_boolean(value)) {
+        fail(reader, MW_ERR_WRONG_TYPE, key, "give true or false");
+        return otherwise;
+    }
+    return json_is_true(value);
+}
+
+struct mw_str
+mw_read_string(struct mw_reader *reader, const char *key, bool required)
+{
+    json_t *value = find(reader, key);
+
+    if (!value) {
+        if (required) {
+            fail(reader, MW_ERR_MISSING, key, "give a string");
+        }
+        return MW_STR("");
+    }
+    if (!json_is_string(value)) {
+        fail(reader, MW_ERR_WRONG_TYPE, key, "give a string");
+        return MW_STR("");
+    }
+    return (struct mw_str){json_string_value(value),
+                           json_string_length(value)};
+}
+
+void
+mw_read_name(struct mw_reader *reader, const char *key, bool required,
+             struct mw_name *name)
+{
+    struct mw_str text = mw_read_string(reader, key, required);
+
+    *name = (struct mw_name){0};
+    if (reader->error) {
+        return;
+    }
+    if (mw_set_name(name, text)) {
+        fail(reader, MW_ERR_TOO_LONG, key, "give at most 63 bytes");
+    }
+    else if ((required || text.len > 0) && !mw_name_valid(name)) {
+        fail(reader, MW_ERR_INVALID, key, "give letters, digits, . _ - :");
+    }
+}
+
+int
+mw_read_word(struct mw_reader *reader, const char *key,
+             const char *const *words, int otherwise)
+{
+    struct mw_str text = mw_read_string(reader, key, false);
+    char list[80] = "one of ";
+
+    if (reader->error || text.len == 0) {
+        return otherwise;
+    }
+    for (int i = 0; words[i]; i++) {
+        if (mw_str_equal(text, mw_str_from(words[i]))) {
+            return i;
+        }
+        g_strlcat(list, i ? ", " : "", sizeof list);
+        g_strlcat(list, words[i], sizeof list);
+    }
+    fail(reader, MW_ERR_OUT_OF_RANGE, key, list);
+    return otherwise;
+}
+
+json_t *
+mw_read_array(struct mw_reader *reader, const char *key, bool required,
+              size_t most)
+{
+    json_t *value = find(reader, key);
+    char text[64];
+
+    if (!value) {
+        if (required) {
+            fail(reader, MW_ERR_MISSING, key, "give an array");
+        }
+        return NULL;
+    }
+    if (!json_is_array(value)) {
+        fail(reader, MW_ERR_WRONG_TYPE, key, "give an array");
+        return NULL;
+    }
+    if (json_array_size(value) > most) {
+        g_snprintf(text, sizeof text, "give at most %zu", most);
+        fail(reader, MW_ERR_TOO_LARGE, key, text);
+        return NULL;
+    }
+    return value;
+}
+
+void
+mw_read_required(struct mw_reader *reader, const char *key)
+{
+    if (!reader->error && !json_object_get(reader->object, key)) {
+        fail(reader, MW_ERR_MISSING, key, "give a value");
+    }
+}
--- /dev/null
+++ b/source/wire/request-json.c
@@ -0,0 +1,295 @@
+/*
+ * request-json: what callers, endpoints and operators send.
+ */
+#include <string.h>
+
+#include "json-read.h"
+
+static void
+read_shape(struct mw_reader *reader, struct mw_shape *shape)
+{
+    shape->need.slots = 1;
+    shape->tasks = (uint32_t)mw_read_int(reader, "tasks", 1, MW_TASKS_MAX, 1);
+    shape->need.accelerators = (uint32_t)mw_read_int(reader, "accelerators", 0,
+                                                     MW_ACCELERATORS_MAX, 1);
+    shape->need.processors =
+        (uint32_t)mw_read_int(reader, "processors", 0, MW_PROCESSORS_MAX, 0);
+    shape->need.memory_mb =
+        (uint32_t)mw_read_int(reader, "memory_mb", 0, MW_MEMORY_MB_MAX, 0);
+    shape->adjacent = (enum mw_adjacent)mw_read_word(
+        reader, "adjacent", mw_adjacent_words, MW_ADJACENT_ZONE);
+}
+
+static int
+read_job(struct mw_context *ctx, json_t *root, int64_t now_us,
+         struct mw_job_spec *spec, struct mw_blob **body)
+{
+    static const char *const known[] = {
+        "organisation", "request",    "class",      "tasks",
+        "accelerators", "processors", "memory_mb",  "adjacent",
+        "priority",     "idempotent", "checkpoint", "wait",
+        "deadline_ms",  "runtime_ms", "body",       NULL};
+    struct mw_reader reader = mw_read_object(ctx, root, "", known);
+
+    mw_read_name(&reader, "organisation", true, &spec->key.org);
+    mw_read_name(&reader, "request", true, &spec->key.request);
+    mw_read_name(&reader, "class", false, &spec->class);
+    read_shape(&reader, &spec->shape);
+    spec->priority = (enum mw_priority)mw_read_word(
+        &reader, "priority", mw_priority_words, MW_NORMAL);
+    mw_read_required(&reader, "idempotent");
+    spec->idempotent = mw_read_bool(&reader, "idempotent", false);
+    spec->checkpoint = mw_read_bool(&reader, "checkpoint", false);
+    spec->wait = mw_read_bool(&reader, "wait", false);
+    spec->deadline_us =
+        now_us + 1000 * mw_read_int(&reader, "deadline_ms", 1,
+                                    MW_DEADLINE_MAX_US / 1000,
+                                    MW_DEFAULT_DEADLINE_US / 1000);
+    spec->runtime_us =
+        1000 * mw_read_int(&reader, "runtime_ms", 0, INT32_MAX, 0);
+    struct mw_str text = mw_read_string(&reader, "body", false);
+
+    if (!reader.error) {
+        *body = mw_new_blob(text);
+    }
+    return reader.error;
+}
+
+int
+mw_parse_job(struct mw_context *ctx, struct mw_str text, int64_t now_us,
+             struct mw_job_spec *spec, struct mw_blob **body)
+{
+    int err = 0;
+    json_t *root = mw_read_text(ctx, text, &err);
+
+    memset(spec, 0, sizeof *spec);
+    *body = NULL;
+    if (!root) {
+        return err;
+    }
+    err = read_job(ctx, root, now_us, spec, body);
+    json_decref(root);
+    if (!err) {
+        err = mw_check_spec(ctx, spec);
+    }
+    if (err) {
+        g_clear_pointer(body, mw_drop_blob);
+    }
+    return err;
+}
+
+static int
+read_listed(struct mw_context *ctx, json_t *value, uint32_t index,
+            struct mw_listed *listed)
+{
+    static const char *const known[] = {"id", "finished", NULL};
+    char path[MW_PATH_MAX];
+
+    g_snprintf(path, sizeof path, "attempts[%u]", index);
+    struct mw_reader reader = mw_read_object(ctx, value, path, known);
+    struct mw_str id = mw_read_string(&reader, "id", true);
+
+    listed->finished = mw_read_bool(&reader, "finished", false);
+    if (!reader.error && mw_parse_attempt(id, &listed->attempt)) {
+        return mw_fail(ctx, MW_ERR_INVALID,
+                       "%s.id: give ZONE.JOB.EPOCH.NUMBER", path);
+    }
+    return reader.error;
+}
+
+static int
+read_announce(struct mw_context *ctx, json_t *root,
+              struct mw_announce *announce)
+{
+    static const char *const known[] = {
+        "endpoint", "address",    "rack",      "accelerators",
+        "slots",    "processors", "memory_mb", "incarnation",
+        "state",    "attempts",   NULL};
+    static const char *const states[] = {"up", "leaving", NULL};
+    struct mw_reader reader = mw_read_object(ctx, root, "", known);
+    struct mw_amount *total = &announce->total;
+
+    mw_read_name(&reader, "endpoint", true, &announce->endpoint);
+    mw_read_name(&reader, "address", true, &announce->address);
+    mw_read_name(&reader, "rack", false, &announce->rack);
+    total->accelerators = (uint32_t)mw_read_int(&reader, "accelerators", 0,
+                                                MW_ACCELERATORS_MAX, 0);
+    total->slots = (uint32_t)mw_read_int(&reader, "slots", 1, MW_SLOTS_MAX, 8);
+    total->processors =
+        (uint32_t)mw_read_int(&reader, "processors", 0, MW_PROCESSORS_MAX, 1);
+    total->memory_mb =
+        (uint32_t)mw_read_int(&reader, "memory_mb", 0, MW_MEMORY_MB_MAX, 1024);
+    mw_read_required(&reader, "incarnation");
+    announce->incarnation =
+        (uint64_t)mw_read_int(&reader, "incarnation", 1, INT64_MAX, 1);
+    announce->leaving = mw_read_word(&reader, "state", states, 0) == 1;
+    json_t *array = mw_read_array(&reader, "attempts", false, MW_LISTED_MAX);
+    int err = reader.error;
+
+    if (err) {
+        return err;
+    }
+    announce->listed_count = (uint32_t)json_array_size(array);
+    announce->listed = g_new0(struct mw_listed, announce->listed_count);
+    for (uint32_t i = 0; i < announce->listed_count && !err; i++) {
+        err = read_listed(ctx, json_array_get(array, i), i,
+                          &announce->listed[i]);
+    }
+    return err;
+}
+
+int
+mw_parse_announce(struct mw_context *ctx, struct mw_str text,
+                  struct mw_announce *announce)
+{
+    int err = 0;
+    json_t *root = mw_read_text(ctx, text, &err);
+
+    memset(announce, 0, sizeof *announce);
+    if (!root) {
+        return err;
+    }
+    err = read_announce(ctx, root, announce);
+    json_decref(root);
+    if (err) {
+        g_clear_pointer(&announce->listed, g_free);
+        announce->listed_count = 0;
+    }
+    return err;
+}
+
+static int
+read_change(struct mw_context *ctx, json_t *root, struct mw_change *change)
+{
+    static const char *const known[] = {"change",   "operator", "version",
+                                        "document", "zone",     NULL};
+    static const char *const kinds[] = {"try", "promote", "out", "in", NULL};
+    struct mw_reader reader = mw_read_object(ctx, root, "", known);
+    int kind = mw_read_word(&reader, "change", kinds, -1);
+    int err = 0;
+
+    mw_read_required(&reader, "change");
+    mw_read_name(&reader, "operator", true, &change->operator);
+    change->kind = kind >= 2 ? MW_CHANGE_ZONE : (enum mw_change_kind)kind;
+    change->out = kind == 2;
+    if (kind >= 2) {
+        mw_read_name(&reader, "zone", true, &change->zone);
+    }
+    if (kind == 1) {
+        mw_read_required(&reader, "version");
+        change->version =
+            (uint64_t)mw_read_int(&reader, "version", 1, INT64_MAX, 1);
+    }
+    if (kind != 0 || reader.error) {
+        return reader.error;
+    }
+    struct mw_str text = mw_read_string(&reader, "document", true);
+
+    if (reader.error) {
+        return reader.error;
+    }
+    change->document = mw_parse_document(ctx, text, &err);
+    if (!err) {
+        change->version = change->document->version;
+    }
+    return err;
+}
+
+int
+mw_parse_change(struct mw_context *ctx, struct mw_str text,
+                struct mw_change *change)
+{
+    int err = 0;
+    json_t *root = mw_read_text(ctx, text, &err);
+
+    memset(change, 0, sizeof *change);
+    if (!root) {
+        return err;
+    }
+    err = read_change(ctx, root, change);
+    json_decref(root);
+    return err;
+}
+
+int
+mw_parse_hex(struct mw_str hex, struct mw_name *bytes)
+{
+    *bytes = (struct mw_name){0};
+    if (hex.len % 2 != 0 || hex.len / 2 > MW_NAME_MAX) {
+        return MW_ERR_INVALID;
+    }
+    for (size_t i = 0; i < hex.len; i += 2) {
+        int high = g_ascii_xdigit_value(hex.ptr[i]);
+        int low = g_ascii_xdigit_value(hex.ptr[i + 1]);
+
+        if (high < 0 || low < 0) {
+            return MW_ERR_INVALID;
+        }
+        bytes->ptr[i / 2] = (char)(high * 16 + low);
+    }
+    bytes->len = (uint8_t)(hex.len / 2);
+    return 0;
+}
+
+struct mw_name
+mw_format_attempt(const struct mw_attempt_id *id)
+{
+    char text[160];
+    int len = g_snprintf(text, sizeof text,
+                         "%.*s.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT ".%u",
+                         MW_FMT(mw_name_str(&id->zone)), id->job, id->epoch,
+                         id->number);
+
+    return mw_name_of((struct mw_str){text, (size_t)len});
+}
+
+/* Reads digits before the end of the text backwards; -1 when none. */
+static int
+take_number(struct mw_str *text, uint64_t *number)
+{
+    uint64_t scale = 1;
+    size_t len = text->len;
+
+    *number = 0;
+    while (len > 0 && g_ascii_isdigit(text->ptr[len - 1])) {
+        if (text->len - len > 18) {
+            return MW_ERR_INVALID;
+        }
+        *number += scale * (uint64_t)(text->ptr[len - 1] - '0');
+        scale *= 10;
+        len--;
+    }
+    if (len == text->len || len < 2 || text->ptr[len - 1] != '.') {
+        return MW_ERR_INVALID;
+    }
+    text->len = len - 1;
+    return 0;
+}
+
+int
+mw_parse_attempt(struct mw_str text, struct mw_attempt_id *id)
+{
+    uint64_t number = 0;
+
+    memset(id, 0, sizeof *id);
+    if (take_number(&text, &number) || number > UINT32_MAX ||
+        take_number(&text, &id->epoch) || take_number(&text, &id->job)) {
+        return MW_ERR_INVALID;
+    }
+    id->number = (uint32_t)number;
+    if (mw_set_name(&id->zone, text) || !mw_name_valid(&id->zone)) {
+        return MW_ERR_INVALID;
+    }
+    return 0;
+}
+
+int
+mw_parse_outcome(struct mw_str word)
+{
+    for (int i = 0; i < MW_OUTCOMES; i++) {
+        if (mw_str_equal(word, mw_outcome_word((enum mw_outcome)i))) {
+            return i;
+        }
+    }
+    return MW_ERR_INVALID;
+}
