--- /dev/null
+++ b/source/daemons/mwcontrold.c
@@ -0,0 +1,203 @@
+/*
+ * mwcontrold: the process that records and schedules.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "control-task.h"
+#include "daemon.h"
+
+static struct mw_setting settings[] = {
+    {.name = "name",
+     .kind = MW_SETTING_NAME,
+     .required = true,
+     .help = "name of this process"},
+    {.name = "zone",
+     .kind = MW_SETTING_NAME,
+     .required = true,
+     .help = "availability zone of this VM"},
+    {.name = "listen",
+     .kind = MW_SETTING_ADDRESS,
+     .required = true,
+     .help = "IP:PORT for the system's processes"},
+    {.name = "operator",
+     .kind = MW_SETTING_ADDRESS,
+     .required = true,
+     .help = "IP:PORT for operators"},
+    {.name = "region",
+     .kind = MW_SETTING_MEMBERS,
+     .required = true,
+     .help = "members of the region's log, NAME=IP:PORT,..."},
+    {.name = "group",
+     .kind = MW_SETTING_MEMBERS,
+     .required = true,
+     .help = "members of the zone's log; /memory for no disk"},
+    {.name = "data",
+     .kind = MW_SETTING_PATH,
+     .help = "data folder; none for a standby without a disk"},
+    {.name = "key-file",
+     .kind = MW_SETTING_PATH,
+     .required = true,
+     .help = "file with the shared key"},
+    {.name = "compact-after",
+     .kind = MW_SETTING_NUMBER,
+     .least = 16,
+     .most = 1000000,
+     .otherwise = "4096",
+     .help = "log entries between snapshots"},
+};
+
+#define COUNT G_N_ELEMENTS(settings)
+
+static void
+leave(void *opaque)
+{
+    mw_control_task_leave(opaque);
+}
+
+static void
+dump(void *opaque)
+{
+    mw_control_task_dump(opaque);
+}
+
+/* Of two members that list each other, the lesser name dials. */
+static bool
+is_lesser(const struct mw_name *self, const struct mw_name *peer)
+{
+    size_t len = MIN(self->len, peer->len);
+    int order = memcmp(self->ptr, peer->ptr, len);
+
+    return order < 0 || (order == 0 && self->len < peer->len);
+}
+
+static bool
+has_member(const struct mw_members *members, const struct mw_name *name)
+{
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (mw_name_equal(&members->member[i].name, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+set_members(struct mw_control_setup *setup, enum mw_group group,
+            const struct mw_members *members)
+{
+    setup->member_count[group] = members->count;
+    for (uint32_t i = 0; i < members->count; i++) {
+        setup->members[group][i] = members->member[i];
+    }
+}
+
+static int
+check_groups(const struct mw_control_task_setup *setup,
+             const struct mw_members *region, const struct mw_members *group)
+{
+    const char *problem = NULL;
+    struct mw_member own = {0};
+
+    for (uint32_t i = 0; i < group->count; i++) {
+        if (mw_name_equal(&group->member[i].name, &setup->control.name)) {
+            own = group->member[i];
+        }
+    }
+    if (region->count > MW_MEMBERS_MAX || group->count > MW_MEMBERS_MAX) {
+        problem = "--region, --group: give at most 8 members";
+    }
+    else if (own.name.len == 0) {
+        problem = "--group: --name is not in the list; add it";
+    }
+    else if (own.disk != (setup->folder.len > 0)) {
+        problem = "--data: give a folder for a member with a disk, and "
+                  "none for one listed with /memory";
+    }
+    if (problem) {
+        fprintf(stderr, "mwcontrold: invalid: %s\n", problem);
+        return MW_ERR_INVALID;
+    }
+    return 0;
+}
+
+static void
+set_dials(struct mw_control_task_setup *setup, const struct mw_members *region,
+          const struct mw_members *group)
+{
+    const struct mw_name *self = &setup->control.name;
+    bool standby = !has_member(region, self);
+
+    mw_add_dials(region, setup->dials, &setup->dial_count,
+                 standby ? NULL : is_lesser, self);
+    if (standby) {
+        /* members of the region's log do not know of standbys */
+        mw_add_dials(group, setup->dials, &setup->dial_count, is_lesser, self);
+    }
+}
+
+static void
+fill(struct mw_control_task_setup *setup, struct mw_members *region,
+     struct mw_members *group)
+{
+    char message[MW_MESSAGE_MAX];
+    uint64_t started = (uint64_t)g_get_real_time();
+
+    setup->control.name = mw_setting_name(settings, COUNT, "name");
+    setup->control.zone = mw_setting_name(settings, COUNT, "zone");
+    setup->listen = mw_setting_name(settings, COUNT, "listen");
+    setup->operator= mw_setting_name(settings, COUNT, "operator");
+    setup->folder = mw_setting_of(settings, COUNT, "data");
+    mw_parse_members(mw_setting_of(settings, COUNT, "region"), region,
+                     message);
+    mw_parse_members(mw_setting_of(settings, COUNT, "group"), group, message);
+    setup->control.compact_after =
+        (uint32_t)mw_setting_number(settings, COUNT, "compact-after");
+    setup->control.seed = (uint32_t)started;
+    for (int i = 0; i < MW_GROUPS; i++) {
+        setup->control.incarnation[i] = started;
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct mw_daemon daemon = {
+        .name = "mwcontrold", .leave = leave, .dump = dump};
+    struct mw_control_task_setup setup = {
+        .ctx = {.opaque = (void *)"mwcontrold", .note = mw_log_line},
+        .opaque = &daemon,
+        .ended = mw_daemon_ended,
+    };
+    struct mw_members region, group;
+    int err = mw_read_settings(argc, argv, "records and schedules", settings,
+                               COUNT, NULL, 0, NULL);
+
+    if (err) {
+        return err > 0 ? 0 : 2;
+    }
+    setup.key =
+        mw_daemon_key(daemon.name, mw_setting_of(settings, COUNT, "key-file"));
+    if (!setup.key) {
+        return 2;
+    }
+    fill(&setup, &region, &group);
+    if (check_groups(&setup, &region, &group)) {
+        return 2;
+    }
+    if (has_member(&region, &setup.control.name)) {
+        set_members(&setup.control, MW_GROUP_REGION, &region);
+    }
+    set_members(&setup.control, MW_GROUP_ZONE, &group);
+    set_dials(&setup, &region, &group);
+    daemon.loop = g_main_loop_new(NULL, FALSE);
+    struct mw_control_task *task = mw_new_control_task(&setup);
+
+    daemon.opaque = task;
+    int status = mw_run_daemon(&daemon);
+
+    mw_drop_control_task(task);
+    mw_drop_blob(setup.key);
+    g_main_loop_unref(daemon.loop);
+    return status;
+}
--- /dev/null
+++ b/source/daemons/mwentryd.c
@@ -0,0 +1,95 @@
+/*
+ * mwentryd: the process on every entry VM.
+ */
+#include <stdio.h>
+
+#include "daemon.h"
+#include "entry-task.h"
+
+static struct mw_setting settings[] = {
+    {.name = "name",
+     .kind = MW_SETTING_NAME,
+     .required = true,
+     .help = "name of this process"},
+    {.name = "zone",
+     .kind = MW_SETTING_NAME,
+     .required = true,
+     .help = "availability zone of this VM"},
+    {.name = "listen",
+     .kind = MW_SETTING_ADDRESS,
+     .required = true,
+     .help = "IP:PORT for callers"},
+    {.name = "operator",
+     .kind = MW_SETTING_ADDRESS,
+     .required = true,
+     .help = "IP:PORT for operators"},
+    {.name = "endpoints",
+     .kind = MW_SETTING_ADDRESS,
+     .required = true,
+     .help = "IP:PORT for endpoints"},
+    {.name = "control",
+     .kind = MW_SETTING_MEMBERS,
+     .required = true,
+     .help = "control processes, NAME=IP:PORT,..."},
+    {.name = "key-file",
+     .kind = MW_SETTING_PATH,
+     .required = true,
+     .help = "file with the shared key"},
+};
+
+#define COUNT G_N_ELEMENTS(settings)
+
+static void
+leave(void *opaque)
+{
+    mw_entry_task_leave(opaque);
+}
+
+static void
+dump(void *opaque)
+{
+    mw_entry_task_dump(opaque);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct mw_daemon daemon = {
+        .name = "mwentryd", .leave = leave, .dump = dump};
+    struct mw_entry_task_setup setup = {
+        .ctx = {.opaque = (void *)"mwentryd", .note = mw_log_line},
+        .opaque = &daemon,
+        .ended = mw_daemon_ended,
+    };
+    struct mw_members control;
+    char message[MW_MESSAGE_MAX];
+    int err = mw_read_settings(argc, argv, "callers, operators and endpoints",
+                               settings, COUNT, NULL, 0, NULL);
+
+    if (err) {
+        return err > 0 ? 0 : 2;
+    }
+    setup.key =
+        mw_daemon_key(daemon.name, mw_setting_of(settings, COUNT, "key-file"));
+    if (!setup.key) {
+        return 2;
+    }
+    setup.name = mw_setting_name(settings, COUNT, "name");
+    setup.zone = mw_setting_name(settings, COUNT, "zone");
+    setup.listen = mw_setting_name(settings, COUNT, "listen");
+    setup.operator= mw_setting_name(settings, COUNT, "operator");
+    setup.endpoints = mw_setting_name(settings, COUNT, "endpoints");
+    mw_parse_members(mw_setting_of(settings, COUNT, "control"), &control,
+                     message);
+    mw_add_dials(&control, setup.dials, &setup.dial_count, NULL, &setup.name);
+    daemon.loop = g_main_loop_new(NULL, FALSE);
+    struct mw_entry_task *task = mw_new_entry_task(&setup);
+
+    daemon.opaque = task;
+    int status = mw_run_daemon(&daemon);
+
+    mw_drop_entry_task(task);
+    mw_drop_blob(setup.key);
+    g_main_loop_unref(daemon.loop);
+    return status;
+}
--- /dev/null
+++ b/source/run/caller-http.c
@@ -0,0 +1,285 @@
+#include "caller-http.h"
+
+#include <string.h>
+
+#include "http.h"
+
+#define TOKEN_BYTES_MAX 1024
+#define DRAIN_TICK_US 20000
+
+struct mw_caller_http {
+    struct mw_task *task;
+    struct mw_task *owner;
+    struct mw_name address;
+    struct mw_http *http;
+    struct mw_context ctx;
+    bool leaving;
+    bool left;
+    int64_t drain_deadline_us;
+};
+
+static void
+post_failed(struct mw_task *owner, char *message)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
+
+    mail->status = MW_ERR_INVALID;
+    mail->text = mw_new_blob(mw_str_from(message));
+    g_free(message);
+    mw_post(owner, mail);
+}
+
+/* SHA-256 of the bearer token; empty when there is none. */
+static struct mw_name
+token_hash(const struct mw_http_request *request)
+{
+    struct mw_str value = mw_http_header(request, "Authorization");
+    struct mw_str scheme = MW_STR("Bearer ");
+    struct mw_name hash = {0};
+    gsize len = MW_TOKEN_HASH_LEN;
+    GChecksum *sum;
+
+    if (value.len <= scheme.len || value.len > TOKEN_BYTES_MAX ||
+        memcmp(value.ptr, scheme.ptr, scheme.len) != 0) {
+        return hash;
+    }
+    sum = g_checksum_new(G_CHECKSUM_SHA256);
+    g_checksum_update(sum, (const guchar *)value.ptr + scheme.len,
+                      (gssize)(value.len - scheme.len));
+    g_checksum_get_digest(sum, (guint8 *)hash.ptr, &len);
+    g_checksum_free(sum);
+    hash.len = (uint8_t)len;
+    return hash;
+}
+
+static struct mw_mail *
+request_mail(const struct mw_http_request *request, struct mw_msg *msg)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_REQUEST);
+
+    mail->handle = request->handle;
+    mail->token_hash = token_hash(request);
+    mail->msg = msg;
+    return mail;
+}
+
+static void
+submit(struct mw_caller_http *caller, const struct mw_http_request *request)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_SUBMIT);
+    int err = mw_parse_job(&caller->ctx, request->body, mw_now(),
+                           &msg->submit.spec, &msg->submit.body);
+
+    if (err) {
+        mw_drop_msg(msg);
+        mw_http_refuse(caller->http, request->handle, err,
+                       mw_detail(&caller->ctx));
+        return;
+    }
+    mw_post(caller->owner, request_mail(request, msg));
+}
+
+/* PATH is ORGANISATION/REQUEST. */
+static int
+parse_key(struct mw_str path, struct mw_job_key *key)
+{
+    const char *slash = memchr(path.ptr, '/', path.len);
+
+    if (!slash) {
+        return MW_ERR_INVALID;
+    }
+    size_t first = (size_t)(slash - path.ptr);
+    struct mw_str rest = {slash + 1, path.len - first - 1};
+
+    if (mw_set_name(&key->org, (struct mw_str){path.ptr, first}) ||
+        mw_set_name(&key->request, rest) || !mw_name_valid(&key->org) ||
+        !mw_name_valid(&key->request)) {
+        return MW_ERR_INVALID;
+    }
+    return 0;
+}
+
+static int64_t
+wait_us(const struct mw_http_request *request)
+{
+    struct mw_str text = mw_http_query(request, MW_STR("wait_ms"));
+    int64_t wait = 0;
+
+    for (size_t i = 0; i < text.len && i < 8; i++) {
+        if (!g_ascii_isdigit(text.ptr[i])) {
+            return 0;
+        }
+        wait = wait * 10 + (text.ptr[i] - '0');
+    }
+    return MIN(wait * 1000, MW_DEADLINE_MAX_US);
+}
+
+static void
+query(struct mw_caller_http *caller, const struct mw_http_request *request,
+      struct mw_str path, bool cancel)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_QUERY);
+    int64_t wait = wait_us(request);
+
+    if (parse_key(path, &msg->query.key)) {
+        mw_drop_msg(msg);
+        mw_http_refuse(caller->http, request->handle, MW_ERR_INVALID,
+                       MW_STR("path: /v1/jobs/ORGANISATION/REQUEST"));
+        return;
+    }
+    msg->query.cancel = cancel;
+    msg->query.until_done = cancel || wait > 0;
+    struct mw_mail *mail = request_mail(request, msg);
+
+    mail->deadline_us =
+        mw_now() + (wait > 0 ? wait : MW_DEFAULT_DEADLINE_US / 3);
+    mw_post(caller->owner, mail);
+}
+
+static void
+handle_request(void *opaque, const struct mw_http_request *request)
+{
+    struct mw_caller_http *caller = opaque;
+    struct mw_str jobs = MW_STR("/v1/jobs");
+    struct mw_str path = request->path;
+    bool under = path.len > jobs.len + 1 &&
+                 memcmp(path.ptr, jobs.ptr, jobs.len) == 0 &&
+                 path.ptr[jobs.len] == '/';
+    struct mw_str rest = {path.ptr + jobs.len + 1,
+                          under ? path.len - jobs.len - 1 : 0};
+
+    if (caller->leaving) {
+        mw_http_refuse(caller->http, request->handle, MW_ERR_LEAVING,
+                       MW_STR(""));
+    }
+    else if (mw_str_equal(path, jobs) &&
+             mw_str_equal(request->method, MW_STR("POST"))) {
+        submit(caller, request);
+    }
+    else if (under && mw_str_equal(request->method, MW_STR("GET"))) {
+        query(caller, request, rest, false);
+    }
+    else if (under && mw_str_equal(request->method, MW_STR("DELETE"))) {
+        query(caller, request, rest, true);
+    }
+    else if (mw_str_equal(path, MW_STR("/ready"))) {
+        mw_post(caller->owner, request_mail(request, NULL));
+    }
+    else {
+        mw_http_refuse(caller->http, request->handle, MW_ERR_INVALID,
+                       MW_STR("no such path or method; see "
+                              "docs/INTERFACE.md"));
+    }
+}
+
+static void
+handle_gone(void *opaque, uint64_t handle)
+{
+    struct mw_caller_http *caller = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_GONE);
+
+    mail->handle = handle;
+    mw_post(caller->owner, mail);
+}
+
+static void
+caller_start(void *opaque, struct mw_task *task)
+{
+    struct mw_caller_http *caller = opaque;
+    char *message = NULL;
+    struct mw_http_setup setup = {
+        .address = caller->address,
+        .setting = "--listen",
+        .source = MW_FROM_CALLER,
+        .body_max = MW_BODY_BYTES_MAX,
+        .opaque = caller,
+        .request = handle_request,
+        .gone = handle_gone,
+    };
+
+    (void)task;
+    caller->http = mw_new_http(&setup, &message);
+    if (!caller->http) {
+        post_failed(caller->owner, message);
+    }
+}
+
+static void
+caller_mail(void *opaque, struct mw_mail *mail)
+{
+    struct mw_caller_http *caller = opaque;
+
+    if (!caller->http) {
+        return;
+    }
+    if (mail->kind == MW_MAIL_REPLY) {
+        mw_http_reply(caller->http, mail->handle, mail->status, mail->text);
+    }
+    else if (mail->kind == MW_MAIL_LEAVE && !caller->leaving) {
+        caller->leaving = true;
+        mw_http_close(caller->http);
+    }
+}
+
+static int64_t
+caller_deadline(void *opaque)
+{
+    struct mw_caller_http *caller = opaque;
+
+    return caller->leaving && !caller->left ? caller->drain_deadline_us
+                                            : INT64_MAX;
+}
+
+static void
+caller_tick(void *opaque, int64_t now_us)
+{
+    struct mw_caller_http *caller = opaque;
+
+    caller->drain_deadline_us = now_us + DRAIN_TICK_US;
+    if (mw_http_open(caller->http) == 0) {
+        caller->left = true;
+        mw_post(caller->owner, mw_new_mail(MW_MAIL_LEAVE));
+    }
+}
+
+static void
+caller_stop(void *opaque)
+{
+    struct mw_caller_http *caller = opaque;
+
+    mw_drop_http(caller->http);
+}
+
+struct mw_caller_http *
+mw_new_caller_http(const struct mw_name *address, struct mw_task *owner)
+{
+    struct mw_caller_http *caller = g_new0(struct mw_caller_http, 1);
+    struct mw_task_work work = {
+        .opaque = caller,
+        .start = caller_start,
+        .mail = caller_mail,
+        .deadline = caller_deadline,
+        .tick = caller_tick,
+        .stop = caller_stop,
+    };
+
+    caller->address = *address;
+    caller->owner = owner;
+    caller->task = mw_new_task("callers", &work);
+    return caller;
+}
+
+void
+mw_drop_caller_http(struct mw_caller_http *caller)
+{
+    if (caller) {
+        mw_drop_task(caller->task);
+        g_free(caller);
+    }
+}
+
+struct mw_task *
+mw_caller_http_task(struct mw_caller_http *caller)
+{
+    return caller->task;
+}
--- /dev/null
+++ b/source/run/control-task.c
@@ -0,0 +1,426 @@
+#include "control-task.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "disk.h"
+#include "operator-http.h"
+
+#define LEAVE_US 5000000
+
+struct mw_control_task {
+    struct mw_control_task_setup setup;
+    struct mw_context ctx;
+    struct mw_task *task;
+    struct mw_task *links_task;
+    struct mw_task *disk_task;
+    struct mw_task *operator_task;
+    struct mw_links *links;
+    struct mw_disk *disk;
+    struct mw_operator_http *operators;
+    struct mw_control *control;
+    struct mw_blob *link_counters;
+    GArray *stored;
+    bool leaving;
+    bool ended;
+    int64_t leave_deadline_us;
+};
+
+static void
+end(struct mw_control_task *t, int error, struct mw_str message)
+{
+    if (!t->ended) {
+        t->ended = true;
+        t->setup.ended(t->setup.opaque, error, message);
+    }
+}
+
+static void
+send_one(void *opaque, const struct mw_name *to, struct mw_msg *msg)
+{
+    struct mw_control_task *t = opaque;
+    bool self = mw_name_equal(to, &t->setup.control.name);
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
+
+    mail->process = *to;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(self ? t->task : t->links_task, mail);
+}
+
+static void
+send_all(void *opaque, enum mw_process_role role, struct mw_msg *msg)
+{
+    struct mw_control_task *t = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
+
+    mail->role = role;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(t->links_task, mail);
+}
+
+static void
+store(void *opaque, enum mw_group group, const struct mw_store_item *item)
+{
+    struct mw_control_task *t = opaque;
+    struct mw_stored_blob stored = {
+        .group = group, .kind = item->kind, .sequence = item->sequence};
+
+    if (t->disk) {
+        stored.blob = mw_encode_stored(item);
+    }
+    g_array_append_val(t->stored, stored);
+}
+
+/* Without a disk there is nothing to wait for. */
+static void
+confirm_stored(struct mw_control_task *t)
+{
+    uint64_t last[MW_GROUPS] = {0};
+
+    for (guint i = 0; i < t->stored->len; i++) {
+        struct mw_stored_blob *stored =
+            &g_array_index(t->stored, struct mw_stored_blob, i);
+
+        last[stored->group] = stored->sequence;
+    }
+    g_array_set_size(t->stored, 0);
+    for (int group = 0; group < MW_GROUPS; group++) {
+        struct mw_mail *mail;
+
+        if (last[group] == 0) {
+            continue;
+        }
+        mail = mw_new_mail(MW_MAIL_SYNCED);
+        mail->group = (enum mw_group)group;
+        mail->sequence = last[group];
+        mw_post(t->task, mail);
+    }
+}
+
+/* All that one step stored goes to the disk in one mail. */
+static void
+flush_stored(struct mw_control_task *t)
+{
+    struct mw_mail *mail;
+
+    if (t->stored->len == 0) {
+        return;
+    }
+    if (!t->disk) {
+        confirm_stored(t);
+        return;
+    }
+    mail = mw_new_mail(MW_MAIL_STORE);
+    mail->stored = t->stored;
+    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
+    mw_post(t->disk_task, mail);
+}
+
+static int
+take_stored(void *opaque, struct mw_context *ctx, enum mw_group group,
+            const struct mw_store_item *item)
+{
+    struct mw_control_task *t = opaque;
+
+    return mw_control_restore(ctx, t->control, group, item);
+}
+
+static int
+open_disk(struct mw_control_task *t)
+{
+    struct mw_disk_setup setup = {
+        .folder = t->setup.folder,
+        .member = t->setup.control.name,
+        .ctx = t->ctx,
+    };
+    struct mw_disk_take take = {t, take_stored};
+    uint64_t incarnation = t->setup.control.incarnation[MW_GROUP_ZONE];
+    int err = 0;
+
+    t->disk = mw_open_disk(&t->ctx, &setup, &incarnation, &take, &err);
+    return err;
+}
+
+static void
+fail_start(struct mw_control_task *t, int error, struct mw_str message)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
+
+    mail->status = error;
+    mail->text = mw_new_blob(message);
+    mw_post(t->task, mail);
+}
+
+static void
+start_links(struct mw_control_task *t)
+{
+    char *message = NULL;
+    struct mw_link_setup setup = {
+        .name = t->setup.control.name,
+        .zone = t->setup.control.zone,
+        .role = MW_ROLE_CONTROL,
+        .incarnation = t->setup.control.incarnation[MW_GROUP_ZONE],
+        .key = t->setup.key,
+        .listen = t->setup.listen,
+        .dial_count = t->setup.dial_count,
+        .owner = t->task,
+        .ctx = t->ctx,
+    };
+
+    memcpy(setup.dials, t->setup.dials, sizeof setup.dials);
+    t->links = mw_new_links(&setup, &message);
+    if (!t->links) {
+        fail_start(t, MW_ERR_INVALID, mw_str_from(message));
+        g_free(message);
+        return;
+    }
+    t->links_task = mw_links_task(t->links);
+}
+
+static void
+start(void *opaque, struct mw_task *task)
+{
+    struct mw_control_task *t = opaque;
+    int err = 0;
+
+    t->task = task;
+    t->setup.control.output =
+        (struct mw_control_output){t, send_one, send_all, store};
+    t->setup.control.now_us = mw_now();
+    t->control = mw_new_control(&t->setup.control);
+    if (t->setup.folder.len > 0) {
+        err = open_disk(t);
+    }
+    if (err) {
+        fail_start(t, err, mw_detail(&t->ctx));
+        return;
+    }
+    if (t->disk) {
+        t->disk_task = mw_start_disk(t->disk, task);
+    }
+    start_links(t);
+    if (t->links && t->setup.operator.len> 0) {
+        t->operators =
+            mw_new_operator_http(&t->setup.operator, t->setup.key, task);
+        t->operator_task = mw_operator_http_task(t->operators);
+    }
+}
+
+static struct mw_blob *
+dump(struct mw_control_task *t, struct mw_str what)
+{
+    struct mw_blob *state = mw_dump_control(t->control, what, mw_now());
+    struct mw_str name = mw_name_str(&t->setup.control.name);
+    struct mw_str zone = mw_name_str(&t->setup.control.zone);
+    char *text = g_strdup_printf(
+        "{\"process\": \"%.*s\", \"zone\": \"%.*s\", \"links\": %.*s, "
+        "\"tail_cut\": %" G_GUINT64_FORMAT ", \"state\": %.*s}\n",
+        MW_FMT(name), MW_FMT(zone),
+        MW_FMT(t->link_counters ? mw_blob_str(t->link_counters)
+                                : MW_STR("{}")),
+        t->disk ? mw_disk_cut(t->disk) : 0, MW_FMT(mw_blob_str(state)));
+    struct mw_blob *blob = mw_new_blob(mw_str_from(text));
+
+    g_free(text);
+    mw_drop_blob(state);
+    return blob;
+}
+
+static void
+print_dump(const struct mw_blob *text)
+{
+    size_t at = 0;
+
+    while (at < text->len) {
+        ssize_t n = write(STDERR_FILENO, text->ptr + at, text->len - at);
+
+        if (n <= 0) {
+            return;
+        }
+        at += (size_t)n;
+    }
+}
+
+static void
+look(struct mw_control_task *t, struct mw_mail *mail)
+{
+    struct mw_mail *reply;
+
+    if (mail->text) {
+        mw_drop_blob(t->link_counters);
+        t->link_counters = mw_keep_blob(mail->text);
+        return;
+    }
+    struct mw_blob *text = dump(t, mw_name_str(&mail->process));
+
+    if (mail->handle == 0) {
+        print_dump(text);
+        mw_drop_blob(text);
+        return;
+    }
+    reply = mw_new_mail(MW_MAIL_REPLY);
+    reply->handle = mail->handle;
+    reply->status = 200;
+    reply->text = text;
+    mw_post(t->operator_task, reply);
+}
+
+static void
+refuse_change(struct mw_control_task *t, const struct mw_mail *mail)
+{
+    struct mw_reply answer = {
+        .error = MW_ERR_INVALID,
+        .is_change = true,
+        .detail = MW_STR("send changes to an entry process"),
+    };
+    struct mw_mail *reply = mw_new_mail(MW_MAIL_REPLY);
+
+    reply->handle = mail->handle;
+    reply->status = mw_error_status(answer.error);
+    reply->text = mw_format_reply(&answer);
+    mw_post(t->operator_task, reply);
+}
+
+static void
+begin_leave(struct mw_control_task *t)
+{
+    if (!t->leaving) {
+        t->leaving = true;
+        t->leave_deadline_us = mw_now() + LEAVE_US;
+        mw_control_leave(&t->ctx, t->control, mw_now());
+    }
+}
+
+static void
+check_leave(struct mw_control_task *t)
+{
+    if (t->leaving && (mw_control_may_exit(t->control) ||
+                       mw_now() >= t->leave_deadline_us)) {
+        end(t, 0, MW_STR(""));
+    }
+}
+
+static void
+receive(void *opaque, struct mw_mail *mail)
+{
+    struct mw_control_task *t = opaque;
+
+    if (mail->kind == MW_MAIL_FAILED) {
+        end(t, mail->status, mw_blob_str(mail->text));
+        return;
+    }
+    if (t->ended || !t->links) {
+        return;
+    }
+    switch (mail->kind) {
+    case MW_MAIL_MSG:
+        mw_control_receive(&t->ctx, t->control, mw_now(), &mail->process,
+                           mail->msg);
+        break;
+    case MW_MAIL_SYNCED:
+        mw_control_synced(&t->ctx, t->control, mw_now(), mail->group,
+                          mail->sequence);
+        break;
+    case MW_MAIL_LINK:
+        mw_note(&t->ctx, MW_PRIORITY_NOTICE, "event=link process=%.*s %s",
+                MW_FMT(mw_name_str(&mail->process)),
+                mail->up ? "state=up" : "state=down");
+        break;
+    case MW_MAIL_REQUEST:
+        refuse_change(t, mail);
+        break;
+    case MW_MAIL_LOOK:
+        look(t, mail);
+        break;
+    case MW_MAIL_LEAVE:
+        begin_leave(t);
+        break;
+    default:
+        break;
+    }
+    flush_stored(t);
+}
+
+static void
+tick(void *opaque, int64_t now_us)
+{
+    struct mw_control_task *t = opaque;
+
+    if (t->ended || !t->links) {
+        return;
+    }
+    mw_control_tick(&t->ctx, t->control, now_us);
+    if (t->leaving) {
+        mw_control_leave(&t->ctx, t->control, now_us);
+    }
+    flush_stored(t);
+    check_leave(t);
+}
+
+static int64_t
+deadline(void *opaque)
+{
+    struct mw_control_task *t = opaque;
+
+    if (!t->control || !t->links || t->ended) {
+        return INT64_MAX;
+    }
+    return mw_control_deadline(t->control);
+}
+
+static void
+stop(void *opaque)
+{
+    struct mw_control_task *t = opaque;
+
+    mw_drop_operator_http(t->operators);
+    mw_drop_links(t->links);
+    mw_drop_disk(t->disk);
+    mw_drop_control(t->control);
+}
+
+struct mw_control_task *
+mw_new_control_task(const struct mw_control_task_setup *setup)
+{
+    struct mw_control_task *t = g_new0(struct mw_control_task, 1);
+    struct mw_task_work work = {
+        .opaque = t,
+        .start = start,
+        .mail = receive,
+        .deadline = deadline,
+        .tick = tick,
+        .stop = stop,
+    };
+
+    t->setup = *setup;
+    t->ctx = setup->ctx;
+    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
+    t->task = mw_new_task("control", &work);
+    return t;
+}
+
+void
+mw_drop_control_task(struct mw_control_task *t)
+{
+    if (t) {
+        mw_drop_task(t->task);
+        g_array_unref(t->stored);
+        mw_drop_blob(t->link_counters);
+        g_free(t);
+    }
+}
+
+void
+mw_control_task_leave(struct mw_control_task *t)
+{
+    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+}
+
+void
+mw_control_task_dump(struct mw_control_task *t)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_LOOK);
+
+    mail->process = mw_name_of(MW_STR("dump"));
+    mw_post(t->task, mail);
+}
--- /dev/null
+++ b/source/run/control-task.h
@@ -0,0 +1,41 @@
+#ifndef MW_RUN_CONTROL_TASK_H
+#define MW_RUN_CONTROL_TASK_H
+
+#include "link.h"
+#include "task.h"
+
+/*
+ * control-task: a control process, for a daemon or to be embedded.
+ *
+ * Owns the control state machine; the links, the disk and the operators'
+ * listener are tasks of their own.
+ */
+
+struct mw_control_task_setup {
+    struct mw_control_setup control;
+    struct mw_name listen;
+    struct mw_name operator;
+    /* empty for a member without a disk */
+    struct mw_str folder;
+    struct mw_blob *key;
+    uint32_t dial_count;
+    struct mw_dial dials[2 * MW_MEMBERS_MAX + MW_ZONES_MAX];
+    struct mw_context ctx;
+    /* ended: the process has left, or failed with a message */
+    void *opaque;
+    void (*ended)(void *opaque, int error, struct mw_str message);
+};
+
+struct mw_control_task;
+
+struct mw_control_task *
+mw_new_control_task(const struct mw_control_task_setup *setup);
+void mw_drop_control_task(struct mw_control_task *task);
+
+/* mw_control_task_leave: hand over what is led here, then end. */
+void mw_control_task_leave(struct mw_control_task *task);
+
+/* mw_control_task_dump: write the state dump to standard error. */
+void mw_control_task_dump(struct mw_control_task *task);
+
+#endif
--- /dev/null
+++ b/source/run/entry-task.c
@@ -0,0 +1,410 @@
+#include "entry-task.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "caller-http.h"
+#include "endpoint-http.h"
+#include "operator-http.h"
+
+#define NOT_READY_US 500000
+#define LEAVE_US 60000000
+
+struct mw_entry_task {
+    struct mw_entry_task_setup setup;
+    struct mw_context ctx;
+    struct mw_task *task;
+    struct mw_links *links;
+    struct mw_caller_http *callers;
+    struct mw_operator_http *operators;
+    struct mw_endpoint_http *endpoints;
+    struct mw_entry *entry;
+    struct mw_blob *link_counters;
+    uint64_t calls_open;
+    bool leaving;
+    bool closing;
+    bool callers_left;
+    bool ended;
+    int64_t close_deadline_us;
+    int64_t leave_deadline_us;
+};
+
+static void
+end(struct mw_entry_task *t, int error, struct mw_str message)
+{
+    if (!t->ended) {
+        t->ended = true;
+        t->setup.ended(t->setup.opaque, error, message);
+    }
+}
+
+static void
+send_one(void *opaque, const struct mw_name *to, struct mw_msg *msg)
+{
+    struct mw_entry_task *t = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
+
+    mail->process = *to;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(mw_links_task(t->links), mail);
+}
+
+static void
+send_all(void *opaque, enum mw_process_role role, struct mw_msg *msg)
+{
+    struct mw_entry_task *t = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
+
+    mail->role = role;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(mw_links_task(t->links), mail);
+}
+
+static void
+post_reply(struct mw_entry_task *t, uint64_t handle, int status,
+           struct mw_blob *text)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_REPLY);
+
+    mail->handle = handle;
+    mail->status = status;
+    mail->text = text;
+    switch (handle % MW_SOURCES) {
+    case MW_FROM_CALLER:
+        mw_post(mw_caller_http_task(t->callers), mail);
+        break;
+    case MW_FROM_OPERATOR:
+        mw_post(mw_operator_http_task(t->operators), mail);
+        break;
+    default:
+        mw_post(mw_endpoint_http_task(t->endpoints), mail);
+        break;
+    }
+}
+
+static void
+reply(void *opaque, uint64_t handle, const struct mw_reply *answer)
+{
+    int status = mw_error_status(answer->error);
+
+    if (!answer->error && !answer->is_change && answer->state != MW_JOB_DONE) {
+        status = 202;
+    }
+    post_reply(opaque, handle, status, mw_format_reply(answer));
+}
+
+static void
+call(void *opaque, const struct mw_name *control, const struct mw_order *order)
+{
+    struct mw_entry_task *t = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_ORDER);
+
+    mail->process = *control;
+    mail->order = *order;
+    mail->order.body = mw_keep_blob(order->body);
+    t->calls_open += order->kind != MW_ORDER_FORGET;
+    mw_post(mw_endpoint_http_task(t->endpoints), mail);
+}
+
+static void
+start(void *opaque, struct mw_task *task)
+{
+    struct mw_entry_task *t = opaque;
+    char *message = NULL;
+    struct mw_entry_setup entry = {
+        .name = t->setup.name,
+        .zone = t->setup.zone,
+        .output = {t, send_one, send_all, reply, call},
+    };
+    struct mw_link_setup links = {
+        .name = t->setup.name,
+        .zone = t->setup.zone,
+        .role = MW_ROLE_ENTRY,
+        .incarnation = (uint64_t)g_get_real_time(),
+        .key = t->setup.key,
+        .dial_count = t->setup.dial_count,
+        .owner = task,
+        .ctx = t->ctx,
+    };
+
+    t->task = task;
+    memcpy(links.dials, t->setup.dials, sizeof links.dials);
+    t->entry = mw_new_entry(&entry);
+    t->links = mw_new_links(&links, &message);
+    t->callers = mw_new_caller_http(&t->setup.listen, task);
+    t->operators =
+        mw_new_operator_http(&t->setup.operator, t->setup.key, task);
+    t->endpoints = mw_new_endpoint_http(&t->setup.endpoints, task);
+}
+
+static struct mw_blob *
+dump(struct mw_entry_task *t)
+{
+    struct mw_blob *state = mw_dump_entry(t->entry, mw_now());
+    char *text = g_strdup_printf(
+        "{\"process\": \"%.*s\", \"zone\": \"%.*s\", \"links\": %.*s, "
+        "\"state\": %.*s}\n",
+        MW_FMT(mw_name_str(&t->setup.name)),
+        MW_FMT(mw_name_str(&t->setup.zone)),
+        MW_FMT(t->link_counters ? mw_blob_str(t->link_counters)
+                                : MW_STR("{}")),
+        MW_FMT(mw_blob_str(state)));
+    struct mw_blob *blob = mw_new_blob(mw_str_from(text));
+
+    g_free(text);
+    mw_drop_blob(state);
+    return blob;
+}
+
+static void
+look(struct mw_entry_task *t, const struct mw_mail *mail)
+{
+    if (mail->text) {
+        mw_drop_blob(t->link_counters);
+        t->link_counters = mw_keep_blob(mail->text);
+        return;
+    }
+    struct mw_blob *text = dump(t);
+
+    if (mail->handle != 0) {
+        post_reply(t, mail->handle, 200, text);
+        return;
+    }
+    if (write(STDERR_FILENO, text->ptr, text->len) < 0) {
+        t->ctx.detail_len = 0;
+    }
+    mw_drop_blob(text);
+}
+
+static void
+say_ready(struct mw_entry_task *t, uint64_t handle)
+{
+    bool ready = mw_entry_ready(t->entry, mw_now());
+
+    post_reply(t, handle, ready ? 200 : 503,
+               mw_new_blob(ready ? MW_STR("{\"ready\":true}")
+                                 : MW_STR("{\"ready\":false}")));
+}
+
+static void
+request(struct mw_entry_task *t, const struct mw_mail *mail)
+{
+    struct mw_str token = mw_name_str(&mail->token_hash);
+    int64_t now_us = mw_now();
+
+    if (!mail->msg) {
+        say_ready(t, mail->handle);
+        return;
+    }
+    switch (mail->msg->kind) {
+    case MW_MSG_SUBMIT:
+        mw_entry_submit(&t->ctx, t->entry, now_us, mail->handle, token,
+                        &mail->msg->submit.spec, mail->msg->submit.body);
+        break;
+    case MW_MSG_QUERY:
+        mw_entry_query(&t->ctx, t->entry, now_us, mail->handle, token,
+                       &mail->msg->query.key, mail->msg->query.cancel,
+                       mail->msg->query.until_done, mail->deadline_us);
+        break;
+    default:
+        mw_entry_change(&t->ctx, t->entry, now_us, mail->handle,
+                        &mail->msg->change);
+        break;
+    }
+}
+
+static void
+announce(struct mw_entry_task *t, const struct mw_mail *mail)
+{
+    char text[96];
+    int err =
+        mw_entry_announce(&t->ctx, t->entry, mw_now(), &mail->msg->announce);
+
+    if (err) {
+        struct mw_reply answer = {
+            .error = err, .is_change = true, .detail = mw_detail(&t->ctx)};
+
+        post_reply(t, mail->handle, mw_error_status(err),
+                   mw_format_reply(&answer));
+        return;
+    }
+    int len = g_snprintf(
+        text, sizeof text, "{\"lease_ms\":%d,\"epoch\":%" G_GUINT64_FORMAT "}",
+        MW_ENDPOINT_LEASE_US / 1000, mw_entry_epoch(t->entry));
+
+    post_reply(t, mail->handle, 200,
+               mw_new_blob((struct mw_str){text, (size_t)len}));
+}
+
+static void
+link_change(struct mw_entry_task *t, const struct mw_mail *mail)
+{
+    mw_note(&t->ctx, MW_PRIORITY_NOTICE, "event=link process=%.*s %s",
+            MW_FMT(mw_name_str(&mail->process)),
+            mail->up ? "state=up" : "state=down");
+    if (!mail->up) {
+        mw_entry_lost(&t->ctx, t->entry, mw_now(), &mail->process);
+    }
+}
+
+static void
+leave(struct mw_entry_task *t)
+{
+    if (t->leaving) {
+        return;
+    }
+    t->leaving = true;
+    mw_entry_leave(t->entry);
+    t->close_deadline_us = mw_now() + NOT_READY_US;
+    t->leave_deadline_us = mw_now() + LEAVE_US;
+    mw_note(&t->ctx, MW_PRIORITY_NOTICE, "event=leaving open=%u",
+            mw_entry_open(t->entry));
+}
+
+static void
+check_leave(struct mw_entry_task *t, int64_t now_us)
+{
+    if (!t->leaving || t->ended) {
+        return;
+    }
+    if (!t->closing && now_us >= t->close_deadline_us) {
+        t->closing = true;
+        mw_post(mw_caller_http_task(t->callers), mw_new_mail(MW_MAIL_LEAVE));
+    }
+    bool idle =
+        t->callers_left && mw_entry_open(t->entry) == 0 && t->calls_open == 0;
+
+    if (idle || now_us >= t->leave_deadline_us) {
+        end(t, 0, MW_STR(""));
+    }
+}
+
+static void
+called(struct mw_entry_task *t, const struct mw_mail *mail)
+{
+    t->calls_open -= t->calls_open > 0;
+    mw_entry_called(t->entry, &mail->process, &mail->report);
+}
+
+static void
+receive(void *opaque, struct mw_mail *mail)
+{
+    struct mw_entry_task *t = opaque;
+
+    switch (mail->kind) {
+    case MW_MAIL_MSG:
+        mw_entry_receive(&t->ctx, t->entry, mw_now(), &mail->process,
+                         mail->msg);
+        break;
+    case MW_MAIL_LINK:
+        link_change(t, mail);
+        break;
+    case MW_MAIL_REQUEST:
+        request(t, mail);
+        break;
+    case MW_MAIL_GONE:
+        mw_entry_gone(t->entry, mail->handle);
+        break;
+    case MW_MAIL_CALLED:
+        called(t, mail);
+        break;
+    case MW_MAIL_ANNOUNCE:
+        announce(t, mail);
+        break;
+    case MW_MAIL_LOOK:
+        if (mail->handle &&
+            mw_str_equal(mw_name_str(&mail->process), MW_STR("ready"))) {
+            say_ready(t, mail->handle);
+        }
+        else {
+            look(t, mail);
+        }
+        break;
+    case MW_MAIL_LEAVE:
+        if (t->closing) {
+            t->callers_left = true;
+        }
+        else {
+            leave(t);
+        }
+        break;
+    case MW_MAIL_FAILED:
+        end(t, mail->status, mw_blob_str(mail->text));
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+tick(void *opaque, int64_t now_us)
+{
+    struct mw_entry_task *t = opaque;
+
+    mw_entry_tick(&t->ctx, t->entry, now_us);
+    check_leave(t, now_us);
+}
+
+static int64_t
+deadline(void *opaque)
+{
+    struct mw_entry_task *t = opaque;
+
+    return t->entry ? mw_entry_deadline(t->entry) : INT64_MAX;
+}
+
+static void
+stop(void *opaque)
+{
+    struct mw_entry_task *t = opaque;
+
+    mw_drop_caller_http(t->callers);
+    mw_drop_operator_http(t->operators);
+    mw_drop_endpoint_http(t->endpoints);
+    mw_drop_links(t->links);
+    mw_drop_entry(t->entry);
+}
+
+struct mw_entry_task *
+mw_new_entry_task(const struct mw_entry_task_setup *setup)
+{
+    struct mw_entry_task *t = g_new0(struct mw_entry_task, 1);
+    struct mw_task_work work = {
+        .opaque = t,
+        .start = start,
+        .mail = receive,
+        .deadline = deadline,
+        .tick = tick,
+        .stop = stop,
+    };
+
+    t->setup = *setup;
+    t->ctx = setup->ctx;
+    t->task = mw_new_task("entry", &work);
+    return t;
+}
+
+void
+mw_drop_entry_task(struct mw_entry_task *t)
+{
+    if (t) {
+        mw_drop_task(t->task);
+        mw_drop_blob(t->link_counters);
+        g_free(t);
+    }
+}
+
+void
+mw_entry_task_leave(struct mw_entry_task *t)
+{
+    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+}
+
+void
+mw_entry_task_dump(struct mw_entry_task *t)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_LOOK);
+
+    mail->process = mw_name_of(MW_STR("dump"));
+    mw_post(t->task, mail);
+}
--- /dev/null
+++ b/source/run/operator-http.c
@@ -0,0 +1,206 @@
+#include "operator-http.h"
+
+#include <string.h>
+
+#include "http.h"
+#include "seal.h"
+
+struct mw_operator_http {
+    struct mw_task *task;
+    struct mw_task *owner;
+    struct mw_name address;
+    struct mw_blob *key;
+    struct mw_http *http;
+    struct mw_context ctx;
+};
+
+static bool
+time_is_near(struct mw_str text)
+{
+    guint64 sent = 0;
+    char copy[32] = "";
+
+    if (text.len == 0 || text.len >= sizeof copy) {
+        return false;
+    }
+    memcpy(copy, text.ptr, text.len);
+    if (!g_ascii_string_to_unsigned(copy, 10, 0, G_MAXINT64, &sent, NULL)) {
+        return false;
+    }
+    return ABS(g_get_real_time() - (gint64)sent) <= MW_SIGN_WINDOW_US;
+}
+
+static bool
+is_signed(const struct mw_operator_http *op,
+          const struct mw_http_request *request)
+{
+    struct mw_str time = mw_http_header(request, "X-MW-Time");
+    struct mw_str sign = mw_http_header(request, "X-MW-Sign");
+    unsigned differs = 0;
+    char *expected;
+
+    if (!time_is_near(time)) {
+        return false;
+    }
+    expected = mw_sign_request(mw_blob_str(op->key), request->method,
+                               request->path, time, request->body);
+    if (strlen(expected) != sign.len) {
+        differs = 1;
+    }
+    for (size_t i = 0; !differs && i < sign.len; i++) {
+        differs |= (unsigned)(expected[i] ^ sign.ptr[i]);
+    }
+    g_free(expected);
+    return differs == 0;
+}
+
+static void
+change(struct mw_operator_http *op, const struct mw_http_request *request)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_CHANGE);
+    int err = mw_parse_change(&op->ctx, request->body, &msg->change);
+
+    if (err) {
+        mw_drop_msg(msg);
+        mw_http_refuse(op->http, request->handle, err, mw_detail(&op->ctx));
+        return;
+    }
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_REQUEST);
+
+    mail->handle = request->handle;
+    mail->msg = msg;
+    mw_post(op->owner, mail);
+}
+
+static void
+look(struct mw_operator_http *op, const struct mw_http_request *request,
+     struct mw_str what)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_LOOK);
+
+    mail->handle = request->handle;
+    mail->process = mw_name_of(what);
+    mw_post(op->owner, mail);
+}
+
+static void
+handle_request(void *opaque, const struct mw_http_request *request)
+{
+    struct mw_operator_http *op = opaque;
+    struct mw_str base = MW_STR("/v1/");
+    struct mw_str path = request->path;
+    bool get = mw_str_equal(request->method, MW_STR("GET"));
+    bool v1 = path.len > base.len && memcmp(path.ptr, base.ptr, base.len) == 0;
+
+    if (get && mw_str_equal(path, MW_STR("/ready"))) {
+        look(op, request, MW_STR("ready"));
+    }
+    else if (!is_signed(op, request)) {
+        mw_http_refuse(op->http, request->handle, MW_ERR_AUTH,
+                       MW_STR("sign with the key file; clocks may differ "
+                              "by 300 s"));
+    }
+    else if (mw_str_equal(path, MW_STR("/v1/changes")) &&
+             mw_str_equal(request->method, MW_STR("POST"))) {
+        change(op, request);
+    }
+    else if (get && v1) {
+        look(op, request,
+             (struct mw_str){path.ptr + base.len, path.len - base.len});
+    }
+    else {
+        mw_http_refuse(op->http, request->handle, MW_ERR_INVALID,
+                       MW_STR("no such path or method; see "
+                              "docs/INTERFACE.md"));
+    }
+}
+
+static void
+handle_gone(void *opaque, uint64_t handle)
+{
+    struct mw_operator_http *op = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_GONE);
+
+    mail->handle = handle;
+    mw_post(op->owner, mail);
+}
+
+static void
+operator_start(void *opaque, struct mw_task *task)
+{
+    struct mw_operator_http *op = opaque;
+    char *message = NULL;
+    struct mw_http_setup setup = {
+        .address = op->address,
+        .setting = "--operator",
+        .source = MW_FROM_OPERATOR,
+        .body_max = 2 * MW_DOCUMENT_BYTES_MAX,
+        .opaque = op,
+        .request = handle_request,
+        .gone = handle_gone,
+    };
+
+    (void)task;
+    op->http = mw_new_http(&setup, &message);
+    if (!op->http) {
+        struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
+
+        mail->status = MW_ERR_INVALID;
+        mail->text = mw_new_blob(mw_str_from(message));
+        g_free(message);
+        mw_post(op->owner, mail);
+    }
+}
+
+static void
+operator_mail(void *opaque, struct mw_mail *mail)
+{
+    struct mw_operator_http *op = opaque;
+
+    if (op->http && mail->kind == MW_MAIL_REPLY) {
+        mw_http_reply(op->http, mail->handle, mail->status, mail->text);
+    }
+}
+
+static void
+operator_stop(void *opaque)
+{
+    struct mw_operator_http *op = opaque;
+
+    mw_drop_http(op->http);
+}
+
+struct mw_operator_http *
+mw_new_operator_http(const struct mw_name *address, struct mw_blob *key,
+                     struct mw_task *owner)
+{
+    struct mw_operator_http *op = g_new0(struct mw_operator_http, 1);
+    struct mw_task_work work = {
+        .opaque = op,
+        .start = operator_start,
+        .mail = operator_mail,
+        .stop = operator_stop,
+    };
+
+    op->address = *address;
+    op->key = mw_keep_blob(key);
+    op->owner = owner;
+    op->task = mw_new_task("operators", &work);
+    return op;
+}
+
+void
+mw_drop_operator_http(struct mw_operator_http *op)
+{
+    if (op) {
+        mw_drop_task(op->task);
+        mw_drop_blob(op->key);
+        g_free(op);
+    }
+}
+
+struct mw_task *
+mw_operator_http_task(struct mw_operator_http *op)
+{
+    return op->task;
+}
--- /dev/null
+++ b/source/run/operator-http.h
@@ -0,0 +1,24 @@
+#ifndef MW_RUN_OPERATOR_HTTP_H
+#define MW_RUN_OPERATOR_HTTP_H
+
+#include "task.h"
+
+/*
+ * operator-http: the operators' listener of a process.
+ *
+ * Every request but GET /ready is signed under the shared key, over its
+ * method, path, time and body.  POST /v1/changes goes to the owner as
+ * MW_MAIL_REQUEST; GET /v1/dump and its parts as MW_MAIL_LOOK.
+ */
+
+#define MW_SIGN_WINDOW_US 300000000
+
+struct mw_operator_http;
+
+struct mw_operator_http *mw_new_operator_http(const struct mw_name *address,
+                                              struct mw_blob *key,
+                                              struct mw_task *owner);
+void mw_drop_operator_http(struct mw_operator_http *http);
+struct mw_task *mw_operator_http_task(struct mw_operator_http *http);
+
+#endif
--- /dev/null
+++ b/source/run/seal.h
@@ -0,0 +1,39 @@
+#ifndef MW_RUN_SEAL_H
+#define MW_RUN_SEAL_H
+
+#include <glib.h>
+
+#include "mimosawind/str.h"
+
+/*
+ * seal: message authentication under the shared key.
+ *
+ * Each side of a connection sends a nonce in clear; every frame then
+ * carries a truncated HMAC-SHA-256 over both nonces, its number and its
+ * payload, so that a frame can't be altered, moved or played again.
+ */
+
+#define MW_NONCE_LEN 16
+#define MW_SEAL_LEN 16
+
+/* mw_seal: write the code of one frame. */
+void mw_seal(struct mw_str key, const uint8_t *from_nonce,
+             const uint8_t *to_nonce, uint64_t number, struct mw_str payload,
+             uint8_t *seal);
+
+/* mw_seal_equal: compare in constant time. */
+bool mw_seal_equal(const uint8_t *a, const uint8_t *b);
+
+/*
+ * mw_sign_request: the header value an operator sends with a request.
+ *
+ * Returns hexadecimal text to be freed with g_free.
+ */
+char *mw_sign_request(struct mw_str key, struct mw_str method,
+                      struct mw_str path, struct mw_str time,
+                      struct mw_str body);
+
+/* mw_load_key: read a key file; NULL and a message on failure. */
+struct mw_blob *mw_load_key(const char *path, char **message);
+
+#endif
--- /dev/null
+++ b/source/run/settings.h
@@ -0,0 +1,71 @@
+#ifndef MW_RUN_SETTINGS_H
+#define MW_RUN_SETTINGS_H
+
+#include "mimosawind/log.h"
+
+/*
+ * settings: flags and environment variables, checked at the start.
+ *
+ * Each setting is a flag --NAME and a variable MW_NAME in capitals with
+ * underscores; the flag goes first.  A message names the setting, its
+ * value and the remedy.
+ */
+
+enum mw_setting_kind {
+    MW_SETTING_NAME = 0,
+    MW_SETTING_ADDRESS = 1,
+    MW_SETTING_MEMBERS = 2,
+    MW_SETTING_PATH = 3,
+    MW_SETTING_NUMBER = 4,
+    MW_SETTING_TEXT = 5
+};
+
+#define MW_SETTINGS_MAX 24
+#define MW_MESSAGE_MAX 512
+
+/* mw_setting: one row of a program's table; value is filled in. */
+struct mw_setting {
+    const char *name;
+    enum mw_setting_kind kind;
+    bool required;
+    int64_t least;
+    int64_t most;
+    const char *otherwise;
+    const char *help;
+    struct mw_str value;
+};
+
+/* mw_members: a list of NAME=IP:PORT, with /memory for no disk. */
+struct mw_members {
+    uint32_t count;
+    struct mw_member member[MW_MEMBERS_MAX * 4];
+    struct mw_name address[MW_MEMBERS_MAX * 4];
+};
+
+/*
+ * mw_read_settings: fill the table from argv and the environment.
+ *
+ * Returns 0 to go on, 1 when --help or --check has been answered, or a
+ * negative error that has been printed.  rest receives words that are not
+ * flags; NULL allows none.
+ */
+int mw_read_settings(int argc, char **argv, const char *about,
+                     struct mw_setting *table, size_t count, const char **rest,
+                     size_t rest_max, size_t *rest_count);
+
+/* mw_setting_of: value of a setting, empty when it was not given. */
+struct mw_str mw_setting_of(const struct mw_setting *table, size_t count,
+                            const char *name);
+struct mw_name mw_setting_name(const struct mw_setting *table, size_t count,
+                               const char *name);
+int64_t mw_setting_number(const struct mw_setting *table, size_t count,
+                          const char *name);
+
+/* mw_parse_members: read a list; returns 0 or an error with a message. */
+int mw_parse_members(struct mw_str text, struct mw_members *members,
+                     char message[MW_MESSAGE_MAX]);
+
+/* mw_log_line: a syslog-style line on standard error. */
+void mw_log_line(void *opaque, int priority, struct mw_str line);
+
+#endif
--- /dev/null
+++ b/source/run/task.c
@@ -0,0 +1,194 @@
+#include "task.h"
+
+#define BATCH_MAX 256
+
+struct mw_task {
+    struct mw_task_work work;
+    GThread *thread;
+    GMainContext *context;
+    GMainLoop *loop;
+    GAsyncQueue *mailbox;
+    GSource *source;
+    int ending;
+};
+
+struct mailbox_source {
+    GSource base;
+    struct mw_task *task;
+};
+
+int64_t
+mw_now(void)
+{
+    return g_get_monotonic_time();
+}
+
+struct mw_mail *
+mw_new_mail(enum mw_mail_kind kind)
+{
+    struct mw_mail *mail = g_new0(struct mw_mail, 1);
+
+    mail->kind = kind;
+    return mail;
+}
+
+void
+mw_drop_mail(struct mw_mail *mail)
+{
+    for (guint i = 0; mail->stored && i < mail->stored->len; i++) {
+        mw_drop_blob(
+            g_array_index(mail->stored, struct mw_stored_blob, i).blob);
+    }
+    g_clear_pointer(&mail->stored, g_array_unref);
+    mw_drop_msg(mail->msg);
+    mw_drop_blob(mail->text);
+    mw_drop_blob(mail->order.body);
+    mw_drop_blob(mail->report.output);
+    g_free(mail);
+}
+
+static gboolean
+mailbox_prepare(GSource *source, gint *timeout)
+{
+    struct mw_task *task = ((struct mailbox_source *)source)->task;
+
+    *timeout = -1;
+    return g_async_queue_length(task->mailbox) > 0;
+}
+
+static gboolean
+mailbox_check(GSource *source)
+{
+    struct mw_task *task = ((struct mailbox_source *)source)->task;
+
+    return g_async_queue_length(task->mailbox) > 0;
+}
+
+void
+mw_task_rearm(struct mw_task *task)
+{
+    int64_t deadline = INT64_MAX;
+
+    if (task->work.deadline) {
+        deadline = task->work.deadline(task->work.opaque);
+    }
+    g_source_set_ready_time(task->source,
+                            deadline == INT64_MAX ? -1 : MAX(deadline, 0));
+}
+
+static void
+run_batch(struct mw_task *task)
+{
+    for (int i = 0; i < BATCH_MAX; i++) {
+        struct mw_mail *mail = g_async_queue_try_pop(task->mailbox);
+
+        if (!mail) {
+            break;
+        }
+        task->work.mail(task->work.opaque, mail);
+        mw_drop_mail(mail);
+    }
+    if (task->work.batch) {
+        task->work.batch(task->work.opaque);
+    }
+}
+
+static gboolean
+mailbox_dispatch(GSource *source, GSourceFunc callback, gpointer data)
+{
+    struct mw_task *task = ((struct mailbox_source *)source)->task;
+
+    (void)callback;
+    (void)data;
+    run_batch(task);
+    if (task->work.deadline && task->work.tick &&
+        mw_now() >= task->work.deadline(task->work.opaque)) {
+        task->work.tick(task->work.opaque, mw_now());
+    }
+    mw_task_rearm(task);
+    if (g_atomic_int_get(&task->ending) &&
+        g_async_queue_length(task->mailbox) <= 0) {
+        g_main_loop_quit(task->loop);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs mailbox_funcs = {
+    .prepare = mailbox_prepare,
+    .check = mailbox_check,
+    .dispatch = mailbox_dispatch,
+};
+
+static gpointer
+run_task(gpointer data)
+{
+    struct mw_task *task = data;
+
+    g_main_context_push_thread_default(task->context);
+    if (task->work.start) {
+        task->work.start(task->work.opaque, task);
+    }
+    mw_task_rearm(task);
+    g_main_loop_run(task->loop);
+    if (task->work.stop) {
+        task->work.stop(task->work.opaque);
+    }
+    while (g_main_context_iteration(task->context, FALSE)) {
+        /* let closed sockets finish */
+    }
+    g_main_context_pop_thread_default(task->context);
+    return NULL;
+}
+
+struct mw_task *
+mw_new_task(const char *name, const struct mw_task_work *work)
+{
+    struct mw_task *task = g_new0(struct mw_task, 1);
+
+    task->work = *work;
+    task->context = g_main_context_new();
+    task->loop = g_main_loop_new(task->context, FALSE);
+    task->mailbox = g_async_queue_new();
+    task->source = g_source_new(&mailbox_funcs, sizeof(struct mailbox_source));
+    ((struct mailbox_source *)task->source)->task = task;
+    g_source_attach(task->source, task->context);
+    task->thread = g_thread_new(name, run_task, task);
+    return task;
+}
+
+void
+mw_drop_task(struct mw_task *task)
+{
+    struct mw_mail *mail;
+
+    if (!task) {
+        return;
+    }
+    g_atomic_int_set(&task->ending, 1);
+    g_source_set_ready_time(task->source, 0);
+    g_thread_join(task->thread);
+    mail = g_async_queue_try_pop(task->mailbox);
+    while (mail) {
+        mw_drop_mail(mail);
+        mail = g_async_queue_try_pop(task->mailbox);
+    }
+    g_source_destroy(task->source);
+    g_source_unref(task->source);
+    g_async_queue_unref(task->mailbox);
+    g_main_loop_unref(task->loop);
+    g_main_context_unref(task->context);
+    g_free(task);
+}
+
+void
+mw_post(struct mw_task *task, struct mw_mail *mail)
+{
+    g_async_queue_push(task->mailbox, mail);
+    g_main_context_wakeup(task->context);
+}
+
+GMainContext *
+mw_task_context(struct mw_task *task)
+{
+    return task->context;
+}
--- /dev/null
+++ b/source/tools/setup.c
@@ -0,0 +1,88 @@
+/*
+ * setup: data folders, keys and tokens.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "disk.h"
+#include "tool.h"
+
+int
+mw_run_init(int argc, char **argv)
+{
+    static struct mw_setting settings[] = {
+        {.name = "data",
+         .kind = MW_SETTING_PATH,
+         .required = true,
+         .help = "data folder to make"},
+        {.name = "name",
+         .kind = MW_SETTING_NAME,
+         .required = true,
+         .help = "name of the control process"},
+    };
+    struct mw_context ctx = {0};
+    int err = mw_read_settings(argc, argv,
+                               "once for each founding member; never for "
+                               "one that replaces a lost disk",
+                               settings, 2, NULL, 0, NULL);
+
+    if (err) {
+        return err > 0 ? MW_EXIT_DONE : MW_EXIT_USAGE;
+    }
+    struct mw_name name = mw_setting_name(settings, 2, "name");
+
+    err = mw_init_folder(&ctx, mw_setting_of(settings, 2, "data"), &name,
+                         MW_FOUNDING_INCARNATION);
+    if (err) {
+        fprintf(stderr, "mw init: %.*s: %.*s; %.*s\n",
+                MW_FMT(mw_error_word(err)), MW_FMT(mw_detail(&ctx)),
+                MW_FMT(mw_error_message(err)));
+        return MW_EXIT_REFUSED;
+    }
+    return MW_EXIT_DONE;
+}
+
+int
+mw_run_key(int argc, char **argv)
+{
+    int err = mw_read_settings(argc, argv, "print a new shared key", NULL, 0,
+                               NULL, 0, NULL);
+    uint8_t bytes[32];
+    FILE *random;
+
+    if (err) {
+        return err > 0 ? MW_EXIT_DONE : MW_EXIT_USAGE;
+    }
+    random = fopen("/dev/urandom", "rb");
+    if (!random || fread(bytes, 1, sizeof bytes, random) != sizeof bytes) {
+        return mw_fail_use("key", "no random numbers to be had");
+    }
+    fclose(random);
+    for (size_t i = 0; i < sizeof bytes; i++) {
+        printf("%02x", bytes[i]);
+    }
+    printf("\n");
+    return MW_EXIT_DONE;
+}
+
+int
+mw_run_token(int argc, char **argv)
+{
+    const char *words[1];
+    size_t got = 0;
+    int err = mw_read_settings(argc, argv, "mw token TOKEN", NULL, 0, words, 1,
+                               &got);
+
+    if (err) {
+        return err > 0 ? MW_EXIT_DONE : MW_EXIT_USAGE;
+    }
+    if (got != 1) {
+        return mw_fail_use("token", "give the token");
+    }
+    char *hash =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, words[0], -1);
+
+    printf("%s\n", hash);
+    g_free(hash);
+    return MW_EXIT_DONE;
+}
--- /dev/null
+++ b/source/tools/show.c
@@ -0,0 +1,268 @@
+/*
+ * show: status, lists and dumps of processes.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon.h"
+#include "tool.h"
+
+static struct mw_setting settings[] = {
+    {.name = "operator",
+     .kind = MW_SETTING_TEXT,
+     .required = true,
+     .help = "operators' IP:PORT; status takes several, by commas"},
+    {.name = "key-file",
+     .kind = MW_SETTING_PATH,
+     .required = true,
+     .help = "file with the shared key"},
+    {.name = "json",
+     .kind = MW_SETTING_TEXT,
+     .otherwise = "no",
+     .help = "yes prints JSON"},
+};
+
+#define COUNT G_N_ELEMENTS(settings)
+
+static json_t *
+fetch(const char *address, const char *what, struct mw_blob *key)
+{
+    struct mw_call call = {.method = "GET", .address = address, .key = key};
+    json_t *root = NULL;
+
+    call.path = g_strdup_printf("/v1/%s", what);
+    if (mw_call_one(&call) == 0) {
+        struct mw_str text = mw_blob_str(call.reply);
+
+        root = json_loadb(text.ptr, text.len, 0, NULL);
+        if (call.status != 200) {
+            mw_print_refusal(what, root);
+            g_clear_pointer(&root, json_decref);
+        }
+    }
+    mw_drop_blob(call.reply);
+    g_free(call.path);
+    return root;
+}
+
+static void
+print_cell(json_t *value)
+{
+    char text[64] = "-";
+
+    if (json_is_string(value)) {
+        g_strlcpy(text, json_string_value(value), sizeof text);
+    }
+    else if (json_is_integer(value)) {
+        g_snprintf(text, sizeof text, "%" JSON_INTEGER_FORMAT,
+                   json_integer_value(value));
+    }
+    else if (json_is_boolean(value)) {
+        g_strlcpy(text, json_is_true(value) ? "yes" : "no", sizeof text);
+    }
+    printf("%-16s ", text);
+}
+
+static json_t *
+find_column(json_t *row, const char *column)
+{
+    const char *dot = strchr(column, '.');
+
+    if (!dot) {
+        return json_object_get(row, column);
+    }
+    char *first = g_strndup(column, (gsize)(dot - column));
+    json_t *inner = json_object_get(row, first);
+
+    g_free(first);
+    return json_object_get(inner, dot + 1);
+}
+
+static void
+print_table(json_t *rows, const char *const *columns)
+{
+    json_t *row;
+    size_t i;
+
+    for (const char *const *c = columns; *c; c++) {
+        printf("%-16s ", *c);
+    }
+    printf("\n");
+    json_array_foreach(rows, i, row)
+    {
+        for (const char *const *c = columns; *c; c++) {
+            print_cell(find_column(row, *c));
+        }
+        printf("\n");
+    }
+}
+
+static bool
+wants_json(void)
+{
+    return mw_str_equal(mw_setting_of(settings, COUNT, "json"), MW_STR("yes"));
+}
+
+/* Reads the flags; returns -1 to go on. */
+static int
+begin(int argc, char **argv, const char *about, struct mw_blob **key)
+{
+    int err =
+        mw_read_settings(argc, argv, about, settings, COUNT, NULL, 0, NULL);
+
+    if (err) {
+        return err > 0 ? MW_EXIT_DONE : MW_EXIT_USAGE;
+    }
+    *key = mw_daemon_key("mw", mw_setting_of(settings, COUNT, "key-file"));
+    return *key ? -1 : MW_EXIT_USAGE;
+}
+
+int
+mw_show_list(int argc, char **argv, const char *what,
+             const char *const *columns)
+{
+    struct mw_blob *key = NULL;
+    int status = begin(argc, argv, what, &key);
+
+    if (status >= 0) {
+        return status;
+    }
+    json_t *root =
+        fetch(mw_setting_of(settings, COUNT, "operator").ptr, what, key);
+    json_t *rows = json_object_get(json_object_get(root, "state"), what);
+
+    mw_drop_blob(key);
+    if (!root) {
+        return MW_EXIT_REFUSED;
+    }
+    if (wants_json()) {
+        json_dumpf(rows, stdout, JSON_INDENT(1));
+        printf("\n");
+    }
+    else {
+        print_table(rows, columns);
+    }
+    json_decref(root);
+    return MW_EXIT_DONE;
+}
+
+int
+mw_run_jobs(int argc, char **argv)
+{
+    static const char *const columns[] = {"job",   "organisation", "request",
+                                          "class", "state",        "result",
+                                          "ran",   "attempts",     NULL};
+
+    return mw_show_list(argc, argv, "jobs", columns);
+}
+
+int
+mw_run_endpoints(int argc, char **argv)
+{
+    static const char *const columns[] = {"endpoint",
+                                          "rack",
+                                          "state",
+                                          "total.accelerators",
+                                          "used.accelerators",
+                                          "guaranteed.accelerators",
+                                          "parts",
+                                          NULL};
+
+    return mw_show_list(argc, argv, "endpoints", columns);
+}
+
+int
+mw_run_guarantees(int argc, char **argv)
+{
+    static const char *const columns[] = {
+        "organisation", "tasks", "accelerators", "adjacent", "placed",
+        "claimed",      NULL};
+
+    return mw_show_list(argc, argv, "guarantees", columns);
+}
+
+int
+mw_run_dump(int argc, char **argv)
+{
+    struct mw_blob *key = NULL;
+    int status = begin(argc, argv, "dump", &key);
+
+    if (status >= 0) {
+        return status;
+    }
+    json_t *root =
+        fetch(mw_setting_of(settings, COUNT, "operator").ptr, "dump", key);
+
+    mw_drop_blob(key);
+    if (!root) {
+        return MW_EXIT_REFUSED;
+    }
+    json_dumpf(root, stdout, JSON_INDENT(1));
+    printf("\n");
+    json_decref(root);
+    return MW_EXIT_DONE;
+}
+
+static void
+print_status(json_t *root)
+{
+    json_t *state = json_object_get(root, "state");
+    json_t *zone_log = json_object_get(state, "zone_log");
+    json_t *region_log = json_object_get(state, "region_log");
+    json_t *row = json_pack("{s:O, s:O, s:O?, s:O?, s:O?, s:O?, s:O?, s:O?}",
+                            "process", json_object_get(root, "process"),
+                            "zone", json_object_get(root, "zone"), "zone role",
+                            json_object_get(zone_log, "role"), "region role",
+                            json_object_get(region_log, "role"), "state",
+                            json_object_get(state, "zone_state"), "version",
+                            json_object_get(state, "document_version"),
+                            "voters", json_object_get(zone_log, "voters"),
+                            "open", json_object_get(state, "open"));
+    static const char *const columns[] = {"process",     "zone",  "zone role",
+                                          "region role", "state", "version",
+                                          "voters",      "open",  NULL};
+
+    for (const char *const *c = columns; *c; c++) {
+        print_cell(json_object_get(row, *c));
+    }
+    printf("\n");
+    json_decref(row);
+}
+
+int
+mw_run_status(int argc, char **argv)
+{
+    struct mw_blob *key = NULL;
+    int status = begin(argc, argv, "status", &key);
+
+    if (status >= 0) {
+        return status;
+    }
+    char **addresses =
+        g_strsplit(mw_setting_of(settings, COUNT, "operator").ptr, ",", 0);
+
+    status = MW_EXIT_DONE;
+    if (!wants_json()) {
+        printf("%-16s %-16s %-16s %-16s %-16s %-16s %-16s %-16s\n", "process",
+               "zone", "zone role", "region role", "state", "version",
+               "voters", "open");
+    }
+    for (char **a = addresses; *a; a++) {
+        json_t *root = fetch(*a, "status", key);
+
+        if (!root) {
+            status = MW_EXIT_REFUSED;
+        }
+        else if (wants_json()) {
+            json_dumpf(root, stdout, JSON_INDENT(1));
+            printf("\n");
+        }
+        else {
+            print_status(root);
+        }
+        json_decref(root);
+    }
+    g_strfreev(addresses);
+    mw_drop_blob(key);
+    return status;
+}
