--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -17,9 +17,9 @@
  *
  * Incarnations grow: a process takes its start time as its incarnation, and
  * a message from an older incarnation than one already heard is dropped.
- * In a group with members that have no disk, the leader removes a member
- * that stays silent (ADMIT with incarnation 0), so that single losses one
- * after another do not use up the majority.
+ * The leader removes a member without a disk that stays silent (ADMIT with
+ * incarnation 0), so that single losses one after another do not use up the
+ * majority.  A member with a disk is never removed.
  *
  * A commit needs a majority and, where a member with a disk is admitted,
  * one such member.  A member that must hold every committed record (the
@@ -220,6 +220,14 @@
  */
 bool mw_log_leads(const struct mw_log *log, int64_t now_us);
 
+/*
+ * mw_log_holds_lease: whether no other member may act as leader at now_us.
+ *
+ * True for every leader; also for one whose first record can't be committed
+ * because no member with a disk answers.  Such a member can record nothing.
+ */
+bool mw_log_holds_lease(const struct mw_log *log, int64_t now_us);
+
 /* mw_log_hand_over: ask the most advanced member to take the lead. */
 void mw_log_hand_over(struct mw_log *log, int64_t now_us);
 
--- a/include/mimosawind/zone.h
+++ b/include/mimosawind/zone.h
@@ -52,6 +52,14 @@
     MW_JOB_STATES = 9
 };
 
+/* mw_lead: what a process may do as the zone's scheduler. */
+enum mw_lead {
+    MW_LEAD_NONE = 0,
+    /* checks that need no record; no member with a disk answers */
+    MW_LEAD_CHECKS = 1,
+    MW_LEAD_RECORDS = 2
+};
+
 /* mw_waiter: who asked, and until when the answer is of use. */
 struct mw_waiter {
     struct mw_name process;
@@ -207,7 +215,7 @@
 
 /* mw_zone_lead: begin or cease to act, under an epoch. */
 void mw_zone_lead(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-                  bool lead, uint64_t epoch);
+                  enum mw_lead lead, uint64_t epoch);
 
 /*
  * mw_zone_submit: take a submission or a resend of one.
@@ -285,6 +293,7 @@
 
 struct mw_job_view {
     uint64_t id;
+    uint64_t epoch;
     const struct mw_job_spec *spec;
     enum mw_job_state state;
     int error;
--- a/source/core/control-impl.h
+++ b/source/core/control-impl.h
@@ -52,7 +52,7 @@
     int64_t now_us;
     struct mw_context *ctx;
     bool leaving;
-    bool leads_zone;
+    enum mw_lead lead;
     bool leads_region;
 };
 
--- a/source/core/control-process.c
+++ b/source/core/control-process.c
@@ -54,7 +54,7 @@
     mw_log_look(control->log[MW_GROUP_ZONE], &view);
     beat->role = MW_ROLE_CONTROL;
     beat->zone = control->zone_name;
-    beat->leads_zone = mw_control_leads(control, MW_GROUP_ZONE, now_us);
+    beat->leads_zone = control->lead != MW_LEAD_NONE;
     beat->leads_region = mw_control_leads(control, MW_GROUP_REGION, now_us);
     beat->out = mw_zone_is_out(control->zone);
     beat->leaving = control->leaving;
--- a/source/core/control.c
+++ b/source/core/control.c
@@ -59,6 +59,12 @@
     struct mw_control *control = opaque;
 
     (void)index;
+    if (control->lead == MW_LEAD_CHECKS) {
+        /* records again: start over from what they say */
+        control->lead = MW_LEAD_NONE;
+        mw_zone_lead(control->ctx, control->zone, control->now_us,
+                     MW_LEAD_NONE, 0);
+    }
     mw_zone_apply(control->ctx, control->zone, control->now_us, record);
     mw_change_applied(control, control->now_us, record);
 }
@@ -112,7 +118,8 @@
     struct mw_log_view view;
 
     mw_log_look(control->log[MW_GROUP_ZONE], &view);
-    return view.disks >= 1 && view.voters >= 2;
+    return control->lead == MW_LEAD_RECORDS && view.disks >= 1 &&
+           view.voters >= 2;
 }
 
 static void
@@ -371,22 +378,44 @@
     }
 }
 
+static enum mw_lead
+zone_lead(const struct mw_control *control, int64_t now_us)
+{
+    const struct mw_log *log = control->log[MW_GROUP_ZONE];
+
+    if (mw_log_leads(log, now_us)) {
+        return MW_LEAD_RECORDS;
+    }
+    return mw_log_holds_lease(log, now_us) ? MW_LEAD_CHECKS : MW_LEAD_NONE;
+}
+
 static void
-follow_leads(struct mw_context *ctx, struct mw_control *control,
-             int64_t now_us)
+follow_zone_lead(struct mw_context *ctx, struct mw_control *control,
+                 int64_t now_us)
 {
+    enum mw_lead lead = zone_lead(control, now_us);
     struct mw_log_view view;
-    bool leads = mw_control_leads(control, MW_GROUP_ZONE, now_us);
-    bool region = mw_control_leads(control, MW_GROUP_REGION, now_us);
 
     mw_log_look(control->log[MW_GROUP_ZONE], &view);
-    if (leads != control->leads_zone) {
-        control->leads_zone = leads;
+    if (lead != control->lead) {
+        control->lead = lead;
         control->heartbeat_deadline_us = now_us;
-        if (!leads) {
+        mw_zone_lead(ctx, control->zone, now_us, MW_LEAD_NONE, 0);
+        if (lead != MW_LEAD_RECORDS) {
             mw_change_lead_lost(control, MW_GROUP_ZONE);
         }
     }
+    mw_zone_lead(ctx, control->zone, now_us, lead,
+                 lead == MW_LEAD_NONE ? 0 : view.term);
+}
+
+static void
+follow_leads(struct mw_context *ctx, struct mw_control *control,
+             int64_t now_us)
+{
+    bool region = mw_control_leads(control, MW_GROUP_REGION, now_us);
+
+    follow_zone_lead(ctx, control, now_us);
     if (region != control->leads_region) {
         control->leads_region = region;
         control->heartbeat_deadline_us = now_us;
@@ -394,7 +423,6 @@
             mw_change_lead_lost(control, MW_GROUP_REGION);
         }
     }
-    mw_zone_lead(ctx, control->zone, now_us, leads, view.term);
 }
 
 static void
@@ -408,7 +436,7 @@
         }
     }
     follow_leads(ctx, control, now_us);
-    if (control->leads_zone) {
+    if (control->lead == MW_LEAD_RECORDS) {
         mw_feed_zone(ctx, control, now_us);
     }
     mw_zone_tick(ctx, control->zone, now_us);
--- a/source/core/log-admit.c
+++ b/source/core/log-admit.c
@@ -47,30 +47,22 @@
     }
 }
 
-static bool
-has_diskless_member(const struct mw_log *log)
-{
-    for (unsigned i = 0; i < log->peer_count; i++) {
-        if (!log->peers[i].disk) {
-            return true;
-        }
-    }
-    return false;
-}
-
+/*
+ * Members with a disk are never removed: that nothing is committed without
+ * one is what lets it lead again after every other member has restarted.
+ */
 void
 mw_log_remove_silent(struct mw_context *ctx, struct mw_log *log,
                      int64_t now_us)
 {
-    if (!has_diskless_member(log) || log->pending_index ||
-        !mw_log_lease_live(log, now_us)) {
+    if (log->pending_index || !mw_log_lease_live(log, now_us)) {
         return;
     }
     for (unsigned i = 0; i < log->peer_count; i++) {
         struct mw_log_peer *peer = &log->peers[i];
         int64_t heard_us = MAX(peer->acked_sent_us, log->led_since_us);
 
-        if (i == log->self || log->config[i] == 0 ||
+        if (i == log->self || peer->disk || log->config[i] == 0 ||
             now_us - heard_us < MW_SILENT_US) {
             continue;
         }
--- a/source/core/log-impl.h
+++ b/source/core/log-impl.h
@@ -103,7 +103,8 @@
 bool mw_log_quorum(const struct mw_log *log, uint32_t mask);
 
 /* mw_log_may_commit: whether entries held by the mask are committed. */
-bool mw_log_may_commit(const struct mw_log *log, uint32_t mask);
+bool mw_log_may_commit(const struct mw_log *log, uint32_t mask,
+                       uint64_t index);
 
 /* mw_log_is_admitted: whether this member itself counts. */
 bool mw_log_is_admitted(const struct mw_log *log);
--- a/source/core/log-quorum.c
+++ b/source/core/log-quorum.c
@@ -114,10 +114,15 @@
     return old_agrees(log, mask);
 }
 
+/*
+ * Entries before a pending admission are committed under the configuration
+ * that their owner can see; only with the admission itself does the next
+ * one count for them too.
+ */
 bool
-mw_log_may_commit(const struct mw_log *log, uint32_t mask)
+mw_log_may_commit(const struct mw_log *log, uint32_t mask, uint64_t index)
 {
-    if (log->pending_index) {
+    if (log->pending_index && index >= log->pending_index) {
         return old_agrees(log, mask) && commits(log, log->pending, mask);
     }
     return commits(log, log->config, mask);
--- a/source/core/log-replicate.c
+++ b/source/core/log-replicate.c
@@ -124,7 +124,7 @@
             i == log->self ? log->synced_index : log->peers[i].match;
 
         if (index > best && mw_log_term_at(log, index) == log->term &&
-            mw_log_may_commit(log, held_mask(log, index))) {
+            mw_log_may_commit(log, held_mask(log, index), index)) {
             best = index;
         }
     }
@@ -191,6 +191,12 @@
            mw_log_lease_live(log, now_us);
 }
 
+bool
+mw_log_holds_lease(const struct mw_log *log, int64_t now_us)
+{
+    return mw_log_lease_live(log, now_us);
+}
+
 int
 mw_log_propose(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
                struct mw_record *record, uint64_t *index)
--- a/source/core/zone-attempt.c
+++ b/source/core/zone-attempt.c
@@ -7,6 +7,8 @@
  */
 #include "zone-impl.h"
 
+#define RETRY_US 500000
+
 void
 mw_set_active(struct mw_zone *zone, struct mw_job *job, bool active)
 {
@@ -88,6 +90,8 @@
 
     mw_drop_record(record);
     if (err) {
+        job->state = MW_JOB_RESERVING;
+        job->retry_deadline_us = now_us + RETRY_US;
         mw_stop_job(ctx, zone, now_us, job, 0, true);
     }
 }
@@ -434,11 +438,11 @@
         mw_lose_place(ctx, zone, now_us, job, place, true);
         return;
     }
+    /* the endpoint has no room or is leaving: the job is not to blame */
     place->state = MW_PART_GONE;
-    mw_note_failure(ctx, zone, now_us, place->endpoint, job);
-    bool again = job->failures < MW_ATTEMPTS_MAX;
-
-    break_gang(ctx, zone, now_us, job, again ? 0 : MW_ERR_UNREACHABLE, again);
+    mw_note_streak(ctx, zone, now_us, place->endpoint, job);
+    job->retry_deadline_us = now_us + RETRY_US;
+    break_gang(ctx, zone, now_us, job, 0, true);
 }
 
 static void
--- a/source/core/zone-endpoint.c
+++ b/source/core/zone-endpoint.c
@@ -236,6 +236,10 @@
         .via = e->via,
     };
 
+    if (zone->lead != MW_LEAD_RECORDS) {
+        /* records that name this attempt may not have been read yet */
+        return;
+    }
     zone->counters.orphans_stopped++;
     zone->output.order(zone->output.opaque, &order);
 }
--- a/source/core/zone-impl.h
+++ b/source/core/zone-impl.h
@@ -128,6 +128,8 @@
     struct mw_blob *output;
     GArray *waiters;
     int64_t submitted_us;
+    /* not tried again before */
+    int64_t retry_deadline_us;
     int64_t started_us;
     int64_t checkpoint_us;
     int64_t placed_us;
@@ -167,6 +169,7 @@
     struct mw_name name;
     struct mw_zone_output output;
     struct mw_zone_counters counters;
+    enum mw_lead lead;
     bool leading;
     uint64_t epoch;
     bool out;
@@ -227,6 +230,9 @@
 void mw_index_endpoint(struct mw_zone *zone, struct mw_endpoint *e);
 void mw_expire_endpoints(struct mw_context *ctx, struct mw_zone *zone,
                          int64_t now_us);
+void mw_note_streak(struct mw_context *ctx, struct mw_zone *zone,
+                    int64_t now_us, struct mw_endpoint *e,
+                    const struct mw_job *job);
 void mw_note_failure(struct mw_context *ctx, struct mw_zone *zone,
                      int64_t now_us, struct mw_endpoint *e,
                      struct mw_job *job);
--- a/source/core/zone-job.c
+++ b/source/core/zone-job.c
@@ -181,6 +181,10 @@
         mw_remove_job(zone, job);
         return;
     }
+    if (ran == MW_NOT_RUN && !zone->output.may_record(zone->output.opaque)) {
+        /* the refusal could be lost and the job found again on a disk */
+        ran = MW_MAY_HAVE_RUN;
+    }
     job->error = error;
     job->ran = ran;
     record_result(zone, job, error, ran);
@@ -366,6 +370,11 @@
         mw_stop_job(ctx, zone, now_us, job, MW_ERR_CANCELLED, false);
         return;
     }
+    if (!zone->output.may_record(zone->output.opaque)) {
+        /* the disk or the second VM left while the record was on its way */
+        mw_stop_job(ctx, zone, now_us, job, MW_ERR_NO_QUORUM, false);
+        return;
+    }
     for (guint i = 0; i < job->waiters->len;) {
         struct mw_waiter *w =
             &g_array_index(job->waiters, struct mw_waiter, i);
--- a/source/core/zone-place.c
+++ b/source/core/zone-place.c
@@ -136,7 +136,8 @@
 static bool
 is_stopping(const struct mw_job *job)
 {
-    return job->state == MW_JOB_STOPPING;
+    return job->state == MW_JOB_STOPPING ||
+           (job->state == MW_JOB_INTENDING && job->cancelled);
 }
 
 static bool
--- a/source/core/zone-quarantine.c
+++ b/source/core/zone-quarantine.c
@@ -34,13 +34,9 @@
 }
 
 void
-mw_note_failure(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-                struct mw_endpoint *e, struct mw_job *job)
+mw_note_streak(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+               struct mw_endpoint *e, const struct mw_job *job)
 {
-    if (job->failures < MW_ATTEMPTS_MAX) {
-        job->failed_on[job->failures] = e;
-    }
-    job->failures++;
     if (e->streak_job != job->id) {
         e->streak++;
         e->streak_job = job->id;
@@ -50,6 +46,17 @@
     }
 }
 
+void
+mw_note_failure(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                struct mw_endpoint *e, struct mw_job *job)
+{
+    if (job->failures < MW_ATTEMPTS_MAX) {
+        job->failed_on[job->failures] = e;
+    }
+    job->failures++;
+    mw_note_streak(ctx, zone, now_us, e, job);
+}
+
 static void
 end_quarantine(struct mw_context *ctx, struct mw_zone *zone,
                struct mw_endpoint *e)
--- a/source/core/zone-queue.c
+++ b/source/core/zone-queue.c
@@ -9,6 +9,7 @@
 #include "zone-impl.h"
 
 #define BACKFILL_TRIES 8
+#define BACKFILL_SCAN 64
 #define FAILED_SHAPES_MAX 32
 #define HOLD_AFTER_US 30000000
 #define HOLD_ACCELERATORS 8
@@ -148,7 +149,7 @@
 try_in_pass(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
             struct mw_job *job, struct pass *pass)
 {
-    if (!mw_ramp_allows(zone, now_us) ||
+    if (now_us < job->retry_deadline_us || !mw_ramp_allows(zone, now_us) ||
         !find_any(ctx, zone, now_us, job, pass)) {
         return false;
     }
@@ -180,11 +181,14 @@
         struct mw_zone_org *org, int level)
 {
     GList *link = org->queue[level].head;
+    int tries = 0;
 
-    for (int i = 0; link && i < BACKFILL_TRIES; i++) {
+    for (int i = 0; link && i < BACKFILL_SCAN && tries < BACKFILL_TRIES; i++) {
         struct mw_job *job = link->data;
 
         link = link->next;
+        /* shapes known not to fit cost nothing when no cell can be claimed */
+        tries += !known_to_fail(pass, job) || org->cells->len > 0;
         if (try_in_pass(ctx, zone, pass->now_us, job, pass)) {
             return true;
         }
--- a/source/core/zone-view.c
+++ b/source/core/zone-view.c
@@ -63,6 +63,7 @@
         const struct mw_job *job = value;
         struct mw_job_view view = {
             .id = job->id,
+            .epoch = job->epoch,
             .spec = &job->spec,
             .state = job->state,
             .error = job->error,
--- a/source/core/zone.c
+++ b/source/core/zone.c
@@ -155,18 +155,19 @@
 
 void
 mw_zone_lead(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-             bool lead, uint64_t epoch)
+             enum mw_lead lead, uint64_t epoch)
 {
-    if (lead == zone->leading && epoch == zone->epoch) {
+    if (lead == zone->lead && epoch == zone->epoch) {
         return;
     }
     if (zone->leading) {
         zone->leading = false;
         stop_leading(zone);
     }
-    zone->leading = lead;
+    zone->lead = lead;
+    zone->leading = lead != MW_LEAD_NONE;
     zone->epoch = epoch;
-    if (!lead) {
+    if (!zone->leading) {
         return;
     }
     mw_adopt_jobs(ctx, zone, now_us);
--- /dev/null
+++ b/tests/input-script.c
@@ -0,0 +1,13 @@
+#include "script.h"
+static void *
+begin(void)
+{
+    return NULL;
+}
+static void
+end(void *s)
+{
+    (void)s;
+}
+static const struct mw_script_command commands[] = {{NULL, 0, NULL}};
+const struct mw_script_kind mw_input_scripts = {"input", commands, begin, end};
