--- a/include/mimosawind/job.h
+++ b/include/mimosawind/job.h
@@ -70,6 +70,8 @@
     bool wait;
     int64_t deadline_us;
     int64_t runtime_us;
+    /* how often the job has been handed from zone to zone */
+    uint32_t hops;
 };
 
 /*
--- a/include/mimosawind/record.h
+++ b/include/mimosawind/record.h
@@ -66,6 +66,7 @@
 struct mw_record_handover {
     struct mw_job_key key;
     struct mw_name zone;
+    uint32_t hops;
 };
 
 struct mw_record_forget {
--- a/include/mimosawind/zone.h
+++ b/include/mimosawind/zone.h
@@ -26,6 +26,7 @@
 
 #define MW_ENDPOINT_LEASE_US 5000000
 #define MW_ASK_US 1000000
+#define MW_RESERVE_US 5000000
 #define MW_UNKNOWN_AFTER_US 10000000
 #define MW_STOP_RESEND_US 1000000
 #define MW_ATTEMPTS_MAX 3
@@ -164,8 +165,9 @@
     void (*answer)(void *opaque, const struct mw_waiter *waiter,
                    const struct mw_answer *answer);
     bool (*target)(void *opaque, struct mw_name *zone);
-    void (*deliver)(void *opaque, const struct mw_name *zone,
-                    const struct mw_job_spec *spec, struct mw_blob *body);
+    /* deliver: returns a reference that the answer will carry, 0 for none */
+    uint64_t (*deliver)(void *opaque, const struct mw_name *zone,
+                        const struct mw_job_spec *spec, struct mw_blob *body);
 };
 
 struct mw_zone_counters {
@@ -245,10 +247,15 @@
 void mw_zone_report(struct mw_context *ctx, struct mw_zone *zone,
                     int64_t now_us, const struct mw_report *report);
 
-/* mw_zone_delivered: the other zone took, or refused, what was handed. */
+/*
+ * mw_zone_delivered: the other zone took, or refused, what was handed.
+ *
+ * A refusal counts only for the latest delivery: an earlier one may have
+ * been taken after all.
+ */
 void mw_zone_delivered(struct mw_context *ctx, struct mw_zone *zone,
                        int64_t now_us, const struct mw_job_key *key,
-                       bool taken);
+                       uint64_t ref, bool taken);
 
 /* mw_zone_tick: act on deadlines, then place what can be placed. */
 void mw_zone_tick(struct mw_context *ctx, struct mw_zone *zone,
--- a/source/core/control-change.c
+++ b/source/core/control-change.c
@@ -177,6 +177,29 @@
     return err;
 }
 
+/*
+ * The zones have answered.  Another document may have been proposed under
+ * the same number meanwhile, so the change is judged once more.
+ */
+static void
+conclude_try(struct mw_context *ctx, struct mw_control *control,
+             int64_t now_us, struct mw_pending_change *pending)
+{
+    int err = judge_try(ctx, control, &pending->msg->change);
+
+    if (err < 0) {
+        refuse(ctx, control, &pending->from, &pending->msg->change, err);
+        g_ptr_array_remove(control->changes, pending);
+    }
+    else if (err == 1) {
+        pending->recorded = true;
+    }
+    else {
+        propose_document(ctx, control, now_us, pending,
+                         pending->msg->change.document);
+    }
+}
+
 static void
 ask_zones(struct mw_control *control, struct mw_pending_change *pending)
 {
@@ -202,11 +225,7 @@
     struct mw_pending_change *pending =
         add_pending(control, now_us, from, msg);
 
-    if (err == 1) {
-        control->counters.changes_resent++;
-        pending->recorded = true;
-        return;
-    }
+    control->counters.changes_resent += err == 1;
     pending->deadline_us = now_us + MW_HEARTBEAT_US * 10;
     ask_zones(control, pending);
 }
@@ -385,7 +404,7 @@
                            MW_FMT(mw_name_str(&judged->zone)),
                            MW_FMT(mw_blob_str(judged->detail)));
     if (pending->judged >= change->document->zone_count) {
-        propose_document(ctx, control, now_us, pending, change->document);
+        conclude_try(ctx, control, now_us, pending);
     }
 }
 
@@ -436,7 +455,7 @@
         return answer_promote(control, now_us, pending, late);
     }
     else if (late && !pending->recorded) {
-        propose_document(ctx, control, now_us, pending, change->document);
+        conclude_try(ctx, control, now_us, pending);
         return false;
     }
     if (late) {
--- a/source/core/control.c
+++ b/source/core/control.c
@@ -177,7 +177,7 @@
     return false;
 }
 
-static void
+static uint64_t
 deliver(void *opaque, const struct mw_name *zone,
         const struct mw_job_spec *spec, struct mw_blob *body)
 {
@@ -186,16 +186,18 @@
         mw_zone_leader(control, control->now_us, zone);
 
     if (!leader) {
-        return;
+        return 0;
     }
     struct mw_msg *msg = mw_new_msg(MW_MSG_SUBMIT);
+    uint64_t ref = control->next_ref++;
 
-    msg->submit.ref = control->next_ref++;
+    msg->submit.ref = ref;
     msg->submit.spec = *spec;
     msg->submit.spec.wait = false;
     msg->submit.body = mw_keep_blob(body);
     control->output.send(control->output.opaque, &leader->name, msg);
     mw_drop_msg(msg);
+    return ref;
 }
 
 static struct mw_log *
@@ -323,18 +325,22 @@
         .process = *from, .ref = ref, .key = *key, .until_done = until_done};
 }
 
-/* Answers come here only for what was handed to another zone. */
+/*
+ * Answers come here only for what was handed to another zone.  A zone that
+ * knows the job, or has handed it on in turn, has taken it.
+ */
 static void
 delivered(struct mw_context *ctx, struct mw_control *control, int64_t now_us,
           const struct mw_msg_answer *answer)
 {
-    bool refused = answer->error && answer->ran == MW_NOT_RUN &&
-                   answer->error != MW_ERR_NOT_LEADER;
+    bool taken = answer->error == 0 || answer->job != 0;
 
-    if (answer->error == MW_ERR_NOT_LEADER) {
+    if (!taken && answer->ran != MW_NOT_RUN) {
+        /* it does not know: deliver again */
         return;
     }
-    mw_zone_delivered(ctx, control->zone, now_us, &answer->key, !refused);
+    mw_zone_delivered(ctx, control->zone, now_us, &answer->key, answer->ref,
+                      taken);
 }
 
 static void
--- a/source/core/entry-impl.h
+++ b/source/core/entry-impl.h
@@ -25,6 +25,8 @@
     uint64_t handle;
     enum mw_request_kind kind;
     struct mw_msg *msg;
+    /* a submission that was handed on is asked about there, never sent */
+    struct mw_msg *probe;
     int64_t deadline_us;
     int64_t resend_deadline_us;
     /* the process that has it now, empty for none */
@@ -33,6 +35,8 @@
     struct mw_name zone;
     bool sent;
     bool may_have_run;
+    /* the owner has handed it on; what another zone refuses may yet run */
+    bool handed;
     unsigned tries;
 };
 
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -4,6 +4,7 @@
 #include "entry-impl.h"
 
 #define TICK_US 50000
+#define GRACE_US 500000
 
 static void
 free_request(void *data)
@@ -11,6 +12,7 @@
     struct mw_request *request = data;
 
     mw_drop_msg(request->msg);
+    mw_drop_msg(request->probe);
     g_free(request);
 }
 
@@ -117,7 +119,10 @@
     }
     request->at = known->name;
     request->sent = true;
-    entry->output.send(entry->output.opaque, &known->name, request->msg);
+    bool probe = request->zone.len > 0 && request->probe;
+
+    entry->output.send(entry->output.opaque, &known->name,
+                       probe ? request->probe : request->msg);
 }
 
 static struct mw_request *
@@ -131,7 +136,8 @@
     request->handle = handle;
     request->kind = kind;
     request->msg = msg;
-    request->deadline_us = deadline_us;
+    /* the scheduler answers at the deadline; what it says goes first */
+    request->deadline_us = deadline_us + GRACE_US;
     set_ref(request);
     g_hash_table_insert(entry->requests, &request->ref, request);
     g_hash_table_insert(entry->by_handle, &request->handle, request);
@@ -172,6 +178,19 @@
                    MW_FMT(mw_name_str(name)));
 }
 
+/*
+ * An earlier send of an owned request may have reached its owner through
+ * another entry VM; only a send that is wrong in itself surely did not.
+ */
+static enum mw_ran
+ran_at_refusal(int error, const struct mw_job_spec *spec)
+{
+    bool passing = error == MW_ERR_LEAVING || error == MW_ERR_OVERLOADED ||
+                   error == MW_ERR_UNREACHABLE;
+
+    return passing && mw_spec_is_recorded(spec) ? MW_MAY_HAVE_RUN : MW_NOT_RUN;
+}
+
 void
 mw_entry_submit(struct mw_context *ctx, struct mw_entry *entry, int64_t now_us,
                 uint64_t handle, struct mw_str token_hash,
@@ -186,7 +205,8 @@
         err = authorise(ctx, entry, token_hash, &spec->key.org);
     }
     if (err) {
-        reply_now(entry, handle, err, MW_NOT_RUN, mw_detail(ctx));
+        reply_now(entry, handle, err, ran_at_refusal(err, spec),
+                  mw_detail(ctx));
         return;
     }
     struct mw_msg *msg = mw_new_msg(MW_MSG_SUBMIT);
@@ -272,6 +292,10 @@
     if (answer->error == MW_ERR_NOT_OWNER) {
         return true;
     }
+    if (request->handed && answer->error &&
+        (answer->ran == MW_NOT_RUN || answer->error == MW_ERR_NOT_FOUND)) {
+        return true;
+    }
     return !mw_request_is_recorded(request) &&
            (answer->error == MW_ERR_OUT ||
             answer->error == MW_ERR_OVERLOADED ||
@@ -290,6 +314,22 @@
     return true;
 }
 
+/* The owner has handed the request to another zone: ask there. */
+static void
+follow_owner(struct mw_request *request, const struct mw_name *zone)
+{
+    request->zone = *zone;
+    request->handed = true;
+    request->may_have_run = true;
+    if (request->kind != MW_REQUEST_SUBMIT || request->probe) {
+        return;
+    }
+    request->probe = mw_new_msg(MW_MSG_QUERY);
+    request->probe->query.ref = request->ref;
+    request->probe->query.key = request->msg->submit.spec.key;
+    request->probe->query.until_done = request->msg->submit.spec.wait;
+}
+
 /* Another try, at once where the answer names another place. */
 static void
 try_again(struct mw_entry *entry, int64_t now_us, struct mw_request *request,
@@ -297,9 +337,14 @@
 {
     request->tries++;
     if (answer->error == MW_ERR_NOT_OWNER) {
-        request->zone = answer->zone;
+        follow_owner(request, &answer->zone);
     }
-    if (answer->error == MW_ERR_NOT_LEADER) {
+    else if (request->handed) {
+        /* ask the owner again, which may have chosen another zone */
+        request->zone = (struct mw_name){0};
+    }
+    if (answer->error == MW_ERR_NOT_LEADER ||
+        (request->handed && answer->error != MW_ERR_NOT_OWNER)) {
         request->at = (struct mw_name){0};
         request->resend_deadline_us = now_us + MW_HEARTBEAT_US;
         return;
@@ -319,7 +364,9 @@
         entry->counters.late_answers++;
         return;
     }
-    if (is_passing(request, answer) && spend_retry(entry)) {
+    bool owned = answer->error == MW_ERR_NOT_OWNER || request->handed;
+
+    if (is_passing(request, answer) && (owned || spend_retry(entry))) {
         request->may_have_run |= answer->ran != MW_NOT_RUN;
         try_again(entry, now_us, request, answer);
         return;
--- a/source/core/log-impl.h
+++ b/source/core/log-impl.h
@@ -30,6 +30,14 @@
     int64_t resend_deadline_us;
 };
 
+#define MW_LOG_PENDING_MAX 4
+
+/* mw_log_config: the incarnations admitted by the record at an index. */
+struct mw_log_config {
+    uint64_t index;
+    uint64_t members[MW_MEMBERS_MAX];
+};
+
 struct mw_log {
     struct mw_name group;
     struct mw_log_output output;
@@ -55,10 +63,10 @@
     uint64_t applied;
     uint64_t term_start;
 
-    /* configuration committed, and the one pending at pending_index */
+    /* the configuration committed, and those that follow it uncommitted */
     uint64_t config[MW_MEMBERS_MAX];
-    uint64_t pending[MW_MEMBERS_MAX];
-    uint64_t pending_index;
+    uint32_t pending_count;
+    struct mw_log_config pending[MW_LOG_PENDING_MAX];
 
     uint64_t store_sequence;
     uint64_t synced_sequence;
@@ -108,6 +116,9 @@
 bool mw_log_may_commit(const struct mw_log *log, uint32_t mask,
                        uint64_t index);
 
+/* mw_log_newest_config: the last configuration, committed or not. */
+const uint64_t *mw_log_newest_config(const struct mw_log *log);
+
 /* mw_log_is_admitted: whether this member itself counts. */
 bool mw_log_is_admitted(const struct mw_log *log);
 
--- a/source/core/log-quorum.c
+++ b/source/core/log-quorum.c
@@ -12,12 +12,19 @@
     return config[peer] != 0 && config[peer] == log->peers[peer].incarnation;
 }
 
+const uint64_t *
+mw_log_newest_config(const struct mw_log *log)
+{
+    if (log->pending_count > 0) {
+        return log->pending[log->pending_count - 1].members;
+    }
+    return log->config;
+}
+
 bool
 mw_log_is_admitted(const struct mw_log *log)
 {
-    const uint64_t *config = log->pending_index ? log->pending : log->config;
-
-    return config[log->self] == log->incarnation;
+    return mw_log_newest_config(log)[log->self] == log->incarnation;
 }
 
 /* An admitted incarnation is dead once a newer one has been heard. */
@@ -94,38 +101,38 @@
     return t.held > t.voters / 2;
 }
 
-/*
- * The configuration before a pending admission must agree to it, but the
- * incarnation that is being replaced can't: a member that holds everything
- * leaves it out.
- */
-static bool
-old_agrees(const struct mw_log *log, uint32_t mask)
-{
-    return elects(log, log->config, mask);
-}
-
+/* Every configuration from the committed one to the newest must agree. */
 bool
 mw_log_quorum(const struct mw_log *log, uint32_t mask)
 {
-    if (log->pending_index && !elects(log, log->pending, mask)) {
-        return false;
+    bool agree = elects(log, log->config, mask);
+
+    for (uint32_t i = 0; agree && i < log->pending_count; i++) {
+        agree = elects(log, log->pending[i].members, mask);
     }
-    return old_agrees(log, mask);
+    return agree;
 }
 
 /*
- * Entries before a pending admission are committed under the configuration
- * that their owner can see; only with the admission itself does the next
- * one count for them too.
+ * An entry is committed under the configuration in force at its index, and
+ * those before it must agree: only then can none of them elect a leader
+ * that lacks the entry.
  */
 bool
 mw_log_may_commit(const struct mw_log *log, uint32_t mask, uint64_t index)
 {
-    if (log->pending_index && index >= log->pending_index) {
-        return old_agrees(log, mask) && commits(log, log->pending, mask);
+    const uint64_t *config = log->config;
+
+    for (uint32_t i = 0; i < log->pending_count; i++) {
+        if (log->pending[i].index > index) {
+            break;
+        }
+        if (!elects(log, config, mask)) {
+            return false;
+        }
+        config = log->pending[i].members;
     }
-    return commits(log, log->config, mask);
+    return commits(log, config, mask);
 }
 
 static void
@@ -139,11 +146,28 @@
     }
 }
 
+static void
+add_pending(struct mw_log *log, uint64_t index,
+            const struct mw_record_admit *admit)
+{
+    struct mw_log_config *next;
+    const uint64_t *newest = mw_log_newest_config(log);
+
+    if (log->pending_count == MW_LOG_PENDING_MAX) {
+        return;
+    }
+    next = &log->pending[log->pending_count];
+    next->index = index;
+    memcpy(next->members, newest, sizeof next->members);
+    set_member(log, next->members, admit);
+    log->pending_count++;
+}
+
 void
 mw_log_note_config(struct mw_log *log)
 {
     memcpy(log->config, log->base_config, sizeof log->config);
-    log->pending_index = 0;
+    log->pending_count = 0;
     for (guint i = 0; i < log->entries->len; i++) {
         uint64_t index = log->base_index + 1 + i;
         struct mw_record *record = mw_log_entry_at(log, index)->record;
@@ -153,14 +177,9 @@
         }
         if (index <= log->commit) {
             set_member(log, log->config, &record->admit);
-            continue;
         }
-        if (log->pending_index) {
-            /* only the newest may be uncommitted */
-            memcpy(log->config, log->pending, sizeof log->config);
+        else {
+            add_pending(log, index, &record->admit);
         }
-        memcpy(log->pending, log->config, sizeof log->pending);
-        set_member(log, log->pending, &record->admit);
-        log->pending_index = index;
     }
 }
--- a/source/core/log-replicate.c
+++ b/source/core/log-replicate.c
@@ -135,7 +135,7 @@
 mw_log_apply_to(struct mw_log *log, uint64_t commit)
 {
     log->commit = commit;
-    if (log->pending_index && log->pending_index <= commit) {
+    if (log->pending_count > 0 && log->pending[0].index <= commit) {
         mw_log_note_config(log);
     }
     while (log->applied < log->commit) {
@@ -159,7 +159,7 @@
     if (commit == log->commit) {
         return;
     }
-    bool admitted = log->pending_index && log->pending_index <= commit;
+    bool admitted = log->pending_count > 0 && log->pending[0].index <= commit;
 
     mw_log_apply_to(log, commit);
     if (admitted) {
--- a/source/core/zone-attempt.c
+++ b/source/core/zone-attempt.c
@@ -64,6 +64,7 @@
     job->state = MW_JOB_RESERVING;
     for (uint32_t i = 0; i < job->place_count; i++) {
         job->places[i].state = MW_PART_RESERVING;
+        job->places[i].ask_deadline_us = job->placed_us + MW_ASK_US;
         mw_send_order(zone, job, &job->places[i], MW_ORDER_RESERVE);
     }
 }
@@ -113,6 +114,7 @@
 place_cleared(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
               struct mw_job *job)
 {
+    job->placed_us = now_us;
     if (job->place_count > 1) {
         reserve(zone, job);
         return;
@@ -165,6 +167,7 @@
     (void)ctx;
     job->state = MW_JOB_RUNNING;
     job->started_us = now_us;
+    job->ever_started = true;
     for (uint32_t i = 0; i < job->place_count; i++) {
         struct mw_place *place = &job->places[i];
 
@@ -519,6 +522,11 @@
         mw_lose_place(ctx, zone, now_us, job, place, true);
         return;
     }
+    if (place->state == MW_PART_RESERVING &&
+        now_us >= place->ask_deadline_us) {
+        place->ask_deadline_us = now_us + MW_ASK_US;
+        mw_send_order(zone, job, place, MW_ORDER_RESERVE);
+    }
     if (place->state == MW_PART_STOPPING && !place->endpoint->up) {
         mw_lose_place(ctx, zone, now_us, job, place, true);
         return;
@@ -538,6 +546,11 @@
     if (job->state == MW_JOB_STOPPING && now_us >= job->stop_deadline_us) {
         job->stop_deadline_us = now_us + MW_STOP_RESEND_US;
     }
+    if (job->state == MW_JOB_RESERVING &&
+        now_us - job->placed_us >= MW_RESERVE_US) {
+        job->retry_deadline_us = now_us + RETRY_US;
+        break_gang(ctx, zone, now_us, job, 0, true);
+    }
     bool late = job->spec.deadline_us > 0 && now_us >= job->spec.deadline_us;
 
     if (late && !job->recorded && job->state == MW_JOB_RUNNING) {
--- a/source/core/zone-impl.h
+++ b/source/core/zone-impl.h
@@ -125,6 +125,8 @@
     bool replayed;
     bool cancelled;
     bool intent;
+    /* an attempt has been started, now or before */
+    bool ever_started;
     int error;
     enum mw_ran ran;
     struct mw_blob *output;
@@ -158,6 +160,7 @@
     bool settled;
     int active_index;
     int64_t deliver_deadline_us;
+    uint64_t deliver_ref;
 };
 
 /* mw_runtime: learnt distribution of run times of one class. */
@@ -355,6 +358,8 @@
 void mw_set_out(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
                 bool out);
 void mw_out_tick(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us);
+void mw_take_back(struct mw_zone *zone, const struct mw_job *job,
+                  uint32_t hops);
 bool mw_ramp_allows(struct mw_zone *zone, int64_t now_us);
 
 #endif
--- a/source/core/zone-job.c
+++ b/source/core/zone-job.c
@@ -175,6 +175,9 @@
               struct mw_job *job, int error, enum mw_ran ran)
 {
     (void)ctx;
+    if (ran == MW_NOT_RUN && job->ever_started) {
+        ran = MW_MAY_HAVE_RUN;
+    }
     if (!job->recorded) {
         mw_settle_job(zone, now_us, job, error, ran, job->output);
         forget_parts(zone, job);
@@ -238,10 +241,10 @@
     int error = job->state == MW_JOB_HANDED ? MW_ERR_NOT_OWNER
                 : job->state == MW_JOB_DONE ? job->error
                                             : 0;
-    enum mw_ran ran = job->state == MW_JOB_DONE        ? job->ran
-                      : job->state == MW_JOB_HANDED    ? MW_NOT_RUN
-                      : job->started_us || job->intent ? MW_MAY_HAVE_RUN
-                                                       : MW_NOT_RUN;
+    enum mw_ran ran = job->state == MW_JOB_DONE          ? job->ran
+                      : job->state == MW_JOB_HANDED      ? MW_NOT_RUN
+                      : job->ever_started || job->intent ? MW_MAY_HAVE_RUN
+                                                         : MW_NOT_RUN;
 
     mw_answer_one(zone, waiter, job, error, ran, MW_STR(""));
 }
@@ -285,12 +288,20 @@
     return 0;
 }
 
+/*
+ * A leader that can't record may not have read every record yet: it does
+ * not know whether a request that needs one has run.
+ */
 static void
 refuse(struct mw_context *ctx, struct mw_zone *zone,
-       const struct mw_waiter *waiter, int error)
+       const struct mw_job_spec *spec, const struct mw_waiter *waiter,
+       int error)
 {
+    bool knows = zone->lead == MW_LEAD_RECORDS || !mw_spec_is_recorded(spec);
+
     zone->counters.refused++;
-    mw_answer_one(zone, waiter, NULL, error, MW_NOT_RUN, mw_detail(ctx));
+    mw_answer_one(zone, waiter, NULL, error,
+                  knows ? MW_NOT_RUN : MW_MAY_HAVE_RUN, mw_detail(ctx));
 }
 
 static void
@@ -307,7 +318,7 @@
 
     mw_drop_record(record);
     if (err) {
-        refuse(ctx, zone, waiter, err);
+        refuse(ctx, zone, &job->spec, waiter, err);
         mw_remove_job(zone, job);
         return;
     }
@@ -323,6 +334,13 @@
 
     zone->counters.submitted++;
     ctx->detail_len = 0;
+    if (known && known->state == MW_JOB_HANDED && zone->leading &&
+        spec->hops > known->spec.hops) {
+        /* it comes back to this zone, which others have handed it to; the
+         * zone that sends it asks until the record is there */
+        mw_take_back(zone, known, spec->hops);
+        return;
+    }
     if (known && zone->leading) {
         zone->counters.resent++;
         join(zone, known, waiter);
@@ -331,7 +349,7 @@
     int err = admit(ctx, zone, now_us, spec);
 
     if (err) {
-        refuse(ctx, zone, waiter, err);
+        refuse(ctx, zone, spec, waiter, err);
         return;
     }
     struct mw_job *job = mw_add_job(zone, zone->next_job, spec, body, now_us);
--- a/source/core/zone-out.c
+++ b/source/core/zone-out.c
@@ -91,6 +91,7 @@
     struct mw_record *record = mw_new_record(MW_RECORD_HANDOVER);
 
     record->handover.key = job->spec.key;
+    record->handover.hops = job->spec.hops + 1;
     if (zone->output.target(zone->output.opaque, &record->handover.zone) &&
         zone->output.propose(zone->output.opaque, record) == 0) {
         mw_unqueue_job(zone, job);
@@ -125,8 +126,8 @@
             continue;
         }
         job->deliver_deadline_us = now_us + DELIVER_EVERY_US;
-        zone->output.deliver(zone->output.opaque, &job->handed_to, &job->spec,
-                             job->body);
+        job->deliver_ref = zone->output.deliver(
+            zone->output.opaque, &job->handed_to, &job->spec, job->body);
     }
 }
 
@@ -141,9 +142,21 @@
     }
 }
 
+void
+mw_take_back(struct mw_zone *zone, const struct mw_job *job, uint32_t hops)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_HANDOVER);
+
+    record->handover.key = job->spec.key;
+    record->handover.zone = zone->name;
+    record->handover.hops = hops;
+    zone->output.propose(zone->output.opaque, record);
+    mw_drop_record(record);
+}
+
 void
 mw_zone_delivered(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-                  const struct mw_job_key *key, bool taken)
+                  const struct mw_job_key *key, uint64_t ref, bool taken)
 {
     struct mw_job *job = g_hash_table_lookup(zone->jobs_by_key, key);
 
@@ -157,13 +170,10 @@
         job->handed_open = false;
         return;
     }
-    /* refused there before it ran: it is this zone's again */
-    struct mw_record *record = mw_new_record(MW_RECORD_HANDOVER);
-
-    record->handover.key = *key;
-    record->handover.zone = zone->name;
-    zone->output.propose(zone->output.opaque, record);
-    mw_drop_record(record);
+    if (ref == job->deliver_ref) {
+        /* refused there before it ran: it is this zone's again */
+        mw_take_back(zone, job, job->spec.hops);
+    }
 }
 
 bool
--- a/source/core/zone-record.c
+++ b/source/core/zone-record.c
@@ -80,6 +80,7 @@
     job->epoch = intent->attempt.epoch;
     job->number = intent->attempt.number;
     job->intent = true;
+    job->ever_started = true;
     job->state = MW_JOB_RUNNING;
 }
 
@@ -125,6 +126,7 @@
         return;
     }
     mw_unqueue_job(zone, job);
+    job->spec.hops = handover->hops;
     if (mw_name_equal(&handover->zone, &zone->name)) {
         job->state = MW_JOB_QUEUED;
         job->handed_open = false;
@@ -240,6 +242,7 @@
         record = mw_new_record(MW_RECORD_HANDOVER);
         record->handover.key = job->spec.key;
         record->handover.zone = job->handed_to;
+        record->handover.hops = job->spec.hops;
         add(out, record);
         mw_drop_record(record);
     }
--- a/source/core/zone.c
+++ b/source/core/zone.c
@@ -144,8 +144,8 @@
 
         if (job->state != MW_JOB_DONE) {
             job->error = MW_ERR_NOT_LEADER;
-            job->ran = job->started_us || job->recorded ? MW_MAY_HAVE_RUN
-                                                        : MW_NOT_RUN;
+            job->ran = job->ever_started || job->recorded ? MW_MAY_HAVE_RUN
+                                                          : MW_NOT_RUN;
         }
         mw_answer_waiters(zone, job);
         fall_back(zone, job);
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -1305,7 +1305,7 @@
   (ProtobufCMessageInit) mw__wire__key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__spec__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mw__wire__spec__field_descriptors[12] =
 {
   {
     "key",
@@ -1439,11 +1439,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hops",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Spec, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__spec__field_indices_by_name[] = {
   4,   /* field[4] = adjacent */
   7,   /* field[7] = checkpoint */
   1,   /* field[1] = class_name */
+  11,   /* field[11] = hops */
   6,   /* field[6] = idempotent */
   0,   /* field[0] = key */
   9,   /* field[9] = left_us */
@@ -1456,7 +1469,7 @@
 static const ProtobufCIntRange mw__wire__spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mw__wire__spec__descriptor =
 {
@@ -1466,7 +1479,7 @@
   "Mw__Wire__Spec",
   "mw.wire",
   sizeof(Mw__Wire__Spec),
-  11,
+  12,
   mw__wire__spec__field_descriptors,
   mw__wire__spec__field_indices_by_name,
   1,  mw__wire__spec__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -89,10 +89,11 @@
   protobuf_c_boolean wait;
   int64_t left_us;
   int64_t runtime_us;
+  uint32_t hops;
 };
 #define MW__WIRE__SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__spec__descriptor) \
-    , NULL, {0,NULL}, 0, NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, {0,NULL}, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mw__Wire__Attempt
--- a/source/wire/pack-job.c
+++ b/source/wire/pack-job.c
@@ -104,6 +104,7 @@
     wire->left_us =
         spec->deadline_us > 0 ? MAX(spec->deadline_us - now_us, 1) : 0;
     wire->runtime_us = spec->runtime_us;
+    wire->hops = spec->hops;
     return wire;
 }
 
@@ -133,6 +134,7 @@
     }
     spec->deadline_us = wire->left_us > 0 ? now_us + wire->left_us : 0;
     spec->runtime_us = wire->runtime_us;
+    spec->hops = wire->hops;
     return mw_check_spec(&quiet, spec);
 }
 
--- a/source/wire/pack-record.c
+++ b/source/wire/pack-record.c
@@ -66,6 +66,7 @@
         break;
     case MW_RECORD_HANDOVER:
         wire->key = mw_pack_key(scratch, &record->handover.key);
+        wire->number = record->handover.hops;
         wire->name = mw_pack_name(&record->handover.zone);
         break;
     case MW_RECORD_FORGET:
@@ -160,6 +161,7 @@
     case MW_RECORD_RESULT:
         return unpack_result(wire, &record->result);
     case MW_RECORD_HANDOVER:
+        record->handover.hops = (uint32_t)wire->number;
         err = mw_unpack_key(wire->key, &record->handover.key);
         return err ? err : mw_unpack_name(wire->name, &record->handover.zone);
     case MW_RECORD_FORGET:
--- a/tests/check-main.c
+++ b/tests/check-main.c
@@ -88,7 +88,9 @@
     GArray *found = g_array_new(FALSE, FALSE, sizeof(struct test));
 
     while (dir && (name = g_dir_read_name(dir))) {
-        if (g_str_has_suffix(name, ".txt") && (!only || strstr(name, only))) {
+        bool wanted = !only || strstr(name, only) || strstr(folder, only);
+
+        if (g_str_has_suffix(name, ".txt") && wanted) {
             struct test test = {kind, g_strndup(name, strlen(name) - 4)};
 
             g_array_append_val(found, test);
--- a/tests/zone-script.c
+++ b/tests/zone-script.c
@@ -114,7 +114,7 @@
     return true;
 }
 
-static void
+static uint64_t
 on_deliver(void *opaque, const struct mw_name *zone,
            const struct mw_job_spec *spec, struct mw_blob *body)
 {
@@ -126,6 +126,7 @@
                MW_FMT(mw_name_str(&spec->key.request)),
                MW_FMT(mw_name_str(zone)));
     }
+    return 1;
 }
 
 static void
