--- a/source/core/log-compact.c
+++ b/source/core/log-compact.c
@@ -117,7 +117,7 @@
     memcpy(log->base_config, msg->config, sizeof log->base_config);
     g_ptr_array_unref(log->base_records);
     log->base_records = g_steal_pointer(&log->incoming);
-    log->synced_index = 0;
+    mw_log_forget_marks(log, 0);
     log->counters.snapshots_received++;
     mw_log_apply_base(log);
     mw_log_store_base(log);
@@ -134,6 +134,11 @@
     mw_log_follow(ctx, log, now_us, msg->term);
     log->leader = peer->name;
     log->leader_heard_us = now_us;
+    if (mw_log_term_at(log, msg->index) == msg->log_term &&
+        msg->index > log->commit) {
+        /* held already: what follows it may have been acknowledged */
+        mw_log_apply_to(log, msg->index);
+    }
     if (msg->index <= log->commit) {
         reply_snapshot(log, peer, msg, msg->total, true);
         return;
--- a/source/core/log-impl.h
+++ b/source/core/log-impl.h
@@ -134,6 +134,9 @@
 uint64_t mw_log_append_entry(struct mw_log *log, uint64_t term,
                              struct mw_record *record);
 
+/* mw_log_forget_marks: entries from index on no longer count as synced. */
+void mw_log_forget_marks(struct mw_log *log, uint64_t index);
+
 /* mw_log_truncate: drop entries from index on. */
 void mw_log_truncate(struct mw_log *log, uint64_t index);
 
--- a/source/core/log-state.c
+++ b/source/core/log-state.c
@@ -197,13 +197,9 @@
 }
 
 void
-mw_log_truncate(struct mw_log *log, uint64_t index)
+mw_log_forget_marks(struct mw_log *log, uint64_t index)
 {
-    if (index <= log->base_index || index > mw_log_last(log)) {
-        return;
-    }
-    g_array_set_size(log->entries, (guint)(index - log->base_index - 1));
-    log->synced_index = MIN(log->synced_index, index - 1);
+    log->synced_index = MIN(log->synced_index, index ? index - 1 : 0);
     for (GList *l = log->unsynced.head; l; l = l->next) {
         struct unsynced *mark = l->data;
 
@@ -211,6 +207,16 @@
             mark->index = 0;
         }
     }
+}
+
+void
+mw_log_truncate(struct mw_log *log, uint64_t index)
+{
+    if (index <= log->base_index || index > mw_log_last(log)) {
+        return;
+    }
+    g_array_set_size(log->entries, (guint)(index - log->base_index - 1));
+    mw_log_forget_marks(log, index);
     mw_log_note_config(log);
 }
 
