--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,24 @@
 check: all $(BUILD)/check
 	$(BUILD)/check $(ONLY)
 
+$(BUILD)/bench: $(call object,$(BENCH) tests/oracle.c) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -lm -o $@
+
+# the three measures, against the obvious policies and a lower bound
+bench: $(BUILD)/bench
+	$(BUILD)/bench
+
+# decoders against arbitrary bytes: bounded, and the same on every run
+FUZZ_RUNS = 300000
+$(BUILD)/fuzz: tests/fuzz/fuzz.c $(CORE) $(WIRE)
+	@mkdir -p $(BUILD)
+	clang -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
+		$(INCLUDES) $(PKG_CFLAGS) -Wno-everything $^ $(PKG_LIBS) -o $@
+
+fuzz: $(BUILD)/fuzz
+	$(BUILD)/fuzz -runs=$(FUZZ_RUNS) -seed=1 -max_len=4096 -verbosity=0 \
+		-print_final_stats=1
+
 # the same seeded scripts with more seeds: make soak SEEDS=500
 soak: $(BUILD)/check
 	MW_SEEDS=$(or $(SEEDS),300) $(BUILD)/check seeds
@@ -101,4 +119,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all check soak lint demo clean
+.PHONY: all check bench fuzz soak lint demo clean
--- a/source/core/zone-claim.c
+++ b/source/core/zone-claim.c
@@ -12,7 +12,7 @@
     struct mw_amount room = mw_cell_room(cell, i);
     const struct mw_endpoint *e = cell->parts[i].endpoint;
 
-    if (!mw_endpoint_usable(e)) {
+    if (!mw_endpoint_usable(e) || e->quarantined || mw_has_failed_on(job, e)) {
         return 0;
     }
     if (!evict) {
--- a/source/core/zone-find.c
+++ b/source/core/zone-find.c
@@ -21,8 +21,8 @@
     const struct mw_job *job;
 };
 
-static bool
-has_failed_on(const struct mw_job *job, const struct mw_endpoint *e)
+bool
+mw_has_failed_on(const struct mw_job *job, const struct mw_endpoint *e)
 {
     for (uint32_t i = 0; job && i < MIN(job->failures, MW_ATTEMPTS_MAX); i++) {
         if (job->failed_on[i] == e) {
@@ -36,7 +36,7 @@
 static uint32_t
 capacity(const struct search *s, const struct mw_endpoint *e)
 {
-    if (!mw_endpoint_usable(e) || has_failed_on(s->job, e)) {
+    if (!mw_endpoint_usable(e) || mw_has_failed_on(s->job, e)) {
         return 0;
     }
     if (s->room == MW_ROOM_CELL) {
--- a/source/core/zone-impl.h
+++ b/source/core/zone-impl.h
@@ -251,6 +251,7 @@
 bool mw_find_place(struct mw_zone *zone, int64_t now_us,
                    const struct mw_shape *shape, enum mw_room room,
                    const struct mw_job *job, struct mw_found *found);
+bool mw_has_failed_on(const struct mw_job *job, const struct mw_endpoint *e);
 bool mw_shape_possible(const struct mw_zone *zone,
                        const struct mw_shape *shape);
 
--- a/tests/script.c
+++ b/tests/script.c
@@ -90,9 +90,14 @@
 
     script.state = kind->begin();
     for (char **line = lines; *line; line++) {
+        char *copy = g_strdup(*line);
+        char *space = strchr(copy, ' ');
+
         script.line++;
+        script.rest = space ? space + 1 : "";
         split(&script, *line);
         run_line(&script, kind);
+        g_free(copy);
     }
     kind->end(script.state);
     g_strfreev(lines);
--- a/tests/script.h
+++ b/tests/script.h
@@ -18,6 +18,8 @@
 struct mw_script {
     GString *out;
     int line;
+    /* the line without its first word */
+    const char *rest;
     int word_count;
     char *words[MW_WORDS_MAX];
     void *state;
