--- a/source/core/zone-find.c
+++ b/source/core/zone-find.c
@@ -45,7 +45,7 @@
         }
     }
     else if (!mw_probe_allows(e, s->job, s->now_us) ||
-             !mw_hold_allows(s->zone, e->rack, s->job, s->now_us)) {
+             !mw_hold_allows(s->zone, e, s->job, s->now_us)) {
         return 0;
     }
     struct mw_amount room = mw_endpoint_room(e, s->room);
--- a/source/core/zone-hold.c
+++ b/source/core/zone-hold.c
@@ -1,78 +1,142 @@
 /*
- * zone-hold: racks kept for a large gang that waits.
+ * zone-hold: endpoints kept for a large gang that waits.
  *
  * Without this, small work takes every accelerator as it comes free and a
- * large gang starves.  Others may still use a held rack for what is
- * expected to have ended before the rack would be free anyway.
+ * large gang starves.  Just as many endpoints are kept as the gang needs,
+ * those that are expected to be clear first; others may still use them for
+ * what is expected to have ended before they would be clear anyway.
  */
 #include "zone-impl.h"
 
 static int64_t
-expected_clear(const struct mw_zone *zone, const struct mw_rack *rack,
+expected_clear(const struct mw_zone *zone, const struct mw_endpoint *e,
                int64_t now_us)
 {
     int64_t latest = now_us;
 
-    for (guint i = 0; i < rack->endpoints->len; i++) {
-        const struct mw_endpoint *e = rack->endpoints->pdata[i];
+    for (guint j = 0; j < e->jobs->len; j++) {
+        const struct mw_job *job = e->jobs->pdata[j];
+        int64_t end = now_us + mw_expect_left(zone, job, now_us);
 
-        for (guint j = 0; j < e->jobs->len; j++) {
-            const struct mw_job *job = e->jobs->pdata[j];
-            int64_t end = now_us + mw_expect_left(zone, job, now_us);
-
-            latest = MAX(latest, end);
-        }
+        latest = MAX(latest, end);
     }
     return latest;
 }
 
-static struct mw_rack *
-soonest_rack(const struct mw_zone *zone, int64_t now_us, uint32_t need)
+static int
+by_clear(const void *a, const void *b)
 {
-    struct mw_rack *best = NULL;
-    int64_t best_clear = INT64_MAX;
+    const struct mw_endpoint *x = *(struct mw_endpoint *const *)a;
+    const struct mw_endpoint *y = *(struct mw_endpoint *const *)b;
 
-    for (guint i = 0; i < zone->racks->len; i++) {
-        struct mw_rack *rack = zone->racks->pdata[i];
+    return x->clear_us < y->clear_us ? -1 : x->clear_us > y->clear_us;
+}
+
+/*
+ * The endpoints of a list that would hold the whole gang soonest: sorts
+ * them to the front and returns how many, 0 when all do not suffice.
+ */
+static guint
+soonest(const struct mw_zone *zone, int64_t now_us, GPtrArray *list,
+        const struct mw_shape *shape)
+{
+    uint32_t tasks = 0;
+
+    for (guint i = 0; i < list->len; i++) {
+        struct mw_endpoint *e = list->pdata[i];
 
-        if (rack->held_by || rack->total_accelerators < need) {
-            continue;
+        e->clear_us = expected_clear(zone, e, now_us);
+    }
+    g_ptr_array_sort(list, by_clear);
+    for (guint i = 0; i < list->len; i++) {
+        struct mw_endpoint *e = list->pdata[i];
+
+        tasks += mw_amount_times(&shape->need, &e->total);
+        if (tasks >= shape->tasks) {
+            return i + 1;
         }
-        int64_t clear = expected_clear(zone, rack, now_us);
+    }
+    return 0;
+}
 
-        if (clear < best_clear) {
-            best = rack;
-            best_clear = clear;
+static GPtrArray *
+candidates(const GPtrArray *endpoints)
+{
+    GPtrArray *list = g_ptr_array_new();
+
+    for (guint i = 0; i < endpoints->len; i++) {
+        struct mw_endpoint *e = endpoints->pdata[i];
+
+        if (mw_endpoint_usable(e) && !e->quarantined) {
+            g_ptr_array_add(list, e);
         }
     }
+    return list;
+}
+
+/* The better of two choices; the other is given back. */
+static GPtrArray *
+better(GPtrArray *best, guint *best_count, GPtrArray *list, guint count)
+{
+    const struct mw_endpoint *x, *y;
+
+    if (count == 0) {
+        g_ptr_array_unref(list);
+        return best;
+    }
     if (best) {
-        best->held_until_us = best_clear;
+        x = best->pdata[*best_count - 1];
+        y = list->pdata[count - 1];
+        if (x->clear_us <= y->clear_us) {
+            g_ptr_array_unref(list);
+            return best;
+        }
+        g_ptr_array_unref(best);
+    }
+    *best_count = count;
+    return list;
+}
+
+static GPtrArray *
+choose(const struct mw_zone *zone, int64_t now_us,
+       const struct mw_shape *shape, guint *count)
+{
+    GPtrArray *best = NULL;
+
+    if (shape->adjacent == MW_ADJACENT_ZONE) {
+        GPtrArray *list = candidates(zone->endpoint_list);
+
+        return better(NULL, count, list, soonest(zone, now_us, list, shape));
+    }
+    for (guint i = 0; i < zone->racks->len; i++) {
+        const struct mw_rack *rack = zone->racks->pdata[i];
+        GPtrArray *list = candidates(rack->endpoints);
+
+        best = better(best, count, list, soonest(zone, now_us, list, shape));
     }
     return best;
 }
 
 void
-mw_hold_racks(struct mw_zone *zone, int64_t now_us, struct mw_job *job)
+mw_hold_endpoints(struct mw_zone *zone, int64_t now_us, struct mw_job *job)
 {
-    const struct mw_shape *shape = &job->spec.shape;
-    uint32_t need = shape->tasks * shape->need.accelerators;
-    uint32_t got = 0;
+    guint count = 0;
+    GPtrArray *list;
 
-    if (zone->holder || need == 0) {
+    if (zone->holder || job->spec.shape.need.accelerators == 0) {
         return;
     }
-    while (got < need) {
-        uint32_t least = shape->adjacent == MW_ADJACENT_ZONE ? 1 : need;
-        struct mw_rack *rack = soonest_rack(zone, now_us, least);
+    list = choose(zone, now_us, &job->spec.shape, &count);
+    if (!list) {
+        return;
+    }
+    for (guint i = 0; i < count; i++) {
+        struct mw_endpoint *e = list->pdata[i];
 
-        if (!rack) {
-            break;
-        }
-        rack->held_by = job;
-        rack->held_since_us = now_us;
-        got += rack->total_accelerators;
+        e->held_by = job;
     }
-    zone->holder = got > 0 ? job : NULL;
+    g_ptr_array_unref(list);
+    zone->holder = job;
 }
 
 void
@@ -81,24 +145,24 @@
     if (zone->holder != job) {
         return;
     }
-    for (guint i = 0; i < zone->racks->len; i++) {
-        struct mw_rack *rack = zone->racks->pdata[i];
+    for (guint i = 0; i < zone->endpoint_list->len; i++) {
+        struct mw_endpoint *e = zone->endpoint_list->pdata[i];
 
-        rack->held_by = NULL;
+        e->held_by = NULL;
     }
     zone->holder = NULL;
     zone->dirty = true;
 }
 
 bool
-mw_hold_allows(const struct mw_zone *zone, const struct mw_rack *rack,
+mw_hold_allows(const struct mw_zone *zone, const struct mw_endpoint *e,
                const struct mw_job *job, int64_t now_us)
 {
-    if (!rack->held_by || !job || rack->held_by == job) {
+    if (!e->held_by || !job || e->held_by == job) {
         return true;
     }
     if (job->spec.priority == MW_URGENT) {
         return true;
     }
-    return now_us + mw_expect_left(zone, job, now_us) <= rack->held_until_us;
+    return now_us + mw_expect_left(zone, job, now_us) <= e->clear_us;
 }
--- a/source/core/zone-impl.h
+++ b/source/core/zone-impl.h
@@ -17,11 +17,6 @@
     GPtrArray *endpoints;
     uint32_t free_accelerators;
     uint32_t total_accelerators;
-    /* the waiting gang that this rack is kept for; NULL for none */
-    struct mw_job *held_by;
-    int64_t held_since_us;
-    /* when the work that runs there is expected to have ended */
-    int64_t held_until_us;
 };
 
 struct mw_endpoint {
@@ -45,6 +40,10 @@
     uint64_t streak_job;
     bool quarantined;
     uint64_t probe_job;
+    /* the waiting gang that this endpoint is kept for; NULL for none */
+    struct mw_job *held_by;
+    /* when the work that runs here is expected to have ended */
+    int64_t clear_us;
     int64_t probe_deadline_us;
     int64_t quarantine_us;
     /* place in the index of free accelerators; -1 when not in it */
@@ -349,10 +348,11 @@
 int64_t mw_expect_left(const struct mw_zone *zone, const struct mw_job *job,
                        int64_t now_us);
 
-/* keeping racks for a large gang that waits */
-void mw_hold_racks(struct mw_zone *zone, int64_t now_us, struct mw_job *job);
+/* keeping endpoints for a large gang that waits */
+void mw_hold_endpoints(struct mw_zone *zone, int64_t now_us,
+                       struct mw_job *job);
 void mw_release_hold(struct mw_zone *zone, const struct mw_job *job);
-bool mw_hold_allows(const struct mw_zone *zone, const struct mw_rack *rack,
+bool mw_hold_allows(const struct mw_zone *zone, const struct mw_endpoint *e,
                     const struct mw_job *job, int64_t now_us);
 
 /* out of service and back */
