--- a/source/core/zone-job.c
+++ b/source/core/zone-job.c
@@ -55,7 +55,7 @@
     job->active_index = -1;
     zone->next_job = MAX(zone->next_job, id + 1);
     g_hash_table_insert(zone->jobs, &job->id, job);
-    g_hash_table_insert(zone->jobs_by_key, &job->spec.key, job);
+    g_hash_table_replace(zone->jobs_by_key, &job->spec.key, job);
     return job;
 }
 
@@ -66,7 +66,9 @@
     mw_leave_place(zone, job);
     mw_set_active(zone, job, false);
     g_ptr_array_remove(zone->reclaiming, job);
-    g_hash_table_remove(zone->jobs_by_key, &job->spec.key);
+    if (g_hash_table_lookup(zone->jobs_by_key, &job->spec.key) == job) {
+        g_hash_table_remove(zone->jobs_by_key, &job->spec.key);
+    }
     g_hash_table_remove(zone->jobs, &job->id);
 }
 
@@ -370,7 +372,18 @@
                   const struct mw_record_accept *accept)
 {
     struct mw_job *job = g_hash_table_lookup(zone->jobs, &accept->job);
+    struct mw_job *same =
+        g_hash_table_lookup(zone->jobs_by_key, &accept->spec.key);
+    GArray *waiters = NULL;
 
+    if (same && same != job && same->recorded) {
+        if (same->state != MW_JOB_ACCEPTING) {
+            /* sent twice around a lost lease: the first record stands */
+            return;
+        }
+        waiters = g_array_ref(same->waiters);
+        mw_remove_job(zone, same);
+    }
     if (!job) {
         job =
             mw_add_job(zone, accept->job, &accept->spec, accept->body, now_us);
@@ -378,6 +391,10 @@
         /* deadlines are of the clock of the process that took it */
         job->spec.deadline_us = 0;
     }
+    if (waiters) {
+        g_array_append_vals(job->waiters, waiters->data, waiters->len);
+        g_array_unref(waiters);
+    }
     zone->counters.accepted++;
     if (!zone->leading) {
         job->state = MW_JOB_QUEUED;
--- a/source/core/zone-record.c
+++ b/source/core/zone-record.c
@@ -126,6 +126,9 @@
         return;
     }
     mw_unqueue_job(zone, job);
+    mw_leave_place(zone, job);
+    mw_set_active(zone, job, false);
+    g_ptr_array_remove(zone->reclaiming, job);
     job->spec.hops = handover->hops;
     if (mw_name_equal(&handover->zone, &zone->name)) {
         job->state = MW_JOB_QUEUED;
