Move what waits to an idle zone

A zone's heartbeat carries its queue and its free accelerators; a recorded job that has waited 5 s in vain and never started is handed to a zone with an empty queue and twice the room, four a tick and three hops at most.

--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -60,6 +60,8 @@
     bool out;
     bool leaving;
     uint64_t epoch;
+    /* of the zone, from the process that leads it */
+    struct mw_zone_load load;
     /* documents in force here, by environment; 0 for none */
     uint64_t version[MW_ENVIRONMENTS];
 };
--- a/include/mimosawind/zone.h
+++ b/include/mimosawind/zone.h
@@ -39,6 +39,9 @@
 #define MW_AGE_US 600000000
 #define MW_RESULT_KEPT_US 86400000000
 #define MW_RETURN_RAMP_US 10000000
+#define MW_BALANCE_AFTER_US 5000000
+#define MW_BALANCE_HOPS_MAX 3
+#define MW_BALANCE_PER_TICK 4
 
 enum mw_job_state {
     MW_JOB_QUEUED = 0,
@@ -164,7 +167,9 @@
     void (*order)(void *opaque, const struct mw_order *order);
     void (*answer)(void *opaque, const struct mw_waiter *waiter,
                    const struct mw_answer *answer);
-    bool (*target)(void *opaque, struct mw_name *zone);
+    /* target: with room for the shape now; NULL asks for any zone */
+    bool (*target)(void *opaque, const struct mw_shape *shape,
+                   struct mw_name *zone);
     /* deliver: returns a reference that the answer will carry, 0 for none */
     uint64_t (*deliver)(void *opaque, const struct mw_name *zone,
                         const struct mw_job_spec *spec, struct mw_blob *body);
@@ -194,6 +199,7 @@
     uint64_t asked;
     uint64_t unknown;
     uint64_t handed;
+    uint64_t balanced;
     uint64_t passes;
     uint64_t tries;
 };
@@ -261,6 +267,14 @@
 void mw_zone_tick(struct mw_context *ctx, struct mw_zone *zone,
                   int64_t now_us);
 
+/* mw_zone_load: jobs that wait, and accelerators that nothing holds. */
+struct mw_zone_load {
+    uint32_t queued;
+    uint32_t free_accelerators;
+};
+
+void mw_zone_load_of(const struct mw_zone *zone, struct mw_zone_load *load);
+
 /* mw_zone_deadline: when mw_zone_tick is next due. */
 int64_t mw_zone_deadline(const struct mw_zone *zone);
 
--- a/source/core/control-process.c
+++ b/source/core/control-process.c
@@ -59,6 +59,7 @@
     beat->out = mw_zone_is_out(control->zone);
     beat->leaving = control->leaving;
     beat->epoch = view.term;
+    mw_zone_load_of(control->zone, &beat->load);
     beat->version[MW_PRODUCTION] = mw_zone_version(control->zone);
     struct mw_document *trial = control->documents[MW_TRIAL].document;
 
--- a/source/core/control.c
+++ b/source/core/control.c
@@ -154,21 +154,39 @@
     mw_drop_msg(msg);
 }
 
+/* Whether a zone can take a job; what is handed is taken off its room. */
 static bool
-target(void *opaque, struct mw_name *zone)
+has_room(struct mw_process *leader, const struct mw_shape *shape)
+{
+    struct mw_zone_load *load = &leader->heartbeat.load;
+    uint32_t need = shape ? shape->tasks * shape->need.accelerators : 0;
+
+    if (!shape) {
+        return true;
+    }
+    if (load->queued > 0 || load->free_accelerators < 2 * need) {
+        return false;
+    }
+    load->free_accelerators -= need;
+    return true;
+}
+
+static bool
+target(void *opaque, const struct mw_shape *shape, struct mw_name *zone)
 {
     struct mw_control *control = opaque;
     const struct mw_document *doc = mw_zone_document(control->zone);
 
     for (uint32_t i = 0; doc && i < doc->zone_count; i++) {
-        /* start behind the own zone, so that zones share what is moved */
+        /* start behind the last one, so that zones share what is moved */
         uint32_t at = (i + control->next_ref) % doc->zone_count;
         const struct mw_name *name = &doc->zones[at].name;
-        const struct mw_process *leader =
+        struct mw_process *leader =
             mw_zone_leader(control, control->now_us, name);
 
         if (leader && !leader->heartbeat.out &&
-            !mw_name_equal(name, &control->zone_name)) {
+            !mw_name_equal(name, &control->zone_name) &&
+            has_room(leader, shape)) {
             control->next_ref++;
             *zone = *name;
             return true;
--- a/source/core/zone-out.c
+++ b/source/core/zone-out.c
@@ -85,19 +85,52 @@
     }
 }
 
-static void
-hand_over(struct mw_zone *zone, struct mw_job *job)
+static bool
+hand_over(struct mw_zone *zone, struct mw_job *job,
+          const struct mw_shape *shape)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_HANDOVER);
 
     record->handover.key = job->spec.key;
     record->handover.hops = job->spec.hops + 1;
-    if (zone->output.target(zone->output.opaque, &record->handover.zone) &&
-        zone->output.propose(zone->output.opaque, record) == 0) {
+    bool handed = zone->output.target(zone->output.opaque, shape,
+                                      &record->handover.zone) &&
+                  zone->output.propose(zone->output.opaque, record) == 0;
+
+    if (handed) {
         mw_unqueue_job(zone, job);
         job->state = MW_JOB_ACCEPTING;
     }
     mw_drop_record(record);
+    return handed;
+}
+
+/*
+ * While others wait in vain here, another zone may stand idle, most of all
+ * one that has just come back: what has waited a while may move there.
+ */
+static void
+balance(struct mw_zone *zone, int64_t now_us)
+{
+    int left = MW_BALANCE_PER_TICK;
+
+    for (guint i = 0; i < zone->org_list->len && left > 0; i++) {
+        struct mw_zone_org *org = zone->org_list->pdata[i];
+
+        for (int level = 0; level < MW_PRIORITIES && left > 0; level++) {
+            struct mw_job *job = g_queue_peek_head(&org->queue[level]);
+
+            if (!job || !job->recorded || job->ever_started ||
+                job->spec.hops >= MW_BALANCE_HOPS_MAX ||
+                now_us - job->submitted_us < MW_BALANCE_AFTER_US) {
+                continue;
+            }
+            if (hand_over(zone, job, &job->spec.shape)) {
+                zone->counters.balanced++;
+                left--;
+            }
+        }
+    }
 }
 
 static void
@@ -108,7 +141,7 @@
         refuse_check(ctx, zone, now_us, job);
         return;
     }
-    hand_over(zone, job);
+    hand_over(zone, job, NULL);
 }
 
 static void
@@ -137,6 +170,9 @@
     if (zone->out) {
         each_queued(ctx, zone, now_us, send_away);
     }
+    else if (zone->queued > 0) {
+        balance(zone, now_us);
+    }
     if (zone->counters.handed > 0) {
         deliver(zone, now_us);
     }
--- a/source/core/zone-view.c
+++ b/source/core/zone-view.c
@@ -27,6 +27,17 @@
     return &zone->counters;
 }
 
+void
+mw_zone_load_of(const struct mw_zone *zone, struct mw_zone_load *load)
+{
+    *load = (struct mw_zone_load){.queued = zone->queued};
+    for (guint i = 0; i < zone->racks->len; i++) {
+        const struct mw_rack *rack = zone->racks->pdata[i];
+
+        load->free_accelerators += rack->free_accelerators;
+    }
+}
+
 void
 mw_zone_each_endpoint(const struct mw_zone *zone, void *opaque,
                       void (*each)(void *opaque,
--- a/source/wire/frame.c
+++ b/source/wire/frame.c
@@ -22,6 +22,8 @@
     wire->heartbeat->out = beat->out;
     wire->heartbeat->leaving = beat->leaving;
     wire->heartbeat->epoch = beat->epoch;
+    wire->heartbeat->queued = beat->load.queued;
+    wire->heartbeat->free_accelerators = beat->load.free_accelerators;
     wire->heartbeat->trial_version = beat->version[MW_TRIAL];
     wire->heartbeat->production_version = beat->version[MW_PRODUCTION];
 }
@@ -290,6 +292,8 @@
     beat->out = wire->out;
     beat->leaving = wire->leaving;
     beat->epoch = wire->epoch;
+    beat->load.queued = wire->queued;
+    beat->load.free_accelerators = wire->free_accelerators;
     beat->version[MW_TRIAL] = wire->trial_version;
     beat->version[MW_PRODUCTION] = wire->production_version;
     return mw_unpack_name(wire->zone, &beat->zone);
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -2285,7 +2285,7 @@
   (ProtobufCMessageInit) mw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[11] =
 {
   {
     "role",
@@ -2395,14 +2395,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queued",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Heartbeat, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_accelerators",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Heartbeat, free_accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__heartbeat__field_indices_by_name[] = {
   6,   /* field[6] = epoch */
+  10,   /* field[10] = free_accelerators */
   3,   /* field[3] = leads_region */
   2,   /* field[2] = leads_zone */
   5,   /* field[5] = leaving */
   4,   /* field[4] = out */
   8,   /* field[8] = production_version */
+  9,   /* field[9] = queued */
   0,   /* field[0] = role */
   7,   /* field[7] = trial_version */
   1,   /* field[1] = zone */
@@ -2410,7 +2436,7 @@
 static const ProtobufCIntRange mw__wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mw__wire__heartbeat__descriptor =
 {
@@ -2420,7 +2446,7 @@
   "Mw__Wire__Heartbeat",
   "mw.wire",
   sizeof(Mw__Wire__Heartbeat),
-  9,
+  11,
   mw__wire__heartbeat__field_descriptors,
   mw__wire__heartbeat__field_indices_by_name,
   1,  mw__wire__heartbeat__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -230,10 +230,12 @@
   uint64_t epoch;
   uint64_t trial_version;
   uint64_t production_version;
+  uint32_t queued;
+  uint32_t free_accelerators;
 };
 #define MW__WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__heartbeat__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mw__Wire__Submit
--- a/tests/bench/policy-ours.c
+++ b/tests/bench/policy-ours.c
@@ -88,13 +88,21 @@
 }
 
 static bool
-on_target(void *opaque, struct mw_name *name)
+on_target(void *opaque, const struct mw_shape *shape, struct mw_name *name)
 {
     struct zone_state *z = opaque;
 
     for (int i = 0; i < ZONES; i++) {
         int at = (int)(++z->st->turn % ZONES);
 
+        struct mw_zone_load load;
+        uint32_t need =
+            shape ? 2 * shape->tasks * shape->need.accelerators : 0;
+
+        mw_zone_load_of(z->st->zones[at].zone, &load);
+        if (shape && (load.queued > 0 || load.free_accelerators < need)) {
+            continue;
+        }
         if (at != z->index && !z->st->run->zone_out[at]) {
             char text[2] = {(char)('0' + at), 0};
 
--- a/tests/zone-script.c
+++ b/tests/zone-script.c
@@ -107,11 +107,12 @@
 }
 
 static bool
-on_target(void *opaque, struct mw_name *zone)
+on_target(void *opaque, const struct mw_shape *shape, struct mw_name *zone)
 {
     (void)opaque;
     *zone = mw_name_word("zb");
-    return true;
+    /* the other zone takes what is sent away, and is never idle */
+    return shape == NULL;
 }
 
 static uint64_t
