Orders go out by PUT on kept connections; tasks may share a thread

An order under the name of an attempt has the same effect twice, so PUT is its method. Links and endpoint calls run in the thread of their process's task, which saves wake-ups; they still speak by mail alone.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 RUN := $(wildcard source/run/*.c)
 TOOLS := $(wildcard source/tools/*.c)
 TESTS := $(wildcard tests/*.c)
-BENCH := $(wildcard tests/bench/*.c)
+BENCH := $(filter-out %/slopes.c %/load.c,$(wildcard tests/bench/*.c))
 
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
 CORE_OBJECTS := $(call object,$(CORE))
@@ -79,6 +79,20 @@
 bench: $(BUILD)/bench
 	$(BUILD)/bench
 
+# what one more of everything costs, for docs/CAPACITY.md
+$(BUILD)/slopes: $(call object,tests/bench/slopes.c) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+slopes: $(BUILD)/slopes
+	$(BUILD)/slopes
+
+# the whole path against an endpoint alone
+$(BUILD)/load: $(call object,tests/bench/load.c) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+load: all $(BUILD)/load
+	scripts/load.sh
+
 # decoders against arbitrary bytes: bounded, and the same on every run
 FUZZ_RUNS = 300000
 $(BUILD)/fuzz: tests/fuzz/fuzz.c $(CORE) $(WIRE)
@@ -119,4 +133,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all check bench fuzz soak lint demo clean
+.PHONY: all check bench slopes load fuzz soak lint demo clean
--- a/source/core/zone-out.c
+++ b/source/core/zone-out.c
@@ -120,7 +120,8 @@
         for (int level = 0; level < MW_PRIORITIES && left > 0; level++) {
             struct mw_job *job = g_queue_peek_head(&org->queue[level]);
 
-            if (!job || !job->recorded || (job->ever_started && !job->spec.idempotent) ||
+            if (!job || !job->recorded ||
+                (job->ever_started && !job->spec.idempotent) ||
                 job->spec.hops >= MW_BALANCE_HOPS_MAX ||
                 now_us - job->submitted_us < MW_BALANCE_AFTER_US) {
                 continue;
--- a/source/run/endpoint-http.c
+++ b/source/run/endpoint-http.c
@@ -39,6 +39,10 @@
     soup_message_headers_replace(headers, name, text);
 }
 
+/*
+ * PUT, since an order under the same name of an attempt has the same effect
+ * twice; the library keeps connections for idempotent methods alone.
+ */
 static SoupMessage *
 build_message(const struct mw_order *order)
 {
@@ -46,7 +50,7 @@
     char *url = g_strdup_printf("http://%.*s/v1/attempts/%.*s",
                                 MW_FMT(mw_name_str(&order->address)),
                                 MW_FMT(mw_name_str(&id)));
-    SoupMessage *message = soup_message_new("POST", url);
+    SoupMessage *message = soup_message_new("PUT", url);
     struct mw_str word = mw_order_word(order->kind);
     char text[16];
 
@@ -305,7 +309,7 @@
     ep->address = *address;
     ep->owner = owner;
     ep->calls = g_ptr_array_new();
-    ep->task = mw_new_task("endpoints", &work);
+    ep->task = mw_new_task_beside(owner, &work);
     return ep;
 }
 
--- a/source/run/http.c
+++ b/source/run/http.c
@@ -43,7 +43,9 @@
 
     soup_server_message_set_status(message, (guint)status, NULL);
     soup_message_headers_replace(headers, "Content-Type", "application/json");
-    soup_message_body_append_bytes(body, bytes);
+    if (text->len > 0) {
+        soup_message_body_append_bytes(body, bytes);
+    }
     soup_message_body_complete(body);
     soup_message_headers_set_content_length(headers, (goffset)text->len);
     g_bytes_unref(bytes);
--- a/source/run/link.c
+++ b/source/run/link.c
@@ -643,7 +643,7 @@
         mw_drop_links(links);
         return NULL;
     }
-    links->task = mw_new_task("links", &work);
+    links->task = mw_new_task_beside(setup->owner, &work);
     return links;
 }
 
--- a/source/run/link.h
+++ b/source/run/link.h
@@ -64,7 +64,11 @@
  */
 struct mw_links;
 
-/* mw_new_links: bind, then start the task; NULL and a message on failure. */
+/*
+ * mw_new_links: bind and serve in the owner's thread, which must call it.
+ *
+ * Returns NULL and a message on failure.
+ */
 struct mw_links *mw_new_links(const struct mw_link_setup *setup,
                               char **message);
 void mw_drop_links(struct mw_links *links);
--- a/source/run/task.c
+++ b/source/run/task.c
@@ -4,6 +4,7 @@
 
 struct mw_task {
     struct mw_task_work work;
+    struct mw_task *host;
     GThread *thread;
     GMainContext *context;
     GMainLoop *loop;
@@ -106,7 +107,7 @@
         task->work.tick(task->work.opaque, mw_now());
     }
     mw_task_rearm(task);
-    if (g_atomic_int_get(&task->ending) &&
+    if (task->loop && g_atomic_int_get(&task->ending) &&
         g_async_queue_length(task->mailbox) <= 0) {
         g_main_loop_quit(task->loop);
     }
@@ -140,22 +141,53 @@
     return NULL;
 }
 
-struct mw_task *
-mw_new_task(const char *name, const struct mw_task_work *work)
+static struct mw_task *
+prepare_task(const struct mw_task_work *work, GMainContext *context)
 {
     struct mw_task *task = g_new0(struct mw_task, 1);
 
     task->work = *work;
-    task->context = g_main_context_new();
-    task->loop = g_main_loop_new(task->context, FALSE);
+    task->context = context;
     task->mailbox = g_async_queue_new();
     task->source = g_source_new(&mailbox_funcs, sizeof(struct mailbox_source));
     ((struct mailbox_source *)task->source)->task = task;
     g_source_attach(task->source, task->context);
+    return task;
+}
+
+struct mw_task *
+mw_new_task(const char *name, const struct mw_task_work *work)
+{
+    struct mw_task *task = prepare_task(work, g_main_context_new());
+
+    task->loop = g_main_loop_new(task->context, FALSE);
     task->thread = g_thread_new(name, run_task, task);
     return task;
 }
 
+struct mw_task *
+mw_new_task_beside(struct mw_task *host, const struct mw_task_work *work)
+{
+    struct mw_task *task =
+        prepare_task(work, g_main_context_ref(host->context));
+
+    task->host = host;
+    if (work->start) {
+        work->start(work->opaque, task);
+    }
+    mw_task_rearm(task);
+    return task;
+}
+
+static void
+end_thread(struct mw_task *task)
+{
+    g_atomic_int_set(&task->ending, 1);
+    g_source_set_ready_time(task->source, 0);
+    g_thread_join(task->thread);
+    g_main_loop_unref(task->loop);
+}
+
 void
 mw_drop_task(struct mw_task *task)
 {
@@ -164,9 +196,12 @@
     if (!task) {
         return;
     }
-    g_atomic_int_set(&task->ending, 1);
-    g_source_set_ready_time(task->source, 0);
-    g_thread_join(task->thread);
+    if (task->thread) {
+        end_thread(task);
+    }
+    else if (task->work.stop) {
+        task->work.stop(task->work.opaque);
+    }
     mail = g_async_queue_try_pop(task->mailbox);
     while (mail) {
         mw_drop_mail(mail);
@@ -175,7 +210,6 @@
     g_source_destroy(task->source);
     g_source_unref(task->source);
     g_async_queue_unref(task->mailbox);
-    g_main_loop_unref(task->loop);
     g_main_context_unref(task->context);
     g_free(task);
 }
@@ -184,7 +218,9 @@
 mw_post(struct mw_task *task, struct mw_mail *mail)
 {
     g_async_queue_push(task->mailbox, mail);
-    g_main_context_wakeup(task->context);
+    if (!g_main_context_is_owner(task->context)) {
+        g_main_context_wakeup(task->context);
+    }
 }
 
 GMainContext *
--- a/source/run/task.h
+++ b/source/run/task.h
@@ -92,6 +92,16 @@
 /* mw_new_task: start the thread; it is named in dumps and debuggers. */
 struct mw_task *mw_new_task(const char *name, const struct mw_task_work *work);
 
+/*
+ * mw_new_task_beside: a task that runs in another task's thread.
+ *
+ * To be called in that thread, from its start; start is called at once and
+ * stop when it is dropped, in the same thread.  Still, the two speak only
+ * by mail: this saves the wake-up, not the border.
+ */
+struct mw_task *mw_new_task_beside(struct mw_task *host,
+                                   const struct mw_task_work *work);
+
 /* mw_drop_task: end the thread after the mail it has, and wait for it. */
 void mw_drop_task(struct mw_task *task);
 
