--- a/Makefile
+++ b/Makefile
@@ -93,6 +93,13 @@
 load: all $(BUILD)/load
 	scripts/load.sh
 
+# the promises on real processes: make proofs ONLY="gang config"
+$(BUILD)/relay: $(call object,tests/proofs/relay.c) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+proofs: all $(BUILD)/relay
+	tests/proofs/run.sh $(ONLY)
+
 # decoders against arbitrary bytes: bounded, and the same on every run
 FUZZ_RUNS = 300000
 $(BUILD)/fuzz: tests/fuzz/fuzz.c $(CORE) $(WIRE)
@@ -133,4 +140,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all check bench slopes load fuzz soak lint demo clean
+.PHONY: all check bench slopes load proofs fuzz soak lint demo clean
--- a/source/run/http.c
+++ b/source/run/http.c
@@ -51,15 +51,6 @@
     g_bytes_unref(bytes);
 }
 
-static void
-refuse_message(SoupServerMessage *message, int error, struct mw_str detail)
-{
-    struct mw_blob *text = error_text(error, detail);
-
-    set_reply(message, mw_error_status(error), text);
-    mw_drop_blob(text);
-}
-
 static void
 stop_arrival(struct exchange *exchange)
 {
@@ -69,17 +60,21 @@
     }
 }
 
-/* The reader is still waiting for the body: speak below the library. */
-static gboolean
-cut_off(gpointer data)
+/*
+ * Refuse while the body is still to come: the library would read all of it
+ * first, so the reply goes out below it and the connection ends.
+ */
+static void
+cut_message(SoupServerMessage *message, int error, struct mw_str detail)
 {
-    struct exchange *exchange = data;
-    GSocket *socket = soup_server_message_get_socket(exchange->message);
-    struct mw_blob *text = error_text(MW_ERR_SLOW, MW_STR(""));
-    char *reply = g_strdup_printf(
-        "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\n"
-        "Content-Length: %zu\r\nConnection: close\r\n\r\n%.*s",
-        text->len, MW_FMT(mw_blob_str(text)));
+    GSocket *socket = soup_server_message_get_socket(message);
+    int status = mw_error_status(error);
+    struct mw_blob *text = error_text(error, detail);
+    char *reply =
+        g_strdup_printf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+                        "Content-Length: %zu\r\nConnection: close\r\n\r\n%.*s",
+                        status, soup_status_get_phrase((guint)status),
+                        text->len, MW_FMT(mw_blob_str(text)));
 
     if (socket) {
         g_socket_send(socket, reply, strlen(reply), NULL, NULL);
@@ -87,6 +82,14 @@
     }
     g_free(reply);
     mw_drop_blob(text);
+}
+
+static gboolean
+cut_off(gpointer data)
+{
+    struct exchange *exchange = data;
+
+    cut_message(exchange->message, MW_ERR_SLOW, MW_STR(""));
     g_clear_pointer(&exchange->arrive, g_source_unref);
     return G_SOURCE_REMOVE;
 }
@@ -150,12 +153,12 @@
     (void)path;
     (void)query;
     if (g_hash_table_size(http->open) >= MW_HTTP_OPEN_MAX) {
-        refuse_message(message, MW_ERR_OVERLOADED, MW_STR("open requests"));
+        cut_message(message, MW_ERR_OVERLOADED, MW_STR("open requests"));
         return;
     }
     if (encoding == SOUP_ENCODING_CHUNKED) {
-        refuse_message(message, MW_ERR_MISSING,
-                       MW_STR("Content-Length: give the body's length"));
+        cut_message(message, MW_ERR_MISSING,
+                    MW_STR("Content-Length: give the body's length"));
         return;
     }
     if (length > (goffset)http->setup.body_max) {
@@ -164,8 +167,8 @@
                        "body of %" G_GOFFSET_FORMAT " bytes, the limit is %zu",
                        length, http->setup.body_max);
 
-        refuse_message(message, MW_ERR_TOO_LARGE,
-                       (struct mw_str){text, (size_t)len});
+        cut_message(message, MW_ERR_TOO_LARGE,
+                    (struct mw_str){text, (size_t)len});
         return;
     }
     open_exchange(http, message);
