--- a/Makefile
+++ b/Makefile
@@ -100,6 +100,17 @@
 proofs: all $(BUILD)/relay
 	tests/proofs/run.sh $(ONLY)
 
+# a specification checked by spin; and each guard left out, found
+model:
+	scripts/model.sh check
+
+model-faults:
+	scripts/model.sh faults
+
+# each promise's mechanism taken out in a scratch copy: its scripts go red
+mutants: $(BUILD)/check
+	scripts/mutants.sh
+
 # decoders against arbitrary bytes: bounded, and the same on every run
 FUZZ_RUNS = 300000
 $(BUILD)/fuzz: tests/fuzz/fuzz.c $(CORE) $(WIRE)
@@ -140,4 +151,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all check bench slopes load proofs fuzz soak lint demo clean
+.PHONY: all check bench slopes load proofs model model-faults mutants \
+	fuzz soak lint demo clean
--- a/include/mimosawind/control.h
+++ b/include/mimosawind/control.h
@@ -17,6 +17,7 @@
 
 #define MW_PEER_LOST_US 2000000
 #define MW_CHANGE_WAIT_US 3000000
+#define MW_DRAIN_US 60000000
 
 struct mw_control_output {
     void *opaque;
@@ -76,7 +77,14 @@
 /* mw_control_deadline: when mw_control_tick is next due. */
 int64_t mw_control_deadline(const struct mw_control *control);
 
-/* mw_control_leave: hand over every lead before a planned stop. */
+/*
+ * mw_control_leave: drain, then hand over every lead before a planned stop.
+ *
+ * To be called again until mw_control_may_exit.  Takes no more work that
+ * needs a record, and waits up to MW_DRAIN_US for answers that callers wait
+ * for: where this member has the zone's only disk, nobody else could record
+ * their end.
+ */
 void mw_control_leave(struct mw_context *ctx, struct mw_control *control,
                       int64_t now_us);
 
--- a/include/mimosawind/zone.h
+++ b/include/mimosawind/zone.h
@@ -267,6 +267,12 @@
 void mw_zone_tick(struct mw_context *ctx, struct mw_zone *zone,
                   int64_t now_us);
 
+/* mw_zone_leave: take no more work that needs a record. */
+void mw_zone_leave(struct mw_zone *zone);
+
+/* mw_zone_waited_for: jobs whose callers wait for an answer. */
+uint32_t mw_zone_waited_for(const struct mw_zone *zone);
+
 /* mw_zone_load: jobs that wait, and accelerators that nothing holds. */
 struct mw_zone_load {
     uint32_t queued;
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# mutants.sh: take one mechanism out in a scratch copy, and see that the
+# scripts of that name go red.
+#
+# A mutant is tests/mutants/NAME.patch; its second line names the scripts.
+set -u
+cd "$(dirname "$0")/.."
+DIR=$(mktemp -d /tmp/mimosawind-mutants.XXXXXX)
+trap 'rm -rf "$DIR"' EXIT
+status=0
+cp -r Makefile source include tests KNOWN-RED.txt "$DIR"
+mkdir -p "$DIR/build"
+cp -r build/source build/tests "$DIR/build/" 2>/dev/null
+find "$DIR/build" -name '*.d' -delete
+for patch in tests/mutants/*.patch; do
+    name=$(basename "$patch" .patch)
+    scripts=$(sed -n 's/^scripts: //p' "$patch")
+    (cd "$DIR" && patch -s -p1 <"$OLDPWD/$patch") || { echo "$name: does not apply"; status=1; continue; }
+    for file in $(sed -n 's/^+++ b\///p' "$patch"); do
+        rm -f "$DIR/build/${file%.c}.o"
+    done
+    if ! make -s -C "$DIR" build/check CFLAGS='-std=gnu11 -O1 -w' >"$DIR/log" 2>&1; then
+        echo "$name: does not build"
+        tail -3 "$DIR/log"
+        status=1
+    else
+        caught=missed
+        for script in $scripts; do
+            (cd "$DIR" && CK_FORK=no timeout 60 build/check "$script" >/dev/null 2>&1) || caught=caught
+        done
+        echo "$name: $caught"
+        [ $caught = caught ] || status=1
+    fi
+    for file in $(sed -n 's/^+++ b\///p' "$patch"); do
+        cp "$file" "$DIR/$file"
+        rm -f "$DIR/build/${file%.c}.o"
+    done
+done
+exit $status
--- a/source/core/control-impl.h
+++ b/source/core/control-impl.h
@@ -52,6 +52,7 @@
     int64_t now_us;
     struct mw_context *ctx;
     bool leaving;
+    int64_t drain_deadline_us;
     enum mw_lead lead;
     bool leads_region;
 };
--- a/source/core/control.c
+++ b/source/core/control.c
@@ -3,6 +3,9 @@
  */
 #include "control-impl.h"
 
+/* five heartbeats */
+#define ENTRY_LOST_US 1000000
+
 static void
 send_log(struct mw_control *control, enum mw_group group,
          const struct mw_name *to, const struct mw_log_msg *log_msg)
@@ -122,15 +125,44 @@
            view.voters >= 2;
 }
 
+/*
+ * The entry process at which the endpoint announced itself, or another one
+ * of the zone while that one is leaving or not heard.
+ */
+static struct mw_name
+way_to(struct mw_control *control, const struct mw_name *via)
+{
+    struct mw_process *process = g_hash_table_lookup(control->processes, via);
+    GHashTableIter iter;
+    gpointer value;
+
+    if (process && !process->heartbeat.leaving &&
+        control->now_us - process->heard_us <= ENTRY_LOST_US) {
+        return *via;
+    }
+    g_hash_table_iter_init(&iter, control->processes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        process = value;
+        if (process->heartbeat.role == MW_ROLE_ENTRY &&
+            !process->heartbeat.leaving &&
+            mw_name_equal(&process->heartbeat.zone, &control->zone_name) &&
+            control->now_us - process->heard_us <= ENTRY_LOST_US) {
+            return process->name;
+        }
+    }
+    return *via;
+}
+
 static void
 order(void *opaque, const struct mw_order *order)
 {
     struct mw_control *control = opaque;
     struct mw_msg *msg = mw_new_msg(MW_MSG_ORDER);
+    struct mw_name way = way_to(control, &order->via);
 
     msg->order = *order;
     msg->order.body = mw_keep_blob(order->body);
-    control->output.send(control->output.opaque, &order->via, msg);
+    control->output.send(control->output.opaque, &way, msg);
     mw_drop_msg(msg);
 }
 
@@ -555,7 +587,16 @@
                  int64_t now_us)
 {
     enter(control, ctx, now_us);
-    control->leaving = true;
+    if (!control->leaving) {
+        control->leaving = true;
+        control->drain_deadline_us = now_us + MW_DRAIN_US;
+        mw_zone_leave(control->zone);
+    }
+    if (now_us < control->drain_deadline_us &&
+        mw_zone_waited_for(control->zone) > 0) {
+        settle(ctx, control, now_us);
+        return;
+    }
     for (int group = 0; group < MW_GROUPS; group++) {
         if (control->log[group]) {
             mw_log_hand_over(control->log[group], now_us);
@@ -567,6 +608,9 @@
 bool
 mw_control_may_exit(const struct mw_control *control)
 {
+    bool drained = control->now_us >= control->drain_deadline_us ||
+                   mw_zone_waited_for(control->zone) == 0;
+
     for (int group = 0; group < MW_GROUPS; group++) {
         struct mw_log_view view;
 
@@ -578,7 +622,7 @@
             return false;
         }
     }
-    return true;
+    return drained;
 }
 
 const struct mw_zone *
--- a/source/core/zone-attempt.c
+++ b/source/core/zone-attempt.c
@@ -282,6 +282,7 @@
     }
     mw_learn_runtime(zone, job, now_us - job->started_us);
     job->output = join_outputs(job);
+    mw_drop_outputs(job);
     mw_leave_place(zone, job);
     mw_set_active(zone, job, false);
     mw_finish_job(ctx, zone, now_us, job, 0, MW_RAN);
--- a/source/core/zone-impl.h
+++ b/source/core/zone-impl.h
@@ -175,6 +175,7 @@
     struct mw_zone_counters counters;
     enum mw_lead lead;
     bool leading;
+    bool leaving;
     uint64_t epoch;
     bool out;
     uint64_t out_sequence;
@@ -277,6 +278,7 @@
                    const struct mw_found *found, enum mw_hold hold,
                    struct mw_cell *cell);
 void mw_leave_place(struct mw_zone *zone, struct mw_job *job);
+void mw_drop_outputs(struct mw_job *job);
 bool mw_place_is_clear(const struct mw_job *job);
 void mw_evict_for(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
                   struct mw_job *job);
--- a/source/core/zone-job.c
+++ b/source/core/zone-job.c
@@ -14,9 +14,7 @@
 {
     struct mw_job *job = data;
 
-    for (uint32_t i = 0; i < job->place_count; i++) {
-        mw_drop_blob(job->places[i].output);
-    }
+    mw_drop_outputs(job);
     g_free(job->places);
     g_array_unref(job->waiters);
     mw_drop_blob(job->body);
@@ -266,6 +264,9 @@
                        "organisation %.*s is not in the document in force",
                        MW_FMT(mw_name_str(&spec->key.org)));
     }
+    if (zone->leaving && mw_spec_is_recorded(spec)) {
+        return mw_fail(ctx, MW_ERR_LEAVING, "the scheduler is leaving");
+    }
     if (spec->deadline_us > 0 && now_us >= spec->deadline_us) {
         return mw_fail(ctx, MW_ERR_DEADLINE, "it passed before admission");
     }
--- a/source/core/zone-place.c
+++ b/source/core/zone-place.c
@@ -108,6 +108,14 @@
     zone->dirty = true;
 }
 
+void
+mw_drop_outputs(struct mw_job *job)
+{
+    for (uint32_t i = 0; i < job->place_count; i++) {
+        g_clear_pointer(&job->places[i].output, mw_drop_blob);
+    }
+}
+
 bool
 mw_place_is_clear(const struct mw_job *job)
 {
--- a/source/core/zone-queue.c
+++ b/source/core/zone-queue.c
@@ -51,6 +51,7 @@
     GQueue *queue = &job->org->queue[job->level];
 
     job->state = MW_JOB_QUEUED;
+    mw_drop_outputs(job);
     job->queue_link = (GList){.data = job};
     if (first) {
         g_queue_push_head_link(queue, &job->queue_link);
--- a/source/core/zone-record.c
+++ b/source/core/zone-record.c
@@ -69,6 +69,7 @@
 note_intent(struct mw_zone *zone, struct mw_job *job,
             const struct mw_record_intent *intent)
 {
+    mw_drop_outputs(job);
     g_free(job->places);
     job->place_count = intent->part_count;
     job->places = g_new0(struct mw_place, intent->part_count);
--- a/source/core/zone-view.c
+++ b/source/core/zone-view.c
@@ -27,6 +27,28 @@
     return &zone->counters;
 }
 
+void
+mw_zone_leave(struct mw_zone *zone)
+{
+    zone->leaving = true;
+}
+
+uint32_t
+mw_zone_waited_for(const struct mw_zone *zone)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&iter, zone->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_job *job = value;
+
+        count += job->waiters->len > 0;
+    }
+    return count;
+}
+
 void
 mw_zone_load_of(const struct mw_zone *zone, struct mw_zone_load *load)
 {
--- a/source/run/control-task.c
+++ b/source/run/control-task.c
@@ -6,7 +6,7 @@
 #include "disk.h"
 #include "operator-http.h"
 
-#define LEAVE_US 5000000
+#define LEAVE_US (MW_DRAIN_US + 5000000)
 
 struct mw_control_task {
     struct mw_control_task_setup setup;
--- a/tests/proofs/run.sh
+++ b/tests/proofs/run.sh
@@ -232,17 +232,18 @@
 
 at-most-once() {
     fresh
-    local i reply
+    local i reply sender
     # the scheduler dies at different moments of a job's life
     for i in 1 2 3 4; do
         send "$(address entry za 2),$(address entry za 3)" "$(job "za:order-$i" \
             idempotent=false wait=true deadline_ms=12000 \
             "body=\"ms=400 id=order-$i\"")" 14000 >"$RUN/order-$i.reply" &
+        sender=$!
         sleep "0.0$((i * 2 - 1))"
         stop_one c-za-1 KILL
         sleep 0.5
         start_control za 1
-        wait $!
+        wait $sender
         sleep 3
         ok "death $i: at most once" at_most "$(starts "order-$i")" 1
         reply=$(cat "$RUN/order-$i.reply")
--- a/tests/zone-script.c
+++ b/tests/zone-script.c
@@ -697,6 +697,23 @@
     end_job(s, MW_OUTCOME_CHECKPOINTED);
 }
 
+/* late REQUEST NUMBER ENDPOINT: an answer of an attempt long given up */
+static void
+cmd_late(struct mw_script *s)
+{
+    struct state *st = s->state;
+    struct find_job find = {.request = mw_word(s, 1)};
+    struct mw_attempt_id attempt = {.zone = st->name, .epoch = 1};
+    struct mw_name endpoint = mw_name_word(mw_word(s, 3));
+
+    st->script = s;
+    mw_zone_each_job(st->zone, &find, match_job);
+    attempt.job = find.id;
+    attempt.number = (uint32_t)g_ascii_strtoull(mw_word(s, 2), NULL, 10);
+    report(st, &attempt, &endpoint, MW_OUTCOME_FINISHED);
+    settle_and_check(s);
+}
+
 static void
 cmd_run(struct mw_script *s)
 {
@@ -1125,6 +1142,7 @@
     {"finish", 1, cmd_finish},
     {"fail", 1, cmd_fail},
     {"checkpoint", 1, cmd_checkpoint},
+    {"late", 3, cmd_late},
     {"run", 1, cmd_run},
     {"zone", 1, cmd_zone},
     {"cancel", 2, cmd_cancel},
