--- a/Makefile
+++ b/Makefile
@@ -143,8 +143,12 @@
 		$(PKG_CFLAGS) 2>/dev/null' tidy
 	@echo lint: clean
 
-demo: all
-	scripts/demo.sh
+# installs what is missing, builds, and runs the Corrib list: make demo
+# WHO=inzu runs Inzu's
+demo:
+	scripts/packages.sh
+	$(MAKE) -s all
+	scripts/demo.sh $(or $(WHO),corrib)
 
 clean:
 	rm -rf build
--- a/source/core/zone-attempt.c
+++ b/source/core/zone-attempt.c
@@ -573,8 +573,10 @@
 static void
 adopt(struct mw_zone *zone, int64_t now_us, struct mw_job *job)
 {
-    struct mw_found found = {.count = job->place_count};
+        struct mw_found found = {.count = job->place_count};
 
+    /* an answer that came before is asked for again */
+    mw_drop_outputs(job);
     for (uint32_t i = 0; i < found.count; i++) {
         found.places[i] = job->places[i];
         found.places[i].state = MW_PART_RUNNING;
