--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,10 +5,19 @@
 cd "$(dirname "$0")/.."
 WHO=${1:-corrib}
 . scripts/cluster.sh
+# endpoints as each deployment has them
+case $WHO in
+inzu) ENDPOINT_FLAGS="--count 16 --processors 128 --memory-mb 524288" ;;
+*) ENDPOINT_FLAGS="--count 16 --processors 32 --memory-mb 65536" ;;
+esac
 trap kill_all EXIT
 init_cluster
 start_cluster
-put_in_force "examples/$WHO/document.json" || { echo "demo: no document in force"; exit 1; }
+put_in_force "examples/$WHO/document.json" || {
+    echo "demo: no document in force"
+    mw_change try "examples/$WHO/document.json"
+    exit 1
+}
 wait_ready || { echo "demo: not ready"; exit 1; }
 entries=""
 for z in za zb zc; do
