Bound the outputs that are kept; bench beside the tests, one reader of shapes

Cause: outputs of recorded jobs were kept for 24 hours without a bound (the capacity page: 3.8 GB for 960 jobs of 4 MB). A zone keeps 64 MiB; beyond it the oldest output is let go by a result record without one, and the job is still known, so that a resend does not run it again (zone/outputs-bounded). The bench is no test and moves to bench/; submissions and documents read shapes by the same code.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 RUN := $(wildcard source/run/*.c)
 TOOLS := $(wildcard source/tools/*.c)
 TESTS := $(wildcard tests/*.c)
-BENCH := $(filter-out %/slopes.c %/load.c,$(wildcard tests/bench/*.c))
+BENCH := $(filter-out %/slopes.c %/load.c,$(wildcard bench/*.c))
 
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
 CORE_OBJECTS := $(call object,$(CORE))
@@ -72,22 +72,22 @@
 check: all $(BUILD)/check
 	$(BUILD)/check $(ONLY)
 
-$(BUILD)/bench: $(call object,$(BENCH) tests/oracle.c) $(LIBRARY)
+$(BUILD)/run-bench: $(call object,$(BENCH) tests/oracle.c) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -lm -o $@
 
 # the three measures, against the obvious policies and a lower bound
-bench: $(BUILD)/bench
-	$(BUILD)/bench
+bench: $(BUILD)/run-bench
+	$(BUILD)/run-bench
 
 # what one more of everything costs, for docs/CAPACITY.md
-$(BUILD)/slopes: $(call object,tests/bench/slopes.c) $(LIBRARY)
+$(BUILD)/slopes: $(call object,bench/slopes.c) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
 
 slopes: $(BUILD)/slopes
 	$(BUILD)/slopes
 
 # the whole path against an endpoint alone
-$(BUILD)/load: $(call object,tests/bench/load.c) $(LIBRARY)
+$(BUILD)/load: $(call object,bench/load.c) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
 
 load: all $(BUILD)/load
@@ -127,7 +127,7 @@
 	MW_SEEDS=$(or $(SEEDS),300) $(BUILD)/check seeds
 
 # formatter and linters clean, and the core without input or output
-SOURCES := $(shell find source include tests -name '*.[ch]' | \
+SOURCES := $(shell find source include bench tests -name '*.[ch]' | \
 	grep -v '\.pb-c\.')
 lint: $(CORE_OBJECTS)
 	clang-format --dry-run -Werror $(SOURCES)
--- a/include/mimosawind/zone.h
+++ b/include/mimosawind/zone.h
@@ -38,6 +38,7 @@
 #define MW_ORG_QUEUED_MAX 10000
 #define MW_AGE_US 600000000
 #define MW_RESULT_KEPT_US 86400000000
+#define MW_OUTPUT_BYTES_KEPT_MAX (64u * 1024 * 1024)
 #define MW_RETURN_RAMP_US 10000000
 #define MW_BALANCE_AFTER_US 5000000
 #define MW_BALANCE_HOPS_MAX 3
@@ -200,6 +201,7 @@
     uint64_t unknown;
     uint64_t handed;
     uint64_t balanced;
+    uint64_t outputs_dropped;
     uint64_t passes;
     uint64_t tries;
 };
--- a/source/core/zone-attempt.c
+++ b/source/core/zone-attempt.c
@@ -573,7 +573,7 @@
 static void
 adopt(struct mw_zone *zone, int64_t now_us, struct mw_job *job)
 {
-        struct mw_found found = {.count = job->place_count};
+    struct mw_found found = {.count = job->place_count};
 
     /* an answer that came before is asked for again */
     mw_drop_outputs(job);
--- a/source/core/zone-job.c
+++ b/source/core/zone-job.c
@@ -136,11 +136,11 @@
 {
     if (job->state != MW_JOB_DONE) {
         count_end(zone, error);
+        job->done_us = now_us;
     }
     job->state = MW_JOB_DONE;
     job->error = error;
     job->ran = ran;
-    job->done_us = now_us;
     if (output != job->output) {
         mw_drop_blob(job->output);
         job->output = mw_keep_blob(output);
@@ -491,6 +491,43 @@
     }
 }
 
+/*
+ * Outputs of ended jobs are kept up to a bound; beyond it the oldest is let
+ * go, by a result without one, and the job itself stays known.
+ */
+static void
+bound_outputs(struct mw_zone *zone)
+{
+    struct mw_job *oldest = NULL;
+    size_t bytes = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, zone->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_job *job = value;
+
+        if (!job->settled || !job->output) {
+            continue;
+        }
+        bytes += job->output->len;
+        if (!oldest || job->done_us < oldest->done_us) {
+            oldest = job;
+        }
+    }
+    if (bytes <= MW_OUTPUT_BYTES_KEPT_MAX) {
+        return;
+    }
+    struct mw_record *record = mw_new_record(MW_RECORD_RESULT);
+
+    record->result.job = oldest->id;
+    record->result.error = oldest->error;
+    record->result.ran = oldest->ran;
+    zone->counters.outputs_dropped++;
+    zone->output.propose(zone->output.opaque, record);
+    mw_drop_record(record);
+}
+
 static void
 forget_old(struct mw_zone *zone, int64_t now_us)
 {
@@ -533,6 +570,7 @@
     }
     mw_active_tick(ctx, zone, now_us);
     mw_out_tick(ctx, zone, now_us);
+    bound_outputs(zone);
     if (now_us >= zone->forget_deadline_us) {
         zone->forget_deadline_us = now_us + FORGET_EVERY_US;
         forget_old(zone, now_us);
--- a/source/wire/document-json.c
+++ b/source/wire/document-json.c
@@ -3,22 +3,6 @@
  */
 #include "json-read.h"
 
-static void
-read_shape(struct mw_reader *reader, struct mw_shape *shape)
-{
-    mw_read_required(reader, "tasks");
-    shape->tasks = (uint32_t)mw_read_int(reader, "tasks", 1, MW_TASKS_MAX, 1);
-    shape->need.slots = 1;
-    shape->need.accelerators = (uint32_t)mw_read_int(reader, "accelerators", 0,
-                                                     MW_ACCELERATORS_MAX, 0);
-    shape->need.processors =
-        (uint32_t)mw_read_int(reader, "processors", 0, MW_PROCESSORS_MAX, 0);
-    shape->need.memory_mb =
-        (uint32_t)mw_read_int(reader, "memory_mb", 0, MW_MEMORY_MB_MAX, 0);
-    shape->adjacent = (enum mw_adjacent)mw_read_word(
-        reader, "adjacent", mw_adjacent_words, MW_ADJACENT_ZONE);
-}
-
 static int
 read_guarantee(struct mw_context *ctx, json_t *value, const char *path,
                struct mw_guarantee *guarantee)
@@ -31,7 +15,8 @@
     mw_read_name(&reader, "zone", true, &guarantee->zone);
     guarantee->count =
         (uint32_t)mw_read_int(&reader, "count", 1, MW_GUARANTEE_COUNT_MAX, 1);
-    read_shape(&reader, &guarantee->shape);
+    mw_read_required(&reader, "tasks");
+    mw_read_shape(&reader, 0, &guarantee->shape);
     return reader.error;
 }
 
--- a/source/wire/json-read.c
+++ b/source/wire/json-read.c
@@ -201,3 +201,19 @@
         fail(reader, MW_ERR_MISSING, key, "give a value");
     }
 }
+
+void
+mw_read_shape(struct mw_reader *reader, uint32_t accelerators,
+              struct mw_shape *shape)
+{
+    shape->need.slots = 1;
+    shape->tasks = (uint32_t)mw_read_int(reader, "tasks", 1, MW_TASKS_MAX, 1);
+    shape->need.accelerators = (uint32_t)mw_read_int(
+        reader, "accelerators", 0, MW_ACCELERATORS_MAX, accelerators);
+    shape->need.processors =
+        (uint32_t)mw_read_int(reader, "processors", 0, MW_PROCESSORS_MAX, 0);
+    shape->need.memory_mb =
+        (uint32_t)mw_read_int(reader, "memory_mb", 0, MW_MEMORY_MB_MAX, 0);
+    shape->adjacent = (enum mw_adjacent)mw_read_word(
+        reader, "adjacent", mw_adjacent_words, MW_ADJACENT_ZONE);
+}
--- a/source/wire/json-read.h
+++ b/source/wire/json-read.h
@@ -49,6 +49,10 @@
 json_t *mw_read_array(struct mw_reader *reader, const char *key, bool required,
                       size_t most);
 
+/* mw_read_shape: a shape; accelerators when the key is absent. */
+void mw_read_shape(struct mw_reader *reader, uint32_t accelerators,
+                   struct mw_shape *shape);
+
 /* mw_read_required: fail when a key is absent. */
 void mw_read_required(struct mw_reader *reader, const char *key);
 
--- a/source/wire/reply-json.c
+++ b/source/wire/reply-json.c
@@ -217,6 +217,7 @@
     COUNTER(mw_zone_counters, unknown),
     COUNTER(mw_zone_counters, handed),
     COUNTER(mw_zone_counters, balanced),
+    COUNTER(mw_zone_counters, outputs_dropped),
     COUNTER(mw_zone_counters, passes),
     COUNTER(mw_zone_counters, tries),
 };
--- a/source/wire/request-json.c
+++ b/source/wire/request-json.c
@@ -5,21 +5,6 @@
 
 #include "json-read.h"
 
-static void
-read_shape(struct mw_reader *reader, struct mw_shape *shape)
-{
-    shape->need.slots = 1;
-    shape->tasks = (uint32_t)mw_read_int(reader, "tasks", 1, MW_TASKS_MAX, 1);
-    shape->need.accelerators = (uint32_t)mw_read_int(reader, "accelerators", 0,
-                                                     MW_ACCELERATORS_MAX, 1);
-    shape->need.processors =
-        (uint32_t)mw_read_int(reader, "processors", 0, MW_PROCESSORS_MAX, 0);
-    shape->need.memory_mb =
-        (uint32_t)mw_read_int(reader, "memory_mb", 0, MW_MEMORY_MB_MAX, 0);
-    shape->adjacent = (enum mw_adjacent)mw_read_word(
-        reader, "adjacent", mw_adjacent_words, MW_ADJACENT_ZONE);
-}
-
 static int
 read_job(struct mw_context *ctx, json_t *root, int64_t now_us,
          struct mw_job_spec *spec, struct mw_blob **body)
@@ -34,7 +19,7 @@
     mw_read_name(&reader, "organisation", true, &spec->key.org);
     mw_read_name(&reader, "request", true, &spec->key.request);
     mw_read_name(&reader, "class", false, &spec->class);
-    read_shape(&reader, &spec->shape);
+    mw_read_shape(&reader, 1, &spec->shape);
     spec->priority = (enum mw_priority)mw_read_word(
         &reader, "priority", mw_priority_words, MW_NORMAL);
     mw_read_required(&reader, "idempotent");
--- a/tests/zone-script.c
+++ b/tests/zone-script.c
@@ -59,6 +59,7 @@
     unsigned undecided;
     unsigned said_lost;
     unsigned answers;
+    gsize output_size;
     GRand *rand;
 };
 
@@ -225,7 +226,10 @@
         .outcome = outcome, .attempt = *attempt, .endpoint = *endpoint};
 
     if (outcome == MW_OUTCOME_FINISHED) {
-        r.output = mw_new_blob(MW_STR("out;"));
+        char *text = g_strnfill(MAX(st->output_size, 4), 'o');
+
+        r.output = mw_new_blob(mw_str_from(text));
+        g_free(text);
     }
     mw_zone_report(&st->ctx, st->zone, st->now_us, &r);
     mw_drop_blob(r.output);
@@ -674,6 +678,7 @@
     struct find_job find = {.request = mw_word(s, 1)};
 
     st->script = s;
+    st->output_size = (gsize)mw_option_int(s, "size", 4);
     mw_zone_each_job(st->zone, &find, match_job);
     end_parts(st, find.id, find.attempts, outcome);
     settle_and_check(s);
@@ -946,10 +951,10 @@
 
     mw_say(s,
            "victims=%d reclaims=%d moved=%d retries=%d quarantined=%d "
-           "unknown=%d orphans=%d",
+           "unknown=%d orphans=%d outputs_dropped=%d",
            (int)c->victims, (int)c->reclaims, (int)c->cells_moved,
            (int)c->retries, (int)c->quarantined, (int)c->unknown,
-           (int)c->orphans_stopped);
+           (int)c->orphans_stopped, (int)c->outputs_dropped);
 }
 
 /* A random submission out of a small set of shapes. */
