--- a/source/core/zone-queue.c
+++ b/source/core/zone-queue.c
@@ -11,7 +11,7 @@
 #define BACKFILL_TRIES 8
 #define BACKFILL_SCAN 64
 #define FAILED_SHAPES_MAX 32
-#define HOLD_AFTER_US 300000000
+#define HOLD_AFTER_US 30000000
 #define HOLD_ACCELERATORS 8
 
 /* Shapes that found no place in this pass; a larger one won't either. */
