--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -10,7 +10,7 @@
 status=0
 cp -r Makefile source include tests KNOWN-RED.txt "$DIR"
 mkdir -p "$DIR/build"
-cp -r build/source build/tests "$DIR/build/" 2>/dev/null
+cp -r "${BUILD:-build}/source" "${BUILD:-build}/tests" "$DIR/build/" 2>/dev/null
 find "$DIR/build" -name '*.d' -delete
 for patch in tests/mutants/*.patch; do
     name=$(basename "$patch" .patch)
--- a/source/core/control-impl.h
+++ b/source/core/control-impl.h
@@ -83,6 +83,9 @@
 void mw_take_document(struct mw_control *control, int64_t now_us,
                       const struct mw_msg_document *document);
 
+/* mw_control_zone_output: the callbacks of the zone's scheduler. */
+struct mw_zone_output mw_control_zone_output(struct mw_control *control);
+
 /* other processes */
 struct mw_process *mw_note_process(struct mw_control *control, int64_t now_us,
                                    const struct mw_name *from,
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -410,39 +410,6 @@
     settle(entry, request, &reply);
 }
 
-static void
-on_order(struct mw_entry *entry, const struct mw_name *from,
-         const struct mw_order *order)
-{
-    bool fresh = order->attempt.epoch >= entry->epoch ||
-                 order->kind == MW_ORDER_FORGET ||
-                 order->kind == MW_ORDER_STOP;
-
-    entry->counters.orders++;
-    if (fresh) {
-        entry->output.call(entry->output.opaque, from, order);
-        return;
-    }
-    struct mw_report report = {.outcome = MW_OUTCOME_REFUSED,
-                               .attempt = order->attempt,
-                               .endpoint = order->endpoint};
-
-    entry->counters.stale_orders++;
-    mw_entry_called(entry, from, &report);
-}
-
-void
-mw_entry_called(struct mw_entry *entry, const struct mw_name *control,
-                const struct mw_report *report)
-{
-    struct mw_msg *msg = mw_new_msg(MW_MSG_REPORT);
-
-    msg->report = *report;
-    msg->report.output = mw_keep_blob(report->output);
-    entry->output.send(entry->output.opaque, control, msg);
-    mw_drop_msg(msg);
-}
-
 static void
 resend_waiting(struct mw_entry *entry, int64_t now_us)
 {
@@ -521,7 +488,7 @@
         on_changed(entry, now_us, &msg->changed);
         break;
     case MW_MSG_ORDER:
-        on_order(entry, from, &msg->order);
+        mw_entry_on_order(entry, from, &msg->order);
         break;
     default:
         break;
@@ -652,48 +619,6 @@
     return MIN(entry->tick_deadline_us, entry->heartbeat_deadline_us);
 }
 
-int
-mw_entry_announce(struct mw_context *ctx, struct mw_entry *entry,
-                  int64_t now_us, const struct mw_announce *announce)
-{
-    GHashTableIter iter;
-    gpointer value;
-    bool heard = false;
-
-    entry->counters.announces++;
-    g_hash_table_iter_init(&iter, entry->known);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_known *k = value;
-
-        if (!k->connected || now_us - k->heard_us > 2000000 ||
-            !mw_name_equal(&k->heartbeat.zone, &entry->zone)) {
-            continue;
-        }
-        struct mw_msg *msg = mw_new_msg(MW_MSG_ANNOUNCE);
-
-        msg->announce = *announce;
-        msg->announce.via = entry->name;
-        msg->announce.listed =
-            g_memdup2(announce->listed,
-                      announce->listed_count * sizeof *announce->listed);
-        entry->output.send(entry->output.opaque, &k->name, msg);
-        mw_drop_msg(msg);
-        heard = heard || k->heartbeat.leads_zone;
-    }
-    if (!heard) {
-        return mw_fail(ctx, MW_ERR_UNREACHABLE,
-                       "no scheduler of zone %.*s is heard",
-                       MW_FMT(mw_name_str(&entry->zone)));
-    }
-    return 0;
-}
-
-uint64_t
-mw_entry_epoch(const struct mw_entry *entry)
-{
-    return entry->epoch;
-}
-
 void
 mw_entry_leave(struct mw_entry *entry)
 {
--- a/source/core/zone-attempt.c
+++ b/source/core/zone-attempt.c
@@ -7,8 +7,6 @@
  */
 #include "zone-impl.h"
 
-#define RETRY_US 500000
-
 void
 mw_set_active(struct mw_zone *zone, struct mw_job *job, bool active)
 {
@@ -92,15 +90,15 @@
     mw_drop_record(record);
     if (err) {
         job->state = MW_JOB_RESERVING;
-        job->retry_deadline_us = now_us + RETRY_US;
+        job->retry_deadline_us = now_us + MW_RETRY_US;
         mw_stop_job(ctx, zone, now_us, job, 0, true);
     }
 }
 
 /* Everything is in place: go on towards the start. */
-static void
-go_on(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-      struct mw_job *job)
+void
+mw_go_on(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+         struct mw_job *job)
 {
     if (job->recorded) {
         record_intent(ctx, zone, now_us, job);
@@ -119,7 +117,7 @@
         reserve(zone, job);
         return;
     }
-    go_on(ctx, zone, now_us, job);
+    mw_go_on(ctx, zone, now_us, job);
 }
 
 void
@@ -200,8 +198,8 @@
     mw_start_gang(ctx, zone, now_us, job);
 }
 
-static bool
-is_live(const struct mw_place *place)
+bool
+mw_place_is_live(const struct mw_place *place)
 {
     return place->state == MW_PART_RESERVING ||
            place->state == MW_PART_RESERVED || place->state == MW_PART_RUNNING;
@@ -230,7 +228,7 @@
     for (uint32_t i = 0; i < job->place_count; i++) {
         struct mw_place *place = &job->places[i];
 
-        if (is_live(place)) {
+        if (mw_place_is_live(place)) {
             mw_send_order(zone, job, place, MW_ORDER_STOP);
             place->state = MW_PART_STOPPING;
         }
@@ -241,8 +239,8 @@
     mw_stopped_check(ctx, zone, now_us, job);
 }
 
-static unsigned
-count_parts(const struct mw_job *job, enum mw_part_state state)
+unsigned
+mw_count_parts(const struct mw_job *job, enum mw_part_state state)
 {
     unsigned n = 0;
 
@@ -273,9 +271,9 @@
     return blob;
 }
 
-static void
-finish_whole(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-             struct mw_job *job)
+void
+mw_finish_whole(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+                struct mw_job *job)
 {
     for (uint32_t i = 0; i < job->place_count; i++) {
         mw_note_success(ctx, zone, job->places[i].endpoint);
@@ -292,17 +290,17 @@
 mw_stopped_check(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
                  struct mw_job *job)
 {
-    unsigned finished = count_parts(job, MW_PART_FINISHED);
+    unsigned finished = mw_count_parts(job, MW_PART_FINISHED);
     bool started = job->started_us != 0;
 
     if (job->state != MW_JOB_STOPPING) {
         return;
     }
-    if (finished + count_parts(job, MW_PART_GONE) < job->place_count) {
+    if (finished + mw_count_parts(job, MW_PART_GONE) < job->place_count) {
         return;
     }
     if (finished == job->place_count && job->stop_error != MW_ERR_FAILED) {
-        finish_whole(ctx, zone, now_us, job);
+        mw_finish_whole(ctx, zone, now_us, job);
         return;
     }
     mw_leave_place(zone, job);
@@ -326,9 +324,9 @@
     mw_finish_job(ctx, zone, now_us, job, error, ran);
 }
 
-static void
-break_gang(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-           struct mw_job *job, int error, bool requeue)
+void
+mw_break_gang(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job, int error, bool requeue)
 {
     if (job->place_count > 1) {
         zone->counters.gangs_broken++;
@@ -349,11 +347,11 @@
         return;
     case MW_JOB_RECLAIMING:
     case MW_JOB_INTENDING:
-        break_gang(ctx, zone, now_us, job, 0, true);
+        mw_break_gang(ctx, zone, now_us, job, 0, true);
         return;
     case MW_JOB_RESERVING:
         place->state = MW_PART_GONE;
-        break_gang(ctx, zone, now_us, job, 0, true);
+        mw_break_gang(ctx, zone, now_us, job, 0, true);
         return;
     case MW_JOB_RUNNING:
         break;
@@ -372,145 +370,9 @@
     if (!job->spec.idempotent) {
         zone->counters.unknown++;
     }
-    break_gang(ctx, zone, now_us, job,
-               job->spec.idempotent ? 0 : MW_ERR_UNKNOWN,
-               job->spec.idempotent);
-}
-
-static void
-on_reserved(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-            struct mw_job *job, struct mw_place *place)
-{
-    if (place->state != MW_PART_RESERVING) {
-        return;
-    }
-    place->state = MW_PART_RESERVED;
-    if (job->state == MW_JOB_RESERVING &&
-        count_parts(job, MW_PART_RESERVED) == job->place_count) {
-        go_on(ctx, zone, now_us, job);
-    }
-}
-
-static void
-on_finished(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-            struct mw_job *job, struct mw_place *place,
-            const struct mw_report *report)
-{
-    if (place->state != MW_PART_RUNNING && place->state != MW_PART_STOPPING) {
-        return;
-    }
-    place->state = MW_PART_FINISHED;
-    place->output = mw_keep_blob(report->output);
-    if (job->state == MW_JOB_STOPPING) {
-        mw_stopped_check(ctx, zone, now_us, job);
-        return;
-    }
-    if (count_parts(job, MW_PART_FINISHED) == job->place_count) {
-        finish_whole(ctx, zone, now_us, job);
-    }
-}
-
-static void
-on_failed(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-          struct mw_job *job, struct mw_place *place)
-{
-    bool was_stopping = job->state == MW_JOB_STOPPING;
-
-    if (!is_live(place) && place->state != MW_PART_STOPPING) {
-        return;
-    }
-    place->state = MW_PART_GONE;
-    if (was_stopping) {
-        mw_stopped_check(ctx, zone, now_us, job);
-        return;
-    }
-    mw_note_failure(ctx, zone, now_us, place->endpoint, job);
-    bool again = job->spec.idempotent && job->failures < MW_ATTEMPTS_MAX &&
-                 job->failures < zone->live_endpoints;
-
-    if (!again && job->failures > 1) {
-        mw_excuse_failures(zone, job);
-    }
-    break_gang(ctx, zone, now_us, job, again ? 0 : MW_ERR_FAILED, again);
-}
-
-static void
-on_refused(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-           struct mw_job *job, struct mw_place *place)
-{
-    if (job->state == MW_JOB_STOPPING || !is_live(place)) {
-        mw_lose_place(ctx, zone, now_us, job, place, true);
-        return;
-    }
-    /* the endpoint has no room or is leaving: the job is not to blame */
-    place->state = MW_PART_GONE;
-    mw_note_streak(ctx, zone, now_us, place->endpoint, job);
-    job->retry_deadline_us = now_us + RETRY_US;
-    break_gang(ctx, zone, now_us, job, 0, true);
-}
-
-static void
-on_lost(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-        struct mw_job *job, struct mw_place *place)
-{
-    if (job->state == MW_JOB_RUNNING && job->recorded) {
-        place->ask_deadline_us = now_us;
-        return;
-    }
-    if (job->state == MW_JOB_RUNNING || job->state == MW_JOB_RESERVING) {
-        if (is_live(place)) {
-            mw_send_order(zone, job, place, MW_ORDER_STOP);
-        }
-        mw_lose_place(ctx, zone, now_us, job, place, true);
-    }
-}
-
-void
-mw_zone_report(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-               const struct mw_report *report)
-{
-    struct mw_job *job = g_hash_table_lookup(zone->jobs, &report->attempt.job);
-    struct mw_endpoint *e =
-        g_hash_table_lookup(zone->endpoints, &report->endpoint);
-    struct mw_place *place = job && e ? mw_job_place_on(job, e) : NULL;
-
-    if (!zone->leading || !place || !job->holds_place ||
-        job->epoch != report->attempt.epoch ||
-        job->number != report->attempt.number) {
-        zone->counters.stale_reports++;
-        return;
-    }
-    switch (report->outcome) {
-    case MW_OUTCOME_RESERVED:
-        on_reserved(ctx, zone, now_us, job, place);
-        break;
-    case MW_OUTCOME_STARTED:
-        place->ask_deadline_us = now_us + MW_ASK_US;
-        break;
-    case MW_OUTCOME_FINISHED:
-        on_finished(ctx, zone, now_us, job, place, report);
-        break;
-    case MW_OUTCOME_FAILED:
-        on_failed(ctx, zone, now_us, job, place);
-        break;
-    case MW_OUTCOME_STOPPED:
-    case MW_OUTCOME_ABSENT:
-        mw_lose_place(ctx, zone, now_us, job, place, true);
-        break;
-    case MW_OUTCOME_REFUSED:
-        on_refused(ctx, zone, now_us, job, place);
-        break;
-    case MW_OUTCOME_LOST:
-        on_lost(ctx, zone, now_us, job, place);
-        break;
-    case MW_OUTCOME_CHECKPOINTED:
-        job->checkpoint_us = now_us;
-        job->resume = job->number;
-        break;
-    default:
-        zone->counters.stale_reports++;
-        break;
-    }
+    mw_break_gang(ctx, zone, now_us, job,
+                  job->spec.idempotent ? 0 : MW_ERR_UNKNOWN,
+                  job->spec.idempotent);
 }
 
 static void
@@ -549,8 +411,8 @@
     }
     if (job->state == MW_JOB_RESERVING &&
         now_us - job->placed_us >= MW_RESERVE_US) {
-        job->retry_deadline_us = now_us + RETRY_US;
-        break_gang(ctx, zone, now_us, job, 0, true);
+        job->retry_deadline_us = now_us + MW_RETRY_US;
+        mw_break_gang(ctx, zone, now_us, job, 0, true);
     }
     bool late = job->spec.deadline_us > 0 && now_us >= job->spec.deadline_us;
 
--- a/source/core/zone-impl.h
+++ b/source/core/zone-impl.h
@@ -7,6 +7,7 @@
 
 #define MW_FREE_BUCKETS (MW_ACCELERATORS_MAX + 1)
 #define MW_RUNTIME_BUCKETS 40
+#define MW_RETRY_US 500000
 
 struct mw_job;
 struct mw_cell;
@@ -314,6 +315,18 @@
 struct mw_place *mw_job_place_on(struct mw_job *job,
                                  const struct mw_endpoint *e);
 
+bool mw_place_is_live(const struct mw_place *place);
+unsigned mw_count_parts(const struct mw_job *job, enum mw_part_state state);
+/* mw_go_on: every part has its place; record the intent, or start. */
+void mw_go_on(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job);
+/* mw_finish_whole: every part has ended; the job has run. */
+void mw_finish_whole(struct mw_context *ctx, struct mw_zone *zone,
+                     int64_t now_us, struct mw_job *job);
+/* mw_break_gang: one part is lost; stop the rest. */
+void mw_break_gang(struct mw_context *ctx, struct mw_zone *zone,
+                   int64_t now_us, struct mw_job *job, int error,
+                   bool requeue);
 void mw_set_active(struct mw_zone *zone, struct mw_job *job, bool active);
 void mw_adopt_jobs(struct mw_context *ctx, struct mw_zone *zone,
                    int64_t now_us);
--- /dev/null
+++ b/source/core/zone-report.c
@@ -0,0 +1,140 @@
+/*
+ * zone-report: what endpoints say about attempts.
+ */
+#include "zone-impl.h"
+
+static void
+on_reserved(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+            struct mw_job *job, struct mw_place *place)
+{
+    if (place->state != MW_PART_RESERVING) {
+        return;
+    }
+    place->state = MW_PART_RESERVED;
+    if (job->state == MW_JOB_RESERVING &&
+        mw_count_parts(job, MW_PART_RESERVED) == job->place_count) {
+        mw_go_on(ctx, zone, now_us, job);
+    }
+}
+
+static void
+on_finished(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+            struct mw_job *job, struct mw_place *place,
+            const struct mw_report *report)
+{
+    if (place->state != MW_PART_RUNNING && place->state != MW_PART_STOPPING) {
+        return;
+    }
+    place->state = MW_PART_FINISHED;
+    place->output = mw_keep_blob(report->output);
+    if (job->state == MW_JOB_STOPPING) {
+        mw_stopped_check(ctx, zone, now_us, job);
+        return;
+    }
+    if (mw_count_parts(job, MW_PART_FINISHED) == job->place_count) {
+        mw_finish_whole(ctx, zone, now_us, job);
+    }
+}
+
+static void
+on_failed(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+          struct mw_job *job, struct mw_place *place)
+{
+    bool was_stopping = job->state == MW_JOB_STOPPING;
+
+    if (!mw_place_is_live(place) && place->state != MW_PART_STOPPING) {
+        return;
+    }
+    place->state = MW_PART_GONE;
+    if (was_stopping) {
+        mw_stopped_check(ctx, zone, now_us, job);
+        return;
+    }
+    mw_note_failure(ctx, zone, now_us, place->endpoint, job);
+    bool again = job->spec.idempotent && job->failures < MW_ATTEMPTS_MAX &&
+                 job->failures < zone->live_endpoints;
+
+    if (!again && job->failures > 1) {
+        mw_excuse_failures(zone, job);
+    }
+    mw_break_gang(ctx, zone, now_us, job, again ? 0 : MW_ERR_FAILED, again);
+}
+
+static void
+on_refused(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+           struct mw_job *job, struct mw_place *place)
+{
+    if (job->state == MW_JOB_STOPPING || !mw_place_is_live(place)) {
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+        return;
+    }
+    /* the endpoint has no room or is leaving: the job is not to blame */
+    place->state = MW_PART_GONE;
+    mw_note_streak(ctx, zone, now_us, place->endpoint, job);
+    job->retry_deadline_us = now_us + MW_RETRY_US;
+    mw_break_gang(ctx, zone, now_us, job, 0, true);
+}
+
+static void
+on_lost(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+        struct mw_job *job, struct mw_place *place)
+{
+    if (job->state == MW_JOB_RUNNING && job->recorded) {
+        place->ask_deadline_us = now_us;
+        return;
+    }
+    if (job->state == MW_JOB_RUNNING || job->state == MW_JOB_RESERVING) {
+        if (mw_place_is_live(place)) {
+            mw_send_order(zone, job, place, MW_ORDER_STOP);
+        }
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+    }
+}
+
+void
+mw_zone_report(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+               const struct mw_report *report)
+{
+    struct mw_job *job = g_hash_table_lookup(zone->jobs, &report->attempt.job);
+    struct mw_endpoint *e =
+        g_hash_table_lookup(zone->endpoints, &report->endpoint);
+    struct mw_place *place = job && e ? mw_job_place_on(job, e) : NULL;
+
+    if (!zone->leading || !place || !job->holds_place ||
+        job->epoch != report->attempt.epoch ||
+        job->number != report->attempt.number) {
+        zone->counters.stale_reports++;
+        return;
+    }
+    switch (report->outcome) {
+    case MW_OUTCOME_RESERVED:
+        on_reserved(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_STARTED:
+        place->ask_deadline_us = now_us + MW_ASK_US;
+        break;
+    case MW_OUTCOME_FINISHED:
+        on_finished(ctx, zone, now_us, job, place, report);
+        break;
+    case MW_OUTCOME_FAILED:
+        on_failed(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_STOPPED:
+    case MW_OUTCOME_ABSENT:
+        mw_lose_place(ctx, zone, now_us, job, place, true);
+        break;
+    case MW_OUTCOME_REFUSED:
+        on_refused(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_LOST:
+        on_lost(ctx, zone, now_us, job, place);
+        break;
+    case MW_OUTCOME_CHECKPOINTED:
+        job->checkpoint_us = now_us;
+        job->resume = job->number;
+        break;
+    default:
+        zone->counters.stale_reports++;
+        break;
+    }
+}
