Work that can be saved runs on endpoints kept for a gang

Cause: endpoints kept for the oldest gang stood idle until the last of them was clear. What can be saved may run there; when all else is clear the gang takes the endpoints and it is stopped, losing nothing.

--- a/source/core/zone-hold.c
+++ b/source/core/zone-hold.c
@@ -4,7 +4,8 @@
  * Without this, small work takes every accelerator as it comes free and a
  * large gang starves.  Just as many endpoints are kept as the gang needs,
  * those that are expected to be clear first; others may still use them for
- * what is expected to have ended before they would be clear anyway.
+ * what is expected to have ended before they would be clear anyway, or can be
+ * saved and stopped when all the rest is clear.
  */
 #include "zone-impl.h"
 
@@ -154,6 +155,72 @@
     zone->dirty = true;
 }
 
+/* Whether nothing is lost when it is stopped. */
+static bool
+saves(const struct mw_job *job)
+{
+    return job->spec.checkpoint && mw_spec_may_stop(&job->spec);
+}
+
+/* Room for the holder once everything that saves has left. */
+static struct mw_amount
+held_room(const struct mw_endpoint *e, const struct mw_job *holder)
+{
+    struct mw_amount stays = e->used;
+    struct mw_amount room;
+
+    for (guint i = 0; i < e->jobs->len; i++) {
+        struct mw_job *job = e->jobs->pdata[i];
+
+        if (job->hold == MW_HOLD_SOFT && saves(job) &&
+            job->state == MW_JOB_RUNNING) {
+            mw_amount_sub(&stays, &job->spec.shape.need,
+                          mw_job_place_on(job, e)->tasks);
+        }
+    }
+    room = mw_amount_less(&e->total, &stays);
+    if (!mw_spec_may_stop(&holder->spec)) {
+        struct mw_amount outside = mw_endpoint_room(e, MW_ROOM_CELL);
+        uint32_t tasks = mw_amount_times(&holder->spec.shape.need, &outside);
+        struct mw_amount none = {0};
+
+        if (tasks < mw_amount_times(&holder->spec.shape.need, &room)) {
+            return none;
+        }
+    }
+    return room;
+}
+
+bool
+mw_find_held(struct mw_zone *zone, const struct mw_job *job,
+             struct mw_found *found)
+{
+    uint32_t left = job->spec.shape.tasks;
+
+    found->count = 0;
+    if (zone->holder != job) {
+        return false;
+    }
+    for (guint i = 0; i < zone->endpoint_list->len && left > 0; i++) {
+        struct mw_endpoint *e = zone->endpoint_list->pdata[i];
+        struct mw_amount room;
+        uint32_t n;
+
+        if (e->held_by != job || !mw_endpoint_usable(e) || e->quarantined ||
+            mw_has_failed_on(job, e)) {
+            continue;
+        }
+        room = held_room(e, job);
+        n = MIN(mw_amount_times(&job->spec.shape.need, &room), left);
+        if (n > 0) {
+            found->places[found->count++] =
+                (struct mw_place){.endpoint = e, .tasks = n};
+            left -= n;
+        }
+    }
+    return left == 0;
+}
+
 bool
 mw_hold_allows(const struct mw_zone *zone, const struct mw_endpoint *e,
                const struct mw_job *job, int64_t now_us)
@@ -161,7 +228,7 @@
     if (!e->held_by || !job || e->held_by == job) {
         return true;
     }
-    if (job->spec.priority == MW_URGENT) {
+    if (job->spec.priority == MW_URGENT || saves(job)) {
         return true;
     }
     return now_us + mw_expect_left(zone, job, now_us) <= e->clear_us;
--- a/source/core/zone-impl.h
+++ b/source/core/zone-impl.h
@@ -366,6 +366,8 @@
 /* keeping endpoints for a large gang that waits */
 void mw_hold_endpoints(struct mw_zone *zone, int64_t now_us,
                        struct mw_job *job);
+bool mw_find_held(struct mw_zone *zone, const struct mw_job *job,
+                  struct mw_found *found);
 void mw_release_hold(struct mw_zone *zone, const struct mw_job *job);
 bool mw_hold_allows(const struct mw_zone *zone, const struct mw_endpoint *e,
                     const struct mw_job *job, int64_t now_us);
--- a/source/core/zone-queue.c
+++ b/source/core/zone-queue.c
@@ -141,6 +141,20 @@
     return false;
 }
 
+/* The endpoints kept for the job, from which what saves is stopped. */
+static bool
+take_held(struct mw_zone *zone, struct mw_job *job)
+{
+    struct mw_found found;
+    bool soft = mw_spec_may_stop(&job->spec);
+
+    if (!mw_find_held(zone, job, &found)) {
+        return false;
+    }
+    mw_take_place(zone, job, &found, soft ? MW_HOLD_SOFT : MW_HOLD_FIRM, NULL);
+    return true;
+}
+
 /* Whether the job takes only a part of an endpoint. */
 static bool
 is_small(const struct mw_zone *zone, const struct mw_job *job)
@@ -168,7 +182,8 @@
     if (mw_claim_cell(ctx, zone, now_us, job, false)) {
         return true;
     }
-    if (!small && go_outside(zone, now_us, job, pass)) {
+    if (!small &&
+        (go_outside(zone, now_us, job, pass) || take_held(zone, job))) {
         return true;
     }
     if (mw_claim_cell(ctx, zone, now_us, job, true)) {
