--- a/Makefile
+++ b/Makefile
@@ -79,6 +79,11 @@
 bench: $(BUILD)/run-bench
 	$(BUILD)/run-bench
 
+# each measure over load as SVG, for docs/MEASURES.md
+plots: $(BUILD)/run-bench
+	$(BUILD)/run-bench >$(BUILD)/bench.txt
+	scripts/plots.sh $(BUILD)/bench.txt docs/plots
+
 # what one more of everything costs, for docs/CAPACITY.md
 $(BUILD)/slopes: $(call object,bench/slopes.c) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
@@ -155,5 +160,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all check bench slopes load proofs model model-faults mutants \
+.PHONY: all check bench plots slopes load proofs model model-faults mutants \
 	fuzz soak lint demo clean
--- a/source/run/settings.c
+++ b/source/run/settings.c
@@ -185,13 +185,17 @@
 }
 
 static void
-take_values(struct mw_setting *table, size_t count, struct arg_str **args)
+take_values(struct mw_setting *table, size_t count, struct arg_str **args,
+            struct arg_lit **flags)
 {
     for (size_t i = 0; i < count; i++) {
         char *variable = variable_of(table[i].name);
         const char *text = g_getenv(variable);
 
-        if (args[i]->count > 0) {
+        if (flags[i]) {
+            text = flags[i]->count > 0 ? "yes" : text;
+        }
+        else if (args[i]->count > 0) {
             text = args[i]->sval[0];
         }
         table[i].value =
@@ -232,6 +236,7 @@
 {
     void *argtable[MW_SETTINGS_MAX + 4];
     struct arg_str *args[MW_SETTINGS_MAX];
+    struct arg_lit *flags[MW_SETTINGS_MAX] = {NULL};
     struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
     struct arg_lit *check =
         arg_lit0(NULL, "check", "check the settings and exit");
@@ -243,6 +248,11 @@
     char *program = g_path_get_basename(argv[0]);
 
     for (size_t i = 0; i < count; i++) {
+        if (table[i].kind == MW_SETTING_FLAG) {
+            flags[i] = arg_lit0(NULL, table[i].name, table[i].help);
+            argtable[n++] = flags[i];
+            continue;
+        }
         args[i] = arg_str0(NULL, table[i].name, "VALUE", table[i].help);
         argtable[n++] = args[i];
     }
@@ -264,7 +274,7 @@
         result = MW_ERR_INVALID;
     }
     else {
-        take_values(table, count, args);
+        take_values(table, count, args, flags);
         result = check_all(program, table, count);
         if (!result && rest_max > 0) {
             take_rest(words, rest, rest_count);
--- a/source/run/settings.h
+++ b/source/run/settings.h
@@ -17,7 +17,9 @@
     MW_SETTING_MEMBERS = 2,
     MW_SETTING_PATH = 3,
     MW_SETTING_NUMBER = 4,
-    MW_SETTING_TEXT = 5
+    MW_SETTING_TEXT = 5,
+    /* a flag without a value; the variable says yes */
+    MW_SETTING_FLAG = 6
 };
 
 #define MW_SETTINGS_MAX 24
--- a/source/tools/change.c
+++ b/source/tools/change.c
@@ -21,9 +21,9 @@
      .otherwise = "operator",
      .help = "your name, told to others on a conflict"},
     {.name = "json",
-     .kind = MW_SETTING_TEXT,
+     .kind = MW_SETTING_FLAG,
      .otherwise = "no",
-     .help = "yes prints the reply as JSON"},
+     .help = "print the reply as JSON"},
 };
 
 #define COUNT G_N_ELEMENTS(settings)
--- a/source/tools/show.c
+++ b/source/tools/show.c
@@ -17,9 +17,9 @@
      .required = true,
      .help = "file with the shared key"},
     {.name = "json",
-     .kind = MW_SETTING_TEXT,
+     .kind = MW_SETTING_FLAG,
      .otherwise = "no",
-     .help = "yes prints JSON"},
+     .help = "print JSON"},
 };
 
 #define COUNT G_N_ELEMENTS(settings)
--- a/tests/proofs/run.sh
+++ b/tests/proofs/run.sh
@@ -42,7 +42,7 @@
 
 # send ENTRY FILE [GIVE-UP-MS]: the reply as JSON
 send() {
-    "$MW" submit "$2" --entry "$1" --tokens $TOKENS --json yes \
+    "$MW" submit "$2" --entry "$1" --tokens $TOKENS --json \
         --give-up-ms "${3:-20000}" 2>/dev/null | head -1
 }
 
@@ -56,7 +56,7 @@
 
 version_in() {
     "$MW" status --operator "$(address control-operator "$1" 1)" \
-        --key-file "$RUN/key" --json yes 2>/dev/null |
+        --key-file "$RUN/key" --json 2>/dev/null |
         sed -n 's/.*"document_version": *\([0-9]*\).*/\1/p'
 }
 
@@ -64,7 +64,7 @@
     local n
     for n in $(vms "$1"); do
         "$MW" status --operator "$(address control-operator "$1" "$n")" \
-            --key-file "$RUN/key" --json yes 2>/dev/null |
+            --key-file "$RUN/key" --json 2>/dev/null |
             tr -d '\n ' | grep -q '"zone_log":{"role":"leader","leads":true' &&
             echo "$n" && return
     done
@@ -128,7 +128,7 @@
     stop_one w-za KILL
     start_endpoints za
     reply=$("$MW" wait corrib-galway za:quad --entry "$(address entry za 1)" \
-        --tokens $TOKENS --json yes --give-up-ms 30000 | head -1)
+        --tokens $TOKENS --json --give-up-ms 30000 | head -1)
     ok "it runs again as a whole and ends" is "$(field state "$reply")" done
     ok "whole gangs started" is $(($(starts quad) % 4)) 0
 }
@@ -293,7 +293,7 @@
     after=$(grep -c ' started ' "$RUN/ledger-za")
     ok "endpoints that leave get no new work" is "$after" "$before"
     reply=$("$MW" wait corrib-galway za:long --entry "$(address entry za 1)" \
-        --tokens $TOKENS --json yes --give-up-ms 8000 | head -1)
+        --tokens $TOKENS --json --give-up-ms 8000 | head -1)
     ok "and end what they have" is "$(field state "$reply")" done
 }
 
