--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -28,9 +28,7 @@
     MW_MSG_DOCUMENT = 12,
     MW_MSG_JUDGE = 13,
     MW_MSG_JUDGED = 14,
-    MW_MSG_LOOK = 15,
-    MW_MSG_SEEN = 16,
-    MW_MSG_LAST = 17
+    MW_MSG_LAST = 15
 };
 
 enum mw_process_role {
@@ -139,17 +137,6 @@
     struct mw_blob *detail;
 };
 
-/* mw_look: ask a control process for its state dump, as JSON text. */
-struct mw_look {
-    uint64_t ref;
-    struct mw_name what;
-};
-
-struct mw_seen {
-    uint64_t ref;
-    struct mw_blob *text;
-};
-
 struct mw_msg {
     int refs;
     enum mw_msg_kind kind;
@@ -168,8 +155,6 @@
         struct mw_msg_document document;
         struct mw_judge judge;
         struct mw_judged judged;
-        struct mw_look look;
-        struct mw_seen seen;
     };
 };
 
--- a/include/mimosawind/zone.h
+++ b/include/mimosawind/zone.h
@@ -230,8 +230,9 @@
 /*
  * mw_zone_submit: take a submission or a resend of one.
  *
- * Every call leads to exactly one answer for the waiter.  forwarded is set
- * when another zone has handed the request to this one.
+ * Every call leads to one answer for the waiter, but for a job that comes
+ * back to this zone with more hops than it left with: whoever delivers it
+ * asks again until its record is there.
  */
 void mw_zone_submit(struct mw_context *ctx, struct mw_zone *zone,
                     int64_t now_us, const struct mw_job_spec *spec,
--- a/source/core/control-document.c
+++ b/source/core/control-document.c
@@ -126,10 +126,9 @@
 }
 
 void
-mw_take_document(struct mw_control *control, int64_t now_us,
+mw_take_document(struct mw_control *control,
                  const struct mw_msg_document *document)
 {
-    (void)now_us;
     if (document->environment == MW_PRODUCTION && document->document) {
         set_document(control, MW_PRODUCTION, document->document,
                      &document->operator);
--- a/source/core/control-impl.h
+++ b/source/core/control-impl.h
@@ -80,7 +80,7 @@
                   int64_t now_us);
 void mw_offer_documents(struct mw_control *control,
                         const struct mw_process *process);
-void mw_take_document(struct mw_control *control, int64_t now_us,
+void mw_take_document(struct mw_control *control,
                       const struct mw_msg_document *document);
 
 /* mw_control_zone_output: the callbacks of the zone's scheduler. */
--- a/source/core/control.c
+++ b/source/core/control.c
@@ -391,7 +391,7 @@
         mw_change_judged(ctx, control, now_us, &msg->judged);
         break;
     case MW_MSG_DOCUMENT:
-        mw_take_document(control, now_us, &msg->document);
+        mw_take_document(control, &msg->document);
         break;
     default:
         receive_zone_msg(ctx, control, now_us, from, msg);
--- a/source/core/message.c
+++ b/source/core/message.c
@@ -59,9 +59,7 @@
     case MW_MSG_JUDGED:
         mw_drop_blob(msg->judged.detail);
         break;
-    case MW_MSG_SEEN:
-        mw_drop_blob(msg->seen.text);
-        break;
+
     default:
         break;
     }
@@ -85,7 +83,7 @@
         MW_STR("answer"),   MW_STR("announce"), MW_STR("order"),
         MW_STR("report"),   MW_STR("change"),   MW_STR("changed"),
         MW_STR("document"), MW_STR("judge"),    MW_STR("judged"),
-        MW_STR("look"),     MW_STR("seen"),
+
     };
 
     return kind < MW_MSG_LAST ? words[kind] : MW_STR("unknown");
--- a/source/core/zone-cell.c
+++ b/source/core/zone-cell.c
@@ -72,11 +72,9 @@
     uint32_t sy = cell_size(y);
 
     if (x->guarantee->shape.adjacent != y->guarantee->shape.adjacent) {
-        return x->guarantee->shape.adjacent == MW_ADJACENT_ZONE ? 1
-               : y->guarantee->shape.adjacent == MW_ADJACENT_ZONE
-                   ? -1
-                   : (int)y->guarantee->shape.adjacent -
-                         (int)x->guarantee->shape.adjacent;
+        /* the closer together, the earlier */
+        return (int)y->guarantee->shape.adjacent -
+               (int)x->guarantee->shape.adjacent;
     }
     return sx == sy ? 0 : sx < sy ? 1 : -1;
 }
--- a/source/wire/frame.c
+++ b/source/wire/frame.c
@@ -169,23 +169,11 @@
         wire->hello->version = MW_WIRE_VERSION;
         return;
     }
-    if (msg->kind == MW_MSG_CHANGED) {
-        FRAME(CHANGED, changed);
-        wire->changed->ref = msg->changed.ref;
-        wire->changed->error = msg->changed.error;
-        wire->changed->version = msg->changed.version;
-        wire->changed->detail = mw_pack_blob(msg->changed.detail);
-        return;
-    }
-    if (msg->kind == MW_MSG_LOOK) {
-        FRAME(LOOK, look);
-        wire->look->ref = msg->look.ref;
-        wire->look->what = mw_pack_name(&msg->look.what);
-        return;
-    }
-    FRAME(SEEN, seen);
-    wire->seen->ref = msg->seen.ref;
-    wire->seen->text = mw_pack_blob(msg->seen.text);
+    FRAME(CHANGED, changed);
+    wire->changed->ref = msg->changed.ref;
+    wire->changed->error = msg->changed.error;
+    wire->changed->version = msg->changed.version;
+    wire->changed->detail = mw_pack_blob(msg->changed.detail);
 }
 
 static void
@@ -490,13 +478,6 @@
         return err;
     case MW_MSG_JUDGED:
         return unpack_judged(wire->judged, &msg->judged);
-    case MW_MSG_LOOK:
-        msg->look.ref = wire->look->ref;
-        return mw_unpack_name(wire->look->what, &msg->look.what);
-    case MW_MSG_SEEN:
-        msg->seen.ref = wire->seen->ref;
-        msg->seen.text = mw_unpack_blob(wire->seen->text);
-        return 0;
     default:
         return mw_fail(ctx, MW_ERR_VERSION, "frame of an unknown kind");
     }
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -1042,96 +1042,6 @@
   assert(message->base.descriptor == &mw__wire__judged__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   mw__wire__look__init
-                     (Mw__Wire__Look         *message)
-{
-  static const Mw__Wire__Look init_value = MW__WIRE__LOOK__INIT;
-  *message = init_value;
-}
-size_t mw__wire__look__get_packed_size
-                     (const Mw__Wire__Look *message)
-{
-  assert(message->base.descriptor == &mw__wire__look__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t mw__wire__look__pack
-                     (const Mw__Wire__Look *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &mw__wire__look__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t mw__wire__look__pack_to_buffer
-                     (const Mw__Wire__Look *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &mw__wire__look__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Mw__Wire__Look *
-       mw__wire__look__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Mw__Wire__Look *)
-     protobuf_c_message_unpack (&mw__wire__look__descriptor,
-                                allocator, len, data);
-}
-void   mw__wire__look__free_unpacked
-                     (Mw__Wire__Look *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &mw__wire__look__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   mw__wire__seen__init
-                     (Mw__Wire__Seen         *message)
-{
-  static const Mw__Wire__Seen init_value = MW__WIRE__SEEN__INIT;
-  *message = init_value;
-}
-size_t mw__wire__seen__get_packed_size
-                     (const Mw__Wire__Seen *message)
-{
-  assert(message->base.descriptor == &mw__wire__seen__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t mw__wire__seen__pack
-                     (const Mw__Wire__Seen *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &mw__wire__seen__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t mw__wire__seen__pack_to_buffer
-                     (const Mw__Wire__Seen *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &mw__wire__seen__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Mw__Wire__Seen *
-       mw__wire__seen__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Mw__Wire__Seen *)
-     protobuf_c_message_unpack (&mw__wire__seen__descriptor,
-                                allocator, len, data);
-}
-void   mw__wire__seen__free_unpacked
-                     (Mw__Wire__Seen *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &mw__wire__seen__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   mw__wire__frame__init
                      (Mw__Wire__Frame         *message)
 {
@@ -3546,109 +3456,7 @@
   (ProtobufCMessageInit) mw__wire__judged__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__look__field_descriptors[2] =
-{
-  {
-    "ref",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mw__Wire__Look, ref),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "what",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Mw__Wire__Look, what),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned mw__wire__look__field_indices_by_name[] = {
-  0,   /* field[0] = ref */
-  1,   /* field[1] = what */
-};
-static const ProtobufCIntRange mw__wire__look__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor mw__wire__look__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mw.wire.Look",
-  "Look",
-  "Mw__Wire__Look",
-  "mw.wire",
-  sizeof(Mw__Wire__Look),
-  2,
-  mw__wire__look__field_descriptors,
-  mw__wire__look__field_indices_by_name,
-  1,  mw__wire__look__number_ranges,
-  (ProtobufCMessageInit) mw__wire__look__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mw__wire__seen__field_descriptors[2] =
-{
-  {
-    "ref",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mw__Wire__Seen, ref),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Mw__Wire__Seen, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned mw__wire__seen__field_indices_by_name[] = {
-  0,   /* field[0] = ref */
-  1,   /* field[1] = text */
-};
-static const ProtobufCIntRange mw__wire__seen__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor mw__wire__seen__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mw.wire.Seen",
-  "Seen",
-  "Mw__Wire__Seen",
-  "mw.wire",
-  sizeof(Mw__Wire__Seen),
-  2,
-  mw__wire__seen__field_descriptors,
-  mw__wire__seen__field_indices_by_name,
-  1,  mw__wire__seen__number_ranges,
-  (ProtobufCMessageInit) mw__wire__seen__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mw__wire__frame__field_descriptors[16] =
+static const ProtobufCFieldDescriptor mw__wire__frame__field_descriptors[14] =
 {
   {
     "hello",
@@ -3818,30 +3626,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "look",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mw__Wire__Frame, body_case),
-    offsetof(Mw__Wire__Frame, look),
-    &mw__wire__look__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "seen",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mw__Wire__Frame, body_case),
-    offsetof(Mw__Wire__Frame, seen),
-    &mw__wire__seen__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mw__wire__frame__field_indices_by_name[] = {
   6,   /* field[6] = announce */
@@ -3854,17 +3638,15 @@
   12,   /* field[12] = judge */
   13,   /* field[13] = judged */
   2,   /* field[2] = log */
-  14,   /* field[14] = look */
   7,   /* field[7] = order */
   4,   /* field[4] = query */
   8,   /* field[8] = report */
-  15,   /* field[15] = seen */
   3,   /* field[3] = submit */
 };
 static const ProtobufCIntRange mw__wire__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mw__wire__frame__descriptor =
 {
@@ -3874,7 +3656,7 @@
   "Mw__Wire__Frame",
   "mw.wire",
   sizeof(Mw__Wire__Frame),
-  16,
+  14,
   mw__wire__frame__field_descriptors,
   mw__wire__frame__field_indices_by_name,
   1,  mw__wire__frame__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -38,8 +38,6 @@
 typedef struct Mw__Wire__Document Mw__Wire__Document;
 typedef struct Mw__Wire__Judge Mw__Wire__Judge;
 typedef struct Mw__Wire__Judged Mw__Wire__Judged;
-typedef struct Mw__Wire__Look Mw__Wire__Look;
-typedef struct Mw__Wire__Seen Mw__Wire__Seen;
 typedef struct Mw__Wire__Frame Mw__Wire__Frame;
 
 
@@ -408,28 +406,6 @@
     , 0, 0, {0,NULL}, {0,NULL} }
 
 
-struct  Mw__Wire__Look
-{
-  ProtobufCMessage base;
-  uint64_t ref;
-  ProtobufCBinaryData what;
-};
-#define MW__WIRE__LOOK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&mw__wire__look__descriptor) \
-    , 0, {0,NULL} }
-
-
-struct  Mw__Wire__Seen
-{
-  ProtobufCMessage base;
-  uint64_t ref;
-  ProtobufCBinaryData text;
-};
-#define MW__WIRE__SEEN__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&mw__wire__seen__descriptor) \
-    , 0, {0,NULL} }
-
-
 typedef enum {
   MW__WIRE__FRAME__BODY__NOT_SET = 0,
   MW__WIRE__FRAME__BODY_HELLO = 1,
@@ -445,9 +421,7 @@
   MW__WIRE__FRAME__BODY_CHANGED = 11,
   MW__WIRE__FRAME__BODY_DOCUMENT = 12,
   MW__WIRE__FRAME__BODY_JUDGE = 13,
-  MW__WIRE__FRAME__BODY_JUDGED = 14,
-  MW__WIRE__FRAME__BODY_LOOK = 15,
-  MW__WIRE__FRAME__BODY_SEEN = 16
+  MW__WIRE__FRAME__BODY_JUDGED = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MW__WIRE__FRAME__BODY__CASE)
 } Mw__Wire__Frame__BodyCase;
 
@@ -470,8 +444,6 @@
     Mw__Wire__Document *document;
     Mw__Wire__Judge *judge;
     Mw__Wire__Judged *judged;
-    Mw__Wire__Look *look;
-    Mw__Wire__Seen *seen;
   };
 };
 #define MW__WIRE__FRAME__INIT \
@@ -916,44 +888,6 @@
 void   mw__wire__judged__free_unpacked
                      (Mw__Wire__Judged *message,
                       ProtobufCAllocator *allocator);
-/* Mw__Wire__Look methods */
-void   mw__wire__look__init
-                     (Mw__Wire__Look         *message);
-size_t mw__wire__look__get_packed_size
-                     (const Mw__Wire__Look   *message);
-size_t mw__wire__look__pack
-                     (const Mw__Wire__Look   *message,
-                      uint8_t             *out);
-size_t mw__wire__look__pack_to_buffer
-                     (const Mw__Wire__Look   *message,
-                      ProtobufCBuffer     *buffer);
-Mw__Wire__Look *
-       mw__wire__look__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   mw__wire__look__free_unpacked
-                     (Mw__Wire__Look *message,
-                      ProtobufCAllocator *allocator);
-/* Mw__Wire__Seen methods */
-void   mw__wire__seen__init
-                     (Mw__Wire__Seen         *message);
-size_t mw__wire__seen__get_packed_size
-                     (const Mw__Wire__Seen   *message);
-size_t mw__wire__seen__pack
-                     (const Mw__Wire__Seen   *message,
-                      uint8_t             *out);
-size_t mw__wire__seen__pack_to_buffer
-                     (const Mw__Wire__Seen   *message,
-                      ProtobufCBuffer     *buffer);
-Mw__Wire__Seen *
-       mw__wire__seen__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   mw__wire__seen__free_unpacked
-                     (Mw__Wire__Seen *message,
-                      ProtobufCAllocator *allocator);
 /* Mw__Wire__Frame methods */
 void   mw__wire__frame__init
                      (Mw__Wire__Frame         *message);
@@ -1044,12 +978,6 @@
 typedef void (*Mw__Wire__Judged_Closure)
                  (const Mw__Wire__Judged *message,
                   void *closure_data);
-typedef void (*Mw__Wire__Look_Closure)
-                 (const Mw__Wire__Look *message,
-                  void *closure_data);
-typedef void (*Mw__Wire__Seen_Closure)
-                 (const Mw__Wire__Seen *message,
-                  void *closure_data);
 typedef void (*Mw__Wire__Frame_Closure)
                  (const Mw__Wire__Frame *message,
                   void *closure_data);
@@ -1082,8 +1010,6 @@
 extern const ProtobufCMessageDescriptor mw__wire__document__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__judge__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__judged__descriptor;
-extern const ProtobufCMessageDescriptor mw__wire__look__descriptor;
-extern const ProtobufCMessageDescriptor mw__wire__seen__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
