--- a/source/core/control.c
+++ b/source/core/control.c
@@ -232,9 +232,10 @@
 delivered(struct mw_context *ctx, struct mw_control *control, int64_t now_us,
           const struct mw_msg_answer *answer)
 {
-    bool taken = answer->error == 0 || answer->job != 0;
+    bool knows = answer->error != MW_ERR_NOT_LEADER;
+    bool taken = knows && (answer->error == 0 || answer->job != 0);
 
-    if (!taken && answer->ran != MW_NOT_RUN) {
+    if (!taken && (!knows || answer->ran != MW_NOT_RUN)) {
         /* it does not know: deliver again */
         return;
     }
--- a/source/core/zone-attempt.c
+++ b/source/core/zone-attempt.c
@@ -279,7 +279,7 @@
         mw_note_success(ctx, zone, job->places[i].endpoint);
     }
     mw_learn_runtime(zone, job, now_us - job->started_us);
-        /* one from before a lost lease, whose record was never committed */
+    /* one from before a lost lease, whose record was never committed */
     mw_drop_blob(job->output);
     job->output = join_outputs(job);
     mw_drop_outputs(job);
