Read the whole change: one way to post a failure, one to write a dump

Change: mw_post_failed and mw_write_dump in the task module, MW_PEER_LOST_US beside the messages; the unread parts are gone. No test or output changed.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -111,7 +111,7 @@
         job->progress_us += ran;
     }
     else {
-        run->useful_us -= (double)job->progress_us * weight(job);
+
         job->progress_us = 0;
     }
 }
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -78,7 +78,7 @@
     bool bad_hosts;
     unsigned violations;
     unsigned undecided;
-    double useful_us;
+
     GArray *decision_us;
 };
 
--- a/include/mimosawind/control.h
+++ b/include/mimosawind/control.h
@@ -15,7 +15,6 @@
  * is to be done goes out through the callbacks.
  */
 
-#define MW_PEER_LOST_US 2000000
 #define MW_CHANGE_WAIT_US 3000000
 #define MW_DRAIN_US 60000000
 
--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -13,6 +13,9 @@
  * crosses the wire as the time that is left.
  */
 
+/* a process not heard for so long is not counted on */
+#define MW_PEER_LOST_US 2000000
+
 enum mw_msg_kind {
     MW_MSG_HELLO = 1,
     MW_MSG_HEARTBEAT = 2,
@@ -163,7 +166,4 @@
 struct mw_msg *mw_keep_msg(struct mw_msg *msg);
 void mw_drop_msg(struct mw_msg *msg);
 
-/* mw_msg_word: word of a kind for dumps and scripts. */
-struct mw_str mw_msg_word(enum mw_msg_kind kind);
-
 #endif
--- a/include/mimosawind/record.h
+++ b/include/mimosawind/record.h
@@ -95,7 +95,4 @@
 struct mw_record *mw_keep_record(struct mw_record *record);
 void mw_drop_record(struct mw_record *record);
 
-/* mw_record_word: word of a kind for dumps and test scripts. */
-struct mw_str mw_record_word(enum mw_record_kind kind);
-
 #endif
--- a/source/core/entry-endpoint.c
+++ b/source/core/entry-endpoint.c
@@ -49,7 +49,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct mw_known *k = value;
 
-        if (!k->connected || now_us - k->heard_us > 2000000 ||
+        if (!k->connected || now_us - k->heard_us > MW_PEER_LOST_US ||
             !mw_name_equal(&k->heartbeat.zone, &entry->zone)) {
             continue;
         }
--- a/source/core/entry-route.c
+++ b/source/core/entry-route.c
@@ -16,7 +16,7 @@
         struct mw_known *k = value;
 
         if (!k->connected || !k->heartbeat.leads_zone ||
-            now_us - k->heard_us > 2000000 ||
+            now_us - k->heard_us > MW_PEER_LOST_US ||
             !mw_name_equal(&k->heartbeat.zone, zone)) {
             continue;
         }
@@ -38,7 +38,7 @@
         struct mw_known *k = value;
 
         if (k->connected && k->heartbeat.leads_region &&
-            now_us - k->heard_us <= 2000000) {
+            now_us - k->heard_us <= MW_PEER_LOST_US) {
             return k;
         }
     }
--- a/source/core/message.c
+++ b/source/core/message.c
@@ -73,18 +73,3 @@
         g_free(msg);
     }
 }
-
-struct mw_str
-mw_msg_word(enum mw_msg_kind kind)
-{
-    static const struct mw_str words[] = {
-        MW_STR("none"),     MW_STR("hello"),    MW_STR("heartbeat"),
-        MW_STR("log"),      MW_STR("submit"),   MW_STR("query"),
-        MW_STR("answer"),   MW_STR("announce"), MW_STR("order"),
-        MW_STR("report"),   MW_STR("change"),   MW_STR("changed"),
-        MW_STR("document"), MW_STR("judge"),    MW_STR("judged"),
-
-    };
-
-    return kind < MW_MSG_LAST ? words[kind] : MW_STR("unknown");
-}
--- a/source/core/record.c
+++ b/source/core/record.c
@@ -45,15 +45,3 @@
     }
     g_free(record);
 }
-
-struct mw_str
-mw_record_word(enum mw_record_kind kind)
-{
-    static const struct mw_str words[] = {
-        MW_STR("noop"),   MW_STR("admit"),    MW_STR("document"),
-        MW_STR("zone"),   MW_STR("accept"),   MW_STR("intent"),
-        MW_STR("result"), MW_STR("handover"), MW_STR("forget"),
-    };
-
-    return kind < MW_RECORD_LAST ? words[kind] : MW_STR("unknown");
-}
--- a/source/run/caller-http.c
+++ b/source/run/caller-http.c
@@ -18,17 +18,6 @@
     int64_t drain_deadline_us;
 };
 
-static void
-post_failed(struct mw_task *owner, char *message)
-{
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
-
-    mail->status = MW_ERR_INVALID;
-    mail->text = mw_new_blob(mw_str_from(message));
-    g_free(message);
-    mw_post(owner, mail);
-}
-
 /* SHA-256 of the bearer token; empty when there is none. */
 static struct mw_name
 token_hash(const struct mw_http_request *request)
@@ -200,7 +189,8 @@
     (void)task;
     caller->http = mw_new_http(&setup, &message);
     if (!caller->http) {
-        post_failed(caller->owner, message);
+        mw_post_failed(caller->owner, MW_ERR_INVALID, mw_str_from(message));
+        g_free(message);
     }
 }
 
--- a/source/run/control-task.c
+++ b/source/run/control-task.c
@@ -1,7 +1,6 @@
 #include "control-task.h"
 
 #include <string.h>
-#include <unistd.h>
 
 #include "disk.h"
 #include "operator-http.h"
@@ -141,16 +140,6 @@
     return err;
 }
 
-static void
-fail_start(struct mw_control_task *t, int error, struct mw_str message)
-{
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
-
-    mail->status = error;
-    mail->text = mw_new_blob(message);
-    mw_post(t->task, mail);
-}
-
 static void
 start_links(struct mw_control_task *t)
 {
@@ -170,7 +159,7 @@
     memcpy(setup.dials, t->setup.dials, sizeof setup.dials);
     t->links = mw_new_links(&setup, &message);
     if (!t->links) {
-        fail_start(t, MW_ERR_INVALID, mw_str_from(message));
+        mw_post_failed(t->task, MW_ERR_INVALID, mw_str_from(message));
         g_free(message);
         return;
     }
@@ -192,7 +181,7 @@
         err = open_disk(t);
     }
     if (err) {
-        fail_start(t, err, mw_detail(&t->ctx));
+        mw_post_failed(t->task, err, mw_detail(&t->ctx));
         return;
     }
     if (t->disk) {
@@ -226,21 +215,6 @@
     return blob;
 }
 
-static void
-print_dump(const struct mw_blob *text)
-{
-    size_t at = 0;
-
-    while (at < text->len) {
-        ssize_t n = write(STDERR_FILENO, text->ptr + at, text->len - at);
-
-        if (n <= 0) {
-            return;
-        }
-        at += (size_t)n;
-    }
-}
-
 static void
 look(struct mw_control_task *t, struct mw_mail *mail)
 {
@@ -254,7 +228,7 @@
     struct mw_blob *text = dump(t, mw_name_str(&mail->process));
 
     if (mail->handle == 0) {
-        print_dump(text);
+        mw_write_dump(text);
         mw_drop_blob(text);
         return;
     }
--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -21,7 +21,6 @@
 struct data_file {
     int fd;
     uint64_t length;
-    uint64_t synced;
     /* a snapshot being written beside the file; -1 for none */
     int new_fd;
     GByteArray *pending;
@@ -368,7 +367,6 @@
         at += size;
     }
     disk->files[group].length = at;
-    disk->files[group].synced = at;
     return 0;
 }
 
@@ -443,15 +441,12 @@
 static void
 post_failed(struct mw_disk *disk, const char *what)
 {
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
     char *text =
         g_strdup_printf("%s: %s: %s", disk->folder, what, g_strerror(errno));
 
-    mail->status = MW_ERR_DISK;
-    mail->text = mw_new_blob(mw_str_from(text));
-    g_free(text);
     disk->failed = true;
-    mw_post(disk->owner, mail);
+    mw_post_failed(disk->owner, MW_ERR_DISK, mw_str_from(text));
+    g_free(text);
 }
 
 static void
@@ -550,7 +545,6 @@
         post_failed(disk, group_files[group]);
         return;
     }
-    file->synced = file->length;
     write_mark(file);
     g_byte_array_set_size(file->pending, 0);
     mail = mw_new_mail(MW_MAIL_SYNCED);
--- a/source/run/endpoint-http.c
+++ b/source/run/endpoint-http.c
@@ -256,12 +256,8 @@
     soup_session_set_proxy_resolver(ep->session, NULL);
     ep->http = mw_new_http(&setup, &message);
     if (!ep->http) {
-        struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
-
-        mail->status = MW_ERR_INVALID;
-        mail->text = mw_new_blob(mw_str_from(message));
+        mw_post_failed(ep->owner, MW_ERR_INVALID, mw_str_from(message));
         g_free(message);
-        mw_post(ep->owner, mail);
     }
 }
 
--- a/source/run/entry-task.c
+++ b/source/run/entry-task.c
@@ -1,7 +1,6 @@
 #include "entry-task.h"
 
 #include <string.h>
-#include <unistd.h>
 
 #include "caller-http.h"
 #include "endpoint-http.h"
@@ -170,9 +169,7 @@
         post_reply(t, mail->handle, 200, text);
         return;
     }
-    if (write(STDERR_FILENO, text->ptr, text->len) < 0) {
-        t->ctx.detail_len = 0;
-    }
+    mw_write_dump(text);
     mw_drop_blob(text);
 }
 
--- a/source/run/operator-http.c
+++ b/source/run/operator-http.c
@@ -143,12 +143,8 @@
     (void)task;
     op->http = mw_new_http(&setup, &message);
     if (!op->http) {
-        struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
-
-        mail->status = MW_ERR_INVALID;
-        mail->text = mw_new_blob(mw_str_from(message));
+        mw_post_failed(op->owner, MW_ERR_INVALID, mw_str_from(message));
         g_free(message);
-        mw_post(op->owner, mail);
     }
 }
 
--- a/source/run/task.c
+++ b/source/run/task.c
@@ -1,5 +1,7 @@
 #include "task.h"
 
+#include <unistd.h>
+
 #define BATCH_MAX 256
 
 struct mw_task {
@@ -223,6 +225,31 @@
     }
 }
 
+void
+mw_post_failed(struct mw_task *task, int error, struct mw_str text)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_FAILED);
+
+    mail->status = error;
+    mail->text = mw_new_blob(text);
+    mw_post(task, mail);
+}
+
+void
+mw_write_dump(const struct mw_blob *text)
+{
+    size_t at = 0;
+
+    while (at < text->len) {
+        ssize_t n = write(STDERR_FILENO, text->ptr + at, text->len - at);
+
+        if (n <= 0) {
+            return;
+        }
+        at += (size_t)n;
+    }
+}
+
 GMainContext *
 mw_task_context(struct mw_task *task)
 {
--- a/source/run/task.h
+++ b/source/run/task.h
@@ -108,6 +108,12 @@
 /* mw_post: hand mail to a task, which then owns it. */
 void mw_post(struct mw_task *task, struct mw_mail *mail);
 
+/* mw_post_failed: tell a task of a failure that its process can't bear. */
+void mw_post_failed(struct mw_task *task, int error, struct mw_str text);
+
+/* mw_write_dump: the whole text to standard error. */
+void mw_write_dump(const struct mw_blob *text);
+
 /* mw_task_rearm: look at the deadline again after a socket event. */
 void mw_task_rearm(struct mw_task *task);
 
