--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 CC = gcc
 BUILD = build
 PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 libprotobuf-c jansson \
-	zlib argtable2
+	zlib argtable2 yaml-0.1
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null)
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
@@ -16,15 +16,16 @@
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wmissing-prototypes \
 	-Wstrict-prototypes -Wshadow -fno-omit-frame-pointer
 INCLUDES = -Iinclude -Isource/core -Isource/wire -Isource/run \
-	-Isource/daemons -Isource/tools -Itests
+	-Isource/core/flow -Isource/daemons -Isource/tools -Itests -Iplatform
 ifdef SANITIZE
 BUILD = build/sanitize
 CFLAGS += -fsanitize=address,undefined -fno-sanitize-recover=undefined
 endif
 
-CORE := $(wildcard source/core/*.c)
+CORE := $(wildcard source/core/*.c source/core/flow/*.c)
 WIRE := $(wildcard source/wire/*.c)
 RUN := $(wildcard source/run/*.c)
+PLATFORM := $(filter-out %/mwplatformd.c,$(wildcard platform/*.c))
 TOOLS := $(wildcard source/tools/*.c)
 TESTS := $(wildcard tests/*.c)
 BENCH := $(filter-out %/slopes.c %/load.c,$(wildcard bench/*.c))
@@ -35,6 +36,7 @@
 DAEMON_OBJECT := $(call object,source/daemons/daemon.c)
 LIBRARY = $(BUILD)/libmimosawind.a
 PROGRAMS = $(BUILD)/mwentryd $(BUILD)/mwcontrold $(BUILD)/mw \
+	$(BUILD)/mwplatformd \
 	$(BUILD)/fake-endpoint
 
 all: $(PROGRAMS)
@@ -58,6 +60,10 @@
 		$(DAEMON_OBJECT) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
 
+$(BUILD)/mwplatformd: $(call object,platform/mwplatformd.c $(PLATFORM)) \
+		$(DAEMON_OBJECT) $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
 $(BUILD)/mw: $(call object,$(TOOLS)) $(DAEMON_OBJECT) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
 
@@ -65,7 +71,7 @@
 		$(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
 
-$(BUILD)/check: $(call object,$(TESTS)) $(LIBRARY)
+$(BUILD)/check: $(call object,$(TESTS) $(PLATFORM)) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) $(CHECK_LIBS) -o $@
 
 # warnings are errors, and the scripts decide; fixed seeds, nothing timed
@@ -132,7 +138,7 @@
 	MW_SEEDS=$(or $(SEEDS),300) $(BUILD)/check seeds
 
 # formatter and linters clean, and the core without input or output
-SOURCES := $(shell find source include bench tests -name '*.[ch]' | \
+SOURCES := $(shell find source include platform bench tests -name '*.[ch]' | \
 	grep -v '\.pb-c\.')
 lint: $(CORE_OBJECTS)
 	clang-format --dry-run -Werror $(SOURCES)
@@ -142,7 +148,7 @@
 		--suppress=preprocessorErrorDirective \
 		--suppress=missingIncludeSystem --suppress=nullPointerRedundantCheck \
 		-j 6 $(INCLUDES) source/core source/wire/*-json.c source/run \
-		source/daemons source/tools
+		source/daemons source/tools platform
 	printf '%s\n' $(filter-out %.h,$(SOURCES)) | xargs -P 6 -n 4 \
 		sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 $(INCLUDES) \
 		$(PKG_CFLAGS) 2>/dev/null' tidy
@@ -155,10 +161,15 @@
 	$(MAKE) -s all
 	scripts/demo.sh $(or $(WHO),corrib)
 
+# what deploy/system.toml runs
+target: $(BUILD)/mwplatformd
+	@mkdir -p target
+	cp $(BUILD)/mwplatformd target/mwplatformd
+
 clean:
 	rm -rf build
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 .PHONY: all check bench plots slopes load proofs model model-faults mutants \
-	fuzz soak lint demo clean
+	fuzz soak lint demo target clean
--- a/include/mimosawind/error.h
+++ b/include/mimosawind/error.h
@@ -49,7 +49,8 @@
     MW_ERR_SLOW = -34,
     MW_ERR_TRUNCATED = -35,
     MW_ERR_OUT = -36,
-    MW_ERR_LAST = -37
+    MW_ERR_NO_QUEUE = -37,
+    MW_ERR_LAST = -38
 };
 
 /* mw_ran: what is known about the execution of a job. */
--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSAWIND_MESSAGE_H
 #define MIMOSAWIND_MESSAGE_H
 
+#include "mimosawind/flow.h"
 #include "mimosawind/log.h"
 #include "mimosawind/zone.h"
 
@@ -31,7 +32,10 @@
     MW_MSG_DOCUMENT = 12,
     MW_MSG_JUDGE = 13,
     MW_MSG_JUDGED = 14,
-    MW_MSG_LAST = 15
+    /* a request that an entry process hands to the leader, and its answer */
+    MW_MSG_FLOW_CALL = 15,
+    MW_MSG_FLOW_RETURN = 16,
+    MW_MSG_LAST = 17
 };
 
 enum mw_process_role {
@@ -65,6 +69,9 @@
     struct mw_zone_load load;
     /* documents in force here, by environment; 0 for none */
     uint64_t version[MW_ENVIRONMENTS];
+    /* members of the region's log, from a process that knows them */
+    uint32_t member_count;
+    struct mw_name members[MW_MEMBERS_MAX];
 };
 
 struct mw_msg_log {
@@ -140,6 +147,28 @@
     struct mw_blob *detail;
 };
 
+/* mw_msg_flow_call: the fields of a request that its kind needs. */
+struct mw_msg_flow_call {
+    uint64_t ref;
+    enum mw_flow_request_kind kind;
+    struct mw_blob *host;
+    struct mw_blob *path;
+    struct mw_blob *key;
+    struct mw_blob *body;
+};
+
+struct mw_msg_flow_return {
+    uint64_t ref;
+    enum mw_flow_reply_kind kind;
+    int error;
+    enum mw_flow_state state;
+    bool queued;
+    uint32_t pending;
+    /* the configuration, or the detail of an error */
+    struct mw_blob *text;
+    int64_t retry_after_us;
+};
+
 struct mw_msg {
     int refs;
     enum mw_msg_kind kind;
@@ -158,6 +187,8 @@
         struct mw_msg_document document;
         struct mw_judge judge;
         struct mw_judged judged;
+        struct mw_msg_flow_call flow_call;
+        struct mw_msg_flow_return flow_return;
     };
 };
 
--- a/include/mimosawind/record.h
+++ b/include/mimosawind/record.h
@@ -2,6 +2,7 @@
 #define MIMOSAWIND_RECORD_H
 
 #include "mimosawind/document.h"
+#include "mimosawind/flow-record.h"
 
 /*
  * record: one entry of a replicated log, also one entry of a snapshot.
@@ -23,7 +24,13 @@
     /* a request was refused or handed to another zone before it ran */
     MW_RECORD_HANDOVER = 7,
     MW_RECORD_FORGET = 8,
-    MW_RECORD_LAST = 9
+    /* a configuration of routes, organisations and services */
+    MW_RECORD_CONFIG = 9,
+    MW_RECORD_ZONE_OUT = 10,
+    MW_RECORD_FLOW = 11,
+    MW_RECORD_FLOW_STATE = 12,
+    MW_RECORD_TASKS = 13,
+    MW_RECORD_LAST = 14
 };
 
 struct mw_record_admit {
@@ -85,6 +92,11 @@
         struct mw_record_result result;
         struct mw_record_handover handover;
         struct mw_record_forget forget;
+        struct mw_record_config config;
+        struct mw_record_zone_out zone_out;
+        struct mw_record_flow flow;
+        struct mw_record_flow_state flow_state;
+        struct mw_record_tasks tasks;
     };
 };
 
--- a/source/core/error.c
+++ b/source/core/error.c
@@ -170,6 +170,10 @@
                                "the input ends before its "
                                "declared length; send it whole",
                                400),
+    [-MW_ERR_NO_QUEUE] = KIND("no_queue",
+                              "no route has this host and path; put a "
+                              "configuration in force that has one",
+                              404),
 };
 
 static const struct kind *
--- /dev/null
+++ b/source/core/flow/flow-endpoint.c
@@ -0,0 +1,217 @@
+/*
+ * flow-endpoint: who is there, under which incarnation, and for how long its
+ * leases may still last.
+ */
+#include "flow-impl.h"
+
+static const struct mw_str rack_prefix = {"r", 1};
+
+void
+mw_drop_flow_endpoint(void *data)
+{
+    struct mw_flow_endpoint *endpoint = data;
+
+    g_ptr_array_unref(endpoint->places);
+    g_free(endpoint);
+}
+
+struct mw_flow_endpoint *
+mw_find_flow_endpoint(struct mw_flows *flows, const struct mw_name *id)
+{
+    return g_hash_table_lookup(flows->endpoints, id);
+}
+
+struct mw_flow_endpoint *
+mw_new_stub(struct mw_flows *flows, int64_t now_us, const struct mw_name *id,
+            uint64_t born)
+{
+    struct mw_flow_endpoint *endpoint = g_new0(struct mw_flow_endpoint, 1);
+
+    endpoint->id = *id;
+    endpoint->born = born;
+    endpoint->places = g_ptr_array_new();
+    endpoint->heard_us = now_us;
+    endpoint->lapse_deadline_us =
+        now_us + MW_HOLD_LEASE_US * MW_CLOCK_SLOW_PERMILLE / 1000 +
+        MW_LEASE_MARGIN_US;
+    g_hash_table_insert(flows->endpoints, &endpoint->id, endpoint);
+    return endpoint;
+}
+
+int64_t
+mw_endpoint_clock(const struct mw_flow_endpoint *endpoint, int64_t now_us)
+{
+    return endpoint->clock_us + (now_us - endpoint->clock_at_us);
+}
+
+void
+mw_note_clock(struct mw_flow_endpoint *endpoint, int64_t now_us,
+              int64_t clock_us)
+{
+    endpoint->clock_us = clock_us;
+    endpoint->clock_at_us = now_us;
+}
+
+bool
+mw_zone_out_has(const struct mw_flows *flows, const struct mw_name *zone)
+{
+    return g_hash_table_contains(flows->zones_out, zone);
+}
+
+bool
+mw_endpoint_has_label(const struct mw_flow_endpoint *endpoint,
+                      const struct mw_name *label)
+{
+    for (uint32_t i = 0; i < endpoint->beat.label_count; i++) {
+        if (mw_name_equal(&endpoint->beat.labels[i], label)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+mw_endpoint_is_usable(const struct mw_flows *flows,
+                      const struct mw_flow_endpoint *endpoint, int64_t now_us)
+{
+    return endpoint->known && !endpoint->departed &&
+           !endpoint->beat.draining && endpoint->silent == 0 &&
+           now_us - endpoint->heard_us < MW_HEARD_MAX_US &&
+           now_us >= endpoint->sick_deadline_us &&
+           !mw_zone_out_has(flows, &endpoint->beat.zone);
+}
+
+void
+mw_endpoint_gone(struct mw_flows *flows, int64_t now_us,
+                 struct mw_flow_endpoint *endpoint, const char *why)
+{
+    mw_endpoint_note(flows, "endpoint_gone", endpoint, why,
+                     now_us - endpoint->heard_us);
+    while (endpoint->places->len > 0) {
+        mw_lose_run(flows, now_us,
+                    endpoint->places->pdata[endpoint->places->len - 1], why);
+    }
+    flows->dirty = true;
+}
+
+/* The rack is the label that is not the kind: r, a region part, a number. */
+static void
+set_rack(struct mw_flow_endpoint *endpoint)
+{
+    endpoint->rack = (struct mw_name){0};
+    for (uint32_t i = 0; i < endpoint->beat.label_count; i++) {
+        const struct mw_name *label = &endpoint->beat.labels[i];
+
+        if (label->len > 1 && label->ptr[0] == rack_prefix.ptr[0]) {
+            endpoint->rack = *label;
+        }
+    }
+}
+
+/* Whether another endpoint at the address was born later. */
+static bool
+is_superseded(struct mw_flows *flows, int64_t now_us,
+              const struct mw_beat *beat)
+{
+    GHashTableIter iter;
+    gpointer value;
+    bool superseded = false;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *other = value;
+
+        if (!other->known || other->departed ||
+            mw_name_equal(&other->id, &beat->id) ||
+            !mw_name_equal(&other->beat.address, &beat->address)) {
+            continue;
+        }
+        if (other->born > beat->born) {
+            superseded = true;
+        }
+        else if (other->born < beat->born) {
+            mw_endpoint_gone(flows, now_us, other, "address_taken_over");
+            other->departed = true;
+        }
+    }
+    return superseded;
+}
+
+static void
+start_life(struct mw_flow_endpoint *endpoint, const struct mw_beat *beat)
+{
+    endpoint->born = beat->born;
+    endpoint->known = true;
+    endpoint->departed = false;
+    endpoint->seen_end = 0;
+    endpoint->committed_end = 0;
+    endpoint->acknowledged_end = 0;
+    endpoint->pending_ends = 0;
+    endpoint->clock_at_us = 0;
+    endpoint->silent = 0;
+    endpoint->failures_in_row = 0;
+    endpoint->sick_deadline_us = 0;
+    endpoint->holding = false;
+    endpoint->hold_deadline_us = 0;
+}
+
+static void
+take_beat(struct mw_flows *flows, int64_t now_us,
+          struct mw_flow_endpoint *endpoint, const struct mw_beat *beat)
+{
+    bool was_draining = endpoint->beat.draining;
+
+    endpoint->beat = *beat;
+    endpoint->heard_us = now_us;
+    set_rack(endpoint);
+    if (endpoint->clock_at_us == 0 ||
+        now_us - endpoint->clock_at_us > MW_HEARD_MAX_US) {
+        mw_note_clock(endpoint, now_us, beat->clock_us);
+    }
+    if (beat->draining && !was_draining) {
+        mw_endpoint_note(flows, "endpoint_draining", endpoint, "noted", 0);
+    }
+    flows->dirty = true;
+}
+
+int
+mw_flows_beat(struct mw_flows *flows, int64_t now_us,
+              const struct mw_beat *beat)
+{
+    struct mw_flow_endpoint *endpoint;
+
+    if (!flows->lead) {
+        return MW_ERR_NOT_LEADER;
+    }
+    endpoint = mw_find_flow_endpoint(flows, &beat->id);
+    if (beat->leaving) {
+        if (endpoint && !endpoint->departed) {
+            mw_endpoint_gone(flows, now_us, endpoint, "left");
+            endpoint->departed = true;
+            endpoint->heard_us = now_us;
+        }
+        return 0;
+    }
+    if (endpoint &&
+        (beat->born < endpoint->born ||
+         (beat->born == endpoint->born && endpoint->known &&
+          (endpoint->departed || beat->seq <= endpoint->beat.seq)))) {
+        return 0;
+    }
+    if (is_superseded(flows, now_us, beat)) {
+        return 0;
+    }
+    if (!endpoint) {
+        endpoint = mw_new_stub(flows, now_us, &beat->id, beat->born);
+    }
+    else if (endpoint->born != beat->born) {
+        mw_endpoint_gone(flows, now_us, endpoint, "started_anew");
+        start_life(endpoint, beat);
+    }
+    if (!endpoint->known) {
+        start_life(endpoint, beat);
+        mw_endpoint_note(flows, "endpoint_found", endpoint, "known", 0);
+    }
+    take_beat(flows, now_us, endpoint, beat);
+    return 0;
+}
--- /dev/null
+++ b/source/core/flow/flow-entry.c
@@ -0,0 +1,286 @@
+/*
+ * flow-entry: requests on their way to the leader, and who that is.
+ */
+#include "flow-impl.h"
+#include "mimosawind/flow-process.h"
+
+#define RETRY_AFTER_US 1000000
+
+/* mw_entry_call: a request that waits for the leader's answer. */
+struct mw_entry_call {
+    uint64_t ref;
+    struct mw_msg *msg;
+    int64_t deadline_us;
+    int64_t taken_us;
+    uint32_t handed;
+    struct mw_name handed_to;
+};
+
+struct mw_flow_entry {
+    struct mw_flow_entry_output output;
+    GHashTable *calls;
+    struct mw_name leader;
+    uint64_t epoch;
+    uint64_t version;
+    int64_t heard_us;
+    struct mw_flow_entry_counters counters;
+};
+
+static void
+free_call(void *data)
+{
+    struct mw_entry_call *call = data;
+
+    mw_drop_msg(call->msg);
+    g_free(call);
+}
+
+struct mw_flow_entry *
+mw_new_flow_entry(const struct mw_flow_entry_output *output)
+{
+    struct mw_flow_entry *entry = g_new0(struct mw_flow_entry, 1);
+
+    entry->output = *output;
+    entry->calls =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
+    return entry;
+}
+
+void
+mw_drop_flow_entry(struct mw_flow_entry *entry)
+{
+    if (entry) {
+        g_hash_table_unref(entry->calls);
+        g_free(entry);
+    }
+}
+
+static bool
+has_leader(const struct mw_flow_entry *entry, int64_t now_us)
+{
+    return entry->leader.len > 0 &&
+           now_us - entry->heard_us < MW_FLOW_LEADER_LOST_US;
+}
+
+static void
+note(struct mw_flow_entry *entry, const char *name, const char *outcome,
+     int64_t age_us, uint64_t number)
+{
+    struct mw_flow_event event = {.name = name,
+                                  .endpoint = entry->leader,
+                                  .outcome = outcome,
+                                  .age_us = age_us,
+                                  .version = entry->version,
+                                  .number = number};
+
+    entry->output.event(entry->output.opaque, &event);
+}
+
+static void
+refuse(struct mw_flow_entry *entry, uint64_t ref, int error)
+{
+    struct mw_flow_reply reply = {
+        .ref = ref, .kind = MW_REPLY_ERROR, .error = error};
+
+    if (error != MW_ERR_DEADLINE) {
+        reply.retry_after_us = RETRY_AFTER_US;
+    }
+    entry->output.reply(entry->output.opaque, &reply);
+}
+
+static void
+hand(struct mw_flow_entry *entry, struct mw_entry_call *call)
+{
+    entry->counters.handed_again += call->handed > 0;
+    call->handed++;
+    call->handed_to = entry->leader;
+    entry->output.send(entry->output.opaque, &entry->leader, call->msg);
+}
+
+void
+mw_flow_entry_request(struct mw_flow_entry *entry, int64_t now_us,
+                      const struct mw_flow_request *request,
+                      int64_t deadline_us)
+{
+    struct mw_entry_call *call;
+
+    entry->counters.requests++;
+    if (!has_leader(entry, now_us) ||
+        g_hash_table_size(entry->calls) >= MW_FLOW_CALLS_MAX) {
+        entry->counters.refused++;
+        note(entry, "refused", "no_leader", now_us - entry->heard_us,
+             request->ref);
+        refuse(entry, request->ref, MW_ERR_NOT_LEADER);
+        return;
+    }
+    call = g_new0(struct mw_entry_call, 1);
+    call->ref = request->ref;
+    call->deadline_us = deadline_us;
+    call->taken_us = now_us;
+    call->msg = mw_new_msg(MW_MSG_FLOW_CALL);
+    call->msg->flow_call.ref = request->ref;
+    call->msg->flow_call.kind = request->kind;
+    call->msg->flow_call.host = mw_new_blob(request->host);
+    call->msg->flow_call.path = mw_new_blob(request->path);
+    call->msg->flow_call.key = mw_new_blob(request->key);
+    call->msg->flow_call.body = mw_new_blob(request->body);
+    g_hash_table_insert(entry->calls, &call->ref, call);
+    hand(entry, call);
+}
+
+void
+mw_flow_entry_gone(struct mw_flow_entry *entry, uint64_t ref)
+{
+    g_hash_table_remove(entry->calls, &ref);
+}
+
+static void
+take_return(struct mw_flow_entry *entry, const struct mw_msg_flow_return *msg)
+{
+    struct mw_entry_call *call = g_hash_table_lookup(entry->calls, &msg->ref);
+    struct mw_flow_reply reply = {
+        .ref = msg->ref,
+        .kind = msg->kind,
+        .error = msg->error,
+        .state = msg->state,
+        .queued = msg->queued,
+        .pending = msg->pending,
+        .text = msg->text,
+        .detail = mw_blob_str(msg->text),
+        .retry_after_us = msg->retry_after_us,
+    };
+    bool undecided =
+        msg->error == MW_ERR_DEADLINE ||
+        (msg->error == MW_ERR_NOT_LEADER && call && call->handed > 1);
+
+    if (!call || (msg->kind == MW_REPLY_ERROR && undecided)) {
+        /* the next leader is asked, or the deadline ends it */
+        return;
+    }
+    g_hash_table_remove(entry->calls, &reply.ref);
+    entry->output.reply(entry->output.opaque, &reply);
+}
+
+static void
+hand_all(struct mw_flow_entry *entry)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->calls);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        hand(entry, value);
+    }
+}
+
+static void
+take_heartbeat(struct mw_flow_entry *entry, int64_t now_us,
+               const struct mw_name *from, const struct mw_heartbeat *beat)
+{
+    bool changed =
+        !mw_name_equal(from, &entry->leader) || beat->epoch != entry->epoch;
+
+    if (!beat->leads_region || beat->epoch < entry->epoch) {
+        return;
+    }
+    entry->heard_us = now_us;
+    entry->version = beat->version[MW_PRODUCTION];
+    if (!changed) {
+        return;
+    }
+    entry->leader = *from;
+    entry->epoch = beat->epoch;
+    entry->counters.leaders++;
+    note(entry, "leader", "found", 0, beat->epoch);
+    hand_all(entry);
+}
+
+void
+mw_flow_entry_receive(struct mw_flow_entry *entry, int64_t now_us,
+                      const struct mw_name *from, struct mw_msg *msg)
+{
+    if (msg->kind == MW_MSG_HEARTBEAT) {
+        take_heartbeat(entry, now_us, from, &msg->heartbeat);
+    }
+    else if (msg->kind == MW_MSG_FLOW_RETURN) {
+        take_return(entry, &msg->flow_return);
+    }
+}
+
+/* What was handed over may be lost with the connection. */
+void
+mw_flow_entry_lost(struct mw_flow_entry *entry, int64_t now_us,
+                   const struct mw_name *process)
+{
+    if (!mw_name_equal(process, &entry->leader)) {
+        return;
+    }
+    note(entry, "leader", "lost", now_us - entry->heard_us, entry->epoch);
+    entry->leader = (struct mw_name){0};
+}
+
+static GPtrArray *
+overdue(struct mw_flow_entry *entry, int64_t now_us)
+{
+    GPtrArray *calls = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->calls);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (now_us >= ((struct mw_entry_call *)value)->deadline_us) {
+            g_ptr_array_add(calls, value);
+        }
+    }
+    return calls;
+}
+
+void
+mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us)
+{
+    GPtrArray *calls = overdue(entry, now_us);
+
+    for (guint i = 0; i < calls->len; i++) {
+        struct mw_entry_call *call = calls->pdata[i];
+        uint64_t ref = call->ref;
+
+        entry->counters.timed_out++;
+        note(entry, "timed_out", "no_answer", now_us - call->taken_us, ref);
+        g_hash_table_remove(entry->calls, &ref);
+        refuse(entry, ref, MW_ERR_DEADLINE);
+    }
+    g_ptr_array_unref(calls);
+}
+
+int64_t
+mw_flow_entry_deadline(const struct mw_flow_entry *entry)
+{
+    GHashTableIter iter;
+    gpointer value;
+    int64_t deadline_us = INT64_MAX;
+
+    g_hash_table_iter_init(&iter, entry->calls);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        deadline_us =
+            MIN(deadline_us, ((struct mw_entry_call *)value)->deadline_us);
+    }
+    return deadline_us;
+}
+
+bool
+mw_flow_entry_ready(const struct mw_flow_entry *entry, int64_t now_us)
+{
+    return has_leader(entry, now_us) && entry->version > 0;
+}
+
+uint32_t
+mw_flow_entry_open(const struct mw_flow_entry *entry)
+{
+    return g_hash_table_size(entry->calls);
+}
+
+const struct mw_flow_entry_counters *
+mw_flow_entry_counters_of(const struct mw_flow_entry *entry)
+{
+    return &entry->counters;
+}
--- /dev/null
+++ b/source/core/flow/flow-event.c
@@ -0,0 +1,92 @@
+/*
+ * flow-event: one line for each decision, through the owner's callback.
+ */
+#include <string.h>
+
+#include "flow-impl.h"
+
+static void
+emit(struct mw_flows *flows, struct mw_flow_event *event)
+{
+    event->number = flows->fence;
+    event->version = flows->config ? flows->config->version : 0;
+    flows->output.event(flows->output.opaque, event);
+}
+
+void
+mw_flow_note(struct mw_flows *flows, const char *name,
+             const struct mw_name *flow, const char *outcome)
+{
+    struct mw_flow_event event = {
+        .name = name, .flow = *flow, .outcome = outcome, .age_us = -1};
+
+    emit(flows, &event);
+}
+
+void
+mw_place_note(struct mw_flows *flows, const char *name,
+              const struct mw_place *place, const char *outcome,
+              int64_t age_us)
+{
+    struct mw_task_id id = mw_place_task_id(place);
+    struct mw_flow_event event = {
+        .name = name,
+        .task = &id,
+        .flow = id.flow,
+        .endpoint = place->endpoint->id,
+        .run = place->run,
+        .outcome = outcome,
+        .age_us = age_us,
+    };
+
+    emit(flows, &event);
+}
+
+void
+mw_endpoint_note(struct mw_flows *flows, const char *name,
+                 const struct mw_flow_endpoint *endpoint, const char *outcome,
+                 int64_t age_us)
+{
+    struct mw_flow_event event = {.name = name,
+                                  .endpoint = endpoint->id,
+                                  .outcome = outcome,
+                                  .age_us = age_us};
+
+    emit(flows, &event);
+}
+
+struct mw_str
+mw_flow_state_word(enum mw_flow_state state)
+{
+    static const struct mw_str words[] = {
+        MW_STR("active"), MW_STR("completed"), MW_STR("failed"),
+        MW_STR("cancelled")};
+
+    return words[state];
+}
+
+struct mw_str
+mw_run_end_word(enum mw_run_end end)
+{
+    static const struct mw_str words[] = {MW_STR("done"),    MW_STR("failed"),
+                                          MW_STR("stopped"), MW_STR("lapsed"),
+                                          MW_STR("broken"),  MW_STR("alone")};
+
+    return words[end];
+}
+
+struct mw_str
+mw_flow_result_word(enum mw_flow_result result)
+{
+    static const struct mw_str words[] = {MW_STR("done"),
+                                          MW_STR("refused"),
+                                          MW_STR("refused_old"),
+                                          MW_STR("refused_fence"),
+                                          MW_STR("refused_room"),
+                                          MW_STR("refused_sick"),
+                                          MW_STR("other_incarnation"),
+                                          MW_STR("no_process"),
+                                          MW_STR("no_answer")};
+
+    return words[result];
+}
--- /dev/null
+++ b/source/core/flow/flow-impl.h
@@ -0,0 +1,306 @@
+#ifndef MW_CORE_FLOW_IMPL_H
+#define MW_CORE_FLOW_IMPL_H
+
+#include <glib.h>
+
+#include "mimosawind/flow.h"
+
+/*
+ * flow-impl: the state of the scheduler of flows.
+ *
+ * ORDER OF CALLS
+ *   flow-request.c, flow-endpoint.c, flow-answer.c   events come in
+ *   flow-observe.c                         what an endpoint lists becomes
+ * facts flow-state.c                           committed records become state
+ *   flow-pump.c                            what is due: place, order, hold
+ *   flow-queue.c, flow-place.c, flow-reclaim.c       who is next, where, and
+ * who makes room flow-order.c                           orders go out
+ *
+ * A task's replicated state changes only in flow-state.c.  Everything about
+ * endpoints and places is the leader's own and is learnt anew by the next.
+ */
+
+#define MW_FLOW_TICK_US 50000
+/* an order's answer is waited for so long */
+#define MW_ORDER_ANSWER_US INT64_C(1000000)
+/* a start may be carried out late until its own lease has passed */
+#define MW_START_LEASE_US INT64_C(3000000)
+#define MW_HOLD_WAIT_US INT64_C(2000000)
+#define MW_HOLD_RETRY_US INT64_C(400000)
+/* lease beyond which work on an unreachable endpoint is given up */
+#define MW_HOLD_LEASE_US INT64_C(7000000)
+/* part of the longest lease that is never asked for */
+#define MW_LEASE_MARGIN_US INT64_C(500000)
+/* an endpoint's clock may be 2% slow */
+#define MW_CLOCK_SLOW_PERMILLE 1030
+#define MW_HEARD_MAX_US INT64_C(4500000)
+#define MW_SICK_US INT64_C(5000000)
+#define MW_SILENT_SICK_US INT64_C(3000000)
+#define MW_RESERVED_EXTRA_US INT64_C(800000)
+/* a gang that wants one rack waits so long before it is spread */
+#define MW_SPREAD_AFTER_US INT64_C(4000000)
+/* tasks wait so long for the rack that holds their data */
+#define MW_FAR_AFTER_US INT64_C(3000000)
+
+enum mw_place_phase {
+    /* the record of the run is not committed yet */
+    MW_PLACE_INTENDED = 0,
+    MW_PLACE_STARTING = 1,
+    MW_PLACE_RUNNING = 2,
+    /* recorded by an earlier leader; a list must tell */
+    MW_PLACE_UNKNOWN = 3,
+    MW_PLACE_STOPPING = 4,
+    /* a stop was taken; a later list must show the end, or nothing */
+    MW_PLACE_STOPPED = 5
+};
+
+struct mw_unit;
+struct mw_flow_endpoint;
+
+/* mw_place: one run that an endpoint has, or may have. */
+struct mw_place {
+    struct mw_unit *unit;
+    uint32_t index;
+    uint32_t run;
+    struct mw_flow_endpoint *endpoint;
+    struct mw_flow_amount need;
+    enum mw_place_phase phase;
+    bool busy;
+    /* an order of this run had no answer, so it may come late */
+    bool unanswered;
+    uint32_t tries;
+    /* a list asked for after this time tells about the run */
+    int64_t settled_us;
+    int64_t retry_deadline_us;
+    int64_t started_us;
+    uint32_t percent;
+    /* the newest that a list has shown */
+    struct mw_blob *checkpoint;
+};
+
+struct mw_flow_task {
+    enum mw_task_state state;
+    uint32_t run;
+    uint32_t failures;
+    struct mw_name endpoint;
+    uint64_t born;
+    struct mw_blob *checkpoint;
+    /* the leader's own */
+    struct mw_place *place;
+    /* records about the task that are not committed yet */
+    uint32_t in_flight;
+};
+
+struct mw_flow;
+
+/* mw_unit: one step of one occurrence of a flow. */
+struct mw_unit {
+    struct mw_flow *flow;
+    const struct mw_flow_step *step;
+    uint32_t occurrence;
+    uint32_t number;
+    struct mw_flow_task *tasks;
+    uint32_t done;
+    /* the leader's own */
+    int64_t ready_us;
+    uint32_t rank;
+    int64_t due_us;
+    bool late;
+    /* run of the gang that has been counted as failed */
+    uint32_t failed_run;
+    /* task whose checkpoint is the newest of the gang */
+    uint32_t checkpoint_index;
+    int64_t reclaim_deadline_us;
+};
+
+struct mw_flow {
+    struct mw_name id;
+    struct mw_flow_route route;
+    struct mw_name org;
+    int64_t accepted_wall_us;
+    enum mw_flow_state state;
+    struct mw_blob *plan_text;
+    struct mw_flow_plan *plan;
+    uint32_t unit_count;
+    struct mw_unit *units;
+    uint32_t units_done;
+    bool begun;
+    /* the leader's own */
+    bool ending;
+    int64_t ended_us;
+};
+
+struct mw_flow_endpoint {
+    struct mw_name id;
+    uint64_t born;
+    /* it has been heard of since this process leads */
+    bool known;
+    /* it has said that it ends; kept so that late heartbeats are known */
+    bool departed;
+    struct mw_beat beat;
+    struct mw_name rack;
+    struct mw_flow_amount used;
+    GPtrArray *places;
+    int64_t heard_us;
+    int64_t clock_us;
+    int64_t clock_at_us;
+    /* every lease ever sent has lapsed by then */
+    int64_t lapse_deadline_us;
+    bool holding;
+    int64_t hold_sent_us;
+    int64_t hold_deadline_us;
+    bool look_wanted;
+    uint64_t seen_end;
+    uint64_t committed_end;
+    uint64_t acknowledged_end;
+    uint32_t pending_ends;
+    uint32_t silent;
+    uint32_t failures_in_row;
+    int64_t sick_deadline_us;
+    struct mw_unit *reserved_for;
+    int64_t reserved_deadline_us;
+};
+
+/* mw_flow_call: an order on its way. */
+struct mw_flow_call {
+    uint64_t ref;
+    enum mw_flow_order_kind kind;
+    struct mw_name endpoint;
+    uint64_t born;
+    struct mw_task_id task;
+    uint32_t run;
+    int64_t sent_us;
+};
+
+/* mw_flow_waiter: a request whose record is on its way. */
+struct mw_flow_waiter {
+    uint64_t ref;
+    enum mw_flow_request_kind kind;
+    struct mw_name name;
+    uint64_t version;
+};
+
+struct mw_flows {
+    struct mw_flow_bounds bounds;
+    struct mw_flow_output output;
+    struct mw_flow_config *config;
+    GHashTable *flows;
+    /* flows that have not ended, oldest first */
+    GPtrArray *active;
+    GHashTable *zones_out;
+
+    bool lead;
+    uint64_t fence;
+    int64_t led_since_us;
+    GHashTable *endpoints;
+    GHashTable *calls;
+    GArray *waiters;
+    uint64_t next_ref;
+    uint64_t proposed_version;
+    bool dirty;
+    int64_t tick_deadline_us;
+    struct mw_flow_counters counters;
+};
+
+/* flow-state.c */
+/* proposes a TASKS record and counts it; false when this process can't */
+bool mw_propose_tasks(struct mw_flows *flows, struct mw_record *record);
+struct mw_flow *mw_find_flow(struct mw_flows *flows, const struct mw_name *id);
+struct mw_unit *mw_find_unit(struct mw_flow *flow, uint32_t occurrence,
+                             uint32_t step);
+struct mw_flow_task *mw_find_task(struct mw_flows *flows,
+                                  const struct mw_task_id *id,
+                                  struct mw_unit **unit);
+/* whether a task waits to be placed, with nothing about it undecided */
+bool mw_task_waits(const struct mw_flow_task *task);
+bool mw_unit_is_ready(const struct mw_unit *unit, int64_t wall_us);
+uint32_t mw_unit_run_max(const struct mw_unit *unit);
+bool mw_flow_is_open(const struct mw_flow *flow);
+
+/* flow-endpoint.c */
+struct mw_flow_endpoint *mw_find_flow_endpoint(struct mw_flows *flows,
+                                               const struct mw_name *id);
+struct mw_flow_endpoint *mw_new_stub(struct mw_flows *flows, int64_t now_us,
+                                     const struct mw_name *id, uint64_t born);
+void mw_drop_flow_endpoint(void *endpoint);
+void mw_endpoint_gone(struct mw_flows *flows, int64_t now_us,
+                      struct mw_flow_endpoint *endpoint, const char *why);
+int64_t mw_endpoint_clock(const struct mw_flow_endpoint *endpoint,
+                          int64_t now_us);
+void mw_note_clock(struct mw_flow_endpoint *endpoint, int64_t now_us,
+                   int64_t clock_us);
+bool mw_endpoint_is_usable(const struct mw_flows *flows,
+                           const struct mw_flow_endpoint *endpoint,
+                           int64_t now_us);
+bool mw_endpoint_has_label(const struct mw_flow_endpoint *endpoint,
+                           const struct mw_name *label);
+bool mw_zone_out_has(const struct mw_flows *flows, const struct mw_name *zone);
+
+/* flow-place.c */
+struct mw_place *mw_add_place(struct mw_flow_endpoint *endpoint,
+                              struct mw_unit *unit, uint32_t index,
+                              uint32_t run, enum mw_place_phase phase);
+void mw_free_place(struct mw_flows *flows, struct mw_place *place);
+struct mw_place *mw_find_run(const struct mw_flow_endpoint *endpoint,
+                             const struct mw_task_id *task, uint32_t run);
+struct mw_task_id mw_place_task_id(const struct mw_place *place);
+uint32_t mw_room_for(const struct mw_flow_amount *total,
+                     const struct mw_flow_amount *used,
+                     const struct mw_flow_amount *need);
+bool mw_fits_unit(const struct mw_flows *flows,
+                  const struct mw_flow_endpoint *endpoint,
+                  const struct mw_unit *unit, int64_t now_us);
+uint32_t mw_spread_left(const struct mw_flow_endpoint *endpoint,
+                        const struct mw_unit *unit);
+/* chooses endpoints for waiting tasks; returns how many were chosen */
+uint32_t mw_choose(struct mw_flows *flows, struct mw_unit *unit,
+                   int64_t now_us, uint32_t wanted, GPtrArray *chosen);
+
+/* flow-queue.c */
+GPtrArray *mw_rank_units(struct mw_flows *flows, int64_t now_us,
+                         int64_t wall_us);
+uint32_t mw_flow_gpus(const struct mw_flow *flow);
+
+/* flow-reclaim.c */
+void mw_make_room(struct mw_flows *flows, struct mw_unit *unit, uint32_t tasks,
+                  int64_t now_us);
+
+/* flow-order.c */
+void mw_send_start(struct mw_flows *flows, int64_t now_us,
+                   struct mw_place *place);
+void mw_send_stop(struct mw_flows *flows, int64_t now_us,
+                  struct mw_place *place);
+void mw_stop_place(struct mw_flows *flows, int64_t now_us,
+                   struct mw_place *place);
+void mw_stop_unit(struct mw_flows *flows, int64_t now_us,
+                  struct mw_unit *unit);
+void mw_send_hold(struct mw_flows *flows, int64_t now_us,
+                  struct mw_flow_endpoint *endpoint);
+
+/* flow-observe.c */
+void mw_observe(struct mw_flows *flows, int64_t now_us,
+                struct mw_flow_endpoint *endpoint,
+                const struct mw_flow_answer *answer, int64_t sent_us);
+/* the run is over without a listed end: back to waiting, place freed */
+void mw_lose_run(struct mw_flows *flows, int64_t now_us,
+                 struct mw_place *place, const char *why);
+
+/* flow-pump.c */
+void mw_pump(struct mw_flows *flows, int64_t now_us, int64_t wall_us);
+
+/* flow-request.c */
+void mw_answer_requests(struct mw_flows *flows,
+                        const struct mw_record *record);
+void mw_end_requests(struct mw_flows *flows);
+
+/* flow-event.c */
+void mw_flow_note(struct mw_flows *flows, const char *name,
+                  const struct mw_name *flow, const char *outcome);
+void mw_place_note(struct mw_flows *flows, const char *name,
+                   const struct mw_place *place, const char *outcome,
+                   int64_t age_us);
+void mw_endpoint_note(struct mw_flows *flows, const char *name,
+                      const struct mw_flow_endpoint *endpoint,
+                      const char *outcome, int64_t age_us);
+
+#endif
--- /dev/null
+++ b/source/core/flow/flow-observe.c
@@ -0,0 +1,353 @@
+/*
+ * flow-observe: what an endpoint's list says about runs.
+ *
+ * An end is recorded before it is acknowledged, and a run that a list
+ * lacks is over only where nothing about it can still be on its way.
+ */
+#include <string.h>
+
+#include "flow-impl.h"
+
+/* a list shows so many ends at once; the rest come with the next */
+#define LISTED_ENDS_MAX 500
+
+static struct mw_record *
+new_notes(uint32_t room)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
+
+    record->tasks.notes = g_new0(struct mw_task_note, room);
+    return record;
+}
+
+static struct mw_task_note *
+add_note(struct mw_record *record, const struct mw_unit *unit, uint32_t index,
+         enum mw_task_state state, uint32_t run)
+{
+    const struct mw_flow_task *task = &unit->tasks[index];
+    struct mw_task_note *note = &record->tasks.notes[record->tasks.count++];
+
+    note->id = (struct mw_task_id){unit->flow->id, unit->occurrence,
+                                   unit->number, index};
+    note->state = state;
+    note->run = run;
+    note->failures = task->failures;
+    note->checkpoint = mw_keep_blob(task->checkpoint);
+    return note;
+}
+
+static void
+set_checkpoint(struct mw_task_note *note, struct mw_str text)
+{
+    if (text.len > 0) {
+        mw_drop_blob(note->checkpoint);
+        note->checkpoint = mw_new_blob(text);
+    }
+}
+
+/* Proposes and gives the record back; false when this process can't. */
+static bool
+propose(struct mw_flows *flows, struct mw_record *record)
+{
+    bool ok = record->kind == MW_RECORD_TASKS
+                  ? mw_propose_tasks(flows, record)
+                  : flows->output.propose(flows->output.opaque, record) == 0;
+
+    mw_drop_record(record);
+    return ok;
+}
+
+static bool
+is_run_of(const struct mw_flow_task *task, uint32_t run)
+{
+    return task->run == run && task->state != MW_TASK_DONE;
+}
+
+void
+mw_lose_run(struct mw_flows *flows, int64_t now_us, struct mw_place *place,
+            const char *why)
+{
+    struct mw_unit *unit = place->unit;
+    struct mw_flow_task *task = &unit->tasks[place->index];
+    bool intended = place->phase == MW_PLACE_INTENDED;
+    bool matters = unit->flow->state == MW_FLOW_ACTIVE &&
+                   (intended || (task->state == MW_TASK_ORDERED &&
+                                 task->run == place->run));
+
+    mw_place_note(flows, "run_over", place, why,
+                  now_us - place->endpoint->heard_us);
+    flows->counters.lost_runs += !intended;
+    if (matters) {
+        struct mw_record *record = new_notes(1);
+        struct mw_task_note *note =
+            add_note(record, unit, place->index, MW_TASK_WAITING, place->run);
+
+        set_checkpoint(note, mw_blob_str(place->checkpoint));
+        propose(flows, record);
+    }
+    mw_free_place(flows, place);
+    if (matters && unit->step->gang) {
+        mw_stop_unit(flows, now_us, unit);
+    }
+}
+
+static uint32_t
+failures_of(const struct mw_unit *unit, uint32_t index)
+{
+    uint32_t failures = 0;
+
+    if (!unit->step->gang) {
+        return unit->tasks[index].failures;
+    }
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        failures += unit->tasks[i].failures;
+    }
+    return failures;
+}
+
+static void
+fail_flow(struct mw_flows *flows, struct mw_flow *flow)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_FLOW_STATE);
+
+    record->flow_state.id = flow->id;
+    record->flow_state.state = MW_FLOW_FAILED;
+    flow->ending = propose(flows, record);
+    mw_flow_note(flows, "flow_failed", &flow->id, "attempts_used_up");
+}
+
+/* A gang's run counts as failed once, whichever members say so. */
+static bool
+counts_as_failure(struct mw_unit *unit, const struct mw_listed_run *run)
+{
+    if (run->end != MW_END_FAILED ||
+        (unit->step->gang && unit->failed_run == run->run)) {
+        return false;
+    }
+    unit->failed_run = run->run;
+    return true;
+}
+
+static void
+note_done(struct mw_record *record, struct mw_unit *unit,
+          const struct mw_listed_run *run)
+{
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        if ((unit->step->gang || i == run->task.index) &&
+            is_run_of(&unit->tasks[i], run->run)) {
+            add_note(record, unit, i, MW_TASK_DONE, run->run);
+        }
+    }
+}
+
+static void
+note_not_done(struct mw_flows *flows, struct mw_record *record,
+              struct mw_unit *unit, const struct mw_listed_run *run)
+{
+    struct mw_task_note *note;
+
+    if (unit->tasks[run->task.index].state != MW_TASK_ORDERED) {
+        return;
+    }
+    note = add_note(record, unit, run->task.index, MW_TASK_WAITING, run->run);
+    set_checkpoint(note, run->checkpoint);
+    if (run->checkpoint.len > 0) {
+        unit->checkpoint_index = run->task.index;
+    }
+    if (counts_as_failure(unit, run)) {
+        note->failures++;
+        flows->counters.failures++;
+        if (failures_of(unit, run->task.index) + 1 >=
+            unit->flow->route.attempts_max) {
+            fail_flow(flows, unit->flow);
+        }
+    }
+}
+
+/* Three things that fail one after the other look like the endpoint's fault.
+ */
+static void
+judge_endpoint(struct mw_flows *flows, int64_t now_us,
+               struct mw_flow_endpoint *endpoint,
+               const struct mw_listed_run *run)
+{
+    if (run->end == MW_END_DONE) {
+        endpoint->failures_in_row = 0;
+    }
+    if (run->end != MW_END_FAILED) {
+        return;
+    }
+    endpoint->failures_in_row++;
+    if (endpoint->failures_in_row >= 2) {
+        endpoint->sick_deadline_us = now_us + 2 * MW_SICK_US;
+        flows->counters.quarantined++;
+        mw_endpoint_note(flows, "endpoint_quarantined", endpoint,
+                         "failures_in_row", 0);
+    }
+}
+
+/* Returns false when the end could not be proposed and must be seen again. */
+static bool
+take_end(struct mw_flows *flows, int64_t now_us,
+         struct mw_flow_endpoint *endpoint, const struct mw_listed_run *run)
+{
+    struct mw_unit *unit;
+    struct mw_flow_task *task = mw_find_task(flows, &run->task, &unit);
+    struct mw_place *place = mw_find_run(endpoint, &run->task, run->run);
+    struct mw_record *record;
+    struct mw_str word = mw_run_end_word(run->end);
+
+    flows->counters.ends++;
+    judge_endpoint(flows, now_us, endpoint, run);
+    if (place) {
+        mw_place_note(flows, "run_ended", place, word.ptr,
+                      now_us - place->started_us);
+        mw_free_place(flows, place);
+    }
+    if (!task || !is_run_of(task, run->run) || !mw_flow_is_open(unit->flow) ||
+        !mw_name_equal(&task->endpoint, &endpoint->id)) {
+        return true;
+    }
+    record = new_notes(unit->step->count);
+    if (run->end == MW_END_DONE) {
+        note_done(record, unit, run);
+    }
+    else {
+        note_not_done(flows, record, unit, run);
+    }
+    if (record->tasks.count == 0) {
+        mw_drop_record(record);
+        return true;
+    }
+    /* tells flow-state.c whose end is committed */
+    record->tasks.notes[0].endpoint = endpoint->id;
+    if (!propose(flows, record)) {
+        return false;
+    }
+    if (run->end != MW_END_DONE && unit->step->gang) {
+        mw_stop_unit(flows, now_us, unit);
+    }
+    endpoint->pending_ends++;
+    return true;
+}
+
+static void
+take_running(struct mw_flows *flows, int64_t now_us,
+             struct mw_flow_endpoint *endpoint,
+             const struct mw_listed_run *run)
+{
+    struct mw_place *place = mw_find_run(endpoint, &run->task, run->run);
+
+    if (!place) {
+        return;
+    }
+    place->percent = run->percent;
+    if (run->checkpoint.len > 0 &&
+        !mw_str_equal(mw_blob_str(place->checkpoint), run->checkpoint)) {
+        mw_drop_blob(place->checkpoint);
+        place->checkpoint = mw_new_blob(run->checkpoint);
+    }
+    if (place->phase == MW_PLACE_UNKNOWN ||
+        place->phase == MW_PLACE_STARTING) {
+        place->phase = MW_PLACE_RUNNING;
+        place->started_us = now_us;
+        place->settled_us = now_us;
+        mw_place_note(flows, "run_seen", place, "running", 0);
+    }
+}
+
+static bool
+is_listed(const struct mw_flow_answer *answer, const struct mw_place *place)
+{
+    struct mw_task_id id = mw_place_task_id(place);
+
+    for (uint32_t i = 0; i < answer->run_count; i++) {
+        const struct mw_listed_run *run = &answer->runs[i];
+
+        if (run->run == place->run && run->task.index == id.index &&
+            run->task.step == id.step &&
+            run->task.occurrence == id.occurrence &&
+            mw_name_equal(&run->task.flow, &id.flow)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+may_start_there(const struct mw_flows *flows, const struct mw_place *place)
+{
+    const struct mw_flow_endpoint *endpoint = place->endpoint;
+
+    return place->unit->flow->state == MW_FLOW_ACTIVE &&
+           !endpoint->beat.draining &&
+           !mw_zone_out_has(flows, &endpoint->beat.zone);
+}
+
+/* The list was asked for after the run's last order was answered. */
+static void
+take_absence(struct mw_flows *flows, int64_t now_us, struct mw_place *place)
+{
+    switch (place->phase) {
+    case MW_PLACE_STOPPED:
+        mw_lose_run(flows, now_us, place, "stopped");
+        break;
+    case MW_PLACE_RUNNING:
+        mw_stop_place(flows, now_us, place);
+        break;
+    case MW_PLACE_UNKNOWN:
+        place->unanswered = true;
+        if (may_start_there(flows, place)) {
+            place->phase = MW_PLACE_STARTING;
+            mw_send_start(flows, now_us, place);
+        }
+        else {
+            mw_stop_place(flows, now_us, place);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void
+mw_observe(struct mw_flows *flows, int64_t now_us,
+           struct mw_flow_endpoint *endpoint,
+           const struct mw_flow_answer *answer, int64_t sent_us)
+{
+    GPtrArray *places;
+    uint32_t ends = 0;
+
+    for (uint32_t i = 0; i < answer->run_count; i++) {
+        const struct mw_listed_run *run = &answer->runs[i];
+
+        if (!run->ended) {
+            take_running(flows, now_us, endpoint, run);
+            continue;
+        }
+        ends++;
+        if (run->number > endpoint->seen_end) {
+            if (!take_end(flows, now_us, endpoint, run)) {
+                return;
+            }
+            endpoint->seen_end = run->number;
+        }
+    }
+    if (endpoint->pending_ends == 0) {
+        endpoint->committed_end = endpoint->seen_end;
+    }
+    if (ends >= LISTED_ENDS_MAX) {
+        return;
+    }
+    places = g_ptr_array_copy(endpoint->places, NULL, NULL);
+    for (guint i = 0; i < places->len; i++) {
+        struct mw_place *place = places->pdata[i];
+
+        /* an earlier one may have taken this one with it */
+        if (g_ptr_array_find(endpoint->places, place, NULL) &&
+            sent_us > place->settled_us && !is_listed(answer, place)) {
+            take_absence(flows, now_us, place);
+        }
+    }
+    g_ptr_array_unref(places);
+}
--- /dev/null
+++ b/source/core/flow/flow-order.c
@@ -0,0 +1,164 @@
+/*
+ * flow-order: what endpoints are told, and under which lease.
+ */
+#include "flow-impl.h"
+
+static struct mw_flow_call *
+new_call(struct mw_flows *flows, int64_t now_us,
+         struct mw_flow_endpoint *endpoint, struct mw_flow_order *order)
+{
+    struct mw_flow_call *call = g_new0(struct mw_flow_call, 1);
+
+    order->ref = flows->next_ref++;
+    order->endpoint = endpoint->id;
+    order->address = endpoint->beat.address;
+    order->fence = flows->fence;
+    order->answer_deadline_us = now_us + order->wait_us + MW_ORDER_ANSWER_US;
+    call->ref = order->ref;
+    call->kind = order->kind;
+    call->endpoint = endpoint->id;
+    call->born = endpoint->born;
+    call->task = order->task;
+    call->run = order->run;
+    call->sent_us = now_us;
+    g_hash_table_insert(flows->calls, &call->ref, call);
+    return call;
+}
+
+/* A lease that ends after a time on the endpoint's clock, and is noted. */
+static int64_t
+grant(struct mw_flow_endpoint *endpoint, int64_t now_us, int64_t lease_us)
+{
+    int64_t drift_us = (now_us - endpoint->clock_at_us) / 32;
+    int64_t lapse_us = now_us + lease_us * MW_CLOCK_SLOW_PERMILLE / 1000 +
+                       drift_us + MW_LEASE_MARGIN_US;
+
+    endpoint->lapse_deadline_us = MAX(endpoint->lapse_deadline_us, lapse_us);
+    return mw_endpoint_clock(endpoint, now_us) + lease_us;
+}
+
+/* The members of a gang must resume from one checkpoint. */
+static struct mw_blob *
+checkpoint_of(const struct mw_unit *unit, uint32_t index)
+{
+    struct mw_blob *checkpoint = unit->tasks[index].checkpoint;
+
+    if (!unit->step->gang) {
+        return checkpoint;
+    }
+    checkpoint = unit->tasks[unit->checkpoint_index].checkpoint;
+    for (uint32_t i = 0; i < unit->step->count && !checkpoint; i++) {
+        checkpoint = unit->tasks[i].checkpoint;
+    }
+    return checkpoint;
+}
+
+void
+mw_send_start(struct mw_flows *flows, int64_t now_us, struct mw_place *place)
+{
+    struct mw_flow_order order = {
+        .kind = MW_FLOW_START,
+        .task = mw_place_task_id(place),
+        .run = place->run,
+        .spec = place->unit->flow->plan->spec,
+        .checkpoint = checkpoint_of(place->unit, place->index),
+    };
+
+    order.lease_deadline_us =
+        grant(place->endpoint, now_us, MW_START_LEASE_US);
+    place->busy = true;
+    place->tries++;
+    flows->counters.starts++;
+    new_call(flows, now_us, place->endpoint, &order);
+    mw_place_note(flows, "start", place,
+                  place->tries > 1 ? "sent_again" : "sent",
+                  now_us - place->endpoint->heard_us);
+    flows->output.order(flows->output.opaque, &order);
+}
+
+void
+mw_send_stop(struct mw_flows *flows, int64_t now_us, struct mw_place *place)
+{
+    struct mw_flow_order order = {
+        .kind = MW_FLOW_STOP,
+        .task = mw_place_task_id(place),
+        .run = place->run,
+    };
+
+    place->busy = true;
+    flows->counters.stops++;
+    new_call(flows, now_us, place->endpoint, &order);
+    mw_place_note(flows, "stop", place, "sent",
+                  now_us - place->endpoint->heard_us);
+    flows->output.order(flows->output.opaque, &order);
+}
+
+void
+mw_stop_place(struct mw_flows *flows, int64_t now_us, struct mw_place *place)
+{
+    if (place->phase == MW_PLACE_STOPPING ||
+        place->phase == MW_PLACE_STOPPED) {
+        return;
+    }
+    if (place->phase == MW_PLACE_INTENDED) {
+        /* nothing was sent: the record is followed by its opposite */
+        mw_lose_run(flows, now_us, place, "not_sent");
+        return;
+    }
+    place->phase = MW_PLACE_STOPPING;
+    place->retry_deadline_us = now_us;
+    if (place->endpoint->known) {
+        mw_send_stop(flows, now_us, place);
+    }
+}
+
+void
+mw_stop_unit(struct mw_flows *flows, int64_t now_us, struct mw_unit *unit)
+{
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        if (unit->tasks[i].place) {
+            mw_stop_place(flows, now_us, unit->tasks[i].place);
+        }
+    }
+}
+
+/* A list that decides something is asked for without waiting for an end. */
+static bool
+is_settled(const struct mw_flow_endpoint *endpoint)
+{
+    for (guint i = 0; i < endpoint->places->len; i++) {
+        const struct mw_place *place = endpoint->places->pdata[i];
+
+        if (place->phase == MW_PLACE_UNKNOWN ||
+            place->phase == MW_PLACE_STOPPED) {
+            return false;
+        }
+    }
+    return endpoint->places->len > 0;
+}
+
+void
+mw_send_hold(struct mw_flows *flows, int64_t now_us,
+             struct mw_flow_endpoint *endpoint)
+{
+    struct mw_flow_order order = {
+        .kind = MW_FLOW_HOLD,
+        .acknowledged = endpoint->committed_end,
+    };
+    bool trusted = endpoint->silent == 0 && endpoint->clock_at_us > 0;
+
+    /* a lease that may not arrive would only put off giving up */
+    if (trusted && endpoint->places->len > 0) {
+        order.lease_deadline_us =
+            grant(endpoint, now_us,
+                  MIN(MW_HOLD_LEASE_US,
+                      flows->bounds.lease_max_us - MW_LEASE_MARGIN_US));
+    }
+    order.wait_us = trusted && is_settled(endpoint) ? MW_HOLD_WAIT_US : 0;
+    endpoint->holding = true;
+    endpoint->look_wanted = false;
+    endpoint->hold_sent_us = now_us;
+    flows->counters.holds++;
+    new_call(flows, now_us, endpoint, &order);
+    flows->output.order(flows->output.opaque, &order);
+}
--- /dev/null
+++ b/source/core/flow/flow-place.c
@@ -0,0 +1,298 @@
+/*
+ * flow-place: where the waiting tasks of a step can run now.
+ *
+ * LOAD   many small tasks beside gangs that want whole endpoints or one
+ *        rack: the fullest endpoint that fits is taken, and the rack with
+ *        the least room that holds the whole gang, so that large room stays
+ *        in one piece.
+ */
+#include "flow-impl.h"
+
+struct mw_place *
+mw_add_place(struct mw_flow_endpoint *endpoint, struct mw_unit *unit,
+             uint32_t index, uint32_t run, enum mw_place_phase phase)
+{
+    struct mw_place *place = g_new0(struct mw_place, 1);
+
+    place->unit = unit;
+    place->index = index;
+    place->run = run;
+    place->endpoint = endpoint;
+    place->need = unit->step->need;
+    place->phase = phase;
+    endpoint->used.cpu += place->need.cpu;
+    endpoint->used.memory_mb += place->need.memory_mb;
+    endpoint->used.gpus += place->need.gpus;
+    g_ptr_array_add(endpoint->places, place);
+    unit->tasks[index].place = place;
+    return place;
+}
+
+void
+mw_free_place(struct mw_flows *flows, struct mw_place *place)
+{
+    struct mw_flow_endpoint *endpoint = place->endpoint;
+    struct mw_flow_task *task = &place->unit->tasks[place->index];
+
+    endpoint->used.cpu -= place->need.cpu;
+    endpoint->used.memory_mb -= place->need.memory_mb;
+    endpoint->used.gpus -= place->need.gpus;
+    g_ptr_array_remove_fast(endpoint->places, place);
+    if (task->place == place) {
+        task->place = NULL;
+    }
+    mw_drop_blob(place->checkpoint);
+    g_free(place);
+    flows->dirty = true;
+}
+
+struct mw_task_id
+mw_place_task_id(const struct mw_place *place)
+{
+    return (struct mw_task_id){place->unit->flow->id, place->unit->occurrence,
+                               place->unit->number, place->index};
+}
+
+struct mw_place *
+mw_find_run(const struct mw_flow_endpoint *endpoint,
+            const struct mw_task_id *task, uint32_t run)
+{
+    for (guint i = 0; i < endpoint->places->len; i++) {
+        struct mw_place *place = endpoint->places->pdata[i];
+
+        if (place->run == run && place->index == task->index &&
+            place->unit->number == task->step &&
+            place->unit->occurrence == task->occurrence &&
+            mw_name_equal(&place->unit->flow->id, &task->flow)) {
+            return place;
+        }
+    }
+    return NULL;
+}
+
+static uint32_t
+room_in(uint32_t total, uint32_t used, uint32_t need)
+{
+    if (need == 0) {
+        return UINT32_MAX;
+    }
+    return used >= total ? 0 : (total - used) / need;
+}
+
+uint32_t
+mw_room_for(const struct mw_flow_amount *total,
+            const struct mw_flow_amount *used,
+            const struct mw_flow_amount *need)
+{
+    uint32_t room = room_in(total->cpu, used->cpu, need->cpu);
+
+    room =
+        MIN(room, room_in(total->memory_mb, used->memory_mb, need->memory_mb));
+    room = MIN(room, room_in(total->gpus, used->gpus, need->gpus));
+    return MIN(room, MW_FLOW_TASKS_MAX);
+}
+
+uint32_t
+mw_spread_left(const struct mw_flow_endpoint *endpoint,
+               const struct mw_unit *unit)
+{
+    uint32_t there = 0;
+
+    if (unit->step->spread == 0) {
+        return UINT32_MAX;
+    }
+    for (guint i = 0; i < endpoint->places->len; i++) {
+        const struct mw_place *place = endpoint->places->pdata[i];
+
+        there += place->unit == unit;
+    }
+    return there >= unit->step->spread ? 0 : unit->step->spread - there;
+}
+
+bool
+mw_fits_unit(const struct mw_flows *flows,
+             const struct mw_flow_endpoint *endpoint,
+             const struct mw_unit *unit, int64_t now_us)
+{
+    if (!mw_endpoint_is_usable(flows, endpoint, now_us) ||
+        !mw_name_equal(&endpoint->beat.service, &unit->flow->route.service)) {
+        return false;
+    }
+    if (unit->step->label.len > 0 &&
+        !mw_endpoint_has_label(endpoint, &unit->step->label)) {
+        return false;
+    }
+    return !endpoint->reserved_for || endpoint->reserved_for == unit ||
+           now_us >= endpoint->reserved_deadline_us;
+}
+
+/* candidate: an endpoint with room for some tasks of the unit. */
+struct candidate {
+    struct mw_flow_endpoint *endpoint;
+    uint32_t room;
+};
+
+static uint32_t
+free_gpus(const struct mw_flow_endpoint *endpoint)
+{
+    uint32_t total = endpoint->beat.total.gpus;
+
+    return total > endpoint->used.gpus ? total - endpoint->used.gpus : 0;
+}
+
+static gint
+by_fullness(gconstpointer a, gconstpointer b)
+{
+    const struct mw_flow_endpoint *x = ((const struct candidate *)a)->endpoint;
+    const struct mw_flow_endpoint *y = ((const struct candidate *)b)->endpoint;
+
+    if (x->failures_in_row != y->failures_in_row) {
+        return x->failures_in_row < y->failures_in_row ? -1 : 1;
+    }
+    if (free_gpus(x) != free_gpus(y)) {
+        return free_gpus(x) < free_gpus(y) ? -1 : 1;
+    }
+    return x < y ? -1 : x > y;
+}
+
+static GArray *
+find_candidates(struct mw_flows *flows, const struct mw_unit *unit,
+                int64_t now_us)
+{
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct candidate c = {value, 0};
+
+        if (!mw_fits_unit(flows, c.endpoint, unit, now_us)) {
+            continue;
+        }
+        c.room = mw_room_for(&c.endpoint->beat.total, &c.endpoint->used,
+                             &unit->step->need);
+        c.room = MIN(c.room, mw_spread_left(c.endpoint, unit));
+        if (c.room > 0) {
+            g_array_append_val(found, c);
+        }
+    }
+    g_array_sort(found, by_fullness);
+    return found;
+}
+
+static uint32_t
+room_of_rack(const GArray *candidates, const struct mw_name *rack)
+{
+    uint32_t room = 0;
+
+    for (guint i = 0; i < candidates->len; i++) {
+        const struct candidate *c =
+            &g_array_index(candidates, struct candidate, i);
+
+        if (mw_name_equal(&c->endpoint->rack, rack)) {
+            room += c->room;
+        }
+    }
+    return room;
+}
+
+/* The rack with the least room that still holds all; NULL for none. */
+static const struct mw_name *
+best_rack(const GArray *candidates, uint32_t wanted)
+{
+    const struct mw_name *best = NULL;
+    uint32_t best_room = UINT32_MAX;
+
+    for (guint i = 0; i < candidates->len; i++) {
+        const struct mw_name *rack =
+            &g_array_index(candidates, struct candidate, i).endpoint->rack;
+        uint32_t room = room_of_rack(candidates, rack);
+
+        if (room >= wanted && room < best_room) {
+            best = rack;
+            best_room = room;
+        }
+    }
+    return best;
+}
+
+static const struct mw_name *
+rack_in_use(const struct mw_unit *unit)
+{
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        if (unit->tasks[i].place) {
+            return &unit->tasks[i].place->endpoint->rack;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * Which rack to keep to.  Returns false when the tasks do better to wait;
+ * *rack is NULL where any will do.
+ */
+static bool
+choose_rack(const struct mw_unit *unit, const GArray *candidates,
+            int64_t now_us, uint32_t wanted, const struct mw_name **rack)
+{
+    int64_t waited_us = now_us - unit->ready_us;
+    uint32_t whole = unit->step->gang ? wanted : 1;
+
+    *rack = NULL;
+    if (unit->step->data_rack.len > 0) {
+        if (room_of_rack(candidates, &unit->step->data_rack) >= whole) {
+            *rack = &unit->step->data_rack;
+            return true;
+        }
+        if (waited_us < MW_FAR_AFTER_US) {
+            return false;
+        }
+    }
+    if (!unit->step->one_rack) {
+        return true;
+    }
+    *rack = rack_in_use(unit);
+    if (*rack && room_of_rack(candidates, *rack) >= whole) {
+        return true;
+    }
+    *rack = best_rack(candidates, wanted);
+    return *rack || waited_us >= MW_SPREAD_AFTER_US;
+}
+
+static uint32_t
+fill(const GArray *candidates, const struct mw_name *rack, uint32_t wanted,
+     GPtrArray *chosen)
+{
+    for (guint i = 0; i < candidates->len && chosen->len < wanted; i++) {
+        const struct candidate *c =
+            &g_array_index(candidates, struct candidate, i);
+
+        if (rack && !mw_name_equal(&c->endpoint->rack, rack)) {
+            continue;
+        }
+        for (uint32_t n = 0; n < c->room && chosen->len < wanted; n++) {
+            g_ptr_array_add(chosen, c->endpoint);
+        }
+    }
+    return chosen->len;
+}
+
+uint32_t
+mw_choose(struct mw_flows *flows, struct mw_unit *unit, int64_t now_us,
+          uint32_t wanted, GPtrArray *chosen)
+{
+    GArray *candidates = find_candidates(flows, unit, now_us);
+    const struct mw_name *rack;
+    uint32_t found = 0;
+
+    if (choose_rack(unit, candidates, now_us, wanted, &rack)) {
+        found = fill(candidates, rack, wanted, chosen);
+    }
+    if (unit->step->gang && found < wanted) {
+        g_ptr_array_set_size(chosen, 0);
+        found = 0;
+    }
+    g_array_unref(candidates);
+    return found;
+}
--- /dev/null
+++ b/source/core/flow/flow-pump.c
@@ -0,0 +1,359 @@
+/*
+ * flow-pump: everything that is due, in one order.
+ *
+ * Leases that have lapsed, orders to send again, lists to ask for, then
+ * waiting work by urgency.
+ */
+#include "flow-impl.h"
+
+static void
+lapse(struct mw_flows *flows, int64_t now_us,
+      struct mw_flow_endpoint *endpoint)
+{
+    bool lost = true;
+
+    while (lost) {
+        lost = false;
+        for (guint i = 0; i < endpoint->places->len; i++) {
+            struct mw_place *place = endpoint->places->pdata[i];
+
+            if (place->phase != MW_PLACE_INTENDED) {
+                mw_lose_run(flows, now_us, place, "lease_lapsed");
+                lost = true;
+                break;
+            }
+        }
+    }
+}
+
+static void
+resend(struct mw_flows *flows, int64_t now_us,
+       struct mw_flow_endpoint *endpoint)
+{
+    for (guint i = 0; i < endpoint->places->len; i++) {
+        struct mw_place *place = endpoint->places->pdata[i];
+
+        if (place->busy || now_us < place->retry_deadline_us) {
+            continue;
+        }
+        if (place->phase == MW_PLACE_STARTING) {
+            mw_send_start(flows, now_us, place);
+        }
+        else if (place->phase == MW_PLACE_STOPPING) {
+            mw_send_stop(flows, now_us, place);
+        }
+    }
+}
+
+static bool
+has_started(const struct mw_flow_endpoint *endpoint)
+{
+    for (guint i = 0; i < endpoint->places->len; i++) {
+        const struct mw_place *place = endpoint->places->pdata[i];
+
+        if (place->phase != MW_PLACE_INTENDED &&
+            place->phase != MW_PLACE_STARTING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+wants_hold(const struct mw_flow_endpoint *endpoint, int64_t now_us)
+{
+    if (endpoint->holding || !endpoint->known || endpoint->departed ||
+        endpoint->pending_ends > 0 || now_us < endpoint->hold_deadline_us) {
+        return false;
+    }
+    return has_started(endpoint) ||
+           endpoint->committed_end > endpoint->acknowledged_end;
+}
+
+static void
+tend_endpoint(struct mw_flows *flows, int64_t now_us,
+              struct mw_flow_endpoint *endpoint)
+{
+    if (endpoint->places->len > 0 && now_us >= endpoint->lapse_deadline_us) {
+        lapse(flows, now_us, endpoint);
+    }
+    if (!endpoint->known) {
+        return;
+    }
+    resend(flows, now_us, endpoint);
+    if (wants_hold(endpoint, now_us)) {
+        endpoint->acknowledged_end = endpoint->committed_end;
+        mw_send_hold(flows, now_us, endpoint);
+    }
+}
+
+static void
+intend(struct mw_flows *flows, int64_t now_us, struct mw_unit *unit,
+       GPtrArray *chosen)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
+    uint32_t gang_run = mw_unit_run_max(unit) + 1;
+    guint next = 0;
+
+    record->tasks.notes = g_new0(struct mw_task_note, chosen->len);
+    for (uint32_t i = 0; i < unit->step->count && next < chosen->len; i++) {
+        struct mw_flow_task *task = &unit->tasks[i];
+        struct mw_task_note *note = &record->tasks.notes[next];
+        struct mw_flow_endpoint *endpoint;
+
+        if (!mw_task_waits(task)) {
+            continue;
+        }
+        endpoint = chosen->pdata[next++];
+        record->tasks.count = next;
+        note->id = (struct mw_task_id){unit->flow->id, unit->occurrence,
+                                       unit->number, i};
+        note->state = MW_TASK_ORDERED;
+        note->run = unit->step->gang ? gang_run : task->run + 1;
+        note->failures = task->failures;
+        note->endpoint = endpoint->id;
+        note->born = endpoint->born;
+        note->checkpoint = mw_keep_blob(task->checkpoint);
+        mw_add_place(endpoint, unit, i, note->run, MW_PLACE_INTENDED);
+        if (endpoint->reserved_for == unit) {
+            endpoint->reserved_for = NULL;
+        }
+    }
+    if (!mw_propose_tasks(flows, record)) {
+        for (uint32_t i = 0; i < unit->step->count; i++) {
+            struct mw_place *place = unit->tasks[i].place;
+
+            if (place && place->phase == MW_PLACE_INTENDED) {
+                mw_free_place(flows, place);
+            }
+        }
+    }
+    (void)now_us;
+    mw_drop_record(record);
+}
+
+static uint32_t
+waiting_tasks(const struct mw_unit *unit)
+{
+    uint32_t waiting = 0;
+
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        waiting += mw_task_waits(&unit->tasks[i]);
+    }
+    return waiting;
+}
+
+static void
+place_waiting(struct mw_flows *flows, int64_t now_us, int64_t wall_us)
+{
+    GPtrArray *units = mw_rank_units(flows, now_us, wall_us);
+    GPtrArray *chosen = g_ptr_array_new();
+
+    for (guint i = 0; i < units->len; i++) {
+        struct mw_unit *unit = units->pdata[i];
+        uint32_t waiting = waiting_tasks(unit);
+        uint32_t found;
+
+        g_ptr_array_set_size(chosen, 0);
+        found = mw_choose(flows, unit, now_us, waiting, chosen);
+        if (found > 0) {
+            intend(flows, now_us, unit, chosen);
+        }
+        if (found < waiting) {
+            mw_make_room(flows, unit, waiting - found, now_us);
+        }
+    }
+    g_ptr_array_unref(chosen);
+    g_ptr_array_unref(units);
+}
+
+/* Recorded as ordered, but on no endpoint: its run is known to be over. */
+static void
+free_orphans(struct mw_flows *flows)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
+    GArray *notes = g_array_new(FALSE, TRUE, sizeof(struct mw_task_note));
+
+    for (guint f = 0; f < flows->active->len; f++) {
+        struct mw_flow *flow = flows->active->pdata[f];
+
+        for (uint32_t u = 0; u < flow->unit_count; u++) {
+            struct mw_unit *unit = &flow->units[u];
+
+            for (uint32_t i = 0; i < unit->step->count; i++) {
+                const struct mw_flow_task *task = &unit->tasks[i];
+                struct mw_task_note note = {
+                    .id = {flow->id, unit->occurrence, unit->number, i},
+                    .run = task->run,
+                    .failures = task->failures};
+
+                if (task->state != MW_TASK_ORDERED || task->place ||
+                    task->in_flight > 0) {
+                    continue;
+                }
+                note.checkpoint = mw_keep_blob(task->checkpoint);
+                g_array_append_val(notes, note);
+            }
+        }
+    }
+    record->tasks.count = notes->len;
+    record->tasks.notes =
+        (struct mw_task_note *)(void *)g_array_free(notes, FALSE);
+    if (record->tasks.count > 0) {
+        mw_propose_tasks(flows, record);
+    }
+    mw_drop_record(record);
+}
+
+void
+mw_pump(struct mw_flows *flows, int64_t now_us, int64_t wall_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        tend_endpoint(flows, now_us, value);
+    }
+    place_waiting(flows, now_us, wall_us);
+    flows->dirty = false;
+}
+
+/* Places for what earlier leaders recorded; lists will tell about them. */
+static void
+recall_places(struct mw_flows *flows, int64_t now_us)
+{
+    for (guint f = 0; f < flows->active->len; f++) {
+        struct mw_flow *flow = flows->active->pdata[f];
+
+        for (uint32_t u = 0; u < flow->unit_count; u++) {
+            struct mw_unit *unit = &flow->units[u];
+
+            for (uint32_t i = 0; i < unit->step->count; i++) {
+                struct mw_flow_task *task = &unit->tasks[i];
+                struct mw_flow_endpoint *endpoint;
+                struct mw_place *place;
+
+                if (task->state != MW_TASK_ORDERED) {
+                    continue;
+                }
+                endpoint = mw_find_flow_endpoint(flows, &task->endpoint);
+                if (!endpoint) {
+                    endpoint = mw_new_stub(flows, now_us, &task->endpoint,
+                                           task->born);
+                }
+                place = mw_add_place(endpoint, unit, i, task->run,
+                                     MW_PLACE_UNKNOWN);
+                place->started_us = now_us;
+            }
+        }
+    }
+}
+
+/* Endpoints, places and orders are the leader's own. */
+static void
+forget_leading(struct mw_flows *flows)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+
+        while (endpoint->places->len > 0) {
+            mw_free_place(flows, endpoint->places->pdata[0]);
+        }
+    }
+    g_hash_table_remove_all(flows->endpoints);
+    g_hash_table_remove_all(flows->calls);
+    for (guint f = 0; f < flows->active->len; f++) {
+        struct mw_flow *flow = flows->active->pdata[f];
+
+        flow->ending = false;
+        for (uint32_t u = 0; u < flow->unit_count; u++) {
+            flow->units[u].ready_us = 0;
+            flow->units[u].reclaim_deadline_us = 0;
+            for (uint32_t i = 0; i < flow->units[u].step->count; i++) {
+                flow->units[u].tasks[i].in_flight = 0;
+            }
+        }
+    }
+}
+
+void
+mw_flows_lead(struct mw_flows *flows, int64_t now_us, bool lead,
+              uint64_t fence)
+{
+    if (flows->lead == lead && (!lead || flows->fence == fence)) {
+        return;
+    }
+    if (flows->lead) {
+        mw_end_requests(flows);
+    }
+    forget_leading(flows);
+    flows->lead = lead;
+    flows->fence = fence;
+    flows->led_since_us = now_us;
+    flows->proposed_version = mw_flows_version(flows);
+    flows->tick_deadline_us = lead ? now_us : INT64_MAX;
+    if (lead) {
+        recall_places(flows, now_us);
+        flows->dirty = true;
+    }
+}
+
+static void
+forget_ended(struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->flows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow *flow = value;
+        struct mw_record *record;
+
+        if (flow->state == MW_FLOW_ACTIVE) {
+            continue;
+        }
+        if (flow->ended_us == 0) {
+            flow->ended_us = now_us;
+        }
+        if (now_us - flow->ended_us < flows->bounds.state_kept_us) {
+            continue;
+        }
+        flow->ended_us = now_us;
+        record = mw_new_record(MW_RECORD_FLOW_STATE);
+        record->flow_state.id = flow->id;
+        record->flow_state.state = flow->state;
+        record->flow_state.forget = true;
+        flows->output.propose(flows->output.opaque, record);
+        mw_drop_record(record);
+    }
+}
+
+void
+mw_flows_tick(struct mw_context *ctx, struct mw_flows *flows, int64_t now_us,
+              int64_t wall_us)
+{
+    (void)ctx;
+    if (!flows->lead) {
+        return;
+    }
+    if (now_us >= flows->tick_deadline_us) {
+        flows->tick_deadline_us = now_us + MW_FLOW_TICK_US;
+        free_orphans(flows);
+        forget_ended(flows, now_us);
+    }
+    mw_pump(flows, now_us, wall_us);
+}
+
+int64_t
+mw_flows_deadline(const struct mw_flows *flows)
+{
+    if (!flows->lead) {
+        return INT64_MAX;
+    }
+    return flows->dirty ? 0 : flows->tick_deadline_us;
+}
--- /dev/null
+++ b/source/core/flow/flow-queue.c
@@ -0,0 +1,142 @@
+/*
+ * flow-queue: which waiting work comes first.
+ *
+ * LOAD   bursts above what the endpoints can take.  Urgent work within its
+ *        organisation's guarantee goes first, then by the priority of the
+ *        route; among equals the one whose objective passes first.  Work
+ *        that is past any use goes behind its equals, so that one burst does
+ *        not make all that follows late too.
+ */
+#include "flow-impl.h"
+
+/* an answer is of little use after so many times its objective */
+#define LATE_FACTOR 3
+
+static int64_t
+objective_us(const struct mw_flow *flow)
+{
+    int64_t chain_us = 0;
+
+    for (uint32_t i = 0; i < flow->plan->step_count; i++) {
+        chain_us += flow->plan->steps[i].estimate_us;
+    }
+    return chain_us * flow->route.slack_permille / 1000 +
+           flow->route.target_us;
+}
+
+uint32_t
+mw_flow_gpus(const struct mw_flow *flow)
+{
+    uint32_t most = 0;
+
+    for (uint32_t i = 0; i < flow->plan->step_count; i++) {
+        const struct mw_flow_step *step = &flow->plan->steps[i];
+
+        most = MAX(most, step->count * step->need.gpus);
+    }
+    return most;
+}
+
+/* Flows of priority 0 that fit into a guarantee, the oldest first. */
+static bool
+is_guaranteed(const struct mw_flows *flows, GHashTable *claimed,
+              const struct mw_flow *flow)
+{
+    uint32_t claim;
+
+    if (flow->route.priority != 0 || !flows->config) {
+        return false;
+    }
+    claim = GPOINTER_TO_UINT(g_hash_table_lookup(claimed, &flow->org)) +
+            mw_flow_gpus(flow);
+    g_hash_table_insert(claimed, (gpointer)&flow->org,
+                        GUINT_TO_POINTER(claim));
+    for (uint32_t i = 0; i < flows->config->org_count; i++) {
+        const struct mw_flow_org *org = &flows->config->orgs[i];
+
+        if (mw_name_equal(&org->name, &flow->org)) {
+            return claim <= org->guaranteed_gpus;
+        }
+    }
+    return false;
+}
+
+static bool
+is_waiting(const struct mw_unit *unit)
+{
+    uint32_t waiting = 0;
+
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        const struct mw_flow_task *task = &unit->tasks[i];
+
+        waiting += mw_task_waits(task);
+    }
+    return unit->step->gang ? waiting == unit->step->count : waiting > 0;
+}
+
+static gint
+by_urgency(gconstpointer a, gconstpointer b)
+{
+    const struct mw_unit *x = *(const struct mw_unit *const *)a;
+    const struct mw_unit *y = *(const struct mw_unit *const *)b;
+    int64_t x_due_us = x->due_us;
+    int64_t y_due_us = y->due_us;
+
+    if (x->rank != y->rank) {
+        return x->rank < y->rank ? -1 : 1;
+    }
+    if (x->late != y->late) {
+        return x->late ? 1 : -1;
+    }
+    if (x_due_us != y_due_us) {
+        return x_due_us < y_due_us ? -1 : 1;
+    }
+    return x < y ? -1 : x > y;
+}
+
+static void
+rank(struct mw_unit *unit, int64_t now_us, int64_t wall_us, bool guaranteed)
+{
+    const struct mw_flow *flow = unit->flow;
+    int64_t allowed_us = objective_us(flow);
+    int64_t from_us = flow->accepted_wall_us;
+
+    if (flow->plan->timed) {
+        from_us = flow->plan->first_wall_us +
+                  unit->occurrence * flow->plan->every_us;
+    }
+    if (unit->ready_us == 0) {
+        unit->ready_us = now_us;
+    }
+    unit->rank = guaranteed ? 0 : 1 + flow->route.priority;
+    unit->due_us = from_us + allowed_us;
+    unit->late = wall_us > from_us + LATE_FACTOR * allowed_us;
+}
+
+GPtrArray *
+mw_rank_units(struct mw_flows *flows, int64_t now_us, int64_t wall_us)
+{
+    GPtrArray *units = g_ptr_array_new();
+    GHashTable *claimed = g_hash_table_new(mw_hash_name, mw_same_name);
+
+    for (guint f = 0; f < flows->active->len; f++) {
+        struct mw_flow *flow = flows->active->pdata[f];
+        bool guaranteed = is_guaranteed(flows, claimed, flow);
+
+        for (uint32_t i = 0; !flow->ending && i < flow->unit_count; i++) {
+            struct mw_unit *unit = &flow->units[i];
+
+            if (unit->done == unit->step->count ||
+                !mw_unit_is_ready(unit, wall_us)) {
+                continue;
+            }
+            rank(unit, now_us, wall_us, guaranteed);
+            if (is_waiting(unit)) {
+                g_ptr_array_add(units, unit);
+            }
+        }
+    }
+    g_hash_table_unref(claimed);
+    g_ptr_array_sort(units, by_urgency);
+    return units;
+}
--- /dev/null
+++ b/source/core/flow/flow-reclaim.c
@@ -0,0 +1,258 @@
+/*
+ * flow-reclaim: who makes room for urgent work.
+ *
+ * LOAD   urgent gangs that arrive while less urgent work fills the
+ *        endpoints.  The cheapest group of endpoints (one rack for a gang
+ *        that wants one) is cleared of just enough work of a lower rank;
+ *        gangs are stopped whole.  The endpoints are then kept for the work
+ *        that asked, until what was stopped has ended.
+ */
+#include "flow-impl.h"
+
+/* group: endpoints that could be cleared together, and what that costs. */
+struct group {
+    const struct mw_name *rack;
+    uint32_t room;
+    uint64_t cost;
+};
+
+static bool
+may_be_stopped(const struct mw_place *place, const struct mw_unit *unit)
+{
+    uint32_t rank = place->unit->rank;
+
+    return place->phase == MW_PLACE_RUNNING && rank > unit->rank &&
+           rank >= 2 && unit->rank < 2;
+}
+
+static bool
+is_leaving(const struct mw_place *place)
+{
+    return place->phase == MW_PLACE_STOPPING ||
+           place->phase == MW_PLACE_STOPPED;
+}
+
+/* Work thrown away, in GPU milliseconds; what saves loses little. */
+static uint64_t
+cost_of(const struct mw_place *place, int64_t now_us)
+{
+    uint64_t ran_ms = (uint64_t)(now_us - place->started_us) / 1000 + 200;
+    uint64_t weight = MAX(place->need.gpus, 1);
+
+    if (place->unit->step->saves) {
+        ran_ms = MIN(ran_ms, 1000);
+    }
+    if (place->unit->step->gang) {
+        weight *= place->unit->step->count;
+    }
+    /* less urgent work goes first */
+    return ran_ms * weight * (place->unit->rank >= 3 ? 1 : 3);
+}
+
+static void
+subtract(struct mw_flow_amount *used, const struct mw_flow_amount *need)
+{
+    used->cpu -= need->cpu;
+    used->memory_mb -= need->memory_mb;
+    used->gpus -= need->gpus;
+}
+
+static struct mw_place *
+cheapest(GPtrArray *places, int64_t now_us)
+{
+    struct mw_place *best = NULL;
+    uint64_t best_cost = UINT64_MAX;
+
+    for (guint i = 0; i < places->len; i++) {
+        uint64_t cost = cost_of(places->pdata[i], now_us);
+
+        if (cost < best_cost) {
+            best = places->pdata[i];
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+/*
+ * Room on one endpoint for up to wanted tasks once the cheapest work has
+ * gone; adds that work to victims, and its cost.
+ */
+static uint32_t
+clear_endpoint(struct mw_flow_endpoint *endpoint, const struct mw_unit *unit,
+               int64_t now_us, uint32_t wanted, GPtrArray *victims,
+               uint64_t *cost)
+{
+    struct mw_flow_amount used = endpoint->used;
+    GPtrArray *places = g_ptr_array_new();
+    uint32_t room;
+
+    wanted = MIN(wanted, mw_spread_left(endpoint, unit));
+    for (guint i = 0; i < endpoint->places->len; i++) {
+        struct mw_place *place = endpoint->places->pdata[i];
+
+        if (is_leaving(place)) {
+            subtract(&used, &place->need);
+        }
+        else if (may_be_stopped(place, unit)) {
+            g_ptr_array_add(places, place);
+        }
+    }
+    room = mw_room_for(&endpoint->beat.total, &used, &unit->step->need);
+    while (room < wanted && places->len > 0) {
+        struct mw_place *victim = cheapest(places, now_us);
+
+        g_ptr_array_remove_fast(places, victim);
+        g_ptr_array_add(victims, victim);
+        *cost += cost_of(victim, now_us);
+        subtract(&used, &victim->need);
+        room = mw_room_for(&endpoint->beat.total, &used, &unit->step->need);
+    }
+    g_ptr_array_unref(places);
+    return MIN(room, wanted);
+}
+
+static gint
+by_load(gconstpointer a, gconstpointer b)
+{
+    const struct mw_flow_endpoint *x =
+        *(const struct mw_flow_endpoint *const *)a;
+    const struct mw_flow_endpoint *y =
+        *(const struct mw_flow_endpoint *const *)b;
+
+    if (x->used.gpus != y->used.gpus) {
+        return x->used.gpus < y->used.gpus ? -1 : 1;
+    }
+    return x < y ? -1 : x > y;
+}
+
+static GPtrArray *
+members_of(struct mw_flows *flows, const struct mw_unit *unit,
+           const struct mw_name *rack, int64_t now_us)
+{
+    GPtrArray *members = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+
+        if (mw_fits_unit(flows, endpoint, unit, now_us) &&
+            (!rack || mw_name_equal(&endpoint->rack, rack))) {
+            g_ptr_array_add(members, endpoint);
+        }
+    }
+    g_ptr_array_sort(members, by_load);
+    return members;
+}
+
+/* Tries one group; with victims, also collects them and who is cleared. */
+static struct group
+clear_group(struct mw_flows *flows, const struct mw_unit *unit,
+            const struct mw_name *rack, uint32_t tasks, int64_t now_us,
+            GPtrArray *victims, GPtrArray *cleared)
+{
+    GPtrArray *members = members_of(flows, unit, rack, now_us);
+    struct group group = {.rack = rack};
+
+    for (guint i = 0; i < members->len && group.room < tasks; i++) {
+        uint32_t room =
+            clear_endpoint(members->pdata[i], unit, now_us, tasks - group.room,
+                           victims, &group.cost);
+
+        group.room += room;
+        if (room > 0) {
+            g_ptr_array_add(cleared, members->pdata[i]);
+        }
+    }
+    g_ptr_array_unref(members);
+    return group;
+}
+
+static const struct mw_name *
+cheapest_rack(struct mw_flows *flows, const struct mw_unit *unit,
+              uint32_t tasks, int64_t now_us)
+{
+    GPtrArray *victims = g_ptr_array_new();
+    GPtrArray *cleared = g_ptr_array_new();
+    GHashTable *seen = g_hash_table_new(mw_hash_name, mw_same_name);
+    GHashTableIter iter;
+    gpointer value;
+    struct group best = {.cost = UINT64_MAX};
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+        struct group group;
+
+        if (!g_hash_table_add(seen, &endpoint->rack)) {
+            continue;
+        }
+        g_ptr_array_set_size(victims, 0);
+        g_ptr_array_set_size(cleared, 0);
+        group = clear_group(flows, unit, &endpoint->rack, tasks, now_us,
+                            victims, cleared);
+        if (group.room >= tasks && group.cost < best.cost) {
+            best = group;
+        }
+    }
+    g_hash_table_unref(seen);
+    g_ptr_array_unref(victims);
+    g_ptr_array_unref(cleared);
+    return best.rack;
+}
+
+static void
+stop_victims(struct mw_flows *flows, GPtrArray *victims, int64_t now_us)
+{
+    for (guint i = 0; i < victims->len; i++) {
+        struct mw_place *place = victims->pdata[i];
+
+        if (is_leaving(place)) {
+            continue;
+        }
+        flows->counters.preempted++;
+        mw_place_note(flows, "preempted", place, "for_urgent_work",
+                      now_us - place->started_us);
+        if (place->unit->step->gang) {
+            mw_stop_unit(flows, now_us, place->unit);
+        }
+        else {
+            mw_stop_place(flows, now_us, place);
+        }
+    }
+}
+
+void
+mw_make_room(struct mw_flows *flows, struct mw_unit *unit, uint32_t tasks,
+             int64_t now_us)
+{
+    const struct mw_name *rack = NULL;
+    GPtrArray *victims;
+    GPtrArray *cleared;
+    struct group group;
+
+    if (unit->rank >= 2 || now_us < unit->reclaim_deadline_us) {
+        return;
+    }
+    if (unit->step->one_rack) {
+        rack = cheapest_rack(flows, unit, tasks, now_us);
+    }
+    victims = g_ptr_array_new();
+    cleared = g_ptr_array_new();
+    group = clear_group(flows, unit, rack, tasks, now_us, victims, cleared);
+    if (group.room >= (unit->step->gang ? tasks : 1)) {
+        unit->reclaim_deadline_us =
+            now_us + flows->bounds.stop_us + MW_RESERVED_EXTRA_US;
+        for (guint i = 0; i < cleared->len; i++) {
+            struct mw_flow_endpoint *endpoint = cleared->pdata[i];
+
+            endpoint->reserved_for = unit;
+            endpoint->reserved_deadline_us = unit->reclaim_deadline_us;
+        }
+        stop_victims(flows, victims, now_us);
+    }
+    g_ptr_array_unref(victims);
+    g_ptr_array_unref(cleared);
+}
--- /dev/null
+++ b/source/core/flow/flow-request.c
@@ -0,0 +1,456 @@
+/*
+ * flow-request: callers and operators.
+ *
+ * A refusal that says "not run" is given only before a record is proposed;
+ * once it is, the answer is that of the record, or none that claims anything.
+ */
+#include <string.h>
+
+#include "flow-impl.h"
+
+#define ID_LEN 16
+#define RETRY_AFTER_US 1000000
+
+static void
+send_reply(struct mw_flows *flows, struct mw_flow_reply *reply)
+{
+    flows->output.reply(flows->output.opaque, reply);
+}
+
+static void
+send_error(struct mw_flows *flows, uint64_t ref, int error,
+           struct mw_str detail)
+{
+    struct mw_flow_reply reply = {
+        .ref = ref, .kind = MW_REPLY_ERROR, .error = error, .detail = detail};
+
+    if (error == MW_ERR_NOT_LEADER || error == MW_ERR_OVERLOADED ||
+        error == MW_ERR_PENDING) {
+        reply.retry_after_us = RETRY_AFTER_US;
+    }
+    send_reply(flows, &reply);
+}
+
+static void
+send_done(struct mw_flows *flows, uint64_t ref, enum mw_flow_reply_kind kind)
+{
+    struct mw_flow_reply reply = {.ref = ref, .kind = kind};
+
+    send_reply(flows, &reply);
+}
+
+static void
+wait_for(struct mw_flows *flows, const struct mw_flow_request *request,
+         const struct mw_name *name, uint64_t version)
+{
+    struct mw_flow_waiter waiter = {request->ref, request->kind, *name,
+                                    version};
+
+    g_array_append_val(flows->waiters, waiter);
+}
+
+/* Proposes a record and waits for it; takes over the caller's reference. */
+static bool
+propose_for(struct mw_flows *flows, const struct mw_flow_request *request,
+            struct mw_record *record, const struct mw_name *name,
+            uint64_t version)
+{
+    int err = flows->output.propose(flows->output.opaque, record);
+
+    mw_drop_record(record);
+    if (err) {
+        send_error(flows, request->ref, err, MW_STR(""));
+        return false;
+    }
+    wait_for(flows, request, name, version);
+    return true;
+}
+
+static bool
+is_id(struct mw_str text)
+{
+    if (text.len != ID_LEN) {
+        return false;
+    }
+    for (size_t i = 0; i < text.len; i++) {
+        if (!g_ascii_isxdigit(text.ptr[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether a submission of this flow waits for its record. */
+static bool
+is_pending(const struct mw_flows *flows, const struct mw_name *id)
+{
+    for (guint i = 0; i < flows->waiters->len; i++) {
+        const struct mw_flow_waiter *waiter =
+            &g_array_index(flows->waiters, struct mw_flow_waiter, i);
+
+        if (waiter->kind == MW_FLOW_SUBMIT &&
+            mw_name_equal(&waiter->name, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether one task of each step fits some endpoint that is known. */
+static bool
+can_ever_run(const struct mw_flows *flows, const struct mw_flow_route *route,
+             const struct mw_flow_plan *plan)
+{
+    static const struct mw_flow_amount nothing = {0};
+    GHashTableIter iter;
+    gpointer value;
+
+    for (uint32_t i = 0; i < plan->step_count; i++) {
+        bool fits = false;
+        bool any = false;
+
+        g_hash_table_iter_init(&iter, flows->endpoints);
+        while (!fits && g_hash_table_iter_next(&iter, NULL, &value)) {
+            const struct mw_flow_endpoint *endpoint = value;
+
+            if (!endpoint->known ||
+                !mw_name_equal(&endpoint->beat.service, &route->service)) {
+                continue;
+            }
+            any = true;
+            fits = mw_room_for(&endpoint->beat.total, &nothing,
+                               &plan->steps[i].need) > 0;
+        }
+        if (any && !fits) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+accept(struct mw_flows *flows, int64_t wall_us,
+       const struct mw_flow_request *request,
+       const struct mw_flow_route *route, const struct mw_flow_org *org,
+       const struct mw_name *id)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_FLOW);
+
+    record->flow.id = *id;
+    record->flow.route = *route;
+    if (org) {
+        record->flow.org = org->name;
+    }
+    record->flow.accepted_wall_us = wall_us;
+    record->flow.plan = mw_new_blob(request->body);
+    if (propose_for(flows, request, record, id, 0)) {
+        flows->counters.accepted++;
+    }
+}
+
+static void
+refuse_submit(struct mw_flows *flows, const struct mw_flow_request *request,
+              const struct mw_name *id, int error, const char *why)
+{
+    flows->counters.refused++;
+    mw_flow_note(flows, "refused", id, why);
+    send_error(flows, request->ref, error, mw_str_from(why));
+}
+
+static void
+submit(struct mw_context *ctx, struct mw_flows *flows, int64_t wall_us,
+       const struct mw_flow_request *request,
+       const struct mw_flow_route *route, const struct mw_flow_org *org,
+       const struct mw_name *id)
+{
+    struct mw_flow *flow = mw_find_flow(flows, id);
+    struct mw_flow_plan *plan;
+    int err = 0;
+
+    if (flow) {
+        flows->counters.resent++;
+        send_done(flows, request->ref, MW_REPLY_ACCEPTED);
+        return;
+    }
+    if (is_pending(flows, id)) {
+        flows->counters.resent++;
+        wait_for(flows, request, id, 0);
+        return;
+    }
+    plan = flows->output.decode_plan(flows->output.opaque, ctx, request->body,
+                                     &err);
+    if (!plan) {
+        refuse_submit(flows, request, id, err, "unreadable");
+        return;
+    }
+    if (plan->unserved) {
+        refuse_submit(flows, request, id, MW_ERR_IMPOSSIBLE, plan->unserved);
+    }
+    else if (!can_ever_run(flows, route, plan)) {
+        refuse_submit(flows, request, id, MW_ERR_IMPOSSIBLE,
+                      "no_endpoint_is_large_enough");
+    }
+    else {
+        accept(flows, wall_us, request, route, org, id);
+    }
+    mw_drop_flow_plan(plan);
+}
+
+static void
+tell_state(struct mw_flows *flows, const struct mw_flow_request *request,
+           const struct mw_flow *flow)
+{
+    struct mw_flow_reply reply = {
+        .ref = request->ref,
+        .kind = MW_REPLY_STATE,
+        .state = flow->state,
+        .queued = flow->state == MW_FLOW_ACTIVE && !flow->begun,
+    };
+
+    send_reply(flows, &reply);
+}
+
+static void
+cancel(struct mw_flows *flows, const struct mw_flow_request *request,
+       struct mw_flow *flow)
+{
+    struct mw_record *record;
+
+    if (flow->state != MW_FLOW_ACTIVE) {
+        send_done(flows, request->ref, MW_REPLY_DONE);
+        return;
+    }
+    record = mw_new_record(MW_RECORD_FLOW_STATE);
+    record->flow_state.id = flow->id;
+    record->flow_state.state = MW_FLOW_CANCELLED;
+    propose_for(flows, request, record, &flow->id, 0);
+}
+
+static void
+tell_pending(struct mw_flows *flows, const struct mw_flow_request *request,
+             const struct mw_flow_route *route)
+{
+    struct mw_flow_reply reply = {.ref = request->ref,
+                                  .kind = MW_REPLY_PENDING};
+
+    for (guint i = 0; i < flows->active->len; i++) {
+        const struct mw_flow *flow = flows->active->pdata[i];
+
+        reply.pending +=
+            !flow->begun && mw_name_equal(&flow->route.name, &route->name);
+    }
+    send_reply(flows, &reply);
+}
+
+static void
+on_path(struct mw_context *ctx, struct mw_flows *flows, int64_t wall_us,
+        const struct mw_flow_request *request,
+        const struct mw_flow_route *route, const struct mw_flow_org *org)
+{
+    struct mw_str rest = {request->path.ptr + route->prefix.len,
+                          request->path.len - route->prefix.len};
+    struct mw_name id = mw_name_of(rest);
+    struct mw_flow *flow = mw_find_flow(flows, &id);
+
+    if (request->kind == MW_FLOW_STATE_OF && rest.len == 0) {
+        tell_pending(flows, request, route);
+        return;
+    }
+    if (request->kind == MW_FLOW_SUBMIT) {
+        if (is_id(rest)) {
+            submit(ctx, flows, wall_us, request, route, org, &id);
+        }
+        else {
+            refuse_submit(flows, request, &id, MW_ERR_INVALID,
+                          "identifier_is_not_16_hex_digits");
+        }
+        return;
+    }
+    if (!flow || !mw_name_equal(&flow->route.name, &route->name)) {
+        send_error(flows, request->ref, MW_ERR_NOT_FOUND,
+                   MW_STR("no such job"));
+        return;
+    }
+    if (request->kind == MW_FLOW_CANCEL) {
+        cancel(flows, request, flow);
+    }
+    else {
+        tell_state(flows, request, flow);
+    }
+}
+
+static void
+on_caller(struct mw_context *ctx, struct mw_flows *flows, int64_t wall_us,
+          const struct mw_flow_request *request)
+{
+    const struct mw_flow_route *route;
+    const struct mw_flow_org *org;
+
+    if (!flows->config) {
+        send_error(flows, request->ref, MW_ERR_PENDING,
+                   MW_STR("no configuration yet"));
+        return;
+    }
+    route = mw_flow_find_route(flows->config, request->host, request->path);
+    if (!route) {
+        send_error(flows, request->ref, MW_ERR_NO_QUEUE,
+                   MW_STR("no such queue"));
+        return;
+    }
+    org = mw_flow_find_org(flows->config, request->key);
+    if (!org && !route->keyless) {
+        send_error(flows, request->ref, MW_ERR_AUTH, MW_STR("unknown key"));
+        return;
+    }
+    on_path(ctx, flows, wall_us, request, route, org);
+}
+
+/* The highest version wins; one that is not higher changes nothing. */
+static void
+on_config(struct mw_context *ctx, struct mw_flows *flows,
+          const struct mw_flow_request *request)
+{
+    struct mw_name none = {0};
+    int err = 0;
+    struct mw_flow_config *config = flows->output.decode_config(
+        flows->output.opaque, ctx, request->body, &err);
+    uint64_t version;
+    struct mw_record *record;
+
+    if (!config) {
+        mw_flow_note(flows, "config_refused", &none, "invalid");
+        send_error(flows, request->ref, err, mw_detail(ctx));
+        return;
+    }
+    version = config->version;
+    mw_drop_flow_config(config);
+    if (flows->config && version <= flows->config->version) {
+        send_done(flows, request->ref, MW_REPLY_DONE);
+        return;
+    }
+    if (version <= flows->proposed_version) {
+        wait_for(flows, request, &none, version);
+        return;
+    }
+    record = mw_new_record(MW_RECORD_CONFIG);
+    record->config.version = version;
+    record->config.text = mw_new_blob(request->body);
+    if (propose_for(flows, request, record, &none, version)) {
+        flows->proposed_version = version;
+        mw_flow_note(flows, "config_proposed", &none, "higher_version");
+    }
+}
+
+static void
+on_read_config(struct mw_flows *flows, const struct mw_flow_request *request)
+{
+    struct mw_flow_reply reply = {.ref = request->ref,
+                                  .kind = MW_REPLY_CONFIG};
+
+    if (!flows->config) {
+        send_error(flows, request->ref, MW_ERR_PENDING,
+                   MW_STR("no configuration yet"));
+        return;
+    }
+    reply.text = flows->config->text;
+    send_reply(flows, &reply);
+}
+
+static void
+on_zone(struct mw_flows *flows, const struct mw_flow_request *request)
+{
+    struct mw_name zone = mw_name_of(request->path);
+    struct mw_record *record = mw_new_record(MW_RECORD_ZONE_OUT);
+
+    record->zone_out.zone = zone;
+    record->zone_out.out = request->kind == MW_FLOW_ZONE_OUT;
+    mw_flow_note(flows, "zone_proposed", &zone,
+                 record->zone_out.out ? "out" : "in");
+    propose_for(flows, request, record, &zone, 0);
+}
+
+void
+mw_flows_request(struct mw_context *ctx, struct mw_flows *flows,
+                 int64_t now_us, int64_t wall_us,
+                 const struct mw_flow_request *request)
+{
+    (void)now_us;
+    if (!flows->lead) {
+        send_error(flows, request->ref, MW_ERR_NOT_LEADER, MW_STR(""));
+        return;
+    }
+    switch (request->kind) {
+    case MW_FLOW_CONFIG:
+        on_config(ctx, flows, request);
+        break;
+    case MW_FLOW_READ_CONFIG:
+        on_read_config(flows, request);
+        break;
+    case MW_FLOW_ZONE_OUT:
+    case MW_FLOW_ZONE_IN:
+        on_zone(flows, request);
+        break;
+    default:
+        on_caller(ctx, flows, wall_us, request);
+        break;
+    }
+}
+
+static bool
+is_answered_by(const struct mw_flow_waiter *waiter,
+               const struct mw_record *record)
+{
+    switch (record->kind) {
+    case MW_RECORD_FLOW:
+        return waiter->kind == MW_FLOW_SUBMIT &&
+               mw_name_equal(&waiter->name, &record->flow.id);
+    case MW_RECORD_FLOW_STATE:
+        return waiter->kind == MW_FLOW_CANCEL &&
+               mw_name_equal(&waiter->name, &record->flow_state.id);
+    case MW_RECORD_CONFIG:
+        return waiter->kind == MW_FLOW_CONFIG &&
+               waiter->version <= record->config.version;
+    case MW_RECORD_ZONE_OUT:
+        return waiter->kind == (record->zone_out.out ? MW_FLOW_ZONE_OUT
+                                                     : MW_FLOW_ZONE_IN) &&
+               mw_name_equal(&waiter->name, &record->zone_out.zone);
+    default:
+        return false;
+    }
+}
+
+void
+mw_answer_requests(struct mw_flows *flows, const struct mw_record *record)
+{
+    for (guint i = flows->waiters->len; i > 0; i--) {
+        struct mw_flow_waiter waiter =
+            g_array_index(flows->waiters, struct mw_flow_waiter, i - 1);
+
+        if (!is_answered_by(&waiter, record)) {
+            continue;
+        }
+        g_array_remove_index(flows->waiters, i - 1);
+        if (waiter.kind == MW_FLOW_SUBMIT) {
+            mw_flow_note(flows, "accepted", &waiter.name, "committed");
+            send_done(flows, waiter.ref, MW_REPLY_ACCEPTED);
+        }
+        else {
+            send_done(flows, waiter.ref, MW_REPLY_DONE);
+        }
+    }
+}
+
+/* Their records may still be committed by another leader, or never. */
+void
+mw_end_requests(struct mw_flows *flows)
+{
+    for (guint i = 0; i < flows->waiters->len; i++) {
+        struct mw_flow_waiter *waiter =
+            &g_array_index(flows->waiters, struct mw_flow_waiter, i);
+
+        mw_flow_note(flows, "undecided", &waiter->name, "lead_lost");
+        send_error(flows, waiter->ref, MW_ERR_DEADLINE,
+                   MW_STR("the leader changed; ask again"));
+    }
+    g_array_set_size(flows->waiters, 0);
+}
--- /dev/null
+++ b/source/core/flow/flow-state.c
@@ -0,0 +1,557 @@
+/*
+ * flow-state: what committed records say, and the records that say it again.
+ */
+#include <string.h>
+
+#include "flow-impl.h"
+
+bool
+mw_propose_tasks(struct mw_flows *flows, struct mw_record *record)
+{
+    if (flows->output.propose(flows->output.opaque, record) != 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < record->tasks.count; i++) {
+        struct mw_unit *unit;
+        struct mw_flow_task *task =
+            mw_find_task(flows, &record->tasks.notes[i].id, &unit);
+
+        if (task) {
+            task->in_flight++;
+        }
+    }
+    return true;
+}
+
+static void
+free_flow(void *data)
+{
+    struct mw_flow *flow = data;
+
+    for (uint32_t i = 0; i < flow->unit_count; i++) {
+        struct mw_unit *unit = &flow->units[i];
+
+        for (uint32_t t = 0; t < unit->step->count; t++) {
+            mw_drop_blob(unit->tasks[t].checkpoint);
+        }
+        g_free(unit->tasks);
+    }
+    g_free(flow->units);
+    mw_drop_flow_plan(flow->plan);
+    mw_drop_blob(flow->plan_text);
+    g_free(flow);
+}
+
+struct mw_flows *
+mw_new_flows(const struct mw_flow_bounds *bounds,
+             const struct mw_flow_output *output)
+{
+    struct mw_flows *flows = g_new0(struct mw_flows, 1);
+
+    flows->bounds = *bounds;
+    flows->output = *output;
+    flows->flows =
+        g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, free_flow);
+    flows->active = g_ptr_array_new();
+    flows->zones_out =
+        g_hash_table_new_full(mw_hash_name, mw_same_name, g_free, NULL);
+    flows->endpoints = g_hash_table_new_full(mw_hash_name, mw_same_name, NULL,
+                                             mw_drop_flow_endpoint);
+    flows->calls =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    flows->waiters = g_array_new(FALSE, FALSE, sizeof(struct mw_flow_waiter));
+    flows->next_ref = 1;
+    flows->tick_deadline_us = INT64_MAX;
+    return flows;
+}
+
+void
+mw_drop_flows(struct mw_flows *flows)
+{
+    if (!flows) {
+        return;
+    }
+    g_hash_table_unref(flows->endpoints);
+    g_hash_table_unref(flows->calls);
+    g_hash_table_unref(flows->zones_out);
+    g_ptr_array_unref(flows->active);
+    g_hash_table_unref(flows->flows);
+    g_array_unref(flows->waiters);
+    mw_drop_flow_config(flows->config);
+    g_free(flows);
+}
+
+struct mw_flow *
+mw_find_flow(struct mw_flows *flows, const struct mw_name *id)
+{
+    return g_hash_table_lookup(flows->flows, id);
+}
+
+struct mw_unit *
+mw_find_unit(struct mw_flow *flow, uint32_t occurrence, uint32_t step)
+{
+    uint64_t at = (uint64_t)occurrence * flow->plan->step_count + step;
+
+    if (step >= flow->plan->step_count || at >= flow->unit_count) {
+        return NULL;
+    }
+    return &flow->units[at];
+}
+
+struct mw_flow_task *
+mw_find_task(struct mw_flows *flows, const struct mw_task_id *id,
+             struct mw_unit **unit)
+{
+    struct mw_flow *flow = mw_find_flow(flows, &id->flow);
+
+    *unit = flow ? mw_find_unit(flow, id->occurrence, id->step) : NULL;
+    if (!*unit || id->index >= (*unit)->step->count) {
+        return NULL;
+    }
+    return &(*unit)->tasks[id->index];
+}
+
+bool
+mw_flow_is_open(const struct mw_flow *flow)
+{
+    return flow->state == MW_FLOW_ACTIVE && !flow->ending;
+}
+
+bool
+mw_task_waits(const struct mw_flow_task *task)
+{
+    return task->state == MW_TASK_WAITING && !task->place &&
+           task->in_flight == 0;
+}
+
+bool
+mw_unit_is_ready(const struct mw_unit *unit, int64_t wall_us)
+{
+    const struct mw_flow *flow = unit->flow;
+    const struct mw_flow_plan *plan = flow->plan;
+    uint32_t first = unit->occurrence * plan->step_count;
+
+    if (plan->timed &&
+        wall_us < plan->first_wall_us + unit->occurrence * plan->every_us) {
+        return false;
+    }
+    for (uint32_t i = 0; i < unit->step->after_count; i++) {
+        const struct mw_unit *before =
+            &flow->units[first + unit->step->after[i]];
+
+        if (before->done < before->step->count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The number of the last run of any task; members of a gang share it. */
+uint32_t
+mw_unit_run_max(const struct mw_unit *unit)
+{
+    uint32_t run = 0;
+
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        run = MAX(run, unit->tasks[i].run);
+    }
+    return run;
+}
+
+static void
+add_units(struct mw_flow *flow)
+{
+    const struct mw_flow_plan *plan = flow->plan;
+
+    flow->unit_count = plan->times * plan->step_count;
+    flow->units = g_new0(struct mw_unit, flow->unit_count);
+    for (uint32_t i = 0; i < flow->unit_count; i++) {
+        struct mw_unit *unit = &flow->units[i];
+
+        unit->flow = flow;
+        unit->number = i % plan->step_count;
+        unit->occurrence = i / plan->step_count;
+        unit->step = &plan->steps[unit->number];
+        unit->tasks = g_new0(struct mw_flow_task, unit->step->count);
+    }
+}
+
+static void
+apply_flow(struct mw_context *ctx, struct mw_flows *flows,
+           const struct mw_record_flow *record)
+{
+    int err = 0;
+    struct mw_flow *flow;
+    struct mw_flow_plan *plan;
+
+    if (mw_find_flow(flows, &record->id)) {
+        return;
+    }
+    plan = flows->output.decode_plan(flows->output.opaque, ctx,
+                                     mw_blob_str(record->plan), &err);
+    if (!plan) {
+        mw_note(ctx, MW_PRIORITY_ERROR,
+                "event=flow_unreadable flow=%.*s kind=%.*s",
+                MW_FMT(mw_name_str(&record->id)), MW_FMT(mw_error_word(err)));
+        return;
+    }
+    flow = g_new0(struct mw_flow, 1);
+    flow->id = record->id;
+    flow->route = record->route;
+    flow->org = record->org;
+    flow->accepted_wall_us = record->accepted_wall_us;
+    flow->state = record->state;
+    flow->plan_text = mw_keep_blob(record->plan);
+    flow->plan = plan;
+    add_units(flow);
+    g_hash_table_insert(flows->flows, &flow->id, flow);
+    if (flow->state == MW_FLOW_ACTIVE) {
+        g_ptr_array_add(flows->active, flow);
+    }
+}
+
+static void
+end_flow(struct mw_flows *flows, struct mw_flow *flow,
+         enum mw_flow_state state)
+{
+    if (flow->state != MW_FLOW_ACTIVE) {
+        return;
+    }
+    flow->state = state;
+    g_ptr_array_remove(flows->active, flow);
+    flows->counters.completed += state == MW_FLOW_COMPLETED;
+    flows->counters.failed += state == MW_FLOW_FAILED;
+    flows->counters.cancelled += state == MW_FLOW_CANCELLED;
+    if (flows->lead) {
+        struct mw_str word = mw_flow_state_word(state);
+
+        mw_flow_note(flows, "flow_ended", &flow->id, word.ptr);
+    }
+}
+
+static void
+forget_flow(struct mw_flows *flows, struct mw_flow *flow)
+{
+    for (uint32_t i = 0; i < flow->unit_count; i++) {
+        struct mw_unit *unit = &flow->units[i];
+
+        for (uint32_t t = 0; t < unit->step->count; t++) {
+            if (unit->tasks[t].place) {
+                mw_free_place(flows, unit->tasks[t].place);
+            }
+        }
+    }
+    end_flow(flows, flow, MW_FLOW_CANCELLED);
+    g_hash_table_remove(flows->flows, &flow->id);
+}
+
+static void
+apply_flow_state(struct mw_flows *flows, int64_t now_us,
+                 const struct mw_record_flow_state *record)
+{
+    struct mw_flow *flow = mw_find_flow(flows, &record->id);
+
+    if (!flow) {
+        return;
+    }
+    if (record->forget) {
+        forget_flow(flows, flow);
+        return;
+    }
+    end_flow(flows, flow, record->state);
+    for (uint32_t i = 0; flows->lead && i < flow->unit_count; i++) {
+        mw_stop_unit(flows, now_us, &flow->units[i]);
+    }
+}
+
+static void
+set_done(struct mw_flows *flows, struct mw_unit *unit,
+         struct mw_flow_task *task, enum mw_task_state state)
+{
+    struct mw_flow *flow = unit->flow;
+
+    if (state != MW_TASK_DONE || task->state == MW_TASK_DONE) {
+        return;
+    }
+    unit->done++;
+    if (unit->done == unit->step->count) {
+        flow->units_done++;
+    }
+    task->state = state;
+    if (flow->units_done == flow->unit_count) {
+        end_flow(flows, flow, MW_FLOW_COMPLETED);
+    }
+}
+
+static void
+follow_ordered(struct mw_flows *flows, int64_t now_us,
+               struct mw_flow_task *task)
+{
+    struct mw_place *place = task->place;
+
+    if (!flows->lead || !place || place->phase != MW_PLACE_INTENDED ||
+        place->run != task->run) {
+        return;
+    }
+    place->phase = MW_PLACE_STARTING;
+    if (place->unit->flow->state == MW_FLOW_ACTIVE) {
+        mw_send_start(flows, now_us, place);
+    }
+    else {
+        mw_lose_run(flows, now_us, place, "flow_ended");
+    }
+}
+
+static void
+apply_note(struct mw_flows *flows, int64_t now_us,
+           const struct mw_task_note *note)
+{
+    struct mw_unit *unit;
+    struct mw_flow_task *task = mw_find_task(flows, &note->id, &unit);
+
+    if (!task) {
+        return;
+    }
+    if (flows->lead && task->in_flight > 0) {
+        task->in_flight--;
+    }
+    if (task->state == MW_TASK_DONE) {
+        return;
+    }
+    if (note->checkpoint != task->checkpoint) {
+        mw_drop_blob(task->checkpoint);
+        task->checkpoint = mw_keep_blob(note->checkpoint);
+    }
+    set_done(flows, unit, task, note->state);
+    task->state = note->state;
+    task->run = note->run;
+    task->failures = note->failures;
+    task->endpoint = note->endpoint;
+    task->born = note->born;
+    unit->flow->begun |= note->run > 0;
+    if (note->state == MW_TASK_ORDERED) {
+        follow_ordered(flows, now_us, task);
+    }
+}
+
+/* The configuration is decoded on every member: it was valid when proposed. */
+static void
+apply_config(struct mw_context *ctx, struct mw_flows *flows,
+             const struct mw_record_config *record)
+{
+    int err = 0;
+    struct mw_flow_config *config;
+
+    if (flows->config && record->version <= flows->config->version) {
+        return;
+    }
+    config = flows->output.decode_config(flows->output.opaque, ctx,
+                                         mw_blob_str(record->text), &err);
+    if (!config) {
+        mw_note(ctx, MW_PRIORITY_ERROR,
+                "event=config_unreadable version=%" G_GUINT64_FORMAT
+                " kind=%.*s",
+                record->version, MW_FMT(mw_error_word(err)));
+        return;
+    }
+    mw_drop_flow_config(flows->config);
+    flows->config = config;
+}
+
+static void
+apply_zone(struct mw_flows *flows, const struct mw_record_zone_out *record)
+{
+    if (record->out) {
+        g_hash_table_add(flows->zones_out,
+                         g_memdup2(&record->zone, sizeof record->zone));
+    }
+    else {
+        g_hash_table_remove(flows->zones_out, &record->zone);
+    }
+}
+
+/* An end that is recorded may be acknowledged to its endpoint. */
+static void
+follow_end(struct mw_flows *flows, const struct mw_task_note *note)
+{
+    struct mw_flow_endpoint *endpoint =
+        mw_find_flow_endpoint(flows, &note->endpoint);
+
+    if (!flows->lead || !endpoint || note->state == MW_TASK_ORDERED ||
+        endpoint->pending_ends == 0) {
+        return;
+    }
+    endpoint->pending_ends--;
+    if (endpoint->pending_ends == 0) {
+        endpoint->committed_end = endpoint->seen_end;
+    }
+}
+
+void
+mw_flows_apply(struct mw_context *ctx, struct mw_flows *flows, int64_t now_us,
+               struct mw_record *record)
+{
+    switch (record->kind) {
+    case MW_RECORD_CONFIG:
+        apply_config(ctx, flows, &record->config);
+        break;
+    case MW_RECORD_ZONE_OUT:
+        apply_zone(flows, &record->zone_out);
+        break;
+    case MW_RECORD_FLOW:
+        apply_flow(ctx, flows, &record->flow);
+        break;
+    case MW_RECORD_FLOW_STATE:
+        apply_flow_state(flows, now_us, &record->flow_state);
+        break;
+    case MW_RECORD_TASKS:
+        for (uint32_t i = 0; i < record->tasks.count; i++) {
+            apply_note(flows, now_us, &record->tasks.notes[i]);
+        }
+        if (record->tasks.count > 0) {
+            follow_end(flows, &record->tasks.notes[0]);
+        }
+        break;
+    default:
+        return;
+    }
+    flows->dirty = true;
+    if (flows->lead) {
+        mw_answer_requests(flows, record);
+    }
+}
+
+void
+mw_flows_reset(struct mw_flows *flows)
+{
+    g_ptr_array_set_size(flows->active, 0);
+    g_hash_table_remove_all(flows->flows);
+    g_hash_table_remove_all(flows->zones_out);
+    g_clear_pointer(&flows->config, mw_drop_flow_config);
+}
+
+static void
+collect_tasks(struct mw_flow *flow, void *out,
+              void (*add)(void *out, struct mw_record *record))
+{
+    for (uint32_t i = 0; i < flow->unit_count; i++) {
+        struct mw_unit *unit = &flow->units[i];
+        struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
+
+        record->tasks.notes = g_new0(struct mw_task_note, unit->step->count);
+        for (uint32_t t = 0; t < unit->step->count; t++) {
+            const struct mw_flow_task *task = &unit->tasks[t];
+
+            if (task->run == 0 && task->state == MW_TASK_WAITING) {
+                continue;
+            }
+            record->tasks.notes[record->tasks.count++] = (struct mw_task_note){
+                .id = {flow->id, unit->occurrence, unit->number, t},
+                .state = task->state,
+                .run = task->run,
+                .failures = task->failures,
+                .endpoint = task->endpoint,
+                .born = task->born,
+                .checkpoint = mw_keep_blob(task->checkpoint)};
+        }
+        if (record->tasks.count > 0) {
+            add(out, record);
+        }
+        mw_drop_record(record);
+    }
+}
+
+static void
+collect_flow(struct mw_flow *flow, void *out,
+             void (*add)(void *out, struct mw_record *record))
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_FLOW);
+
+    record->flow.id = flow->id;
+    record->flow.route = flow->route;
+    record->flow.org = flow->org;
+    record->flow.accepted_wall_us = flow->accepted_wall_us;
+    record->flow.state = flow->state;
+    record->flow.plan = mw_keep_blob(flow->plan_text);
+    add(out, record);
+    mw_drop_record(record);
+    collect_tasks(flow, out, add);
+}
+
+static gint
+by_acceptance(gconstpointer a, gconstpointer b)
+{
+    const struct mw_flow *x = *(const struct mw_flow *const *)a;
+    const struct mw_flow *y = *(const struct mw_flow *const *)b;
+
+    if (x->accepted_wall_us != y->accepted_wall_us) {
+        return x->accepted_wall_us < y->accepted_wall_us ? -1 : 1;
+    }
+    return memcmp(x->id.ptr, y->id.ptr, MW_NAME_MAX);
+}
+
+void
+mw_flows_collect(struct mw_flows *flows, void *out,
+                 void (*add)(void *out, struct mw_record *record))
+{
+    GPtrArray *all = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer zone;
+    gpointer flow;
+
+    if (flows->config) {
+        struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
+
+        record->config.version = flows->config->version;
+        record->config.text = mw_keep_blob(flows->config->text);
+        add(out, record);
+        mw_drop_record(record);
+    }
+    g_hash_table_iter_init(&iter, flows->zones_out);
+    while (g_hash_table_iter_next(&iter, &zone, NULL)) {
+        struct mw_record *record = mw_new_record(MW_RECORD_ZONE_OUT);
+
+        record->zone_out.zone = *(struct mw_name *)zone;
+        record->zone_out.out = true;
+        add(out, record);
+        mw_drop_record(record);
+    }
+    g_hash_table_iter_init(&iter, flows->flows);
+    while (g_hash_table_iter_next(&iter, NULL, &flow)) {
+        g_ptr_array_add(all, flow);
+    }
+    g_ptr_array_sort(all, by_acceptance);
+    for (guint i = 0; i < all->len; i++) {
+        collect_flow(all->pdata[i], out, add);
+    }
+    g_ptr_array_unref(all);
+}
+
+const struct mw_flow_counters *
+mw_flows_counters_of(const struct mw_flows *flows)
+{
+    return &flows->counters;
+}
+
+uint64_t
+mw_flows_version(const struct mw_flows *flows)
+{
+    return flows->config ? flows->config->version : 0;
+}
+
+void
+mw_flows_look(const struct mw_flows *flows, struct mw_flows_view *view)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    *view = (struct mw_flows_view){
+        .flows = g_hash_table_size(flows->flows),
+        .active = flows->active->len,
+        .endpoints = g_hash_table_size(flows->endpoints),
+    };
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        view->places += ((struct mw_flow_endpoint *)value)->places->len;
+    }
+}
--- a/source/core/log-replicate.c
+++ b/source/core/log-replicate.c
@@ -20,6 +20,12 @@
         return bytes + record->intent.part_count * sizeof(struct mw_part);
     case MW_RECORD_DOCUMENT:
         return bytes + mw_blob_str(record->document.document->text).len;
+    case MW_RECORD_CONFIG:
+        return bytes + mw_blob_str(record->config.text).len;
+    case MW_RECORD_FLOW:
+        return bytes + mw_blob_str(record->flow.plan).len;
+    case MW_RECORD_TASKS:
+        return bytes + record->tasks.count * sizeof(struct mw_task_note);
     default:
         return bytes;
     }
--- a/source/core/message.c
+++ b/source/core/message.c
@@ -59,7 +59,15 @@
     case MW_MSG_JUDGED:
         mw_drop_blob(msg->judged.detail);
         break;
-
+    case MW_MSG_FLOW_CALL:
+        mw_drop_blob(msg->flow_call.host);
+        mw_drop_blob(msg->flow_call.path);
+        mw_drop_blob(msg->flow_call.key);
+        mw_drop_blob(msg->flow_call.body);
+        break;
+    case MW_MSG_FLOW_RETURN:
+        mw_drop_blob(msg->flow_return.text);
+        break;
     default:
         break;
     }
--- a/source/core/record.c
+++ b/source/core/record.c
@@ -21,6 +21,15 @@
     return record;
 }
 
+static void
+drop_tasks(struct mw_record_tasks *tasks)
+{
+    for (uint32_t i = 0; i < tasks->count; i++) {
+        mw_drop_blob(tasks->notes[i].checkpoint);
+    }
+    g_free(tasks->notes);
+}
+
 void
 mw_drop_record(struct mw_record *record)
 {
@@ -40,6 +49,15 @@
     case MW_RECORD_RESULT:
         mw_drop_blob(record->result.output);
         break;
+    case MW_RECORD_CONFIG:
+        mw_drop_blob(record->config.text);
+        break;
+    case MW_RECORD_FLOW:
+        mw_drop_blob(record->flow.plan);
+        break;
+    case MW_RECORD_TASKS:
+        drop_tasks(&record->tasks);
+        break;
     default:
         break;
     }
--- /dev/null
+++ b/source/run/event-log.c
@@ -0,0 +1,187 @@
+#include "event-log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <unistd.h>
+
+#define SECOND_US 1000000
+
+struct mw_event_log {
+    int fd;
+    struct mw_name process;
+    GString *pending;
+    int64_t second_deadline_us;
+    uint32_t lines;
+    uint64_t dropped;
+    uint64_t dropped_told;
+};
+
+struct mw_event_log *
+mw_new_event_log(int fd, struct mw_str process)
+{
+    struct mw_event_log *log = g_new0(struct mw_event_log, 1);
+    int flags = fcntl(fd, F_GETFL);
+
+    if (flags >= 0) {
+        fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+    }
+    log->fd = fd;
+    log->process = mw_name_of(process);
+    log->pending = g_string_new(NULL);
+    return log;
+}
+
+void
+mw_drop_event_log(struct mw_event_log *log)
+{
+    if (log) {
+        g_string_free(log->pending, TRUE);
+        g_free(log);
+    }
+}
+
+static bool
+has_room(struct mw_event_log *log, int64_t now_us)
+{
+    if (now_us >= log->second_deadline_us) {
+        log->second_deadline_us = now_us + SECOND_US;
+        log->lines = 0;
+    }
+    if (log->lines >= MW_EVENT_LOG_LINES_PER_S ||
+        log->pending->len >= MW_EVENT_LOG_BYTES_MAX) {
+        log->dropped++;
+        return false;
+    }
+    log->lines++;
+    return true;
+}
+
+static json_t *
+text(struct mw_str str)
+{
+    return json_stringn_nocheck(str.ptr ? str.ptr : "", str.len);
+}
+
+static void
+add_line(struct mw_event_log *log, json_t *line)
+{
+    char *out = json_dumps(line, JSON_COMPACT);
+
+    if (out) {
+        g_string_append(log->pending, out);
+        g_string_append_c(log->pending, '\n');
+        free(out);
+    }
+    json_decref(line);
+}
+
+static json_t *
+new_line(const struct mw_event_log *log, int64_t now_us, const char *name,
+         const char *outcome)
+{
+    json_t *line = json_object();
+
+    json_object_set_new(line, "t_us", json_integer(now_us));
+    json_object_set_new(line, "process", text(mw_name_str(&log->process)));
+    json_object_set_new(line, "event", json_string(name));
+    json_object_set_new(line, "outcome", json_string(outcome));
+    return line;
+}
+
+static void
+tell_dropped(struct mw_event_log *log, int64_t now_us)
+{
+    json_t *line;
+
+    if (log->dropped == log->dropped_told) {
+        return;
+    }
+    line = new_line(log, now_us, "lines_dropped", "limit");
+    json_object_set_new(
+        line, "count",
+        json_integer((json_int_t)(log->dropped - log->dropped_told)));
+    log->dropped_told = log->dropped;
+    add_line(log, line);
+}
+
+static void
+add_task(json_t *line, const struct mw_flow_event *event)
+{
+    char name[96];
+
+    if (!event->task) {
+        return;
+    }
+    g_snprintf(name, sizeof name, "%u.%u.%u", event->task->occurrence,
+               event->task->step, event->task->index);
+    json_object_set_new(line, "task", json_string(name));
+    json_object_set_new(line, "run", json_integer(event->run));
+}
+
+void
+mw_log_event(struct mw_event_log *log, int64_t now_us,
+             const struct mw_flow_event *event)
+{
+    json_t *line;
+
+    if (!has_room(log, now_us)) {
+        return;
+    }
+    tell_dropped(log, now_us);
+    line = new_line(log, now_us, event->name, event->outcome);
+    if (event->flow.len > 0) {
+        json_object_set_new(line, "id", text(mw_name_str(&event->flow)));
+    }
+    add_task(line, event);
+    if (event->endpoint.len > 0) {
+        json_object_set_new(line, "endpoint",
+                            text(mw_name_str(&event->endpoint)));
+    }
+    if (event->age_us >= 0) {
+        json_object_set_new(line, "age_us", json_integer(event->age_us));
+    }
+    json_object_set_new(line, "config",
+                        json_integer((json_int_t)event->version));
+    json_object_set_new(line, "term", json_integer((json_int_t)event->number));
+    add_line(log, line);
+}
+
+void
+mw_log_change(struct mw_event_log *log, int64_t now_us, const char *name,
+              struct mw_str subject, const char *outcome)
+{
+    json_t *line;
+
+    if (!has_room(log, now_us)) {
+        return;
+    }
+    tell_dropped(log, now_us);
+    line = new_line(log, now_us, name, outcome);
+    json_object_set_new(line, "subject", text(subject));
+    add_line(log, line);
+}
+
+void
+mw_flush_event_log(struct mw_event_log *log, int64_t now_us)
+{
+    ssize_t n = 1;
+
+    (void)now_us;
+    while (log->pending->len > 0 && n > 0) {
+        n = write(log->fd, log->pending->str, log->pending->len);
+        if (n > 0) {
+            g_string_erase(log->pending, 0, n);
+        }
+        else if (n < 0 && errno == EINTR) {
+            n = 1;
+        }
+    }
+}
+
+uint64_t
+mw_event_log_dropped(const struct mw_event_log *log)
+{
+    return log->dropped;
+}
--- /dev/null
+++ b/source/run/flow-control-task.c
@@ -0,0 +1,608 @@
+#include "flow-control-task.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "disk.h"
+#include "member-file.h"
+
+#define LEAVE_US 3000000
+/* between the system's own processes; guards against mix-ups alone */
+#define LINK_KEY MW_STR("mimosawind-region")
+
+struct mw_flow_control_task {
+    struct mw_flow_control_task_setup setup;
+    struct mw_context ctx;
+    struct mw_task *task;
+    struct mw_task *links_task;
+    struct mw_task *disk_task;
+    struct mw_links *links;
+    struct mw_disk *disk;
+    struct mw_blob *key;
+    struct mw_flow_control *control;
+    struct mw_event_log *log;
+    GArray *stored;
+    bool started;
+    bool leaving;
+    bool ended;
+    int64_t leave_deadline_us;
+};
+
+static int64_t
+wall_now(void)
+{
+    return g_get_real_time();
+}
+
+static void
+end(struct mw_flow_control_task *t, int error, struct mw_str message)
+{
+    if (!t->ended) {
+        t->ended = true;
+        mw_log_change(t->log, mw_now(), "stop", message,
+                      error ? "failed" : "planned");
+        mw_flush_event_log(t->log, mw_now());
+        t->setup.ended(t->setup.opaque, error, message);
+    }
+}
+
+static void
+send_one(void *opaque, const struct mw_name *to, struct mw_msg *msg)
+{
+    struct mw_flow_control_task *t = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
+
+    mail->process = *to;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(t->links_task, mail);
+}
+
+static void
+send_all(void *opaque, enum mw_process_role role, struct mw_msg *msg)
+{
+    struct mw_flow_control_task *t = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
+
+    mail->role = role;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(t->links_task, mail);
+}
+
+static void
+store(void *opaque, const struct mw_store_item *item)
+{
+    struct mw_flow_control_task *t = opaque;
+    struct mw_stored_blob stored = {.group = MW_GROUP_REGION,
+                                    .kind = item->kind,
+                                    .sequence = item->sequence,
+                                    .blob = mw_encode_stored(item)};
+
+    g_array_append_val(t->stored, stored);
+}
+
+/* All that one step stored goes to the disk in one mail. */
+static void
+flush_stored(struct mw_flow_control_task *t)
+{
+    struct mw_mail *mail;
+
+    if (t->stored->len == 0 || !t->disk_task) {
+        return;
+    }
+    mail = mw_new_mail(MW_MAIL_STORE);
+    mail->stored = t->stored;
+    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
+    mw_post(t->disk_task, mail);
+}
+
+static void
+order(void *opaque, const struct mw_flow_order *flow_order)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    t->setup.port.order(t->setup.port.opaque, flow_order);
+}
+
+static void
+reply(void *opaque, const struct mw_flow_reply *flow_reply)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    t->setup.port.reply(t->setup.port.opaque, flow_reply);
+}
+
+static void
+event(void *opaque, const struct mw_flow_event *flow_event)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    mw_log_event(t->log, mw_now(), flow_event);
+}
+
+static struct mw_flow_config *
+decode_config(void *opaque, struct mw_context *ctx, struct mw_str text,
+              int *error)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    return t->setup.port.decode_config(t->setup.port.opaque, ctx, text, error);
+}
+
+static struct mw_flow_plan *
+decode_plan(void *opaque, struct mw_context *ctx, struct mw_str text,
+            int *error)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    return t->setup.port.decode_plan(t->setup.port.opaque, ctx, text, error);
+}
+
+static void
+new_control(struct mw_flow_control_task *t, uint64_t incarnation,
+            const struct mw_name *members, uint32_t count)
+{
+    struct mw_flow_control_setup setup = {
+        .name = t->setup.name,
+        .zone = t->setup.zone,
+        .incarnation = incarnation,
+        .member_count = count,
+        .compact_after = t->setup.compact_after,
+        .seed = (uint32_t)incarnation ^ mw_hash_name(&t->setup.name),
+        .now_us = mw_now(),
+        .bounds = t->setup.bounds,
+        .output = {t, send_one, send_all, store, order, reply, event,
+                   decode_config, decode_plan},
+    };
+
+    memcpy(setup.members, members, count * sizeof *members);
+    mw_drop_flow_control(t->control);
+    t->control = mw_new_flow_control(&setup);
+}
+
+static int
+take_stored(void *opaque, struct mw_context *ctx, enum mw_group group,
+            const struct mw_store_item *item)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    return group == MW_GROUP_REGION
+               ? mw_flow_control_restore(ctx, t->control, item)
+               : 0;
+}
+
+static int
+open_disk(struct mw_flow_control_task *t, uint64_t incarnation)
+{
+    struct mw_disk_setup setup = {
+        .folder = t->setup.folder, .member = t->setup.name, .ctx = t->ctx};
+    struct mw_disk_take take = {t, take_stored};
+    int err = 0;
+
+    t->disk = mw_open_disk(&t->ctx, &setup, &incarnation, &take, &err);
+    if (t->disk) {
+        t->disk_task = mw_start_disk(t->disk, t->task);
+    }
+    return err;
+}
+
+static bool
+is_in(const struct mw_name *names, uint32_t count, const struct mw_name *name)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (mw_name_equal(&names[i], name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Become a member: of a new system, or again after the disk was lost. */
+static int
+join(struct mw_flow_control_task *t, const struct mw_name *members,
+     uint32_t count, bool founding)
+{
+    uint64_t incarnation =
+        founding ? MW_FOUNDING_INCARNATION : (uint64_t)wall_now();
+    int err = 0;
+
+    if (founding) {
+        err = mw_init_folder(&t->ctx, t->setup.folder, &t->setup.name,
+                             MW_FOUNDING_INCARNATION);
+    }
+    if (!err) {
+        err = mw_write_members(&t->ctx, t->setup.folder, members, count);
+    }
+    if (!err) {
+        new_control(t, incarnation, members, count);
+        err = open_disk(t, incarnation);
+    }
+    mw_log_change(t->log, mw_now(), "member", mw_name_str(&t->setup.name),
+                  founding ? "founding" : "joins_anew");
+    return err;
+}
+
+static int
+open_state(struct mw_flow_control_task *t)
+{
+    struct mw_name members[MW_MEMBERS_MAX] = {{0}};
+    uint32_t count = mw_read_members(t->setup.folder, members);
+
+    if (count > 0) {
+        new_control(t, (uint64_t)wall_now(), members, count);
+        return open_disk(t, (uint64_t)wall_now());
+    }
+    if (t->setup.founding &&
+        is_in(t->setup.seeds, t->setup.seed_count, &t->setup.name)) {
+        return join(t, t->setup.seeds, t->setup.seed_count, true);
+    }
+    new_control(t, (uint64_t)wall_now(), members, 0);
+    mw_log_change(t->log, mw_now(), "member", mw_name_str(&t->setup.name),
+                  "standby");
+    return 0;
+}
+
+/* Of two members the one with the lesser name is dialled. */
+static void
+dial(struct mw_flow_control_task *t, const struct mw_name *name)
+{
+    struct mw_dial dial = {.name = *name};
+    char address[MW_NAME_MAX + 1];
+    struct mw_name members[MW_MEMBERS_MAX];
+    uint32_t count = mw_flow_control_members(t->control, members);
+    bool both =
+        is_in(members, count, &t->setup.name) && is_in(members, count, name);
+
+    if (mw_name_equal(name, &t->setup.name) ||
+        (both && memcmp(name, &t->setup.name, sizeof *name) > 0)) {
+        return;
+    }
+    g_snprintf(address, sizeof address, "%.*s:%u", MW_FMT(mw_name_str(name)),
+               t->setup.link_port);
+    dial.address = mw_name_of(mw_str_from(address));
+    mw_links_dial(t->links, &dial);
+}
+
+static void
+dial_known(struct mw_flow_control_task *t)
+{
+    struct mw_name members[MW_MEMBERS_MAX];
+    uint32_t count = mw_flow_control_members(t->control, members);
+
+    for (uint32_t i = 0; i < count; i++) {
+        dial(t, &members[i]);
+    }
+    for (uint32_t i = 0; i < t->setup.seed_count; i++) {
+        dial(t, &t->setup.seeds[i]);
+    }
+}
+
+static bool
+start_links(struct mw_flow_control_task *t, char **message)
+{
+    char listen[MW_NAME_MAX + 1];
+    struct mw_link_setup setup = {
+        .name = t->setup.name,
+        .zone = t->setup.zone,
+        .role = MW_ROLE_CONTROL,
+        .incarnation = (uint64_t)wall_now(),
+        .key = t->key,
+        .owner = t->task,
+        .ctx = t->ctx,
+    };
+
+    g_snprintf(listen, sizeof listen, "%.*s:%u",
+               MW_FMT(mw_name_str(&t->setup.name)), t->setup.link_port);
+    setup.listen = mw_name_of(mw_str_from(listen));
+    t->links = mw_new_links(&setup, message);
+    if (!t->links) {
+        return false;
+    }
+    t->links_task = mw_links_task(t->links);
+    return true;
+}
+
+static void
+fail_start(struct mw_flow_control_task *t, int error, char *message)
+{
+    mw_post_failed(t->task, error,
+                   message ? mw_str_from(message) : mw_detail(&t->ctx));
+    g_free(message);
+}
+
+static void
+start(void *opaque, struct mw_task *task)
+{
+    struct mw_flow_control_task *t = opaque;
+    char *message = NULL;
+    int err;
+
+    t->task = task;
+    t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
+    t->key = mw_new_blob(LINK_KEY);
+    mw_log_change(t->log, mw_now(), "start", mw_name_str(&t->setup.zone),
+                  "control");
+    if (!start_links(t, &message)) {
+        fail_start(t, MW_ERR_INVALID, message);
+        return;
+    }
+    err = open_state(t);
+    if (err) {
+        fail_start(t, err, NULL);
+        return;
+    }
+    dial_known(t);
+    if (!t->setup.port.start(t->setup.port.opaque, t, &message)) {
+        fail_start(t, MW_ERR_INVALID, message);
+        return;
+    }
+    t->started = true;
+    mw_flush_event_log(t->log, mw_now());
+}
+
+/* A member that lost its disk learns from the others that it is one. */
+static void
+check_membership(struct mw_flow_control_task *t)
+{
+    struct mw_name members[MW_MEMBERS_MAX] = {{0}};
+    uint32_t count = mw_flow_control_members(t->control, members);
+
+    if (t->disk || !is_in(members, count, &t->setup.name)) {
+        return;
+    }
+    if (join(t, members, count, false) != 0) {
+        end(t, MW_ERR_DISK, mw_detail(&t->ctx));
+        return;
+    }
+    dial_known(t);
+}
+
+static void
+take_message(struct mw_flow_control_task *t, struct mw_mail *mail)
+{
+    mw_flow_control_receive(&t->ctx, t->control, mw_now(), wall_now(),
+                            &mail->process, mail->msg);
+    if (mail->msg->kind == MW_MSG_HEARTBEAT &&
+        mail->msg->heartbeat.member_count > 0) {
+        check_membership(t);
+        dial_known(t);
+    }
+}
+
+static void
+receive(void *opaque, struct mw_mail *mail)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    if (mail->kind == MW_MAIL_FAILED) {
+        end(t, mail->status, mw_blob_str(mail->text));
+        return;
+    }
+    if (t->ended || !t->started) {
+        return;
+    }
+    switch (mail->kind) {
+    case MW_MAIL_MSG:
+        take_message(t, mail);
+        break;
+    case MW_MAIL_SYNCED:
+        mw_flow_control_synced(&t->ctx, t->control, mw_now(), mail->sequence);
+        break;
+    case MW_MAIL_LINK:
+        if (mail->role == MW_ROLE_CONTROL) {
+            mw_log_change(t->log, mw_now(), "link",
+                          mw_name_str(&mail->process),
+                          mail->up ? "regained" : "lost");
+        }
+        break;
+    case MW_MAIL_DIAL:
+        dial(t, &mail->process);
+        break;
+    case MW_MAIL_LEAVE:
+        if (!t->leaving) {
+            t->leaving = true;
+            t->leave_deadline_us = mw_now() + LEAVE_US;
+            mw_log_change(t->log, mw_now(), "leave", MW_STR(""), "begun");
+            t->setup.port.leave(t->setup.port.opaque);
+        }
+        break;
+    default:
+        break;
+    }
+    flush_stored(t);
+}
+
+static void
+check_leave(struct mw_flow_control_task *t, int64_t now_us)
+{
+    bool may_exit;
+
+    if (!t->leaving) {
+        return;
+    }
+    may_exit = mw_flow_control_leave(t->control, now_us);
+    if (may_exit || now_us >= t->leave_deadline_us) {
+        end(t, 0, MW_STR(""));
+    }
+}
+
+static void
+tick(void *opaque, int64_t now_us)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    if (t->ended || !t->started) {
+        return;
+    }
+    mw_flow_control_tick(&t->ctx, t->control, now_us, wall_now());
+    t->setup.port.tick(t->setup.port.opaque, now_us);
+    flush_stored(t);
+    check_leave(t, now_us);
+    mw_flush_event_log(t->log, now_us);
+}
+
+static int64_t
+deadline(void *opaque)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    if (t->ended || !t->started) {
+        return INT64_MAX;
+    }
+    return mw_flow_control_deadline(t->control);
+}
+
+static void
+stop(void *opaque)
+{
+    struct mw_flow_control_task *t = opaque;
+
+    if (t->started) {
+        t->setup.port.stop(t->setup.port.opaque);
+    }
+    mw_drop_links(t->links);
+    mw_drop_disk(t->disk);
+    mw_drop_flow_control(t->control);
+    mw_drop_event_log(t->log);
+    mw_drop_blob(t->key);
+}
+
+struct mw_flow_control_task *
+mw_new_flow_control_task(const struct mw_flow_control_task_setup *setup)
+{
+    struct mw_flow_control_task *t = g_new0(struct mw_flow_control_task, 1);
+    struct mw_task_work work = {
+        .opaque = t,
+        .start = start,
+        .mail = receive,
+        .deadline = deadline,
+        .tick = tick,
+        .stop = stop,
+    };
+
+    t->setup = *setup;
+    t->ctx = setup->ctx;
+    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
+    t->task = mw_new_task("flow-control", &work);
+    return t;
+}
+
+void
+mw_drop_flow_control_task(struct mw_flow_control_task *t)
+{
+    if (t) {
+        mw_drop_task(t->task);
+        g_array_unref(t->stored);
+        g_free(t);
+    }
+}
+
+void
+mw_flow_control_task_leave(struct mw_flow_control_task *t)
+{
+    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+}
+
+/* After an event from the port: what it led to must go out. */
+static void
+follow_up(struct mw_flow_control_task *t)
+{
+    flush_stored(t);
+    mw_task_rearm(t->task);
+}
+
+void
+mw_flow_control_task_request(struct mw_flow_control_task *t,
+                             const struct mw_flow_request *request)
+{
+    mw_flow_control_request(&t->ctx, t->control, mw_now(), wall_now(),
+                            request);
+    follow_up(t);
+}
+
+int
+mw_flow_control_task_beat(struct mw_flow_control_task *t,
+                          const struct mw_beat *beat)
+{
+    int err = mw_flow_control_beat(t->control, mw_now(), beat);
+
+    follow_up(t);
+    return err;
+}
+
+void
+mw_flow_control_task_answer(struct mw_flow_control_task *t,
+                            const struct mw_flow_answer *answer)
+{
+    mw_flow_control_answer(t->control, mw_now(), answer);
+    follow_up(t);
+}
+
+bool
+mw_flow_control_task_leads(struct mw_flow_control_task *t)
+{
+    return mw_flow_control_leads(t->control, mw_now());
+}
+
+struct mw_name
+mw_flow_control_task_leader(struct mw_flow_control_task *t)
+{
+    return mw_flow_control_leader(t->control, mw_now());
+}
+
+void
+mw_flow_control_task_seed(struct mw_flow_control_task *t,
+                          const struct mw_name *seed)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_DIAL);
+
+    mail->process = *seed;
+    mw_post(t->task, mail);
+}
+
+struct mw_event_log *
+mw_flow_control_task_log(struct mw_flow_control_task *t)
+{
+    return t->log;
+}
+
+#define COUNTER(name)                                                         \
+    g_string_append_printf(out, "mimosawind_" #name " %" PRIu64 "\n",         \
+                           counters->name)
+
+GString *
+mw_flow_control_task_metrics(struct mw_flow_control_task *t)
+{
+    const struct mw_flow_counters *counters =
+        mw_flow_control_counters(t->control);
+    GString *out = g_string_new(NULL);
+    struct mw_log_view log;
+    struct mw_flows_view flows;
+
+    mw_flow_control_look(t->control, &log, &flows);
+    COUNTER(accepted);
+    COUNTER(refused);
+    COUNTER(resent);
+    COUNTER(completed);
+    COUNTER(failed);
+    COUNTER(cancelled);
+    COUNTER(starts);
+    COUNTER(start_refusals);
+    COUNTER(unanswered);
+    COUNTER(stops);
+    COUNTER(holds);
+    COUNTER(ends);
+    COUNTER(failures);
+    COUNTER(lost_runs);
+    COUNTER(preempted);
+    COUNTER(quarantined);
+    g_string_append_printf(
+        out,
+        "mimosawind_leads %d\nmimosawind_term %" PRIu64
+        "\nmimosawind_commit %" PRIu64 "\nmimosawind_flows %u\n"
+        "mimosawind_flows_active %u\nmimosawind_endpoints %u\n"
+        "mimosawind_places %u\nmimosawind_log_lines_dropped %" PRIu64 "\n",
+        log.role == MW_LEADER, log.term, log.commit, flows.flows, flows.active,
+        flows.endpoints, flows.places, mw_event_log_dropped(t->log));
+    return out;
+}
--- /dev/null
+++ b/source/run/flow-entry-task.c
@@ -0,0 +1,344 @@
+#include "flow-entry-task.h"
+
+#include <inttypes.h>
+#include <unistd.h>
+
+/* between the system's own processes; guards against mix-ups alone */
+#define LINK_KEY MW_STR("mimosawind-region")
+#define HEARTBEAT_US 500000
+#define LEAVE_TICK_US 100000
+
+struct mw_flow_entry_task {
+    struct mw_flow_entry_task_setup setup;
+    struct mw_context ctx;
+    struct mw_task *task;
+    struct mw_task *links_task;
+    struct mw_links *links;
+    struct mw_blob *key;
+    struct mw_flow_entry *entry;
+    struct mw_event_log *log;
+    bool started;
+    bool leaving;
+    bool ended;
+    int64_t heartbeat_deadline_us;
+    int64_t leave_least_us;
+    int64_t leave_most_us;
+};
+
+static void
+end(struct mw_flow_entry_task *t, int error, struct mw_str message)
+{
+    if (!t->ended) {
+        t->ended = true;
+        mw_log_change(t->log, mw_now(), "stop", message,
+                      error ? "failed" : "planned");
+        mw_flush_event_log(t->log, mw_now());
+        t->setup.ended(t->setup.opaque, error, message);
+    }
+}
+
+static void
+send_one(void *opaque, const struct mw_name *to, struct mw_msg *msg)
+{
+    struct mw_flow_entry_task *t = opaque;
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
+
+    mail->process = *to;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(t->links_task, mail);
+}
+
+static void
+reply(void *opaque, const struct mw_flow_reply *flow_reply)
+{
+    struct mw_flow_entry_task *t = opaque;
+
+    t->setup.port.reply(t->setup.port.opaque, flow_reply);
+}
+
+static void
+event(void *opaque, const struct mw_flow_event *flow_event)
+{
+    struct mw_flow_entry_task *t = opaque;
+
+    mw_log_event(t->log, mw_now(), flow_event);
+}
+
+static void
+dial(struct mw_flow_entry_task *t, const struct mw_name *name)
+{
+    struct mw_dial dial = {.name = *name};
+    char address[MW_NAME_MAX + 1];
+
+    g_snprintf(address, sizeof address, "%.*s:%u", MW_FMT(mw_name_str(name)),
+               t->setup.link_port);
+    dial.address = mw_name_of(mw_str_from(address));
+    mw_links_dial(t->links, &dial);
+}
+
+static bool
+start_links(struct mw_flow_entry_task *t, char **message)
+{
+    struct mw_link_setup setup = {
+        .name = t->setup.name,
+        .zone = t->setup.zone,
+        .role = MW_ROLE_ENTRY,
+        .incarnation = (uint64_t)g_get_real_time(),
+        .key = t->key,
+        .owner = t->task,
+        .ctx = t->ctx,
+    };
+
+    t->links = mw_new_links(&setup, message);
+    if (!t->links) {
+        return false;
+    }
+    t->links_task = mw_links_task(t->links);
+    for (uint32_t i = 0; i < t->setup.seed_count; i++) {
+        dial(t, &t->setup.seeds[i]);
+    }
+    return true;
+}
+
+static void
+start(void *opaque, struct mw_task *task)
+{
+    struct mw_flow_entry_task *t = opaque;
+    struct mw_flow_entry_output output = {t, send_one, reply, event};
+    char *message = NULL;
+
+    t->task = task;
+    t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
+    t->key = mw_new_blob(LINK_KEY);
+    t->entry = mw_new_flow_entry(&output);
+    t->heartbeat_deadline_us = mw_now();
+    mw_log_change(t->log, mw_now(), "start", mw_name_str(&t->setup.zone),
+                  "entry");
+    if (!start_links(t, &message) ||
+        !t->setup.port.start(t->setup.port.opaque, t, &message)) {
+        mw_post_failed(t->task, MW_ERR_INVALID, mw_str_from(message));
+        g_free(message);
+        return;
+    }
+    t->started = true;
+    mw_flush_event_log(t->log, mw_now());
+}
+
+static void
+take_message(struct mw_flow_entry_task *t, struct mw_mail *mail)
+{
+    if (mail->msg->kind == MW_MSG_HEARTBEAT) {
+        const struct mw_heartbeat *beat = &mail->msg->heartbeat;
+
+        for (uint32_t i = 0; i < beat->member_count; i++) {
+            dial(t, &beat->members[i]);
+        }
+    }
+    mw_flow_entry_receive(t->entry, mw_now(), &mail->process, mail->msg);
+}
+
+static void
+begin_leave(struct mw_flow_entry_task *t)
+{
+    if (t->leaving) {
+        return;
+    }
+    t->leaving = true;
+    t->leave_least_us = mw_now() + t->setup.leave_least_us;
+    t->leave_most_us = mw_now() + t->setup.leave_most_us;
+    mw_log_change(t->log, mw_now(), "leave", MW_STR(""), "begun");
+    t->setup.port.leave(t->setup.port.opaque);
+}
+
+static void
+receive(void *opaque, struct mw_mail *mail)
+{
+    struct mw_flow_entry_task *t = opaque;
+
+    if (mail->kind == MW_MAIL_FAILED) {
+        end(t, mail->status, mw_blob_str(mail->text));
+        return;
+    }
+    if (t->ended || !t->started) {
+        return;
+    }
+    switch (mail->kind) {
+    case MW_MAIL_MSG:
+        take_message(t, mail);
+        break;
+    case MW_MAIL_LINK:
+        mw_log_change(t->log, mw_now(), "link", mw_name_str(&mail->process),
+                      mail->up ? "regained" : "lost");
+        if (!mail->up) {
+            mw_flow_entry_lost(t->entry, mw_now(), &mail->process);
+        }
+        break;
+    case MW_MAIL_DIAL:
+        dial(t, &mail->process);
+        break;
+    case MW_MAIL_LEAVE:
+        begin_leave(t);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+send_heartbeat(struct mw_flow_entry_task *t, int64_t now_us)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
+
+    mail->role = MW_ROLE_CONTROL;
+    mail->msg = mw_new_msg(MW_MSG_HEARTBEAT);
+    mail->msg->heartbeat.role = MW_ROLE_ENTRY;
+    mail->msg->heartbeat.zone = t->setup.zone;
+    mw_post(t->links_task, mail);
+    t->heartbeat_deadline_us = now_us + HEARTBEAT_US;
+}
+
+static bool
+may_end(struct mw_flow_entry_task *t, int64_t now_us)
+{
+    return now_us >= t->leave_most_us ||
+           (now_us >= t->leave_least_us &&
+            t->setup.port.open(t->setup.port.opaque) == 0);
+}
+
+static void
+tick(void *opaque, int64_t now_us)
+{
+    struct mw_flow_entry_task *t = opaque;
+
+    if (t->ended || !t->started) {
+        return;
+    }
+    mw_flow_entry_tick(t->entry, now_us);
+    if (now_us >= t->heartbeat_deadline_us) {
+        send_heartbeat(t, now_us);
+    }
+    mw_flush_event_log(t->log, now_us);
+    if (t->leaving && may_end(t, now_us)) {
+        end(t, 0, MW_STR(""));
+    }
+}
+
+static int64_t
+deadline(void *opaque)
+{
+    struct mw_flow_entry_task *t = opaque;
+    int64_t due_us = t->heartbeat_deadline_us;
+
+    if (t->ended || !t->started) {
+        return INT64_MAX;
+    }
+    if (t->leaving) {
+        due_us = MIN(due_us, mw_now() + LEAVE_TICK_US);
+    }
+    return MIN(due_us, mw_flow_entry_deadline(t->entry));
+}
+
+static void
+stop(void *opaque)
+{
+    struct mw_flow_entry_task *t = opaque;
+
+    if (t->started) {
+        t->setup.port.stop(t->setup.port.opaque);
+    }
+    mw_drop_links(t->links);
+    mw_drop_flow_entry(t->entry);
+    mw_drop_event_log(t->log);
+    mw_drop_blob(t->key);
+}
+
+struct mw_flow_entry_task *
+mw_new_flow_entry_task(const struct mw_flow_entry_task_setup *setup)
+{
+    struct mw_flow_entry_task *t = g_new0(struct mw_flow_entry_task, 1);
+    struct mw_task_work work = {
+        .opaque = t,
+        .start = start,
+        .mail = receive,
+        .deadline = deadline,
+        .tick = tick,
+        .stop = stop,
+    };
+
+    t->setup = *setup;
+    t->ctx = setup->ctx;
+    t->task = mw_new_task("flow-entry", &work);
+    return t;
+}
+
+void
+mw_drop_flow_entry_task(struct mw_flow_entry_task *t)
+{
+    if (t) {
+        mw_drop_task(t->task);
+        g_free(t);
+    }
+}
+
+void
+mw_flow_entry_task_leave(struct mw_flow_entry_task *t)
+{
+    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+}
+
+void
+mw_flow_entry_task_request(struct mw_flow_entry_task *t,
+                           const struct mw_flow_request *request,
+                           int64_t deadline_us)
+{
+    mw_flow_entry_request(t->entry, mw_now(), request, deadline_us);
+    mw_task_rearm(t->task);
+}
+
+void
+mw_flow_entry_task_gone(struct mw_flow_entry_task *t, uint64_t ref)
+{
+    mw_flow_entry_gone(t->entry, ref);
+}
+
+bool
+mw_flow_entry_task_ready(const struct mw_flow_entry_task *t)
+{
+    return !t->leaving && mw_flow_entry_ready(t->entry, mw_now());
+}
+
+void
+mw_flow_entry_task_seed(struct mw_flow_entry_task *t,
+                        const struct mw_name *seed)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_DIAL);
+
+    mail->process = *seed;
+    mw_post(t->task, mail);
+}
+
+struct mw_event_log *
+mw_flow_entry_task_log(struct mw_flow_entry_task *t)
+{
+    return t->log;
+}
+
+GString *
+mw_flow_entry_task_metrics(struct mw_flow_entry_task *t)
+{
+    const struct mw_flow_entry_counters *c =
+        mw_flow_entry_counters_of(t->entry);
+    GString *out = g_string_new(NULL);
+
+    g_string_append_printf(
+        out,
+        "mimosawind_requests %" PRIu64 "\nmimosawind_refused %" PRIu64
+        "\nmimosawind_handed_again %" PRIu64 "\nmimosawind_timed_out %" PRIu64
+        "\nmimosawind_leaders %" PRIu64
+        "\nmimosawind_open %u\nmimosawind_ready %d\n"
+        "mimosawind_log_lines_dropped %" PRIu64 "\n",
+        c->requests, c->refused, c->handed_again, c->timed_out, c->leaders,
+        mw_flow_entry_open(t->entry), mw_flow_entry_task_ready(t),
+        mw_event_log_dropped(t->log));
+    return out;
+}
--- /dev/null
+++ b/source/run/flow-entry-task.h
@@ -0,0 +1,61 @@
+#ifndef MW_RUN_FLOW_ENTRY_TASK_H
+#define MW_RUN_FLOW_ENTRY_TASK_H
+
+#include "event-log.h"
+#include "link.h"
+#include "mimosawind/flow-process.h"
+
+/*
+ * flow-entry-task: an entry process of a region that runs flows.
+ *
+ * The task owns the connections to control processes; a port owns the
+ * callers' connections and runs in the same thread.
+ */
+
+struct mw_flow_entry_task;
+
+struct mw_flow_entry_port {
+    void *opaque;
+    bool (*start)(void *opaque, struct mw_flow_entry_task *task,
+                  char **message);
+    void (*reply)(void *opaque, const struct mw_flow_reply *reply);
+    /* leave: no longer ready, and connections end with their next answer */
+    void (*leave)(void *opaque);
+    /* open: requests that are not answered yet */
+    uint32_t (*open)(void *opaque);
+    void (*stop)(void *opaque);
+};
+
+struct mw_flow_entry_task_setup {
+    struct mw_name name;
+    struct mw_name zone;
+    uint16_t link_port;
+    struct mw_name seeds[MW_MEMBERS_MAX];
+    uint32_t seed_count;
+    /* a planned stop takes at least and at most so long */
+    int64_t leave_least_us;
+    int64_t leave_most_us;
+    struct mw_flow_entry_port port;
+    struct mw_context ctx;
+    void *opaque;
+    void (*ended)(void *opaque, int error, struct mw_str message);
+};
+
+struct mw_flow_entry_task *
+mw_new_flow_entry_task(const struct mw_flow_entry_task_setup *setup);
+void mw_drop_flow_entry_task(struct mw_flow_entry_task *task);
+void mw_flow_entry_task_leave(struct mw_flow_entry_task *task);
+
+/* the port's calls, in the task's thread */
+void mw_flow_entry_task_request(struct mw_flow_entry_task *task,
+                                const struct mw_flow_request *request,
+                                int64_t deadline_us);
+void mw_flow_entry_task_gone(struct mw_flow_entry_task *task, uint64_t ref);
+bool mw_flow_entry_task_ready(const struct mw_flow_entry_task *task);
+/* mw_flow_entry_task_seed: one more process to know; any thread */
+void mw_flow_entry_task_seed(struct mw_flow_entry_task *task,
+                             const struct mw_name *seed);
+struct mw_event_log *mw_flow_entry_task_log(struct mw_flow_entry_task *task);
+GString *mw_flow_entry_task_metrics(struct mw_flow_entry_task *task);
+
+#endif
--- a/source/run/link.c
+++ b/source/run/link.c
@@ -419,7 +419,7 @@
 }
 
 static void
-dial(struct mw_links *links, int index)
+begin_dial(struct mw_links *links, int index)
 {
     struct dial_state *state = &links->dials[index];
     GSocketAddress *address = mw_parse_address(&state->dial.address);
@@ -484,7 +484,7 @@
     for (uint32_t i = 0; i < links->dial_count; i++) {
         if (!links->dials[i].busy &&
             now_us >= links->dials[i].redial_deadline_us) {
-            dial(links, (int)i);
+            begin_dial(links, (int)i);
         }
     }
 }
@@ -574,6 +574,19 @@
     }
 }
 
+void
+mw_links_dial(struct mw_links *links, const struct mw_dial *dial)
+{
+    for (uint32_t i = 0; i < links->dial_count; i++) {
+        if (mw_name_equal(&links->dials[i].dial.name, &dial->name)) {
+            return;
+        }
+    }
+    if (links->dial_count < G_N_ELEMENTS(links->dials)) {
+        links->dials[links->dial_count++].dial = *dial;
+    }
+}
+
 GSocketAddress *
 mw_parse_address(const struct mw_name *text)
 {
--- a/source/run/link.h
+++ b/source/run/link.h
@@ -76,6 +76,13 @@
 /* mw_links_task: where to post MW_MAIL_MSG and MW_MAIL_MSG_ALL. */
 struct mw_task *mw_links_task(struct mw_links *links);
 
+/*
+ * mw_links_dial: keep a connection to one more process.
+ *
+ * To be called in the links' thread; one that is listed already is left.
+ */
+void mw_links_dial(struct mw_links *links, const struct mw_dial *dial);
+
 /* mw_parse_address: IP:PORT into a socket address; NULL when invalid. */
 GSocketAddress *mw_parse_address(const struct mw_name *text);
 
--- a/source/run/task.c
+++ b/source/run/task.c
@@ -1,5 +1,6 @@
 #include "task.h"
 
+#include <time.h>
 #include <unistd.h>
 
 #define BATCH_MAX 256
@@ -20,10 +21,25 @@
     struct mw_task *task;
 };
 
+/* Counts suspended time too: a lease must not outlive a suspended VM. */
 int64_t
 mw_now(void)
 {
-    return g_get_monotonic_time();
+    struct timespec at;
+
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return (int64_t)at.tv_sec * 1000000 + at.tv_nsec / 1000;
+}
+
+/* When the main loop's clock, which stands still while suspended, gets there.
+ */
+static int64_t
+loop_time(int64_t deadline_us)
+{
+    if (deadline_us == INT64_MAX) {
+        return -1;
+    }
+    return MAX(g_get_monotonic_time() + deadline_us - mw_now(), 0);
 }
 
 struct mw_mail *
@@ -75,8 +91,7 @@
     if (task->work.deadline) {
         deadline = task->work.deadline(task->work.opaque);
     }
-    g_source_set_ready_time(task->source,
-                            deadline == INT64_MAX ? -1 : MAX(deadline, 0));
+    g_source_set_ready_time(task->source, loop_time(deadline));
 }
 
 static void
--- a/source/run/task.h
+++ b/source/run/task.h
@@ -29,7 +29,9 @@
     MW_MAIL_ANNOUNCE = 10,
     MW_MAIL_LOOK = 11,
     MW_MAIL_LEAVE = 12,
-    MW_MAIL_FAILED = 13
+    MW_MAIL_FAILED = 13,
+    /* keep a connection to one more process */
+    MW_MAIL_DIAL = 14
 };
 
 enum mw_request_source {
--- a/source/wire/frame.c
+++ b/source/wire/frame.c
@@ -26,6 +26,12 @@
     wire->heartbeat->free_accelerators = beat->load.free_accelerators;
     wire->heartbeat->trial_version = beat->version[MW_TRIAL];
     wire->heartbeat->production_version = beat->version[MW_PRODUCTION];
+    wire->heartbeat->n_members = beat->member_count;
+    wire->heartbeat->members = mw_scratch_new(
+        s, (beat->member_count + 1) * sizeof *wire->heartbeat->members);
+    for (uint32_t i = 0; i < beat->member_count; i++) {
+        wire->heartbeat->members[i] = mw_pack_name(&beat->members[i]);
+    }
 }
 
 static void
@@ -176,6 +182,31 @@
     wire->changed->detail = mw_pack_blob(msg->changed.detail);
 }
 
+static void
+pack_flow(struct mw_scratch *s, const struct mw_msg *msg,
+          Mw__Wire__Frame *wire)
+{
+    if (msg->kind == MW_MSG_FLOW_CALL) {
+        FRAME(FLOW_CALL, flow_call);
+        wire->flow_call->ref = msg->flow_call.ref;
+        wire->flow_call->kind = msg->flow_call.kind;
+        wire->flow_call->host = mw_pack_blob(msg->flow_call.host);
+        wire->flow_call->path = mw_pack_blob(msg->flow_call.path);
+        wire->flow_call->key = mw_pack_blob(msg->flow_call.key);
+        wire->flow_call->body = mw_pack_blob(msg->flow_call.body);
+        return;
+    }
+    FRAME(FLOW_RETURN, flow_return);
+    wire->flow_return->ref = msg->flow_return.ref;
+    wire->flow_return->kind = msg->flow_return.kind;
+    wire->flow_return->error = msg->flow_return.error;
+    wire->flow_return->state = msg->flow_return.state;
+    wire->flow_return->queued = msg->flow_return.queued;
+    wire->flow_return->pending = msg->flow_return.pending;
+    wire->flow_return->text = mw_pack_blob(msg->flow_return.text);
+    wire->flow_return->retry_after_us = msg->flow_return.retry_after_us;
+}
+
 static void
 pack_msg(struct mw_scratch *s, const struct mw_msg *msg,
          const struct mw_name *name, int64_t now_us, Mw__Wire__Frame *wire)
@@ -212,6 +243,10 @@
     case MW_MSG_JUDGED:
         pack_document_msg(s, msg, wire);
         break;
+    case MW_MSG_FLOW_CALL:
+    case MW_MSG_FLOW_RETURN:
+        pack_flow(s, msg, wire);
+        break;
     default:
         pack_small(s, msg, name, wire);
         break;
@@ -284,6 +319,17 @@
     beat->load.free_accelerators = wire->free_accelerators;
     beat->version[MW_TRIAL] = wire->trial_version;
     beat->version[MW_PRODUCTION] = wire->production_version;
+    if (wire->n_members > MW_MEMBERS_MAX) {
+        return MW_ERR_TOO_LARGE;
+    }
+    for (size_t i = 0; i < wire->n_members; i++) {
+        int err = mw_unpack_name(wire->members[i], &beat->members[i]);
+
+        if (err) {
+            return err;
+        }
+        beat->member_count++;
+    }
     return mw_unpack_name(wire->zone, &beat->zone);
 }
 
@@ -436,6 +482,40 @@
     return 0;
 }
 
+static int
+unpack_flow_call(const Mw__Wire__FlowCall *wire, struct mw_msg_flow_call *call)
+{
+    if (wire->kind >= MW_FLOW_REQUESTS) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    call->ref = wire->ref;
+    call->kind = (enum mw_flow_request_kind)wire->kind;
+    call->host = mw_unpack_blob(wire->host);
+    call->path = mw_unpack_blob(wire->path);
+    call->key = mw_unpack_blob(wire->key);
+    call->body = mw_unpack_blob(wire->body);
+    return 0;
+}
+
+static int
+unpack_flow_return(const Mw__Wire__FlowReturn *wire,
+                   struct mw_msg_flow_return *reply)
+{
+    if (wire->kind > MW_REPLY_ERROR || wire->state >= MW_FLOW_STATES ||
+        !error_in_range(wire->error)) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    reply->ref = wire->ref;
+    reply->kind = (enum mw_flow_reply_kind)wire->kind;
+    reply->error = wire->error;
+    reply->state = (enum mw_flow_state)wire->state;
+    reply->queued = wire->queued;
+    reply->pending = wire->pending;
+    reply->text = mw_unpack_blob(wire->text);
+    reply->retry_after_us = wire->retry_after_us;
+    return 0;
+}
+
 static int
 unpack_msg(struct mw_context *ctx, const Mw__Wire__Frame *wire, int64_t now_us,
            struct mw_name *peer, struct mw_msg *msg)
@@ -478,6 +558,10 @@
         return err;
     case MW_MSG_JUDGED:
         return unpack_judged(wire->judged, &msg->judged);
+    case MW_MSG_FLOW_CALL:
+        return unpack_flow_call(wire->flow_call, &msg->flow_call);
+    case MW_MSG_FLOW_RETURN:
+        return unpack_flow_return(wire->flow_return, &msg->flow_return);
     default:
         return mw_fail(ctx, MW_ERR_VERSION, "frame of an unknown kind");
     }
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -277,6 +277,141 @@
   assert(message->base.descriptor == &mw__wire__record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__wire__route__init
+                     (Mw__Wire__Route         *message)
+{
+  static const Mw__Wire__Route init_value = MW__WIRE__ROUTE__INIT;
+  *message = init_value;
+}
+size_t mw__wire__route__get_packed_size
+                     (const Mw__Wire__Route *message)
+{
+  assert(message->base.descriptor == &mw__wire__route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__wire__route__pack
+                     (const Mw__Wire__Route *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__wire__route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__wire__route__pack_to_buffer
+                     (const Mw__Wire__Route *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__wire__route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__Wire__Route *
+       mw__wire__route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__Wire__Route *)
+     protobuf_c_message_unpack (&mw__wire__route__descriptor,
+                                allocator, len, data);
+}
+void   mw__wire__route__free_unpacked
+                     (Mw__Wire__Route *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__wire__route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__wire__flow__init
+                     (Mw__Wire__Flow         *message)
+{
+  static const Mw__Wire__Flow init_value = MW__WIRE__FLOW__INIT;
+  *message = init_value;
+}
+size_t mw__wire__flow__get_packed_size
+                     (const Mw__Wire__Flow *message)
+{
+  assert(message->base.descriptor == &mw__wire__flow__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__wire__flow__pack
+                     (const Mw__Wire__Flow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__wire__flow__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__wire__flow__pack_to_buffer
+                     (const Mw__Wire__Flow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__wire__flow__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__Wire__Flow *
+       mw__wire__flow__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__Wire__Flow *)
+     protobuf_c_message_unpack (&mw__wire__flow__descriptor,
+                                allocator, len, data);
+}
+void   mw__wire__flow__free_unpacked
+                     (Mw__Wire__Flow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__wire__flow__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__wire__task_note__init
+                     (Mw__Wire__TaskNote         *message)
+{
+  static const Mw__Wire__TaskNote init_value = MW__WIRE__TASK_NOTE__INIT;
+  *message = init_value;
+}
+size_t mw__wire__task_note__get_packed_size
+                     (const Mw__Wire__TaskNote *message)
+{
+  assert(message->base.descriptor == &mw__wire__task_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__wire__task_note__pack
+                     (const Mw__Wire__TaskNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__wire__task_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__wire__task_note__pack_to_buffer
+                     (const Mw__Wire__TaskNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__wire__task_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__Wire__TaskNote *
+       mw__wire__task_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__Wire__TaskNote *)
+     protobuf_c_message_unpack (&mw__wire__task_note__descriptor,
+                                allocator, len, data);
+}
+void   mw__wire__task_note__free_unpacked
+                     (Mw__Wire__TaskNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__wire__task_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__wire__entry__init
                      (Mw__Wire__Entry         *message)
 {
@@ -1042,6 +1177,96 @@
   assert(message->base.descriptor == &mw__wire__judged__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__wire__flow_call__init
+                     (Mw__Wire__FlowCall         *message)
+{
+  static const Mw__Wire__FlowCall init_value = MW__WIRE__FLOW_CALL__INIT;
+  *message = init_value;
+}
+size_t mw__wire__flow_call__get_packed_size
+                     (const Mw__Wire__FlowCall *message)
+{
+  assert(message->base.descriptor == &mw__wire__flow_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__wire__flow_call__pack
+                     (const Mw__Wire__FlowCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__wire__flow_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__wire__flow_call__pack_to_buffer
+                     (const Mw__Wire__FlowCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__wire__flow_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__Wire__FlowCall *
+       mw__wire__flow_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__Wire__FlowCall *)
+     protobuf_c_message_unpack (&mw__wire__flow_call__descriptor,
+                                allocator, len, data);
+}
+void   mw__wire__flow_call__free_unpacked
+                     (Mw__Wire__FlowCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__wire__flow_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__wire__flow_return__init
+                     (Mw__Wire__FlowReturn         *message)
+{
+  static const Mw__Wire__FlowReturn init_value = MW__WIRE__FLOW_RETURN__INIT;
+  *message = init_value;
+}
+size_t mw__wire__flow_return__get_packed_size
+                     (const Mw__Wire__FlowReturn *message)
+{
+  assert(message->base.descriptor == &mw__wire__flow_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__wire__flow_return__pack
+                     (const Mw__Wire__FlowReturn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__wire__flow_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__wire__flow_return__pack_to_buffer
+                     (const Mw__Wire__FlowReturn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__wire__flow_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__Wire__FlowReturn *
+       mw__wire__flow_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__Wire__FlowReturn *)
+     protobuf_c_message_unpack (&mw__wire__flow_return__descriptor,
+                                allocator, len, data);
+}
+void   mw__wire__flow_return__free_unpacked
+                     (Mw__Wire__FlowReturn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__wire__flow_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__wire__frame__init
                      (Mw__Wire__Frame         *message)
 {
@@ -1524,7 +1749,7 @@
   (ProtobufCMessageInit) mw__wire__part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__record__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mw__wire__record__field_descriptors[16] =
 {
   {
     "kind",
@@ -1659,76 +1884,489 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ran",
-    12,
+    "ran",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Record, ran),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Record, key),
+    &mw__wire__key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_text",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Record, has_text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flow",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Record, flow),
+    &mw__wire__flow__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Wire__Record, n_tasks),
+    offsetof(Mw__Wire__Record, tasks),
+    &mw__wire__task_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__wire__record__field_indices_by_name[] = {
+  8,   /* field[8] = attempt */
+  3,   /* field[3] = environment */
+  10,   /* field[10] = error */
+  14,   /* field[14] = flow */
+  13,   /* field[13] = has_text */
+  12,   /* field[12] = key */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = name */
+  2,   /* field[2] = number */
+  4,   /* field[4] = operator_name */
+  6,   /* field[6] = out */
+  9,   /* field[9] = parts */
+  11,   /* field[11] = ran */
+  7,   /* field[7] = spec */
+  15,   /* field[15] = tasks */
+  5,   /* field[5] = text */
+};
+static const ProtobufCIntRange mw__wire__record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor mw__wire__record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.wire.Record",
+  "Record",
+  "Mw__Wire__Record",
+  "mw.wire",
+  sizeof(Mw__Wire__Record),
+  16,
+  mw__wire__record__field_descriptors,
+  mw__wire__record__field_indices_by_name,
+  1,  mw__wire__record__number_ranges,
+  (ProtobufCMessageInit) mw__wire__record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__wire__route__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, name),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, prefix),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts_max",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, attempts_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slack_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, slack_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, target_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keyless",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Route, keyless),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__wire__route__field_indices_by_name[] = {
+  5,   /* field[5] = attempts_max */
+  1,   /* field[1] = host */
+  8,   /* field[8] = keyless */
+  0,   /* field[0] = name */
+  2,   /* field[2] = prefix */
+  4,   /* field[4] = priority */
+  3,   /* field[3] = service */
+  6,   /* field[6] = slack_permille */
+  7,   /* field[7] = target_us */
+};
+static const ProtobufCIntRange mw__wire__route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor mw__wire__route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.wire.Route",
+  "Route",
+  "Mw__Wire__Route",
+  "mw.wire",
+  sizeof(Mw__Wire__Route),
+  9,
+  mw__wire__route__field_descriptors,
+  mw__wire__route__field_indices_by_name,
+  1,  mw__wire__route__number_ranges,
+  (ProtobufCMessageInit) mw__wire__route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__wire__flow__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Flow, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Flow, route),
+    &mw__wire__route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "org",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Flow, org),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted_wall_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Flow, accepted_wall_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Flow, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__wire__flow__field_indices_by_name[] = {
+  3,   /* field[3] = accepted_wall_us */
+  0,   /* field[0] = id */
+  2,   /* field[2] = org */
+  1,   /* field[1] = route */
+  4,   /* field[4] = state */
+};
+static const ProtobufCIntRange mw__wire__flow__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mw__wire__flow__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.wire.Flow",
+  "Flow",
+  "Mw__Wire__Flow",
+  "mw.wire",
+  sizeof(Mw__Wire__Flow),
+  5,
+  mw__wire__flow__field_descriptors,
+  mw__wire__flow__field_indices_by_name,
+  1,  mw__wire__flow__number_ranges,
+  (ProtobufCMessageInit) mw__wire__flow__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[10] =
+{
+  {
+    "flow",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Mw__Wire__Record, ran),
+    offsetof(Mw__Wire__TaskNote, endpoint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
-    13,
+    "born",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mw__Wire__Record, key),
-    &mw__wire__key__descriptor,
+    offsetof(Mw__Wire__TaskNote, born),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "has_text",
-    14,
+    "checkpoint",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Mw__Wire__Record, has_text),
+    offsetof(Mw__Wire__TaskNote, checkpoint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mw__wire__record__field_indices_by_name[] = {
-  8,   /* field[8] = attempt */
-  3,   /* field[3] = environment */
-  10,   /* field[10] = error */
-  13,   /* field[13] = has_text */
-  12,   /* field[12] = key */
-  0,   /* field[0] = kind */
-  1,   /* field[1] = name */
-  2,   /* field[2] = number */
-  4,   /* field[4] = operator_name */
-  6,   /* field[6] = out */
-  9,   /* field[9] = parts */
-  11,   /* field[11] = ran */
-  7,   /* field[7] = spec */
-  5,   /* field[5] = text */
+static const unsigned mw__wire__task_note__field_indices_by_name[] = {
+  8,   /* field[8] = born */
+  9,   /* field[9] = checkpoint */
+  7,   /* field[7] = endpoint */
+  6,   /* field[6] = failures */
+  0,   /* field[0] = flow */
+  3,   /* field[3] = index */
+  1,   /* field[1] = occurrence */
+  5,   /* field[5] = run */
+  4,   /* field[4] = state */
+  2,   /* field[2] = step */
 };
-static const ProtobufCIntRange mw__wire__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange mw__wire__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 10 }
 };
-const ProtobufCMessageDescriptor mw__wire__record__descriptor =
+const ProtobufCMessageDescriptor mw__wire__task_note__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mw.wire.Record",
-  "Record",
-  "Mw__Wire__Record",
+  "mw.wire.TaskNote",
+  "TaskNote",
+  "Mw__Wire__TaskNote",
   "mw.wire",
-  sizeof(Mw__Wire__Record),
-  14,
-  mw__wire__record__field_descriptors,
-  mw__wire__record__field_indices_by_name,
-  1,  mw__wire__record__number_ranges,
-  (ProtobufCMessageInit) mw__wire__record__init,
+  sizeof(Mw__Wire__TaskNote),
+  10,
+  mw__wire__task_note__field_descriptors,
+  mw__wire__task_note__field_indices_by_name,
+  1,  mw__wire__task_note__number_ranges,
+  (ProtobufCMessageInit) mw__wire__task_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor mw__wire__entry__field_descriptors[2] =
@@ -2195,7 +2833,7 @@
   (ProtobufCMessageInit) mw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[12] =
 {
   {
     "role",
@@ -2329,6 +2967,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Mw__Wire__Heartbeat, n_members),
+    offsetof(Mw__Wire__Heartbeat, members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__heartbeat__field_indices_by_name[] = {
   6,   /* field[6] = epoch */
@@ -2336,6 +2986,7 @@
   3,   /* field[3] = leads_region */
   2,   /* field[2] = leads_zone */
   5,   /* field[5] = leaving */
+  11,   /* field[11] = members */
   4,   /* field[4] = out */
   8,   /* field[8] = production_version */
   9,   /* field[9] = queued */
@@ -2346,7 +2997,7 @@
 static const ProtobufCIntRange mw__wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mw__wire__heartbeat__descriptor =
 {
@@ -2356,7 +3007,7 @@
   "Mw__Wire__Heartbeat",
   "mw.wire",
   sizeof(Mw__Wire__Heartbeat),
-  11,
+  12,
   mw__wire__heartbeat__field_descriptors,
   mw__wire__heartbeat__field_indices_by_name,
   1,  mw__wire__heartbeat__number_ranges,
@@ -3456,7 +4107,239 @@
   (ProtobufCMessageInit) mw__wire__judged__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mw__wire__flow_call__field_descriptors[6] =
+{
+  {
+    "ref",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowCall, ref),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowCall, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowCall, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowCall, path),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowCall, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowCall, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__wire__flow_call__field_indices_by_name[] = {
+  5,   /* field[5] = body */
+  2,   /* field[2] = host */
+  4,   /* field[4] = key */
+  1,   /* field[1] = kind */
+  3,   /* field[3] = path */
+  0,   /* field[0] = ref */
+};
+static const ProtobufCIntRange mw__wire__flow_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor mw__wire__flow_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.wire.FlowCall",
+  "FlowCall",
+  "Mw__Wire__FlowCall",
+  "mw.wire",
+  sizeof(Mw__Wire__FlowCall),
+  6,
+  mw__wire__flow_call__field_descriptors,
+  mw__wire__flow_call__field_indices_by_name,
+  1,  mw__wire__flow_call__number_ranges,
+  (ProtobufCMessageInit) mw__wire__flow_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__wire__flow_return__field_descriptors[8] =
+{
+  {
+    "ref",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, ref),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pending",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__wire__flow_return__field_indices_by_name[] = {
+  2,   /* field[2] = error */
+  1,   /* field[1] = kind */
+  5,   /* field[5] = pending */
+  4,   /* field[4] = queued */
+  0,   /* field[0] = ref */
+  7,   /* field[7] = retry_after_us */
+  3,   /* field[3] = state */
+  6,   /* field[6] = text */
+};
+static const ProtobufCIntRange mw__wire__flow_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor mw__wire__flow_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.wire.FlowReturn",
+  "FlowReturn",
+  "Mw__Wire__FlowReturn",
+  "mw.wire",
+  sizeof(Mw__Wire__FlowReturn),
+  8,
+  mw__wire__flow_return__field_descriptors,
+  mw__wire__flow_return__field_indices_by_name,
+  1,  mw__wire__flow_return__number_ranges,
+  (ProtobufCMessageInit) mw__wire__flow_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__wire__frame__field_descriptors[16] =
 {
   {
     "hello",
@@ -3626,6 +4509,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow_call",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Wire__Frame, body_case),
+    offsetof(Mw__Wire__Frame, flow_call),
+    &mw__wire__flow_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flow_return",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Wire__Frame, body_case),
+    offsetof(Mw__Wire__Frame, flow_return),
+    &mw__wire__flow_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__frame__field_indices_by_name[] = {
   6,   /* field[6] = announce */
@@ -3633,6 +4540,8 @@
   9,   /* field[9] = change */
   10,   /* field[10] = changed */
   11,   /* field[11] = document */
+  14,   /* field[14] = flow_call */
+  15,   /* field[15] = flow_return */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
   12,   /* field[12] = judge */
@@ -3646,7 +4555,7 @@
 static const ProtobufCIntRange mw__wire__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor mw__wire__frame__descriptor =
 {
@@ -3656,7 +4565,7 @@
   "Mw__Wire__Frame",
   "mw.wire",
   sizeof(Mw__Wire__Frame),
-  14,
+  16,
   mw__wire__frame__field_descriptors,
   mw__wire__frame__field_indices_by_name,
   1,  mw__wire__frame__number_ranges,
