--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -21,6 +21,9 @@
 typedef struct Mw__Wire__Attempt Mw__Wire__Attempt;
 typedef struct Mw__Wire__Part Mw__Wire__Part;
 typedef struct Mw__Wire__Record Mw__Wire__Record;
+typedef struct Mw__Wire__Route Mw__Wire__Route;
+typedef struct Mw__Wire__Flow Mw__Wire__Flow;
+typedef struct Mw__Wire__TaskNote Mw__Wire__TaskNote;
 typedef struct Mw__Wire__Entry Mw__Wire__Entry;
 typedef struct Mw__Wire__Log Mw__Wire__Log;
 typedef struct Mw__Wire__Stored Mw__Wire__Stored;
@@ -38,6 +41,8 @@
 typedef struct Mw__Wire__Document Mw__Wire__Document;
 typedef struct Mw__Wire__Judge Mw__Wire__Judge;
 typedef struct Mw__Wire__Judged Mw__Wire__Judged;
+typedef struct Mw__Wire__FlowCall Mw__Wire__FlowCall;
+typedef struct Mw__Wire__FlowReturn Mw__Wire__FlowReturn;
 typedef struct Mw__Wire__Frame Mw__Wire__Frame;
 
 
@@ -139,10 +144,64 @@
   uint32_t ran;
   Mw__Wire__Key *key;
   protobuf_c_boolean has_text;
+  Mw__Wire__Flow *flow;
+  size_t n_tasks;
+  Mw__Wire__TaskNote **tasks;
 };
 #define MW__WIRE__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__record__descriptor) \
-    , 0, {0,NULL}, 0, 0, {0,NULL}, {0,NULL}, 0, NULL, NULL, 0,NULL, 0, 0, NULL, 0 }
+    , 0, {0,NULL}, 0, 0, {0,NULL}, {0,NULL}, 0, NULL, NULL, 0,NULL, 0, 0, NULL, 0, NULL, 0,NULL }
+
+
+struct  Mw__Wire__Route
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData name;
+  ProtobufCBinaryData host;
+  ProtobufCBinaryData prefix;
+  ProtobufCBinaryData service;
+  uint32_t priority;
+  uint32_t attempts_max;
+  uint32_t slack_permille;
+  int64_t target_us;
+  protobuf_c_boolean keyless;
+};
+#define MW__WIRE__ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__wire__route__descriptor) \
+    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0 }
+
+
+struct  Mw__Wire__Flow
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData id;
+  Mw__Wire__Route *route;
+  ProtobufCBinaryData org;
+  int64_t accepted_wall_us;
+  uint32_t state;
+};
+#define MW__WIRE__FLOW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__wire__flow__descriptor) \
+    , {0,NULL}, NULL, {0,NULL}, 0, 0 }
+
+
+struct  Mw__Wire__TaskNote
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData flow;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t state;
+  uint32_t run;
+  uint32_t failures;
+  ProtobufCBinaryData endpoint;
+  uint64_t born;
+  ProtobufCBinaryData checkpoint;
+};
+#define MW__WIRE__TASK_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__wire__task_note__descriptor) \
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL} }
 
 
 struct  Mw__Wire__Entry
@@ -230,10 +289,12 @@
   uint64_t production_version;
   uint32_t queued;
   uint32_t free_accelerators;
+  size_t n_members;
+  ProtobufCBinaryData *members;
 };
 #define MW__WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__heartbeat__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Mw__Wire__Submit
@@ -406,6 +467,38 @@
     , 0, 0, {0,NULL}, {0,NULL} }
 
 
+struct  Mw__Wire__FlowCall
+{
+  ProtobufCMessage base;
+  uint64_t ref;
+  uint32_t kind;
+  ProtobufCBinaryData host;
+  ProtobufCBinaryData path;
+  ProtobufCBinaryData key;
+  ProtobufCBinaryData body;
+};
+#define MW__WIRE__FLOW_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__wire__flow_call__descriptor) \
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL} }
+
+
+struct  Mw__Wire__FlowReturn
+{
+  ProtobufCMessage base;
+  uint64_t ref;
+  uint32_t kind;
+  int32_t error;
+  uint32_t state;
+  protobuf_c_boolean queued;
+  uint32_t pending;
+  ProtobufCBinaryData text;
+  int64_t retry_after_us;
+};
+#define MW__WIRE__FLOW_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__wire__flow_return__descriptor) \
+    , 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
+
+
 typedef enum {
   MW__WIRE__FRAME__BODY__NOT_SET = 0,
   MW__WIRE__FRAME__BODY_HELLO = 1,
@@ -421,7 +514,9 @@
   MW__WIRE__FRAME__BODY_CHANGED = 11,
   MW__WIRE__FRAME__BODY_DOCUMENT = 12,
   MW__WIRE__FRAME__BODY_JUDGE = 13,
-  MW__WIRE__FRAME__BODY_JUDGED = 14
+  MW__WIRE__FRAME__BODY_JUDGED = 14,
+  MW__WIRE__FRAME__BODY_FLOW_CALL = 15,
+  MW__WIRE__FRAME__BODY_FLOW_RETURN = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MW__WIRE__FRAME__BODY__CASE)
 } Mw__Wire__Frame__BodyCase;
 
@@ -444,6 +539,8 @@
     Mw__Wire__Document *document;
     Mw__Wire__Judge *judge;
     Mw__Wire__Judged *judged;
+    Mw__Wire__FlowCall *flow_call;
+    Mw__Wire__FlowReturn *flow_return;
   };
 };
 #define MW__WIRE__FRAME__INIT \
@@ -565,6 +662,63 @@
 void   mw__wire__record__free_unpacked
                      (Mw__Wire__Record *message,
                       ProtobufCAllocator *allocator);
+/* Mw__Wire__Route methods */
+void   mw__wire__route__init
+                     (Mw__Wire__Route         *message);
+size_t mw__wire__route__get_packed_size
+                     (const Mw__Wire__Route   *message);
+size_t mw__wire__route__pack
+                     (const Mw__Wire__Route   *message,
+                      uint8_t             *out);
+size_t mw__wire__route__pack_to_buffer
+                     (const Mw__Wire__Route   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__Wire__Route *
+       mw__wire__route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__wire__route__free_unpacked
+                     (Mw__Wire__Route *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__Wire__Flow methods */
+void   mw__wire__flow__init
+                     (Mw__Wire__Flow         *message);
+size_t mw__wire__flow__get_packed_size
+                     (const Mw__Wire__Flow   *message);
+size_t mw__wire__flow__pack
+                     (const Mw__Wire__Flow   *message,
+                      uint8_t             *out);
+size_t mw__wire__flow__pack_to_buffer
+                     (const Mw__Wire__Flow   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__Wire__Flow *
+       mw__wire__flow__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__wire__flow__free_unpacked
+                     (Mw__Wire__Flow *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__Wire__TaskNote methods */
+void   mw__wire__task_note__init
+                     (Mw__Wire__TaskNote         *message);
+size_t mw__wire__task_note__get_packed_size
+                     (const Mw__Wire__TaskNote   *message);
+size_t mw__wire__task_note__pack
+                     (const Mw__Wire__TaskNote   *message,
+                      uint8_t             *out);
+size_t mw__wire__task_note__pack_to_buffer
+                     (const Mw__Wire__TaskNote   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__Wire__TaskNote *
+       mw__wire__task_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__wire__task_note__free_unpacked
+                     (Mw__Wire__TaskNote *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__Wire__Entry methods */
 void   mw__wire__entry__init
                      (Mw__Wire__Entry         *message);
@@ -888,6 +1042,44 @@
 void   mw__wire__judged__free_unpacked
                      (Mw__Wire__Judged *message,
                       ProtobufCAllocator *allocator);
+/* Mw__Wire__FlowCall methods */
+void   mw__wire__flow_call__init
+                     (Mw__Wire__FlowCall         *message);
+size_t mw__wire__flow_call__get_packed_size
+                     (const Mw__Wire__FlowCall   *message);
+size_t mw__wire__flow_call__pack
+                     (const Mw__Wire__FlowCall   *message,
+                      uint8_t             *out);
+size_t mw__wire__flow_call__pack_to_buffer
+                     (const Mw__Wire__FlowCall   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__Wire__FlowCall *
+       mw__wire__flow_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__wire__flow_call__free_unpacked
+                     (Mw__Wire__FlowCall *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__Wire__FlowReturn methods */
+void   mw__wire__flow_return__init
+                     (Mw__Wire__FlowReturn         *message);
+size_t mw__wire__flow_return__get_packed_size
+                     (const Mw__Wire__FlowReturn   *message);
+size_t mw__wire__flow_return__pack
+                     (const Mw__Wire__FlowReturn   *message,
+                      uint8_t             *out);
+size_t mw__wire__flow_return__pack_to_buffer
+                     (const Mw__Wire__FlowReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__Wire__FlowReturn *
+       mw__wire__flow_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__wire__flow_return__free_unpacked
+                     (Mw__Wire__FlowReturn *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__Wire__Frame methods */
 void   mw__wire__frame__init
                      (Mw__Wire__Frame         *message);
@@ -927,6 +1119,15 @@
 typedef void (*Mw__Wire__Record_Closure)
                  (const Mw__Wire__Record *message,
                   void *closure_data);
+typedef void (*Mw__Wire__Route_Closure)
+                 (const Mw__Wire__Route *message,
+                  void *closure_data);
+typedef void (*Mw__Wire__Flow_Closure)
+                 (const Mw__Wire__Flow *message,
+                  void *closure_data);
+typedef void (*Mw__Wire__TaskNote_Closure)
+                 (const Mw__Wire__TaskNote *message,
+                  void *closure_data);
 typedef void (*Mw__Wire__Entry_Closure)
                  (const Mw__Wire__Entry *message,
                   void *closure_data);
@@ -978,6 +1179,12 @@
 typedef void (*Mw__Wire__Judged_Closure)
                  (const Mw__Wire__Judged *message,
                   void *closure_data);
+typedef void (*Mw__Wire__FlowCall_Closure)
+                 (const Mw__Wire__FlowCall *message,
+                  void *closure_data);
+typedef void (*Mw__Wire__FlowReturn_Closure)
+                 (const Mw__Wire__FlowReturn *message,
+                  void *closure_data);
 typedef void (*Mw__Wire__Frame_Closure)
                  (const Mw__Wire__Frame *message,
                   void *closure_data);
@@ -993,6 +1200,9 @@
 extern const ProtobufCMessageDescriptor mw__wire__attempt__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__part__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__record__descriptor;
+extern const ProtobufCMessageDescriptor mw__wire__route__descriptor;
+extern const ProtobufCMessageDescriptor mw__wire__flow__descriptor;
+extern const ProtobufCMessageDescriptor mw__wire__task_note__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__entry__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__log__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__stored__descriptor;
@@ -1010,6 +1220,8 @@
 extern const ProtobufCMessageDescriptor mw__wire__document__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__judge__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__judged__descriptor;
+extern const ProtobufCMessageDescriptor mw__wire__flow_call__descriptor;
+extern const ProtobufCMessageDescriptor mw__wire__flow_return__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/wire/pack-record.c
+++ b/source/wire/pack-record.c
@@ -73,6 +73,7 @@
         wire->number = record->forget.job;
         break;
     default:
+        mw_pack_flow_record(scratch, record, wire);
         break;
     }
     return wire;
@@ -168,7 +169,7 @@
         record->forget.job = wire->number;
         return 0;
     default:
-        return 0;
+        return mw_unpack_flow_record(wire, record);
     }
 }
 
--- a/source/wire/pack.h
+++ b/source/wire/pack.h
@@ -43,6 +43,13 @@
 struct mw_record *mw_unpack_record(struct mw_context *ctx,
                                    const Mw__Wire__Record *wire);
 
+/* mw_pack_flow_record: the kinds of record that flow-record.h tells. */
+void mw_pack_flow_record(struct mw_scratch *scratch,
+                         const struct mw_record *record,
+                         Mw__Wire__Record *wire);
+int mw_unpack_flow_record(const Mw__Wire__Record *wire,
+                          struct mw_record *record);
+
 Mw__Wire__Log *mw_pack_log(struct mw_scratch *scratch,
                            const struct mw_msg_log *log);
 int mw_unpack_log(struct mw_context *ctx, const Mw__Wire__Log *wire,
