--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -35,6 +35,13 @@
 #define MW_CLOCK_SLOW_PERMILLE 1030
 #define MW_HEARD_MAX_US INT64_C(4500000)
 #define MW_SICK_US INT64_C(5000000)
+/* one failure may be the job's; a second in a row looks like the endpoint */
+#define MW_SUSPECT_US INT64_C(2500000)
+#define MW_QUARANTINE_FLOW_US INT64_C(12000000)
+/* at most this part of the endpoints is kept out for failures: one in N */
+#define MW_QUARANTINE_PART 4
+/* a task whose percentage stands still for so long is given up */
+#define MW_STALLED_US INT64_C(4300000)
 #define MW_SILENT_SICK_US INT64_C(3000000)
 #define MW_RESERVED_EXTRA_US INT64_C(800000)
 /* a gang that wants one rack waits so long before it is spread */
@@ -54,6 +61,13 @@
     MW_PLACE_STOPPED = 5
 };
 
+/* mw_lateness: of work that waits, against its objective. */
+enum mw_lateness {
+    MW_IN_TIME = 0,
+    MW_MISSED = 1,
+    MW_USELESS = 2
+};
+
 struct mw_unit;
 struct mw_flow_endpoint;
 
@@ -74,6 +88,8 @@
     int64_t retry_deadline_us;
     int64_t started_us;
     uint32_t percent;
+    /* when percent last changed */
+    int64_t progress_us;
     /* the newest that a list has shown */
     struct mw_blob *checkpoint;
 };
@@ -105,11 +121,13 @@
     int64_t ready_us;
     uint32_t rank;
     int64_t due_us;
-    bool late;
+    enum mw_lateness late;
     /* run of the gang that has been counted as failed */
     uint32_t failed_run;
     /* task whose checkpoint is the newest of the gang */
     uint32_t checkpoint_index;
+    /* how often it has made room for others */
+    uint32_t preempted;
     int64_t reclaim_deadline_us;
 };
 
@@ -156,6 +174,8 @@
     uint32_t pending_ends;
     uint32_t silent;
     uint32_t failures_in_row;
+    /* a task here was last seen to get on, or to end well */
+    int64_t progress_us;
     int64_t sick_deadline_us;
     struct mw_unit *reserved_for;
     int64_t reserved_deadline_us;
@@ -285,6 +305,12 @@
 void mw_lose_run(struct mw_flows *flows, int64_t now_us,
                  struct mw_place *place, const char *why);
 
+/* flow-judge.c */
+void mw_judge_end(struct mw_flows *flows, int64_t now_us,
+                  struct mw_flow_endpoint *endpoint, enum mw_run_end end);
+void mw_stop_stalled(struct mw_flows *flows, int64_t now_us,
+                     struct mw_flow_endpoint *endpoint);
+
 /* flow-pump.c */
 void mw_pump(struct mw_flows *flows, int64_t now_us, int64_t wall_us);
 
--- /dev/null
+++ b/source/core/flow/flow-judge.c
@@ -0,0 +1,127 @@
+/*
+ * flow-judge: what endpoints are worth, from what they do.
+ *
+ * LOAD   endpoints that fail all that they start, or on which tasks stand
+ *        still, while their heartbeats are good.  They are always free and
+ *        would attract all that waits.  A first failure keeps an endpoint
+ *        out for a moment, a second in a row for longer; after that it gets
+ *        work again, which tells.
+ */
+#include "flow-impl.h"
+
+static uint32_t
+kept_out(const struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_flow_endpoint *endpoint = value;
+
+        count += endpoint->failures_in_row > 0 &&
+                 endpoint->sick_deadline_us > now_us;
+    }
+    return count;
+}
+
+static void
+keep_out(struct mw_flows *flows, int64_t now_us,
+         struct mw_flow_endpoint *endpoint, int64_t for_us, const char *why)
+{
+    if (kept_out(flows, now_us) >=
+        g_hash_table_size(flows->endpoints) / MW_QUARANTINE_PART) {
+        return;
+    }
+    endpoint->sick_deadline_us =
+        MAX(endpoint->sick_deadline_us, now_us + for_us);
+    flows->counters.quarantined++;
+    mw_endpoint_note(flows, "endpoint_quarantined", endpoint, why,
+                     now_us - endpoint->progress_us);
+}
+
+void
+mw_judge_end(struct mw_flows *flows, int64_t now_us,
+             struct mw_flow_endpoint *endpoint, enum mw_run_end end)
+{
+    if (end == MW_END_DONE) {
+        endpoint->failures_in_row = 0;
+        endpoint->progress_us = now_us;
+    }
+    if (end != MW_END_FAILED) {
+        return;
+    }
+    endpoint->failures_in_row++;
+    keep_out(flows, now_us, endpoint,
+             endpoint->failures_in_row > 1 ? MW_QUARANTINE_FLOW_US
+                                           : MW_SUSPECT_US,
+             "failed");
+}
+
+/* All members of a gang are there, and none gets on. */
+static bool
+is_stalled(const struct mw_place *place, int64_t now_us)
+{
+    const struct mw_unit *unit = place->unit;
+    int64_t since_us = MAX(place->progress_us, place->started_us);
+
+    if (place->phase != MW_PLACE_RUNNING ||
+        now_us - since_us < MW_STALLED_US) {
+        return false;
+    }
+    for (uint32_t i = 0; unit->step->gang && i < unit->step->count; i++) {
+        const struct mw_place *member = unit->tasks[i].place;
+
+        if (!member || member->phase != MW_PLACE_RUNNING ||
+            now_us - MAX(member->progress_us, member->started_us) <
+                MW_STALLED_US) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+suspect(struct mw_flows *flows, int64_t now_us,
+        struct mw_flow_endpoint *endpoint)
+{
+    /* something else gets on there: it is not the endpoint */
+    if (now_us - endpoint->progress_us < MW_STALLED_US) {
+        return;
+    }
+    endpoint->failures_in_row++;
+    keep_out(flows, now_us, endpoint, MW_QUARANTINE_FLOW_US, "stalled");
+}
+
+static void
+give_up(struct mw_flows *flows, int64_t now_us, struct mw_place *place)
+{
+    struct mw_unit *unit = place->unit;
+
+    mw_place_note(flows, "stalled", place, "stopped",
+                  now_us - place->progress_us);
+    if (!unit->step->gang) {
+        suspect(flows, now_us, place->endpoint);
+        mw_stop_place(flows, now_us, place);
+        return;
+    }
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        suspect(flows, now_us, unit->tasks[i].place->endpoint);
+    }
+    mw_stop_unit(flows, now_us, unit);
+}
+
+void
+mw_stop_stalled(struct mw_flows *flows, int64_t now_us,
+                struct mw_flow_endpoint *endpoint)
+{
+    if (endpoint->silent > 0) {
+        return;
+    }
+    for (guint i = 0; i < endpoint->places->len; i++) {
+        if (is_stalled(endpoint->places->pdata[i], now_us)) {
+            give_up(flows, now_us, endpoint->places->pdata[i]);
+        }
+    }
+}
--- a/source/core/flow/flow-observe.c
+++ b/source/core/flow/flow-observe.c
@@ -164,28 +164,6 @@
     }
 }
 
-/* Three things that fail one after the other look like the endpoint's fault.
- */
-static void
-judge_endpoint(struct mw_flows *flows, int64_t now_us,
-               struct mw_flow_endpoint *endpoint,
-               const struct mw_listed_run *run)
-{
-    if (run->end == MW_END_DONE) {
-        endpoint->failures_in_row = 0;
-    }
-    if (run->end != MW_END_FAILED) {
-        return;
-    }
-    endpoint->failures_in_row++;
-    if (endpoint->failures_in_row >= 2) {
-        endpoint->sick_deadline_us = now_us + 2 * MW_SICK_US;
-        flows->counters.quarantined++;
-        mw_endpoint_note(flows, "endpoint_quarantined", endpoint,
-                         "failures_in_row", 0);
-    }
-}
-
 /* Returns false when the end could not be proposed and must be seen again. */
 static bool
 take_end(struct mw_flows *flows, int64_t now_us,
@@ -198,7 +176,7 @@
     struct mw_str word = mw_run_end_word(run->end);
 
     flows->counters.ends++;
-    judge_endpoint(flows, now_us, endpoint, run);
+    mw_judge_end(flows, now_us, endpoint, run->end);
     if (place) {
         mw_place_note(flows, "run_ended", place, word.ptr,
                       now_us - place->started_us);
@@ -241,7 +219,11 @@
     if (!place) {
         return;
     }
-    place->percent = run->percent;
+    if (place->percent != run->percent || place->progress_us == 0) {
+        place->percent = run->percent;
+        place->progress_us = now_us;
+        endpoint->progress_us = now_us;
+    }
     if (run->checkpoint.len > 0 &&
         !mw_str_equal(mw_blob_str(place->checkpoint), run->checkpoint)) {
         mw_drop_blob(place->checkpoint);
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -81,6 +81,7 @@
         return;
     }
     resend(flows, now_us, endpoint);
+    mw_stop_stalled(flows, now_us, endpoint);
     if (wants_hold(endpoint, now_us)) {
         endpoint->acknowledged_end = endpoint->committed_end;
         mw_send_hold(flows, now_us, endpoint);
--- a/source/core/flow/flow-queue.c
+++ b/source/core/flow/flow-queue.c
@@ -4,13 +4,15 @@
  * LOAD   bursts above what the endpoints can take.  Urgent work within its
  *        organisation's guarantee goes first, then by the priority of the
  *        route; among equals the one whose objective passes first.  Work
- *        that is past any use goes behind its equals, so that one burst does
- *        not make all that follows late too.
+ *        that has missed its objective goes behind what can still meet it,
+ *        so that one burst does not make all that follows late too.
  */
 #include "flow-impl.h"
 
-/* an answer is of little use after so many times its objective */
+/* an answer is of no use after so many times its objective */
 #define LATE_FACTOR 3
+/* rank of urgent work that has missed its objective: beside priority 1 */
+#define MISSED_RANK 2
 
 static int64_t
 objective_us(const struct mw_flow *flow)
@@ -86,7 +88,7 @@
         return x->rank < y->rank ? -1 : 1;
     }
     if (x->late != y->late) {
-        return x->late ? 1 : -1;
+        return x->late > y->late ? 1 : -1;
     }
     if (x_due_us != y_due_us) {
         return x_due_us < y_due_us ? -1 : 1;
@@ -108,9 +110,21 @@
     if (unit->ready_us == 0) {
         unit->ready_us = now_us;
     }
-    unit->rank = guaranteed ? 0 : 1 + flow->route.priority;
     unit->due_us = from_us + allowed_us;
-    unit->late = wall_us > from_us + LATE_FACTOR * allowed_us;
+    unit->late = MW_IN_TIME;
+    if (wall_us + unit->step->estimate_us / 2 > unit->due_us) {
+        unit->late = MW_MISSED;
+    }
+    if (wall_us > from_us + LATE_FACTOR * allowed_us) {
+        unit->late = MW_USELESS;
+    }
+    unit->rank = 1 + flow->route.priority;
+    if (guaranteed) {
+        unit->rank = 0;
+    }
+    else if (flow->route.priority == 0 && unit->late != MW_IN_TIME) {
+        unit->rank = MISSED_RANK;
+    }
 }
 
 GPtrArray *
--- a/source/core/flow/flow-reclaim.c
+++ b/source/core/flow/flow-reclaim.c
@@ -9,6 +9,12 @@
  */
 #include "flow-impl.h"
 
+/* what a start costs besides, and what is lost since the last checkpoint */
+#define RESTART_MS 400
+#define SAVED_LOSS_MS 1500
+/* an accelerator counts as so many cores */
+#define GPU_CORES 8
+
 /* group: endpoints that could be cleared together, and what that costs. */
 struct group {
     const struct mw_name *rack;
@@ -21,8 +27,8 @@
 {
     uint32_t rank = place->unit->rank;
 
-    return place->phase == MW_PLACE_RUNNING && rank > unit->rank &&
-           rank >= 2 && unit->rank < 2;
+    return place->phase == MW_PLACE_RUNNING && rank >= 2 && unit->rank < 2 &&
+           place->unit->flow->route.priority > 0;
 }
 
 static bool
@@ -32,21 +38,26 @@
            place->phase == MW_PLACE_STOPPED;
 }
 
-/* Work thrown away, in GPU milliseconds; what saves loses little. */
+/*
+ * Work thrown away, in thousandths of core-milliseconds.  What saves loses
+ * little; who has made room before is asked last.
+ */
 static uint64_t
 cost_of(const struct mw_place *place, int64_t now_us)
 {
-    uint64_t ran_ms = (uint64_t)(now_us - place->started_us) / 1000 + 200;
-    uint64_t weight = MAX(place->need.gpus, 1);
+    const struct mw_unit *unit = place->unit;
+    uint64_t ran_ms =
+        (uint64_t)(now_us - place->started_us) / 1000 + RESTART_MS;
+    uint64_t weight = place->need.cpu + place->need.gpus * GPU_CORES * 1000;
 
-    if (place->unit->step->saves) {
-        ran_ms = MIN(ran_ms, 1000);
+    if (unit->step->saves) {
+        ran_ms = MIN(ran_ms, SAVED_LOSS_MS);
     }
-    if (place->unit->step->gang) {
-        weight *= place->unit->step->count;
+    if (unit->step->gang) {
+        weight *= unit->step->count;
     }
     /* less urgent work goes first */
-    return ran_ms * weight * (place->unit->rank >= 3 ? 1 : 3);
+    return ran_ms * weight * (unit->rank >= 3 ? 1 : 2) * (1 + unit->preempted);
 }
 
 static void
@@ -213,6 +224,7 @@
             continue;
         }
         flows->counters.preempted++;
+        place->unit->preempted++;
         mw_place_note(flows, "preempted", place, "for_urgent_work",
                       now_us - place->started_us);
         if (place->unit->step->gang) {
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -169,13 +169,16 @@
 }
 
 int
-mw_unpack_flow_record(const Mw__Wire__Record *wire, struct mw_record *record)
+mw_unpack_flow_record(struct mw_context *ctx, const Mw__Wire__Record *wire,
+                      struct mw_record *record)
 {
     switch (record->kind) {
     case MW_RECORD_CONFIG:
         record->config.version = wire->number;
         record->config.text = mw_unpack_blob(wire->text);
-        return 0;
+        return wire->number > 0 ? 0
+                                : mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
+                                          "configuration without a version");
     case MW_RECORD_ZONE_OUT:
         record->zone_out.out = wire->out;
         return mw_unpack_name(wire->name, &record->zone_out.zone);
--- a/source/wire/pack-record.c
+++ b/source/wire/pack-record.c
@@ -169,7 +169,7 @@
         record->forget.job = wire->number;
         return 0;
     default:
-        return mw_unpack_flow_record(wire, record);
+        return mw_unpack_flow_record(ctx, wire, record);
     }
 }
 
--- a/source/wire/pack.h
+++ b/source/wire/pack.h
@@ -47,7 +47,7 @@
 void mw_pack_flow_record(struct mw_scratch *scratch,
                          const struct mw_record *record,
                          Mw__Wire__Record *wire);
-int mw_unpack_flow_record(const Mw__Wire__Record *wire,
+int mw_unpack_flow_record(struct mw_context *ctx, const Mw__Wire__Record *wire,
                           struct mw_record *record);
 
 Mw__Wire__Log *mw_pack_log(struct mw_scratch *scratch,
