--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -20,7 +20,13 @@
  * endpoints and places is the leader's own and is learnt anew by the next.
  */
 
+/* waiting work is looked at once in so long, however much happens */
+#define MW_FLOW_PUMP_US 15000
 #define MW_FLOW_TICK_US 50000
+/* slow chores: what has ended, what is on no endpoint */
+#define MW_FLOW_CHORES_US 400000
+/* room that could not be made is asked for again after so long */
+#define MW_RECLAIM_RETRY_US 250000
 /* an order's answer is waited for so long */
 #define MW_ORDER_ANSWER_US INT64_C(1000000)
 /* a start may be carried out late until its own lease has passed */
@@ -219,6 +225,8 @@
     uint64_t proposed_version;
     bool dirty;
     int64_t tick_deadline_us;
+    int64_t pump_deadline_us;
+    int64_t chores_deadline_us;
     struct mw_flow_counters counters;
 };
 
@@ -272,6 +280,9 @@
                   const struct mw_unit *unit, int64_t now_us);
 uint32_t mw_spread_left(const struct mw_flow_endpoint *endpoint,
                         const struct mw_unit *unit);
+/* whether tasks that want one rack may be spread over several */
+bool mw_may_spread(const struct mw_flows *flows, const struct mw_unit *unit,
+                   int64_t now_us, uint32_t wanted);
 /* chooses endpoints for waiting tasks; returns how many were chosen */
 uint32_t mw_choose(struct mw_flows *flows, struct mw_unit *unit,
                    int64_t now_us, uint32_t wanted, GPtrArray *chosen);
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -217,6 +217,46 @@
     return best;
 }
 
+/* Whether some rack, if it were empty, could hold so many tasks. */
+static bool
+a_rack_could_hold(const struct mw_flows *flows, const struct mw_unit *unit,
+                  int64_t now_us, uint32_t wanted)
+{
+    static const struct mw_flow_amount nothing = {0};
+    GHashTable *rooms = g_hash_table_new(mw_hash_name, mw_same_name);
+    GHashTableIter iter;
+    gpointer value;
+    bool found = false;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+        uint32_t room =
+            GPOINTER_TO_UINT(g_hash_table_lookup(rooms, &endpoint->rack));
+
+        if (!mw_endpoint_is_usable(flows, endpoint, now_us) ||
+            !mw_name_equal(&endpoint->beat.service,
+                           &unit->flow->route.service)) {
+            continue;
+        }
+        room +=
+            mw_room_for(&endpoint->beat.total, &nothing, &unit->step->need);
+        found = room >= wanted;
+        g_hash_table_insert(rooms, &endpoint->rack, GUINT_TO_POINTER(room));
+    }
+    g_hash_table_unref(rooms);
+    return found;
+}
+
+bool
+mw_may_spread(const struct mw_flows *flows, const struct mw_unit *unit,
+              int64_t now_us, uint32_t wanted)
+{
+    return !unit->step->one_rack ||
+           now_us - unit->ready_us >= MW_SPREAD_AFTER_US ||
+           !a_rack_could_hold(flows, unit, now_us, wanted);
+}
+
 static const struct mw_name *
 rack_in_use(const struct mw_unit *unit)
 {
@@ -233,8 +273,9 @@
  * *rack is NULL where any will do.
  */
 static bool
-choose_rack(const struct mw_unit *unit, const GArray *candidates,
-            int64_t now_us, uint32_t wanted, const struct mw_name **rack)
+choose_rack(const struct mw_flows *flows, const struct mw_unit *unit,
+            const GArray *candidates, int64_t now_us, uint32_t wanted,
+            const struct mw_name **rack)
 {
     int64_t waited_us = now_us - unit->ready_us;
     uint32_t whole = unit->step->gang ? wanted : 1;
@@ -257,7 +298,7 @@
         return true;
     }
     *rack = best_rack(candidates, wanted);
-    return *rack || waited_us >= MW_SPREAD_AFTER_US;
+    return *rack || mw_may_spread(flows, unit, now_us, wanted);
 }
 
 static uint32_t
@@ -286,7 +327,7 @@
     const struct mw_name *rack;
     uint32_t found = 0;
 
-    if (choose_rack(unit, candidates, now_us, wanted, &rack)) {
+    if (choose_rack(flows, unit, candidates, now_us, wanted, &rack)) {
         found = fill(candidates, rack, wanted, chosen);
     }
     if (unit->step->gang && found < wanted) {
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -26,6 +26,18 @@
     }
 }
 
+/* Whether the run is still wanted where it is. */
+static bool
+is_wanted(const struct mw_flows *flows, const struct mw_place *place)
+{
+    const struct mw_flow_task *task = &place->unit->tasks[place->index];
+
+    return place->unit->flow->state == MW_FLOW_ACTIVE &&
+           task->state == MW_TASK_ORDERED && task->run == place->run &&
+           !place->endpoint->beat.draining &&
+           !mw_zone_out_has(flows, &place->endpoint->beat.zone);
+}
+
 static void
 resend(struct mw_flows *flows, int64_t now_us,
        struct mw_flow_endpoint *endpoint)
@@ -37,7 +49,12 @@
             continue;
         }
         if (place->phase == MW_PLACE_STARTING) {
-            mw_send_start(flows, now_us, place);
+            if (is_wanted(flows, place)) {
+                mw_send_start(flows, now_us, place);
+            }
+            else {
+                mw_stop_place(flows, now_us, place);
+            }
         }
         else if (place->phase == MW_PLACE_STOPPING) {
             mw_send_stop(flows, now_us, place);
@@ -144,26 +161,75 @@
     return waiting;
 }
 
+/* refused: a shape for which there was no room in this pass. */
+struct refused {
+    const struct mw_unit *unit;
+    uint32_t wanted;
+};
+
+static bool
+needs_as_much(const struct mw_unit *unit, const struct refused *refused)
+{
+    const struct mw_flow_step *a = unit->step;
+    const struct mw_flow_step *b = refused->unit->step;
+
+    return a->need.cpu >= b->need.cpu &&
+           a->need.memory_mb >= b->need.memory_mb &&
+           a->need.gpus >= b->need.gpus && a->gang == b->gang &&
+           a->one_rack == b->one_rack && b->data_rack.len == 0 &&
+           b->spread == 0 && mw_name_equal(&a->label, &b->label) &&
+           mw_name_equal(&unit->flow->route.service,
+                         &refused->unit->flow->route.service);
+}
+
+/* What needs at least as much as something that found no room finds none. */
+static bool
+is_hopeless(const GArray *refused, const struct mw_unit *unit, uint32_t wanted)
+{
+    for (guint i = 0; i < refused->len; i++) {
+        const struct refused *r = &g_array_index(refused, struct refused, i);
+
+        if (wanted >= r->wanted && needs_as_much(unit, r)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+place_unit(struct mw_flows *flows, int64_t now_us, struct mw_unit *unit,
+           GPtrArray *chosen, GArray *refused)
+{
+    uint32_t waiting = waiting_tasks(unit);
+    struct refused none = {unit, unit->step->gang ? waiting : 1};
+    uint32_t found = 0;
+
+    g_ptr_array_set_size(chosen, 0);
+    if (!is_hopeless(refused, unit, none.wanted)) {
+        found = mw_choose(flows, unit, now_us, waiting, chosen);
+        if (found == 0) {
+            g_array_append_val(refused, none);
+        }
+    }
+    if (found > 0) {
+        intend(flows, now_us, unit, chosen);
+    }
+    if (found < waiting) {
+        mw_make_room(flows, unit, waiting - found, now_us);
+    }
+}
+
 static void
 place_waiting(struct mw_flows *flows, int64_t now_us, int64_t wall_us)
 {
     GPtrArray *units = mw_rank_units(flows, now_us, wall_us);
     GPtrArray *chosen = g_ptr_array_new();
+    GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct refused));
 
     for (guint i = 0; i < units->len; i++) {
-        struct mw_unit *unit = units->pdata[i];
-        uint32_t waiting = waiting_tasks(unit);
-        uint32_t found;
-
-        g_ptr_array_set_size(chosen, 0);
-        found = mw_choose(flows, unit, now_us, waiting, chosen);
-        if (found > 0) {
-            intend(flows, now_us, unit, chosen);
-        }
-        if (found < waiting) {
-            mw_make_room(flows, unit, waiting - found, now_us);
-        }
+        place_unit(flows, now_us, units->pdata[i], chosen, refused);
     }
+    g_array_unref(refused);
     g_ptr_array_unref(chosen);
     g_ptr_array_unref(units);
 }
@@ -344,10 +410,16 @@
     }
     if (now_us >= flows->tick_deadline_us) {
         flows->tick_deadline_us = now_us + MW_FLOW_TICK_US;
+    }
+    if (now_us >= flows->chores_deadline_us) {
+        flows->chores_deadline_us = now_us + MW_FLOW_CHORES_US;
         free_orphans(flows);
         forget_ended(flows, now_us);
     }
-    mw_pump(flows, now_us, wall_us);
+    if (now_us >= flows->pump_deadline_us) {
+        flows->pump_deadline_us = now_us + MW_FLOW_PUMP_US;
+        mw_pump(flows, now_us, wall_us);
+    }
 }
 
 int64_t
@@ -356,5 +428,6 @@
     if (!flows->lead) {
         return INT64_MAX;
     }
-    return flows->dirty ? 0 : flows->tick_deadline_us;
+    return flows->dirty ? MIN(flows->pump_deadline_us, flows->tick_deadline_us)
+                        : flows->tick_deadline_us;
 }
--- a/source/core/flow/flow-reclaim.c
+++ b/source/core/flow/flow-reclaim.c
@@ -251,6 +251,10 @@
     if (unit->step->one_rack) {
         rack = cheapest_rack(flows, unit, tasks, now_us);
     }
+    unit->reclaim_deadline_us = now_us + MW_RECLAIM_RETRY_US;
+    if (!rack && !mw_may_spread(flows, unit, now_us, tasks)) {
+        return;
+    }
     victims = g_ptr_array_new();
     cleared = g_ptr_array_new();
     group = clear_group(flows, unit, rack, tasks, now_us, victims, cleared);
