Racks kept for urgent work by its demand

Change: flow-reserve keeps part of the racks for urgent work and for work that saves; the part follows the peak of urgent demand.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -183,6 +183,8 @@
     /* a task here was last seen to get on, or to end well */
     int64_t progress_us;
     int64_t sick_deadline_us;
+    /* in a rack that is kept for urgent work */
+    bool kept;
     struct mw_unit *reserved_for;
     int64_t reserved_deadline_us;
 };
@@ -227,6 +229,8 @@
     int64_t tick_deadline_us;
     int64_t pump_deadline_us;
     int64_t chores_deadline_us;
+    /* peak of the accelerators that urgent work wants, in thousandths */
+    uint32_t urgent_peak;
     struct mw_flow_counters counters;
 };
 
@@ -316,6 +320,11 @@
 void mw_lose_run(struct mw_flows *flows, int64_t now_us,
                  struct mw_place *place, const char *why);
 
+/* flow-reserve.c */
+void mw_keep_racks(struct mw_flows *flows, int64_t now_us);
+bool mw_is_kept_from(const struct mw_flow_endpoint *endpoint,
+                     const struct mw_unit *unit);
+
 /* flow-judge.c */
 void mw_judge_end(struct mw_flows *flows, int64_t now_us,
                   struct mw_flow_endpoint *endpoint, enum mw_run_end end);
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -122,6 +122,9 @@
         !mw_endpoint_has_label(endpoint, &unit->step->label)) {
         return false;
     }
+    if (mw_is_kept_from(endpoint, unit)) {
+        return false;
+    }
     return !endpoint->reserved_for || endpoint->reserved_for == unit ||
            now_us >= endpoint->reserved_deadline_us;
 }
@@ -130,6 +133,8 @@
 struct candidate {
     struct mw_flow_endpoint *endpoint;
     uint32_t room;
+    /* in the part of the racks that is meant for others */
+    bool foreign;
 };
 
 static uint32_t
@@ -149,6 +154,10 @@
     if (x->failures_in_row != y->failures_in_row) {
         return x->failures_in_row < y->failures_in_row ? -1 : 1;
     }
+    if (((const struct candidate *)a)->foreign !=
+        ((const struct candidate *)b)->foreign) {
+        return ((const struct candidate *)a)->foreign ? 1 : -1;
+    }
     if (free_gpus(x) != free_gpus(y)) {
         return free_gpus(x) < free_gpus(y) ? -1 : 1;
     }
@@ -165,7 +174,7 @@
 
     g_hash_table_iter_init(&iter, flows->endpoints);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct candidate c = {value, 0};
+        struct candidate c = {.endpoint = value};
 
         if (!mw_fits_unit(flows, c.endpoint, unit, now_us)) {
             continue;
@@ -173,6 +182,7 @@
         c.room = mw_room_for(&c.endpoint->beat.total, &c.endpoint->used,
                              &unit->step->need);
         c.room = MIN(c.room, mw_spread_left(c.endpoint, unit));
+        c.foreign = c.endpoint->kept != (unit->rank < 2);
         if (c.room > 0) {
             g_array_append_val(found, c);
         }
@@ -201,20 +211,24 @@
 static const struct mw_name *
 best_rack(const GArray *candidates, uint32_t wanted)
 {
-    const struct mw_name *best = NULL;
+    const struct candidate *best = NULL;
     uint32_t best_room = UINT32_MAX;
 
     for (guint i = 0; i < candidates->len; i++) {
-        const struct mw_name *rack =
-            &g_array_index(candidates, struct candidate, i).endpoint->rack;
-        uint32_t room = room_of_rack(candidates, rack);
+        const struct candidate *c =
+            &g_array_index(candidates, struct candidate, i);
+        uint32_t room = room_of_rack(candidates, &c->endpoint->rack);
+        bool nearer = best && best->foreign && !c->foreign;
 
-        if (room >= wanted && room < best_room) {
-            best = rack;
+        if (room < wanted || (best && c->foreign && !best->foreign)) {
+            continue;
+        }
+        if (nearer || room < best_room) {
+            best = c;
             best_room = room;
         }
     }
-    return best;
+    return best ? &best->endpoint->rack : NULL;
 }
 
 /* Whether some rack, if it were empty, could hold so many tasks. */
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -178,6 +178,7 @@
            a->need.gpus >= b->need.gpus && a->gang == b->gang &&
            a->one_rack == b->one_rack && b->data_rack.len == 0 &&
            b->spread == 0 && mw_name_equal(&a->label, &b->label) &&
+           unit->rank >= refused->unit->rank && (b->saves || !a->saves) &&
            mw_name_equal(&unit->flow->route.service,
                          &refused->unit->flow->route.service);
 }
@@ -226,6 +227,7 @@
     GPtrArray *chosen = g_ptr_array_new();
     GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct refused));
 
+    mw_keep_racks(flows, now_us);
     for (guint i = 0; i < units->len; i++) {
         place_unit(flows, now_us, units->pdata[i], chosen, refused);
     }
--- a/source/core/flow/flow-reclaim.c
+++ b/source/core/flow/flow-reclaim.c
@@ -23,11 +23,9 @@
 };
 
 static bool
-may_be_stopped(const struct mw_place *place, const struct mw_unit *unit)
+may_be_stopped(const struct mw_place *place)
 {
-    uint32_t rank = place->unit->rank;
-
-    return place->phase == MW_PLACE_RUNNING && rank >= 2 && unit->rank < 2 &&
+    return place->phase == MW_PLACE_RUNNING &&
            place->unit->flow->route.priority > 0;
 }
 
@@ -105,7 +103,7 @@
         if (is_leaving(place)) {
             subtract(&used, &place->need);
         }
-        else if (may_be_stopped(place, unit)) {
+        else if (may_be_stopped(place)) {
             g_ptr_array_add(places, place);
         }
     }
--- /dev/null
+++ b/source/core/flow/flow-reserve.c
@@ -0,0 +1,101 @@
+/*
+ * flow-reserve: racks that are kept for urgent work.
+ *
+ * LOAD   urgent gangs that arrive every half second and want one rack at
+ *        once, beside long work that would fill every rack.  Stopping that
+ *        work takes most of the time that an urgent gang can wait, so a
+ *        part of the racks takes only urgent work and work that loses
+ *        little when it is stopped.  The part follows the urgent demand.
+ */
+#include <string.h>
+
+#include "flow-impl.h"
+
+/* of the peak of urgent demand, in percent, and of all accelerators */
+#define KEPT_PERCENT 120
+#define KEPT_MOST_PERCENT 40
+/* the peak is forgotten by one part in so many with each pass */
+#define PEAK_DECAY 400
+
+static uint32_t
+urgent_demand(const struct mw_flows *flows)
+{
+    uint32_t gpus = 0;
+
+    for (guint f = 0; f < flows->active->len; f++) {
+        const struct mw_flow *flow = flows->active->pdata[f];
+
+        for (uint32_t u = 0; flow->route.priority == 0 && u < flow->unit_count;
+             u++) {
+            const struct mw_unit *unit = &flow->units[u];
+
+            if (unit->rank < 2) {
+                gpus +=
+                    (unit->step->count - unit->done) * unit->step->need.gpus;
+            }
+        }
+    }
+    return gpus;
+}
+
+static gint
+by_rack(gconstpointer a, gconstpointer b)
+{
+    const struct mw_flow_endpoint *x =
+        *(const struct mw_flow_endpoint *const *)a;
+    const struct mw_flow_endpoint *y =
+        *(const struct mw_flow_endpoint *const *)b;
+    int order = memcmp(&x->rack, &y->rack, sizeof x->rack);
+
+    return order ? order : memcmp(&x->id, &y->id, sizeof x->id);
+}
+
+void
+mw_keep_racks(struct mw_flows *flows, int64_t now_us)
+{
+    GPtrArray *usable = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t demand = urgent_demand(flows);
+    uint32_t all = 0;
+    uint32_t kept = 0;
+    uint32_t wanted;
+    const struct mw_name *rack = NULL;
+
+    flows->urgent_peak -= flows->urgent_peak / PEAK_DECAY;
+    flows->urgent_peak = MAX(flows->urgent_peak, demand * 1000);
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+
+        endpoint->kept = false;
+        if (mw_endpoint_is_usable(flows, endpoint, now_us)) {
+            g_ptr_array_add(usable, endpoint);
+            all += endpoint->beat.total.gpus;
+        }
+    }
+    g_ptr_array_sort(usable, by_rack);
+    wanted = MIN(flows->urgent_peak / 1000 * KEPT_PERCENT / 100,
+                 all * KEPT_MOST_PERCENT / 100);
+    for (guint i = 0; i < usable->len; i++) {
+        struct mw_flow_endpoint *endpoint = usable->pdata[i];
+
+        if (kept >= wanted &&
+            !(rack && mw_name_equal(rack, &endpoint->rack))) {
+            break;
+        }
+        rack = &endpoint->rack;
+        endpoint->kept = true;
+        kept += endpoint->beat.total.gpus;
+    }
+    g_ptr_array_unref(usable);
+}
+
+bool
+mw_is_kept_from(const struct mw_flow_endpoint *endpoint,
+                const struct mw_unit *unit)
+{
+    return endpoint->kept && unit->rank >= 2 && !unit->step->saves &&
+           !(unit->step->data_rack.len > 0 &&
+             mw_name_equal(&unit->step->data_rack, &endpoint->rack));
+}
