--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -30,7 +30,7 @@
 /* an order's answer is waited for so long */
 #define MW_ORDER_ANSWER_US INT64_C(1000000)
 /* a start may be carried out late until its own lease has passed */
-#define MW_START_LEASE_US INT64_C(3000000)
+#define MW_START_LEASE_US INT64_C(5000000)
 #define MW_HOLD_WAIT_US INT64_C(2000000)
 #define MW_HOLD_RETRY_US INT64_C(400000)
 /* lease beyond which work on an unreachable endpoint is given up */
@@ -51,9 +51,9 @@
 #define MW_SILENT_SICK_US INT64_C(3000000)
 #define MW_RESERVED_EXTRA_US INT64_C(800000)
 /* a gang that wants one rack waits so long before it is spread */
-#define MW_SPREAD_AFTER_US INT64_C(4000000)
+#define MW_SPREAD_AFTER_US INT64_C(2500000)
 /* tasks wait so long for the rack that holds their data */
-#define MW_FAR_AFTER_US INT64_C(3000000)
+#define MW_FAR_AFTER_US INT64_C(2000000)
 
 enum mw_place_phase {
     /* the record of the run is not committed yet */
@@ -231,6 +231,8 @@
     int64_t chores_deadline_us;
     /* peak of the accelerators that urgent work wants, in thousandths */
     uint32_t urgent_peak;
+    /* more than half of the accelerators are in use */
+    bool busy;
     struct mw_flow_counters counters;
 };
 
@@ -322,8 +324,9 @@
 
 /* flow-reserve.c */
 void mw_keep_racks(struct mw_flows *flows, int64_t now_us);
-bool mw_is_kept_from(const struct mw_flow_endpoint *endpoint,
-                     const struct mw_unit *unit);
+bool mw_is_kept_from(const struct mw_flows *flows,
+                     const struct mw_flow_endpoint *endpoint,
+                     const struct mw_unit *unit, int64_t now_us);
 
 /* flow-judge.c */
 void mw_judge_end(struct mw_flows *flows, int64_t now_us,
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -122,7 +122,7 @@
         !mw_endpoint_has_label(endpoint, &unit->step->label)) {
         return false;
     }
-    if (mw_is_kept_from(endpoint, unit)) {
+    if (mw_is_kept_from(flows, endpoint, unit, now_us)) {
         return false;
     }
     return !endpoint->reserved_for || endpoint->reserved_for == unit ||
--- a/source/core/flow/flow-reserve.c
+++ b/source/core/flow/flow-reserve.c
@@ -14,6 +14,9 @@
 /* of the peak of urgent demand, in percent, and of all accelerators */
 #define KEPT_PERCENT 120
 #define KEPT_MOST_PERCENT 40
+#define BUSY_PERCENT 55
+/* while endpoints are idle, nothing else waits longer for those kept */
+#define KEPT_WAIT_US 1200000
 /* the peak is forgotten by one part in so many with each pass */
 #define PEAK_DECAY 400
 
@@ -58,6 +61,7 @@
     gpointer value;
     uint32_t demand = urgent_demand(flows);
     uint32_t all = 0;
+    uint32_t used = 0;
     uint32_t kept = 0;
     uint32_t wanted;
     const struct mw_name *rack = NULL;
@@ -72,8 +76,10 @@
         if (mw_endpoint_is_usable(flows, endpoint, now_us)) {
             g_ptr_array_add(usable, endpoint);
             all += endpoint->beat.total.gpus;
+            used += endpoint->used.gpus;
         }
     }
+    flows->busy = used > all * BUSY_PERCENT / 100;
     g_ptr_array_sort(usable, by_rack);
     wanted = MIN(flows->urgent_peak / 1000 * KEPT_PERCENT / 100,
                  all * KEPT_MOST_PERCENT / 100);
@@ -92,9 +98,13 @@
 }
 
 bool
-mw_is_kept_from(const struct mw_flow_endpoint *endpoint,
-                const struct mw_unit *unit)
+mw_is_kept_from(const struct mw_flows *flows,
+                const struct mw_flow_endpoint *endpoint,
+                const struct mw_unit *unit, int64_t now_us)
 {
+    if (!flows->busy && now_us - unit->ready_us > KEPT_WAIT_US) {
+        return false;
+    }
     return endpoint->kept && unit->rank >= 2 && !unit->step->saves &&
            !(unit->step->data_rack.len > 0 &&
              mw_name_equal(&unit->step->data_rack, &endpoint->rack));
