--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -44,6 +44,10 @@
     /* none for a standby, which only tells where the leader is */
     uint32_t member_count;
     struct mw_name members[MW_MEMBERS_MAX];
+    /* of the members, how many founded the log */
+    uint32_t founding_count;
+    /* how many members the log is to have */
+    uint32_t target;
     uint32_t compact_after;
     uint32_t seed;
     int64_t now_us;
--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -21,6 +21,13 @@
  * incarnation 0), so that single losses one after another do not use up the
  * majority.  A member with a disk is never removed.
  *
+ * Where a target is set, processes that are offered become members too.  A
+ * MEMBER record gives each a slot, from which on it is sent the log; it is
+ * admitted once it is caught up, while fewer than the target count.  With
+ * the target reached it is admitted only when a member has been silent for
+ * MW_REPLACE_US, which is then removed: one step at a time, the new member
+ * first.
+ *
  * A commit needs a majority and, where a member with a disk is admitted,
  * one such member.  A member that must hold every committed record (the
  * only one with a disk, or one of a pair) may leave incarnations that it
@@ -36,6 +43,7 @@
 #define MW_LEASE_US 800000
 #define MW_ELECTION_US 1000000
 #define MW_SILENT_US 3000000
+#define MW_REPLACE_US 2000000
 #define MW_LOG_UNCOMMITTED_MAX 4096
 #define MW_LOG_PIECE_RECORDS 64
 #define MW_LOG_PIECE_BYTES (256 * 1024)
@@ -142,6 +150,10 @@
     struct mw_name self;
     uint32_t member_count;
     struct mw_member members[MW_MEMBERS_MAX];
+    /* of the members, how many founded the group; 0 for all */
+    uint32_t founding_count;
+    /* how many members are wanted; 0 for those of the setup, for good */
+    uint32_t target;
     uint64_t incarnation;
     uint32_t compact_after;
     uint32_t seed;
@@ -209,6 +221,27 @@
 int mw_log_propose(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
                    struct mw_record *record, uint64_t *index);
 
+/*
+ * mw_log_offer: a process with a disk is there that is no member.
+ *
+ * The leader gives it a slot when members are wanted; others do nothing.
+ */
+void mw_log_offer(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+                  const struct mw_name *name);
+
+/*
+ * mw_log_learn: whose a slot is, as the leader says.
+ *
+ * For a member that was away while the slot was given: it could not know
+ * whom the entries come from.  A slot that is known is left as it is.
+ */
+void mw_log_learn(struct mw_log *log, uint32_t slot,
+                  const struct mw_name *name);
+
+/* mw_log_members: names by slot; returns how many slots there are. */
+uint32_t mw_log_members(const struct mw_log *log,
+                        struct mw_name members[MW_MEMBERS_MAX]);
+
 /* mw_log_flush: send what was proposed; one call for many proposals. */
 void mw_log_flush(struct mw_log *log, int64_t now_us);
 
--- a/include/mimosawind/record.h
+++ b/include/mimosawind/record.h
@@ -30,7 +30,9 @@
     MW_RECORD_FLOW = 11,
     MW_RECORD_FLOW_STATE = 12,
     MW_RECORD_TASKS = 13,
-    MW_RECORD_LAST = 14
+    /* a slot of the group belongs to a process from here on */
+    MW_RECORD_MEMBER = 14,
+    MW_RECORD_LAST = 15
 };
 
 struct mw_record_admit {
@@ -38,6 +40,11 @@
     uint64_t incarnation;
 };
 
+struct mw_record_member {
+    uint32_t slot;
+    struct mw_name name;
+};
+
 struct mw_record_document {
     enum mw_environment environment;
     struct mw_name operator;
@@ -85,6 +92,7 @@
     enum mw_record_kind kind;
     union {
         struct mw_record_admit admit;
+        struct mw_record_member member;
         struct mw_record_document document;
         struct mw_record_zone_state zone_state;
         struct mw_record_accept accept;
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -173,6 +173,8 @@
         .group = mw_name_of(MW_STR("region")),
         .self = setup->name,
         .member_count = setup->member_count,
+        .founding_count = setup->founding_count,
+        .target = setup->target,
         .incarnation = setup->incarnation,
         .compact_after = setup->compact_after,
         .seed = setup->seed,
@@ -290,7 +292,15 @@
 take_heartbeat(struct mw_flow_control *control, int64_t now_us,
                const struct mw_name *from, const struct mw_heartbeat *beat)
 {
-    if (beat->member_count > 0) {
+    if (control->log && beat->role == MW_ROLE_CONTROL &&
+        beat->member_count == 0) {
+        mw_log_offer(control->ctx, control->log, now_us, from);
+    }
+    for (uint32_t i = 0;
+         control->log && beat->leads_region && i < beat->member_count; i++) {
+        mw_log_learn(control->log, i, &beat->members[i]);
+    }
+    if (beat->leads_region && beat->member_count > 0) {
         control->heard_member_count = beat->member_count;
         memcpy(control->heard_members, beat->members,
                sizeof control->heard_members);
@@ -371,11 +381,8 @@
 mw_flow_control_members(const struct mw_flow_control *control,
                         struct mw_name *members)
 {
-    const struct mw_flow_control_setup *setup = &control->setup;
-
-    if (setup->member_count > 0) {
-        memcpy(members, setup->members, sizeof setup->members);
-        return setup->member_count;
+    if (control->log) {
+        return mw_log_members(control->log, members);
     }
     memcpy(members, control->heard_members, sizeof control->heard_members);
     return control->heard_member_count;
@@ -397,8 +404,7 @@
 
         mw_log_look(control->log, &view);
         beat->epoch = view.term;
-        beat->member_count = control->setup.member_count;
-        memcpy(beat->members, control->setup.members, sizeof beat->members);
+        beat->member_count = mw_log_members(control->log, beat->members);
     }
     control->setup.output.send_all(control->setup.output.opaque, MW_ROLE_ENTRY,
                                    msg);
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -6,6 +6,8 @@
  *        the least room that holds the whole gang, so that large room stays
  *        in one piece.
  */
+#include <string.h>
+
 #include "flow-impl.h"
 
 struct mw_place *
@@ -161,7 +163,7 @@
     if (free_gpus(x) != free_gpus(y)) {
         return free_gpus(x) < free_gpus(y) ? -1 : 1;
     }
-    return x < y ? -1 : x > y;
+    return memcmp(&x->id, &y->id, sizeof x->id);
 }
 
 static GArray *
--- a/source/core/flow/flow-queue.c
+++ b/source/core/flow/flow-queue.c
@@ -7,6 +7,8 @@
  *        that has missed its objective goes behind what can still meet it,
  *        so that one burst does not make all that follows late too.
  */
+#include <string.h>
+
 #include "flow-impl.h"
 
 /* an answer is of no use after so many times its objective */
@@ -93,6 +95,9 @@
     if (x_due_us != y_due_us) {
         return x_due_us < y_due_us ? -1 : 1;
     }
+    if (x->flow != y->flow) {
+        return memcmp(&x->flow->id, &y->flow->id, sizeof x->flow->id);
+    }
     return x < y ? -1 : x > y;
 }
 
--- a/source/core/flow/flow-reclaim.c
+++ b/source/core/flow/flow-reclaim.c
@@ -7,6 +7,8 @@
  *        gangs are stopped whole.  The endpoints are then kept for the work
  *        that asked, until what was stopped has ended.
  */
+#include <string.h>
+
 #include "flow-impl.h"
 
 /* what a start costs besides, and what is lost since the last checkpoint */
@@ -132,7 +134,7 @@
     if (x->used.gpus != y->used.gpus) {
         return x->used.gpus < y->used.gpus ? -1 : 1;
     }
-    return x < y ? -1 : x > y;
+    return memcmp(&x->id, &y->id, sizeof x->id);
 }
 
 static GPtrArray *
--- a/source/core/log-admit.c
+++ b/source/core/log-admit.c
@@ -1,6 +1,8 @@
 /*
  * log-admit: changes of the configuration, one at a time.
  */
+#include <string.h>
+
 #include "log-impl.h"
 
 static void
@@ -47,6 +49,48 @@
            log->pending[n - 1].members[peer] != before[peer];
 }
 
+static uint32_t
+count_members(const struct mw_log *log)
+{
+    uint32_t count = 0;
+
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        count += mw_log_newest_config(log)[i] != 0;
+    }
+    return count;
+}
+
+/* The member that has been silent the longest, beyond MW_REPLACE_US. */
+static int
+find_silent(const struct mw_log *log, int64_t now_us)
+{
+    int found = -1;
+    int64_t oldest_us = now_us - MW_REPLACE_US;
+
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        int64_t heard_us = MAX(log->peers[i].acked_sent_us, log->led_since_us);
+
+        if (i != log->self && mw_log_newest_config(log)[i] != 0 &&
+            heard_us < oldest_us) {
+            found = (int)i;
+            oldest_us = heard_us;
+        }
+    }
+    return found;
+}
+
+/* Whether one more member is of use, besides a new life of an old one. */
+static bool
+wants_member(const struct mw_log *log, unsigned peer, int64_t now_us)
+{
+    if (log->target == 0 || mw_log_newest_config(log)[peer] != 0) {
+        return true;
+    }
+    return count_members(log) < log->target ||
+           (count_members(log) == log->target &&
+            find_silent(log, now_us) >= 0);
+}
+
 void
 mw_log_admit_next(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
 {
@@ -58,7 +102,8 @@
         }
         if (i == log->self || peer->incarnation == 0 ||
             mw_log_newest_config(log)[i] == peer->incarnation ||
-            !may_follow(log, i) || !is_caught_up(log, peer, now_us)) {
+            !may_follow(log, i) || !is_caught_up(log, peer, now_us) ||
+            !wants_member(log, i, now_us)) {
             continue;
         }
         log->counters.admitted++;
@@ -67,9 +112,23 @@
 }
 
 /*
- * Members with a disk are never removed: that nothing is committed without
+ * Members with a disk are not removed here: that nothing is committed without
  * one is what lets it lead again after every other member has restarted.
+ * Where there is a target they are, once there is one too many: then at
+ * least three have a disk.
  */
+static void
+remove_replaced(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
+{
+    int silent = find_silent(log, now_us);
+
+    if (log->target > 0 && silent >= 0 && log->pending_count == 0 &&
+        count_members(log) > log->target) {
+        log->counters.removed++;
+        propose_member(ctx, log, now_us, &log->peers[silent], 0);
+    }
+}
+
 void
 mw_log_remove_silent(struct mw_context *ctx, struct mw_log *log,
                      int64_t now_us)
@@ -77,6 +136,7 @@
     if (!mw_log_lease_live(log, now_us)) {
         return;
     }
+    remove_replaced(ctx, log, now_us);
     for (unsigned i = 0; i < log->peer_count; i++) {
         struct mw_log_peer *peer = &log->peers[i];
         int64_t heard_us = MAX(peer->acked_sent_us, log->led_since_us);
@@ -91,3 +151,122 @@
         return;
     }
 }
+
+void
+mw_log_set_slot(struct mw_log *log, uint32_t slot, const struct mw_name *name)
+{
+    struct mw_log_peer *peer = &log->peers[slot];
+
+    log->peer_count = MAX(log->peer_count, slot + 1);
+    if (mw_name_equal(&peer->name, name)) {
+        return;
+    }
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (mw_name_equal(&log->peers[i].name, name)) {
+            log->peers[i].name = (struct mw_name){0};
+        }
+    }
+    g_clear_pointer(&peer->snapshot, g_ptr_array_unref);
+    memset(peer, 0, sizeof *peer);
+    peer->name = *name;
+    peer->disk = true;
+    peer->next = 1;
+}
+
+/* Slots that were given by records, so that a snapshot tells them too. */
+void
+mw_log_add_slots(const struct mw_log *log, GPtrArray *records)
+{
+    for (unsigned i = 0; log->target > 0 && i < log->peer_count; i++) {
+        struct mw_record *record;
+
+        if (log->peers[i].name.len == 0) {
+            continue;
+        }
+        record = mw_new_record(MW_RECORD_MEMBER);
+        record->member.slot = i;
+        record->member.name = log->peers[i].name;
+        g_ptr_array_add(records, record);
+    }
+}
+
+/* A slot that is new, or belongs to nobody who counts; -1 for none. */
+static int
+free_slot(const struct mw_log *log)
+{
+    if (log->peer_count < MW_MEMBERS_MAX) {
+        return (int)log->peer_count;
+    }
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (i != log->self && log->config[i] == 0 &&
+            mw_log_newest_config(log)[i] == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* Slots whose owners are on their way to be admitted. */
+static uint32_t
+count_learners(const struct mw_log *log, int64_t now_us)
+{
+    uint32_t count = 0;
+
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        const struct mw_log_peer *peer = &log->peers[i];
+
+        count +=
+            mw_log_newest_config(log)[i] == 0 && peer->name.len > 0 &&
+            now_us - MAX(peer->acked_sent_us, peer->offered_us) < MW_SILENT_US;
+    }
+    return count;
+}
+
+void
+mw_log_offer(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+             const struct mw_name *name)
+{
+    struct mw_record *record;
+    uint32_t members = count_members(log);
+    int slot = free_slot(log);
+
+    if (log->target == 0 || !mw_log_leads(log, now_us) ||
+        mw_log_find_peer(log, name) || slot < 0 || log->pending_count > 0 ||
+        log->commit < mw_log_last(log)) {
+        return;
+    }
+    if (members + count_learners(log, now_us) >= log->target &&
+        (find_silent(log, now_us) < 0 || count_learners(log, now_us) > 0)) {
+        return;
+    }
+    record = mw_new_record(MW_RECORD_MEMBER);
+    record->member.slot = (uint32_t)slot;
+    record->member.name = *name;
+    mw_log_append_entry(log, log->term, record);
+    mw_drop_record(record);
+    log->peers[slot].offered_us = now_us;
+    log->flush_due = true;
+    mw_log_flush(log, now_us);
+    mw_note(ctx, MW_PRIORITY_NOTICE, "event=slot group=%.*s member=%.*s",
+            MW_FMT(mw_name_str(&log->group)), MW_FMT(mw_name_str(name)));
+}
+
+uint32_t
+mw_log_members(const struct mw_log *log,
+               struct mw_name members[MW_MEMBERS_MAX])
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        members[i] = log->peers[i].name;
+    }
+    return log->peer_count;
+}
+
+void
+mw_log_learn(struct mw_log *log, uint32_t slot, const struct mw_name *name)
+{
+    bool known = slot < log->peer_count && log->peers[slot].name.len > 0;
+
+    if (!known && name->len > 0 && !mw_log_find_peer(log, name)) {
+        mw_log_set_slot(log, slot, name);
+    }
+}
--- a/source/core/log-compact.c
+++ b/source/core/log-compact.c
@@ -18,6 +18,7 @@
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
     uint64_t term = mw_log_term_at(log, log->applied);
 
+    mw_log_add_slots(log, records);
     log->output.collect(log->output.opaque, records, add_record);
     memcpy(log->base_config, log->config, sizeof log->base_config);
     g_array_remove_range(log->entries, 0,
@@ -39,8 +40,12 @@
 {
     log->output.reset(log->output.opaque);
     for (guint i = 0; i < log->base_records->len; i++) {
-        log->output.apply(log->output.opaque, log->base_index,
-                          log->base_records->pdata[i]);
+        struct mw_record *record = log->base_records->pdata[i];
+
+        if (record->kind == MW_RECORD_MEMBER) {
+            mw_log_set_slot(log, record->member.slot, &record->member.name);
+        }
+        log->output.apply(log->output.opaque, log->base_index, record);
     }
     log->commit = log->base_index;
     log->applied = log->base_index;
--- a/source/core/log-impl.h
+++ b/source/core/log-impl.h
@@ -27,6 +27,8 @@
     uint64_t snapshot_term;
     uint64_t snapshot_config[MW_MEMBERS_MAX];
     int64_t acked_sent_us;
+    /* when it was given its slot */
+    int64_t offered_us;
     int64_t resend_deadline_us;
 };
 
@@ -45,6 +47,8 @@
     GRand *rand;
     unsigned self;
     unsigned peer_count;
+    uint32_t founding_count;
+    uint32_t target;
     struct mw_log_peer peers[MW_MEMBERS_MAX];
     uint64_t incarnation;
 
@@ -190,6 +194,11 @@
                               const struct mw_log_msg *msg);
 void mw_log_apply_base(struct mw_log *log);
 
+/* slots: whose they are */
+void mw_log_set_slot(struct mw_log *log, uint32_t slot,
+                     const struct mw_name *name);
+void mw_log_add_slots(const struct mw_log *log, GPtrArray *records);
+
 /* admission of new incarnations, removal of silent members */
 void mw_log_remove_silent(struct mw_context *ctx, struct mw_log *log,
                           int64_t now_us);
--- a/source/core/log-quorum.c
+++ b/source/core/log-quorum.c
@@ -172,6 +172,9 @@
         uint64_t index = log->base_index + 1 + i;
         struct mw_record *record = mw_log_entry_at(log, index)->record;
 
+        if (record->kind == MW_RECORD_MEMBER) {
+            mw_log_set_slot(log, record->member.slot, &record->member.name);
+        }
         if (record->kind != MW_RECORD_ADMIT) {
             continue;
         }
--- a/source/core/log-state.c
+++ b/source/core/log-state.c
@@ -18,7 +18,9 @@
 found_config(struct mw_log *log)
 {
     for (unsigned i = 0; i < log->peer_count; i++) {
-        log->base_config[i] = log->peers[i].disk ? MW_FOUNDING_INCARNATION : 0;
+        bool founds = i < log->founding_count && log->peers[i].disk;
+
+        log->base_config[i] = founds ? MW_FOUNDING_INCARNATION : 0;
     }
     memcpy(log->config, log->base_config, sizeof log->config);
 }
@@ -34,6 +36,9 @@
     log->rand = g_rand_new_with_seed(setup->seed);
     log->incarnation = setup->incarnation;
     log->peer_count = setup->member_count;
+    log->founding_count =
+        setup->founding_count ? setup->founding_count : setup->member_count;
+    log->target = setup->target;
     for (unsigned i = 0; i < setup->member_count; i++) {
         log->peers[i].name = setup->members[i].name;
         log->peers[i].disk = setup->members[i].disk;
@@ -190,7 +195,7 @@
 
     g_array_append_val(log->entries, entry);
     mw_log_store_entry(log, mw_log_last(log));
-    if (record->kind == MW_RECORD_ADMIT) {
+    if (record->kind == MW_RECORD_ADMIT || record->kind == MW_RECORD_MEMBER) {
         mw_log_note_config(log);
     }
     return mw_log_last(log);
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -8,6 +8,8 @@
 #include "member-file.h"
 
 #define LEAVE_US 3000000
+/* the platform names so many machines at the first start */
+#define FOUNDING_COUNT 3
 /* between the system's own processes; guards against mix-ups alone */
 #define LINK_KEY MW_STR("mimosawind-region")
 
@@ -147,6 +149,8 @@
         .zone = t->setup.zone,
         .incarnation = incarnation,
         .member_count = count,
+        .founding_count = MIN(count, FOUNDING_COUNT),
+        .target = t->setup.target,
         .compact_after = t->setup.compact_after,
         .seed = (uint32_t)incarnation ^ mw_hash_name(&t->setup.name),
         .now_us = mw_now(),
@@ -253,7 +257,7 @@
     bool both =
         is_in(members, count, &t->setup.name) && is_in(members, count, name);
 
-    if (mw_name_equal(name, &t->setup.name) ||
+    if (name->len == 0 || mw_name_equal(name, &t->setup.name) ||
         (both && memcmp(name, &t->setup.name, sizeof *name) > 0)) {
         return;
     }
--- a/source/run/flow-control-task.h
+++ b/source/run/flow-control-task.h
@@ -43,6 +43,8 @@
     uint32_t seed_count;
     /* the first start of the whole system: the seeds are the members */
     bool founding;
+    /* how many members the log is to have */
+    uint32_t target;
     struct mw_str folder;
     uint32_t compact_after;
     struct mw_flow_bounds bounds;
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -70,6 +70,9 @@
     struct mw_dial dial = {.name = *name};
     char address[MW_NAME_MAX + 1];
 
+    if (name->len == 0) {
+        return;
+    }
     g_snprintf(address, sizeof address, "%.*s:%u", MW_FMT(mw_name_str(name)),
                t->setup.link_port);
     dial.address = mw_name_of(mw_str_from(address));
--- a/source/run/member-file.c
+++ b/source/run/member-file.c
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #define FILE_NAME "members"
+/* a slot that belongs to nobody */
+#define NOBODY MW_STR("-")
 
 static char *
 path_of(struct mw_str folder, const char *suffix)
@@ -26,10 +28,15 @@
         char **lines = g_strsplit(text, "\n", 0);
 
         for (char **line = lines; *line && count < MW_MEMBERS_MAX; line++) {
-            if (**line != 0 &&
-                mw_set_name(&members[count], mw_str_from(*line)) == 0) {
-                count++;
+            struct mw_str name = mw_str_from(*line);
+
+            if (name.len == 0) {
+                continue;
+            }
+            if (!mw_str_equal(name, NOBODY)) {
+                mw_set_name(&members[count], name);
             }
+            count++;
         }
         g_strfreev(lines);
     }
@@ -76,8 +83,10 @@
     int err = 0;
 
     for (uint32_t i = 0; i < count; i++) {
+        struct mw_str name = mw_name_str(&members[i]);
+
         g_string_append_printf(text, "%.*s\n",
-                               MW_FMT(mw_name_str(&members[i])));
+                               MW_FMT(name.len > 0 ? name : NOBODY));
     }
     if (!write_synced(fresh, text) || g_rename(fresh, path) != 0 ||
         !sync_folder(folder)) {
--- a/source/run/member-file.h
+++ b/source/run/member-file.h
@@ -6,9 +6,9 @@
 /*
  * member-file: the members of the log, beside the log in the data folder.
  *
- * One name a line.  The file is written under another name, synced and
- * renamed, and the folder is synced, so that it is there whole or not at
- * all.
+ * One name a line, in the order of slots; - for a slot without an owner.  The
+ * file is written under another name, synced and renamed, and the folder is
+ * synced, so that it is there whole or not at all.
  */
 
 /* mw_read_members: how many there are; 0 when there is no file. */
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -70,6 +70,10 @@
         wire->number = record->config.version;
         wire->text = mw_pack_blob(record->config.text);
         break;
+    case MW_RECORD_MEMBER:
+        wire->number = record->member.slot;
+        wire->name = mw_pack_name(&record->member.name);
+        break;
     case MW_RECORD_ZONE_OUT:
         wire->name = mw_pack_name(&record->zone_out.zone);
         wire->out = record->zone_out.out;
@@ -179,6 +183,15 @@
         return wire->number > 0 ? 0
                                 : mw_fail(ctx, MW_ERR_OUT_OF_RANGE,
                                           "configuration without a version");
+    case MW_RECORD_MEMBER:
+        if (wire->number >= MW_MEMBERS_MAX) {
+            return mw_fail(ctx, MW_ERR_OUT_OF_RANGE, "slot of a member");
+        }
+        if (wire->name.len == 0) {
+            return mw_fail(ctx, MW_ERR_MISSING, "slot without a name");
+        }
+        record->member.slot = (uint32_t)wire->number;
+        return mw_unpack_name(wire->name, &record->member.name);
     case MW_RECORD_ZONE_OUT:
         record->zone_out.out = wire->out;
         return mw_unpack_name(wire->name, &record->zone_out.zone);
