Who takes over lists every endpoint first, and recalls runs of ended jobs too

Change: runs of ended jobs are recalled and stopped; an endpoint gets nothing before its list was read, and what a list shows unasked is stopped first. Events name the queue of a job.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -254,6 +254,8 @@
     const char *name;
     const struct mw_task_id *task;
     struct mw_name flow;
+    /* the flow's queue */
+    struct mw_name queue;
     struct mw_name endpoint;
     uint32_t run;
     const char *outcome;
--- a/source/core/flow/flow-answer.c
+++ b/source/core/flow/flow-answer.c
@@ -118,6 +118,9 @@
         endpoint->heard_us = now_us;
         endpoint->hold_deadline_us = now_us;
         mw_observe(flows, now_us, endpoint, answer, call->sent_us);
+        if (endpoint->strays > 0) {
+            endpoint->hold_deadline_us = now_us + MW_HOLD_RETRY_US;
+        }
         return;
     }
     if (answer->result == MW_FLOW_REFUSED_FENCE) {
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -74,8 +74,9 @@
 mw_endpoint_is_usable(const struct mw_flows *flows,
                       const struct mw_flow_endpoint *endpoint, int64_t now_us)
 {
-    return endpoint->known && !endpoint->departed &&
-           !endpoint->beat.draining && endpoint->silent == 0 &&
+    return endpoint->known && !endpoint->departed && endpoint->listed &&
+           endpoint->strays == 0 && !endpoint->beat.draining &&
+           endpoint->silent == 0 &&
            now_us - endpoint->heard_us < MW_HEARD_MAX_US &&
            now_us >= endpoint->sick_deadline_us &&
            !mw_zone_out_has(flows, &endpoint->beat.zone);
@@ -149,6 +150,8 @@
     endpoint->pending_ends = 0;
     endpoint->clock_at_us = 0;
     endpoint->silent = 0;
+    endpoint->listed = false;
+    endpoint->strays = 0;
     endpoint->failures_in_row = 0;
     endpoint->sick_deadline_us = 0;
     endpoint->holding = false;
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -17,9 +17,13 @@
 mw_flow_note(struct mw_flows *flows, const char *name,
              const struct mw_name *flow, const char *outcome)
 {
+    const struct mw_flow *known = mw_find_flow(flows, flow);
     struct mw_flow_event event = {
         .name = name, .flow = *flow, .outcome = outcome, .age_us = -1};
 
+    if (known) {
+        event.queue = known->route.name;
+    }
     emit(flows, &event);
 }
 
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -179,6 +179,10 @@
     uint64_t acknowledged_end;
     uint32_t pending_ends;
     uint32_t silent;
+    /* its list has been read since this process leads */
+    bool listed;
+    /* runs of the last list that this process knows nothing of */
+    uint32_t strays;
     uint32_t failures_in_row;
     /* a task here was last seen to get on, or to end well */
     int64_t progress_us;
@@ -307,6 +311,9 @@
                    struct mw_place *place);
 void mw_send_stop(struct mw_flows *flows, int64_t now_us,
                   struct mw_place *place);
+void mw_send_stop_of(struct mw_flows *flows, int64_t now_us,
+                     struct mw_flow_endpoint *endpoint,
+                     const struct mw_task_id *task, uint32_t run);
 void mw_stop_place(struct mw_flows *flows, int64_t now_us,
                    struct mw_place *place);
 void mw_stop_unit(struct mw_flows *flows, int64_t now_us,
--- a/source/core/flow/flow-observe.c
+++ b/source/core/flow/flow-observe.c
@@ -70,9 +70,8 @@
     struct mw_unit *unit = place->unit;
     struct mw_flow_task *task = &unit->tasks[place->index];
     bool intended = place->phase == MW_PLACE_INTENDED;
-    bool matters = unit->flow->state == MW_FLOW_ACTIVE &&
-                   (intended || (task->state == MW_TASK_ORDERED &&
-                                 task->run == place->run));
+    bool matters = intended ||
+                   (task->state == MW_TASK_ORDERED && task->run == place->run);
 
     mw_place_note(flows, "run_over", place, why,
                   now_us - place->endpoint->heard_us);
@@ -164,6 +163,16 @@
     }
 }
 
+/* Of a flow that has ended: the run is no longer on its endpoint. */
+static void
+note_over(struct mw_record *record, struct mw_unit *unit,
+          const struct mw_listed_run *run)
+{
+    if (unit->tasks[run->task.index].state == MW_TASK_ORDERED) {
+        add_note(record, unit, run->task.index, MW_TASK_WAITING, run->run);
+    }
+}
+
 /* Returns false when the end could not be proposed and must be seen again. */
 static bool
 take_end(struct mw_flows *flows, int64_t now_us,
@@ -182,12 +191,15 @@
                       now_us - place->started_us);
         mw_free_place(flows, place);
     }
-    if (!task || !is_run_of(task, run->run) || !mw_flow_is_open(unit->flow) ||
+    if (!task || !is_run_of(task, run->run) ||
         !mw_name_equal(&task->endpoint, &endpoint->id)) {
         return true;
     }
     record = new_notes(unit->step->count);
-    if (run->end == MW_END_DONE) {
+    if (!mw_flow_is_open(unit->flow)) {
+        note_over(record, unit, run);
+    }
+    else if (run->end == MW_END_DONE) {
         note_done(record, unit, run);
     }
     else {
@@ -217,6 +229,9 @@
     struct mw_place *place = mw_find_run(endpoint, &run->task, run->run);
 
     if (!place) {
+        endpoint->strays++;
+        mw_endpoint_note(flows, "stray_run", endpoint, "stopped", 0);
+        mw_send_stop_of(flows, now_us, endpoint, &run->task, run->run);
         return;
     }
     if (place->percent != run->percent || place->progress_us == 0) {
@@ -235,6 +250,9 @@
         place->started_us = now_us;
         place->settled_us = now_us;
         mw_place_note(flows, "run_seen", place, "running", 0);
+        if (place->unit->flow->state != MW_FLOW_ACTIVE) {
+            mw_stop_place(flows, now_us, place);
+        }
     }
 }
 
@@ -300,6 +318,8 @@
     GPtrArray *places;
     uint32_t ends = 0;
 
+    endpoint->listed = true;
+    endpoint->strays = 0;
     for (uint32_t i = 0; i < answer->run_count; i++) {
         const struct mw_listed_run *run = &answer->runs[i];
 
--- a/source/core/flow/flow-order.c
+++ b/source/core/flow/flow-order.c
@@ -77,20 +77,27 @@
 }
 
 void
-mw_send_stop(struct mw_flows *flows, int64_t now_us, struct mw_place *place)
+mw_send_stop_of(struct mw_flows *flows, int64_t now_us,
+                struct mw_flow_endpoint *endpoint,
+                const struct mw_task_id *task, uint32_t run)
 {
     struct mw_flow_order order = {
-        .kind = MW_FLOW_STOP,
-        .task = mw_place_task_id(place),
-        .run = place->run,
-    };
+        .kind = MW_FLOW_STOP, .task = *task, .run = run};
 
-    place->busy = true;
     flows->counters.stops++;
-    new_call(flows, now_us, place->endpoint, &order);
+    new_call(flows, now_us, endpoint, &order);
+    flows->output.order(flows->output.opaque, &order);
+}
+
+void
+mw_send_stop(struct mw_flows *flows, int64_t now_us, struct mw_place *place)
+{
+    struct mw_task_id task = mw_place_task_id(place);
+
+    place->busy = true;
     mw_place_note(flows, "stop", place, "sent",
                   now_us - place->endpoint->heard_us);
-    flows->output.order(flows->output.opaque, &order);
+    mw_send_stop_of(flows, now_us, place->endpoint, &task, place->run);
 }
 
 void
@@ -154,7 +161,9 @@
                   MIN(MW_HOLD_LEASE_US,
                       flows->bounds.lease_max_us - MW_LEASE_MARGIN_US));
     }
-    order.wait_us = trusted && is_settled(endpoint) ? MW_HOLD_WAIT_US : 0;
+    order.wait_us = trusted && endpoint->listed && is_settled(endpoint)
+                        ? MW_HOLD_WAIT_US
+                        : 0;
     endpoint->holding = true;
     endpoint->look_wanted = false;
     endpoint->hold_sent_us = now_us;
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -83,7 +83,8 @@
         endpoint->pending_ends > 0 || now_us < endpoint->hold_deadline_us) {
         return false;
     }
-    return has_started(endpoint) ||
+    return !endpoint->listed || endpoint->strays > 0 ||
+           has_started(endpoint) ||
            endpoint->committed_end > endpoint->acknowledged_end;
 }
 
@@ -288,33 +289,42 @@
     flows->dirty = false;
 }
 
-/* Places for what earlier leaders recorded; lists will tell about them. */
 static void
-recall_places(struct mw_flows *flows, int64_t now_us)
+recall_unit(struct mw_flows *flows, int64_t now_us, struct mw_unit *unit)
 {
-    for (guint f = 0; f < flows->active->len; f++) {
-        struct mw_flow *flow = flows->active->pdata[f];
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        struct mw_flow_task *task = &unit->tasks[i];
+        struct mw_flow_endpoint *endpoint;
+        struct mw_place *place;
 
-        for (uint32_t u = 0; u < flow->unit_count; u++) {
-            struct mw_unit *unit = &flow->units[u];
+        if (task->state != MW_TASK_ORDERED) {
+            continue;
+        }
+        endpoint = mw_find_flow_endpoint(flows, &task->endpoint);
+        if (!endpoint) {
+            endpoint = mw_new_stub(flows, now_us, &task->endpoint, task->born);
+        }
+        place = mw_add_place(endpoint, unit, i, task->run, MW_PLACE_UNKNOWN);
+        place->started_us = now_us;
+    }
+}
 
-            for (uint32_t i = 0; i < unit->step->count; i++) {
-                struct mw_flow_task *task = &unit->tasks[i];
-                struct mw_flow_endpoint *endpoint;
-                struct mw_place *place;
+/*
+ * Places for what earlier leaders recorded, also of flows that have ended:
+ * their runs may not have been stopped yet.  Lists will tell about them.
+ */
+static void
+recall_places(struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
 
-                if (task->state != MW_TASK_ORDERED) {
-                    continue;
-                }
-                endpoint = mw_find_flow_endpoint(flows, &task->endpoint);
-                if (!endpoint) {
-                    endpoint = mw_new_stub(flows, now_us, &task->endpoint,
-                                           task->born);
-                }
-                place = mw_add_place(endpoint, unit, i, task->run,
-                                     MW_PLACE_UNKNOWN);
-                place->started_us = now_us;
-            }
+    g_hash_table_iter_init(&iter, flows->flows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow *flow = value;
+
+        for (uint32_t u = 0; u < flow->unit_count; u++) {
+            recall_unit(flows, now_us, &flow->units[u]);
         }
     }
 }
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -134,6 +134,9 @@
     if (event->flow.len > 0) {
         json_object_set_new(line, "id", text(mw_name_str(&event->flow)));
     }
+    if (event->queue.len > 0) {
+        json_object_set_new(line, "queue", text(mw_name_str(&event->queue)));
+    }
     add_task(line, event);
     if (event->endpoint.len > 0) {
         json_object_set_new(line, "endpoint",
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -36,6 +36,10 @@
     GArray *sent;
     GHashTable *beats;
     uint64_t next_request;
+    /* endpoints whose first list, an empty one, has been given */
+    GHashTable *first_lists;
+    GArray *first_refs;
+    bool lists_by_hand;
     bool quiet_events;
 };
 
@@ -59,6 +63,18 @@
     return words[kind];
 }
 
+/* The first look at an endpoint; it has nothing, unless lists are by hand. */
+static bool
+is_first_list(struct state *st, const struct mw_flow_order *o)
+{
+    char id[MW_NAME_MAX + 1];
+
+    g_snprintf(id, sizeof id, "%.*s", MW_FMT(mw_name_str(&o->endpoint)));
+    return !st->lists_by_hand && o->kind == MW_FLOW_HOLD &&
+           o->lease_deadline_us == 0 &&
+           g_hash_table_add(st->first_lists, g_strdup(id));
+}
+
 static void
 order(void *opaque, const struct mw_flow_order *o)
 {
@@ -66,6 +82,10 @@
     struct sent sent = {.ref = o->ref, .order = *o};
     struct mw_str checkpoint = mw_blob_str(o->checkpoint);
 
+    if (is_first_list(st, o)) {
+        g_array_append_val(st->first_refs, o->ref);
+        return;
+    }
     g_array_append_val(st->sent, sent);
     if (o->kind == MW_FLOW_HOLD) {
         mw_say(st->script, "  #%u hold %.*s ack=%d lease=%s wait=%d",
@@ -140,6 +160,9 @@
     st->uncommitted =
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
     st->sent = g_array_new(FALSE, TRUE, sizeof(struct sent));
+    st->first_lists =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    st->first_refs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     st->beats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     new_flows(st);
     return st;
@@ -154,6 +177,8 @@
     g_ptr_array_unref(st->uncommitted);
     g_array_unref(st->sent);
     g_hash_table_unref(st->beats);
+    g_hash_table_unref(st->first_lists);
+    g_array_unref(st->first_refs);
     g_free(st);
 }
 
@@ -183,6 +208,18 @@
     }
 }
 
+static void
+give_first_lists(struct state *st)
+{
+    while (st->first_refs->len > 0) {
+        struct mw_flow_answer answer = {
+            .ref = g_array_index(st->first_refs, uint64_t, 0), .listed = true};
+
+        g_array_remove_index(st->first_refs, 0);
+        mw_flows_answer(st->flows, st->now_us, &answer);
+    }
+}
+
 /* Runs until nothing is due now. */
 static void
 settle(struct state *st)
@@ -191,6 +228,8 @@
         if (!st->hold_commits) {
             commit(st);
         }
+        give_first_lists(st);
+
         int64_t due_us = mw_flows_deadline(st->flows);
 
         if (due_us > st->now_us + SOON_US &&
@@ -211,6 +250,7 @@
     bool lead = strcmp(mw_word(s, 1), "on") == 0;
 
     st->fence += lead;
+    g_hash_table_remove_all(st->first_lists);
     mw_flows_lead(st->flows, st->now_us, lead, st->fence);
     settle(st);
 }
@@ -241,6 +281,12 @@
     st->refuse_records = strcmp(mw_word(s, 1), "refuse") == 0;
 }
 
+static void
+cmd_lists(struct mw_script *s)
+{
+    enter(s)->lists_by_hand = strcmp(mw_word(s, 1), "by-hand") == 0;
+}
+
 static void
 cmd_quiet(struct mw_script *s)
 {
@@ -278,6 +324,9 @@
     beat->born = (uint64_t)mw_option_int(s, "born", (int64_t)beat->born);
     beat->total.gpus = (uint32_t)mw_option_int(s, "gpus", 8);
     beat->total.cpu = (uint32_t)mw_option_int(s, "cpu", 32000);
+    if (!fresh && mw_option_int(s, "born", 0) > 0) {
+        g_hash_table_remove(st->first_lists, mw_word(s, 1));
+    }
     beat->draining = strcmp(mw_option(s, "state", "ready"), "draining") == 0;
     beat->leaving = strcmp(mw_option(s, "state", "ready"), "leaving") == 0;
     beat->clock_us = st->now_us - START_US;
@@ -545,6 +594,7 @@
     {"commits", 1, cmd_commits},
     {"commit", 0, cmd_commit},
     {"records", 1, cmd_records},
+    {"lists", 1, cmd_lists},
     {"quiet", 1, cmd_quiet},
     {"beat", 1, cmd_beat},
     {"config", 0, cmd_config},
