Endpoints kept for gangs of priority 1 that wait, open to urgent work

Cause: gangs of priority 1 waited up to 37 s (80 of 100) while small tasks of priority 2 took each place that came free and were nearly all in time.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -190,6 +190,7 @@
     /* in a rack that is kept for urgent work */
     bool kept;
     struct mw_unit *reserved_for;
+    uint32_t reserved_rank;
     int64_t reserved_deadline_us;
 };
 
@@ -303,6 +304,9 @@
 uint32_t mw_flow_gpus(const struct mw_flow *flow);
 
 /* flow-reclaim.c */
+/* keeps what ends soonest for a gang of lower rank that waits */
+void mw_wait_for_room(struct mw_flows *flows, struct mw_unit *unit,
+                      uint32_t tasks, int64_t now_us);
 void mw_make_room(struct mw_flows *flows, struct mw_unit *unit, uint32_t tasks,
                   int64_t now_us);
 
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -128,6 +128,7 @@
         return false;
     }
     return !endpoint->reserved_for || endpoint->reserved_for == unit ||
+           unit->rank < endpoint->reserved_rank ||
            now_us >= endpoint->reserved_deadline_us;
 }
 
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -216,7 +216,10 @@
     if (found > 0) {
         intend(flows, now_us, unit, chosen);
     }
-    if (found < waiting) {
+    if (found < waiting && unit->rank == 2) {
+        mw_wait_for_room(flows, unit, waiting, now_us);
+    }
+    else if (found < waiting) {
         mw_make_room(flows, unit, waiting - found, now_us);
     }
 }
--- a/source/core/flow/flow-reclaim.c
+++ b/source/core/flow/flow-reclaim.c
@@ -14,6 +14,12 @@
 /* what a start costs besides, and what is lost since the last checkpoint */
 #define RESTART_MS 400
 #define SAVED_LOSS_MS 1500
+/* work that has outlived its estimate is taken to last so long still */
+#define LEFT_LEAST_US 500000
+/* room that is kept for a gang that waits: renewed while it waits */
+#define WAIT_KEPT_US 1000000
+/* of the endpoints, the part that is kept for waiting gangs: one in N */
+#define WAIT_PART 3
 /* an accelerator counts as so many cores */
 #define GPU_CORES 8
 
@@ -24,11 +30,16 @@
     uint64_t cost;
 };
 
+/* cost_function: what it costs that one run makes room. */
+typedef uint64_t (*cost_function)(const struct mw_place *place,
+                                  int64_t now_us);
+
+/* What would make room for the unit: stopped, or waited for. */
 static bool
-may_be_stopped(const struct mw_place *place)
+may_make_room(const struct mw_place *place, const struct mw_unit *unit)
 {
     return place->phase == MW_PLACE_RUNNING &&
-           place->unit->flow->route.priority > 0;
+           (unit->rank >= 2 || place->unit->flow->route.priority > 0);
 }
 
 static bool
@@ -60,6 +71,18 @@
     return ran_ms * weight * (unit->rank >= 3 ? 1 : 2) * (1 + unit->preempted);
 }
 
+/*
+ * What is in the way of a gang that lets others end: how long it still takes.
+ */
+static uint64_t
+time_left_of(const struct mw_place *place, int64_t now_us)
+{
+    int64_t left_us =
+        place->unit->step->estimate_us - (now_us - place->started_us);
+
+    return (uint64_t)MAX(left_us, LEFT_LEAST_US) / 1000;
+}
+
 static void
 subtract(struct mw_flow_amount *used, const struct mw_flow_amount *need)
 {
@@ -69,13 +92,13 @@
 }
 
 static struct mw_place *
-cheapest(GPtrArray *places, int64_t now_us)
+cheapest(GPtrArray *places, int64_t now_us, cost_function cost_of_one)
 {
     struct mw_place *best = NULL;
     uint64_t best_cost = UINT64_MAX;
 
     for (guint i = 0; i < places->len; i++) {
-        uint64_t cost = cost_of(places->pdata[i], now_us);
+        uint64_t cost = cost_of_one(places->pdata[i], now_us);
 
         if (cost < best_cost) {
             best = places->pdata[i];
@@ -94,6 +117,7 @@
                int64_t now_us, uint32_t wanted, GPtrArray *victims,
                uint64_t *cost)
 {
+    cost_function cost_of_one = unit->rank < 2 ? cost_of : time_left_of;
     struct mw_flow_amount used = endpoint->used;
     GPtrArray *places = g_ptr_array_new();
     uint32_t room;
@@ -105,17 +129,17 @@
         if (is_leaving(place)) {
             subtract(&used, &place->need);
         }
-        else if (may_be_stopped(place)) {
+        else if (may_make_room(place, unit)) {
             g_ptr_array_add(places, place);
         }
     }
     room = mw_room_for(&endpoint->beat.total, &used, &unit->step->need);
     while (room < wanted && places->len > 0) {
-        struct mw_place *victim = cheapest(places, now_us);
+        struct mw_place *victim = cheapest(places, now_us, cost_of_one);
 
         g_ptr_array_remove_fast(places, victim);
         g_ptr_array_add(victims, victim);
-        *cost += cost_of(victim, now_us);
+        *cost += cost_of_one(victim, now_us);
         subtract(&used, &victim->need);
         room = mw_room_for(&endpoint->beat.total, &used, &unit->step->need);
     }
@@ -265,6 +289,7 @@
             struct mw_flow_endpoint *endpoint = cleared->pdata[i];
 
             endpoint->reserved_for = unit;
+            endpoint->reserved_rank = unit->rank;
             endpoint->reserved_deadline_us = unit->reclaim_deadline_us;
         }
         stop_victims(flows, victims, now_us);
@@ -272,3 +297,57 @@
     g_ptr_array_unref(victims);
     g_ptr_array_unref(cleared);
 }
+
+static uint32_t
+count_kept(const struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t kept = 0;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_flow_endpoint *endpoint = value;
+
+        kept +=
+            endpoint->reserved_for && endpoint->reserved_deadline_us > now_us;
+    }
+    return kept;
+}
+
+void
+mw_wait_for_room(struct mw_flows *flows, struct mw_unit *unit, uint32_t tasks,
+                 int64_t now_us)
+{
+    const struct mw_name *rack = NULL;
+    GPtrArray *ignored;
+    GPtrArray *cleared;
+
+    if (!unit->step->gang || unit->late == MW_USELESS ||
+        now_us < unit->reclaim_deadline_us ||
+        count_kept(flows, now_us) >=
+            g_hash_table_size(flows->endpoints) / WAIT_PART) {
+        return;
+    }
+    if (unit->step->one_rack) {
+        rack = cheapest_rack(flows, unit, tasks, now_us);
+        if (!rack && !mw_may_spread(flows, unit, now_us, tasks)) {
+            return;
+        }
+    }
+    ignored = g_ptr_array_new();
+    cleared = g_ptr_array_new();
+    if (clear_group(flows, unit, rack, tasks, now_us, ignored, cleared).room >=
+        tasks) {
+        unit->reclaim_deadline_us = now_us + WAIT_KEPT_US;
+        for (guint i = 0; i < cleared->len; i++) {
+            struct mw_flow_endpoint *endpoint = cleared->pdata[i];
+
+            endpoint->reserved_for = unit;
+            endpoint->reserved_rank = unit->rank;
+            endpoint->reserved_deadline_us = now_us + 2 * WAIT_KEPT_US;
+        }
+    }
+    g_ptr_array_unref(ignored);
+    g_ptr_array_unref(cleared);
+}
