Kept racks follow six times the urgent peak, up to all; work that saves waits above 70 percent

Cause: urgent work still waited 0.6 s (80 of 100) for what was stopped, and a run that was stopped once was often stopped again.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -86,6 +86,8 @@
     struct mw_flow_amount need;
     enum mw_place_phase phase;
     bool busy;
+    /* so many that what saves must wait as well */
+    bool full;
     /* an order of this run had no answer, so it may come late */
     bool unanswered;
     uint32_t tries;
@@ -238,6 +240,8 @@
     uint32_t urgent_peak;
     /* more than half of the accelerators are in use */
     bool busy;
+    /* so many that what saves must wait as well */
+    bool full;
     struct mw_flow_counters counters;
 };
 
--- a/source/core/flow/flow-reserve.c
+++ b/source/core/flow/flow-reserve.c
@@ -4,17 +4,21 @@
  * LOAD   urgent gangs that arrive every half second and want one rack at
  *        once, beside long work that would fill every rack.  Stopping that
  *        work takes most of the time that an urgent gang can wait, so a
- *        part of the racks takes only urgent work and work that loses
- *        little when it is stopped.  The part follows the urgent demand.
+ *        part of the racks takes only urgent work and, up to a limit, work
+ *        that loses little when it is stopped.  The part follows the urgent
+ *        demand, up to all racks: less urgent work then fills half of the
+ *        region, and its long objective bears the wait.
  */
 #include <string.h>
 
 #include "flow-impl.h"
 
 /* of the peak of urgent demand, in percent, and of all accelerators */
-#define KEPT_PERCENT 120
-#define KEPT_MOST_PERCENT 40
-#define BUSY_PERCENT 55
+#define KEPT_PERCENT 600
+#define KEPT_MOST_PERCENT 100
+#define BUSY_PERCENT 52
+/* above it, work that saves is kept out too */
+#define FULL_PERCENT 70
 /* while endpoints are idle, nothing else waits longer for those kept */
 #define KEPT_WAIT_US 1200000
 /* the peak is forgotten by one part in so many with each pass */
@@ -80,6 +84,7 @@
         }
     }
     flows->busy = used > all * BUSY_PERCENT / 100;
+    flows->full = used > all * FULL_PERCENT / 100;
     g_ptr_array_sort(usable, by_rack);
     wanted = MIN(flows->urgent_peak / 1000 * KEPT_PERCENT / 100,
                  all * KEPT_MOST_PERCENT / 100);
@@ -105,7 +110,8 @@
     if (!flows->busy && now_us - unit->ready_us > KEPT_WAIT_US) {
         return false;
     }
-    return endpoint->kept && unit->rank >= 2 && !unit->step->saves &&
+    return endpoint->kept && unit->rank >= 2 &&
+           (flows->full || !unit->step->saves) &&
            !(unit->step->data_rack.len > 0 &&
              mw_name_equal(&unit->step->data_rack, &endpoint->rack));
 }
