mw explain: what became of a job, from logs; the time of day in each line

Lines of several processes are ordered by the time of day. A request that an entry VM refuses or gives up on names the job.

--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,8 @@
 		$(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
 
-$(BUILD)/check: $(call object,$(TESTS) $(PLATFORM)) $(LIBRARY)
+$(BUILD)/check: $(call object,$(TESTS) $(PLATFORM) source/tools/story.c) \
+		$(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) $(CHECK_LIBS) -o $@
 
 # warnings are errors, and the scripts decide; fixed seeds, nothing timed
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -62,16 +62,29 @@
            now_us - entry->heard_us < MW_FLOW_LEADER_LOST_US;
 }
 
+/* The last part of a path: the identifier of a flow. */
+static struct mw_name
+id_in(struct mw_str path)
+{
+    size_t at = path.len;
+
+    while (at > 0 && path.ptr[at - 1] != '/') {
+        at--;
+    }
+    return mw_name_of((struct mw_str){path.ptr + at, path.len - at});
+}
+
 static void
 note(struct mw_flow_entry *entry, const char *name, const char *outcome,
-     int64_t age_us, uint64_t number)
+     int64_t age_us, struct mw_str path)
 {
     struct mw_flow_event event = {.name = name,
+                                  .flow = id_in(path),
                                   .endpoint = entry->leader,
                                   .outcome = outcome,
                                   .age_us = age_us,
                                   .version = entry->version,
-                                  .number = number};
+                                  .number = entry->epoch};
 
     entry->output.event(entry->output.opaque, &event);
 }
@@ -109,7 +122,7 @@
         g_hash_table_size(entry->calls) >= MW_FLOW_CALLS_MAX) {
         entry->counters.refused++;
         note(entry, "refused", "no_leader", now_us - entry->heard_us,
-             request->ref);
+             request->path);
         refuse(entry, request->ref, MW_ERR_NOT_LEADER);
         return;
     }
@@ -191,7 +204,7 @@
     entry->leader = *from;
     entry->epoch = beat->epoch;
     entry->counters.leaders++;
-    note(entry, "leader", "found", 0, beat->epoch);
+    note(entry, "leader", "found", 0, MW_STR(""));
     hand_all(entry);
 }
 
@@ -215,7 +228,7 @@
     if (!mw_name_equal(process, &entry->leader)) {
         return;
     }
-    note(entry, "leader", "lost", now_us - entry->heard_us, entry->epoch);
+    note(entry, "leader", "lost", now_us - entry->heard_us, MW_STR(""));
     entry->leader = (struct mw_name){0};
 }
 
@@ -245,7 +258,8 @@
         uint64_t ref = call->ref;
 
         entry->counters.timed_out++;
-        note(entry, "timed_out", "no_answer", now_us - call->taken_us, ref);
+        note(entry, "timed_out", "no_answer", now_us - call->taken_us,
+             mw_blob_str(call->msg->flow_call.path));
         g_hash_table_remove(entry->calls, &ref);
         refuse(entry, ref, MW_ERR_DEADLINE);
     }
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -78,12 +78,11 @@
 }
 
 static json_t *
-new_line(const struct mw_event_log *log, int64_t now_us, const char *name,
-         const char *outcome)
+new_line(const struct mw_event_log *log, const char *name, const char *outcome)
 {
     json_t *line = json_object();
 
-    json_object_set_new(line, "t_us", json_integer(now_us));
+    json_object_set_new(line, "t_us", json_integer(g_get_real_time()));
     json_object_set_new(line, "process", text(mw_name_str(&log->process)));
     json_object_set_new(line, "event", json_string(name));
     json_object_set_new(line, "outcome", json_string(outcome));
@@ -91,14 +90,14 @@
 }
 
 static void
-tell_dropped(struct mw_event_log *log, int64_t now_us)
+tell_dropped(struct mw_event_log *log)
 {
     json_t *line;
 
     if (log->dropped == log->dropped_told) {
         return;
     }
-    line = new_line(log, now_us, "lines_dropped", "limit");
+    line = new_line(log, "lines_dropped", "limit");
     json_object_set_new(
         line, "count",
         json_integer((json_int_t)(log->dropped - log->dropped_told)));
@@ -129,8 +128,8 @@
     if (!has_room(log, now_us)) {
         return;
     }
-    tell_dropped(log, now_us);
-    line = new_line(log, now_us, event->name, event->outcome);
+    tell_dropped(log);
+    line = new_line(log, event->name, event->outcome);
     if (event->flow.len > 0) {
         json_object_set_new(line, "id", text(mw_name_str(&event->flow)));
     }
@@ -160,8 +159,8 @@
     if (!has_room(log, now_us)) {
         return;
     }
-    tell_dropped(log, now_us);
-    line = new_line(log, now_us, name, outcome);
+    tell_dropped(log);
+    line = new_line(log, name, outcome);
     json_object_set_new(line, "subject", text(subject));
     add_line(log, line);
 }
--- a/source/run/event-log.h
+++ b/source/run/event-log.h
@@ -6,6 +6,10 @@
 /*
  * event-log: structured lines on standard output, one JSON object each.
  *
+ * Each line has t_us (the time of day in microseconds, by which the lines
+ * of several processes are ordered), process, event and outcome; the rest
+ * is in docs/OPERATIONS.md.
+ *
  * Writing never blocks: what the reader doesn't take is kept up to
  * MW_EVENT_LOG_BYTES_MAX, then dropped and counted, and a line says so once
  * there is room again.  Lines beyond MW_EVENT_LOG_LINES_PER_S in a second
@@ -21,7 +25,7 @@
 struct mw_event_log *mw_new_event_log(int fd, struct mw_str process);
 void mw_drop_event_log(struct mw_event_log *log);
 
-/* mw_log_event: a decision; now_us is the task's clock. */
+/* mw_log_event: a decision; now_us, the task's clock, bounds the rate. */
 void mw_log_event(struct mw_event_log *log, int64_t now_us,
                   const struct mw_flow_event *event);
 
--- a/source/tools/mw.c
+++ b/source/tools/mw.c
@@ -18,6 +18,7 @@
     {"endpoints", "endpoints of a zone", mw_run_endpoints},
     {"guarantees", "guaranteed shapes of a zone", mw_run_guarantees},
     {"dump", "whole state of a process", mw_run_dump},
+    {"explain", "what became of a job, from logs", mw_run_explain},
     {"init", "make the data folder of a founding member", mw_run_init},
     {"key", "print a new shared key", mw_run_key},
     {"token", "print the hash of a token for a document", mw_run_token},
--- a/source/tools/tool.h
+++ b/source/tools/tool.h
@@ -35,6 +35,7 @@
 int mw_run_endpoints(int argc, char **argv);
 int mw_run_guarantees(int argc, char **argv);
 int mw_run_dump(int argc, char **argv);
+int mw_run_explain(int argc, char **argv);
 int mw_run_init(int argc, char **argv);
 int mw_run_key(int argc, char **argv);
 int mw_run_token(int argc, char **argv);
--- /dev/null
+++ b/tests/story-script.c
@@ -0,0 +1,61 @@
+/*
+ * story-script: mw explain on recorded lines.
+ */
+#include <string.h>
+
+#include "script.h"
+#include "story.h"
+
+struct state {
+    struct mw_story *story;
+};
+
+static void *
+begin(void)
+{
+    struct state *st = g_new0(struct state, 1);
+
+    st->story = mw_new_story();
+    return st;
+}
+
+static void
+end(void *state)
+{
+    struct state *st = state;
+
+    mw_drop_story(st->story);
+    g_free(st);
+}
+
+static void
+cmd_line(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    mw_add_story_line(st->story, mw_str_from(s->rest));
+}
+
+static void
+cmd_explain(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    mw_tell_story(st->story, mw_str_from(mw_word(s, 1)), s->out);
+}
+
+static void
+cmd_failed(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    mw_tell_failures(st->story, s->out);
+}
+
+static const struct mw_script_command commands[] = {
+    {"line", 0, cmd_line},
+    {"explain", 1, cmd_explain},
+    {"failed", 0, cmd_failed},
+    {NULL, 0, NULL}};
+
+const struct mw_script_kind mw_story_scripts = {"story", commands, begin, end};
