--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -104,6 +104,9 @@
 void mw_flow_control_look(const struct mw_flow_control *control,
                           struct mw_log_view *log,
                           struct mw_flows_view *flows);
+const struct mw_flow_histogram *
+mw_flow_control_histogram(const struct mw_flow_control *control,
+                          enum mw_flow_time time);
 const struct mw_flow_counters *
 mw_flow_control_counters(const struct mw_flow_control *control);
 
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -299,6 +299,31 @@
     uint64_t quarantined;
 };
 
+/* mw_flow_time: the steps of a job whose durations are counted. */
+enum mw_flow_time {
+    /* from a request to its committed record */
+    MW_TIME_COMMIT = 0,
+    /* from being due to the first start that was sent */
+    MW_TIME_PLACE = 1,
+    /* from an order to the endpoint's answer */
+    MW_TIME_ORDER = 2,
+    /* from a start's answer to the listed end */
+    MW_TIME_RUN = 3,
+    /* from the acceptance to the end of the whole job */
+    MW_TIME_FLOW = 4,
+    MW_FLOW_TIMES = 5
+};
+
+/* bucket i counts durations below 2^i milliseconds; the last, all others */
+#define MW_TIME_BUCKETS 18
+
+/* mw_flow_histogram: durations of one step. */
+struct mw_flow_histogram {
+    uint64_t buckets[MW_TIME_BUCKETS];
+    uint64_t count;
+    uint64_t sum_us;
+};
+
 struct mw_flows;
 
 struct mw_flows *mw_new_flows(const struct mw_flow_bounds *bounds,
@@ -340,6 +365,9 @@
 
 const struct mw_flow_counters *
 mw_flows_counters_of(const struct mw_flows *flows);
+const struct mw_flow_histogram *
+mw_flows_histogram(const struct mw_flows *flows, enum mw_flow_time time);
+struct mw_str mw_flow_time_word(enum mw_flow_time time);
 uint64_t mw_flows_version(const struct mw_flows *flows);
 
 struct mw_flows_view {
--- a/source/core/flow/flow-answer.c
+++ b/source/core/flow/flow-answer.c
@@ -166,6 +166,7 @@
         return;
     }
     place->busy = false;
+    mw_measure(flows, MW_TIME_ORDER, now_us - call->sent_us);
     mw_place_note(flows, call->kind == MW_FLOW_START ? "start" : "stop", place,
                   mw_flow_result_word(answer->result).ptr,
                   now_us - call->sent_us);
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -502,3 +502,10 @@
 {
     return mw_flows_counters_of(control->flows);
 }
+
+const struct mw_flow_histogram *
+mw_flow_control_histogram(const struct mw_flow_control *control,
+                          enum mw_flow_time time)
+{
+    return mw_flows_histogram(control->flows, time);
+}
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -127,6 +127,7 @@
     uint32_t done;
     /* the leader's own */
     int64_t ready_us;
+    bool started;
     uint32_t rank;
     int64_t due_us;
     enum mw_lateness late;
@@ -151,6 +152,8 @@
     struct mw_unit *units;
     uint32_t units_done;
     bool begun;
+    /* when this process applied its record */
+    int64_t accepted_us;
     /* the leader's own */
     bool ending;
     int64_t ended_us;
@@ -213,6 +216,7 @@
     enum mw_flow_request_kind kind;
     struct mw_name name;
     uint64_t version;
+    int64_t asked_us;
 };
 
 struct mw_flows {
@@ -233,6 +237,8 @@
     uint64_t next_ref;
     uint64_t proposed_version;
     bool dirty;
+    /* of the event that is being handled */
+    int64_t now_us;
     int64_t tick_deadline_us;
     int64_t pump_deadline_us;
     int64_t chores_deadline_us;
@@ -243,6 +249,7 @@
     /* so many that what saves must wait as well */
     bool full;
     struct mw_flow_counters counters;
+    struct mw_flow_histogram times[MW_FLOW_TIMES];
 };
 
 /* flow-state.c */
@@ -357,6 +364,10 @@
                         const struct mw_record *record);
 void mw_end_requests(struct mw_flows *flows);
 
+/* flow-measure.c */
+void mw_measure(struct mw_flows *flows, enum mw_flow_time time,
+                int64_t duration_us);
+
 /* flow-event.c */
 void mw_flow_note(struct mw_flows *flows, const char *name,
                   const struct mw_name *flow, const char *outcome);
--- /dev/null
+++ b/source/core/flow/flow-measure.c
@@ -0,0 +1,36 @@
+/*
+ * flow-measure: how long each step of a job takes.
+ */
+#include "flow-impl.h"
+
+void
+mw_measure(struct mw_flows *flows, enum mw_flow_time time, int64_t duration_us)
+{
+    struct mw_flow_histogram *histogram = &flows->times[time];
+    int64_t bound_us = 1000;
+    int bucket = 0;
+
+    while (bucket < MW_TIME_BUCKETS - 1 && duration_us >= bound_us) {
+        bound_us *= 2;
+        bucket++;
+    }
+    histogram->buckets[bucket]++;
+    histogram->count++;
+    histogram->sum_us += (uint64_t)MAX(duration_us, 0);
+}
+
+const struct mw_flow_histogram *
+mw_flows_histogram(const struct mw_flows *flows, enum mw_flow_time time)
+{
+    return &flows->times[time];
+}
+
+struct mw_str
+mw_flow_time_word(enum mw_flow_time time)
+{
+    static const struct mw_str words[] = {MW_STR("commit"), MW_STR("place"),
+                                          MW_STR("order"), MW_STR("run"),
+                                          MW_STR("flow")};
+
+    return words[time];
+}
--- a/source/core/flow/flow-observe.c
+++ b/source/core/flow/flow-observe.c
@@ -189,6 +189,7 @@
     if (place) {
         mw_place_note(flows, "run_ended", place, word.ptr,
                       now_us - place->started_us);
+        mw_measure(flows, MW_TIME_RUN, now_us - place->started_us);
         mw_free_place(flows, place);
     }
     if (!task || !is_run_of(task, run->run) ||
--- a/source/core/flow/flow-order.c
+++ b/source/core/flow/flow-order.c
@@ -66,6 +66,10 @@
 
     order.lease_deadline_us =
         grant(place->endpoint, now_us, MW_START_LEASE_US);
+    if (!place->unit->started) {
+        place->unit->started = true;
+        mw_measure(flows, MW_TIME_PLACE, now_us - place->unit->ready_us);
+    }
     place->busy = true;
     place->tries++;
     flows->counters.starts++;
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -44,7 +44,7 @@
          const struct mw_name *name, uint64_t version)
 {
     struct mw_flow_waiter waiter = {request->ref, request->kind, *name,
-                                    version};
+                                    version, flows->now_us};
 
     g_array_append_val(flows->waiters, waiter);
 }
@@ -374,7 +374,7 @@
                  int64_t now_us, int64_t wall_us,
                  const struct mw_flow_request *request)
 {
-    (void)now_us;
+    flows->now_us = now_us;
     if (!flows->lead) {
         send_error(flows, request->ref, MW_ERR_NOT_LEADER, MW_STR(""));
         return;
@@ -430,6 +430,7 @@
             continue;
         }
         g_array_remove_index(flows->waiters, i - 1);
+        mw_measure(flows, MW_TIME_COMMIT, flows->now_us - waiter.asked_us);
         if (waiter.kind == MW_FLOW_SUBMIT) {
             mw_flow_note(flows, "accepted", &waiter.name, "committed");
             send_done(flows, waiter.ref, MW_REPLY_ACCEPTED);
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -201,6 +201,7 @@
     flow->org = record->org;
     flow->accepted_wall_us = record->accepted_wall_us;
     flow->state = record->state;
+    flow->accepted_us = flows->now_us;
     flow->plan_text = mw_keep_blob(record->plan);
     flow->plan = plan;
     add_units(flow);
@@ -225,6 +226,7 @@
     if (flows->lead) {
         struct mw_str word = mw_flow_state_word(state);
 
+        mw_measure(flows, MW_TIME_FLOW, flows->now_us - flow->accepted_us);
         mw_flow_note(flows, "flow_ended", &flow->id, word.ptr);
     }
 }
@@ -391,6 +393,7 @@
 mw_flows_apply(struct mw_context *ctx, struct mw_flows *flows, int64_t now_us,
                struct mw_record *record)
 {
+    flows->now_us = now_us;
     switch (record->kind) {
     case MW_RECORD_CONFIG:
         apply_config(ctx, flows, &record->config);
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -570,6 +570,27 @@
     return t->log;
 }
 
+static void
+add_histogram(GString *out, struct mw_str name,
+              const struct mw_flow_histogram *histogram)
+{
+    uint64_t below = 0;
+
+    for (int i = 0; i < MW_TIME_BUCKETS - 1; i++) {
+        below += histogram->buckets[i];
+        g_string_append_printf(
+            out, "mimosawind_%.*s_seconds_bucket{le=\"%.3f\"} %" PRIu64 "\n",
+            MW_FMT(name), (double)(1 << i) / 1000, below);
+    }
+    g_string_append_printf(
+        out,
+        "mimosawind_%.*s_seconds_bucket{le=\"+Inf\"} %" PRIu64
+        "\nmimosawind_%.*s_seconds_sum %.6f\n"
+        "mimosawind_%.*s_seconds_count %" PRIu64 "\n",
+        MW_FMT(name), histogram->count, MW_FMT(name),
+        (double)histogram->sum_us / 1e6, MW_FMT(name), histogram->count);
+}
+
 #define COUNTER(name)                                                         \
     g_string_append_printf(out, "mimosawind_" #name " %" PRIu64 "\n",         \
                            counters->name)
@@ -608,5 +629,10 @@
         "mimosawind_places %u\nmimosawind_log_lines_dropped %" PRIu64 "\n",
         log.role == MW_LEADER, log.term, log.commit, flows.flows, flows.active,
         flows.endpoints, flows.places, mw_event_log_dropped(t->log));
+    for (int time = 0; time < MW_FLOW_TIMES; time++) {
+        add_histogram(out, mw_flow_time_word((enum mw_flow_time)time),
+                      mw_flow_control_histogram(t->control,
+                                                (enum mw_flow_time)time));
+    }
     return out;
 }
