--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -192,6 +192,8 @@
     /* a task here was last seen to get on, or to end well */
     int64_t progress_us;
     int64_t sick_deadline_us;
+    /* may get work in this pass over what waits */
+    bool usable;
     /* in a rack that is kept for urgent work */
     bool kept;
     struct mw_unit *reserved_for;
@@ -232,6 +234,8 @@
     uint64_t fence;
     int64_t led_since_us;
     GHashTable *endpoints;
+    /* endpoints that may get work in this pass, rack by rack */
+    GPtrArray *usable;
     GHashTable *calls;
     GArray *waiters;
     uint64_t next_ref;
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -116,7 +116,7 @@
              const struct mw_flow_endpoint *endpoint,
              const struct mw_unit *unit, int64_t now_us)
 {
-    if (!mw_endpoint_is_usable(flows, endpoint, now_us) ||
+    if (!endpoint->usable ||
         !mw_name_equal(&endpoint->beat.service, &unit->flow->route.service)) {
         return false;
     }
@@ -172,12 +172,9 @@
                 int64_t now_us)
 {
     GArray *found = g_array_new(FALSE, FALSE, sizeof(struct candidate));
-    GHashTableIter iter;
-    gpointer value;
 
-    g_hash_table_iter_init(&iter, flows->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct candidate c = {.endpoint = value};
+    for (guint i = 0; i < flows->usable->len; i++) {
+        struct candidate c = {.endpoint = flows->usable->pdata[i]};
 
         if (!mw_fits_unit(flows, c.endpoint, unit, now_us)) {
             continue;
@@ -210,59 +207,87 @@
     return room;
 }
 
+/* room_of: what the candidates of one rack hold together. */
+struct rack_room {
+    const struct candidate *first;
+    uint32_t room;
+};
+
+static GArray *
+rooms_of_racks(const GArray *candidates)
+{
+    GArray *rooms = g_array_new(FALSE, FALSE, sizeof(struct rack_room));
+
+    for (guint i = 0; i < candidates->len; i++) {
+        const struct candidate *c =
+            &g_array_index(candidates, struct candidate, i);
+        guint at = 0;
+
+        while (at < rooms->len &&
+               !mw_name_equal(&g_array_index(rooms, struct rack_room, at)
+                                   .first->endpoint->rack,
+                              &c->endpoint->rack)) {
+            at++;
+        }
+        if (at == rooms->len) {
+            struct rack_room fresh = {c, 0};
+
+            g_array_append_val(rooms, fresh);
+        }
+        g_array_index(rooms, struct rack_room, at).room += c->room;
+    }
+    return rooms;
+}
+
 /* The rack with the least room that still holds all; NULL for none. */
 static const struct mw_name *
 best_rack(const GArray *candidates, uint32_t wanted)
 {
+    GArray *rooms = rooms_of_racks(candidates);
     const struct candidate *best = NULL;
     uint32_t best_room = UINT32_MAX;
 
-    for (guint i = 0; i < candidates->len; i++) {
-        const struct candidate *c =
-            &g_array_index(candidates, struct candidate, i);
-        uint32_t room = room_of_rack(candidates, &c->endpoint->rack);
-        bool nearer = best && best->foreign && !c->foreign;
+    for (guint i = 0; i < rooms->len; i++) {
+        const struct rack_room *r = &g_array_index(rooms, struct rack_room, i);
+        bool nearer = best && best->foreign && !r->first->foreign;
 
-        if (room < wanted || (best && c->foreign && !best->foreign)) {
+        if (r->room < wanted ||
+            (best && r->first->foreign && !best->foreign)) {
             continue;
         }
-        if (nearer || room < best_room) {
-            best = c;
-            best_room = room;
+        if (nearer || r->room < best_room) {
+            best = r->first;
+            best_room = r->room;
         }
     }
+    g_array_unref(rooms);
     return best ? &best->endpoint->rack : NULL;
 }
 
 /* Whether some rack, if it were empty, could hold so many tasks. */
 static bool
 a_rack_could_hold(const struct mw_flows *flows, const struct mw_unit *unit,
-                  int64_t now_us, uint32_t wanted)
+                  uint32_t wanted)
 {
     static const struct mw_flow_amount nothing = {0};
-    GHashTable *rooms = g_hash_table_new(mw_hash_name, mw_same_name);
-    GHashTableIter iter;
-    gpointer value;
-    bool found = false;
-
-    g_hash_table_iter_init(&iter, flows->endpoints);
-    while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_flow_endpoint *endpoint = value;
-        uint32_t room =
-            GPOINTER_TO_UINT(g_hash_table_lookup(rooms, &endpoint->rack));
-
-        if (!mw_endpoint_is_usable(flows, endpoint, now_us) ||
-            !mw_name_equal(&endpoint->beat.service,
+    const struct mw_name *rack = NULL;
+    uint32_t room = 0;
+
+    for (guint i = 0; i < flows->usable->len && room < wanted; i++) {
+        const struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
+
+        if (!mw_name_equal(&endpoint->beat.service,
                            &unit->flow->route.service)) {
             continue;
         }
+        if (!rack || !mw_name_equal(rack, &endpoint->rack)) {
+            rack = &endpoint->rack;
+            room = 0;
+        }
         room +=
             mw_room_for(&endpoint->beat.total, &nothing, &unit->step->need);
-        found = room >= wanted;
-        g_hash_table_insert(rooms, &endpoint->rack, GUINT_TO_POINTER(room));
     }
-    g_hash_table_unref(rooms);
-    return found;
+    return room >= wanted;
 }
 
 bool
@@ -271,7 +296,7 @@
 {
     return !unit->step->one_rack ||
            now_us - unit->ready_us >= MW_SPREAD_AFTER_US ||
-           !a_rack_could_hold(flows, unit, now_us, wanted);
+           !a_rack_could_hold(flows, unit, wanted);
 }
 
 static const struct mw_name *
--- a/source/core/flow/flow-reclaim.c
+++ b/source/core/flow/flow-reclaim.c
@@ -161,20 +161,18 @@
     return memcmp(&x->id, &y->id, sizeof x->id);
 }
 
+/* Endpoints of one rack, or all, that fit the unit; the emptiest first. */
 static GPtrArray *
 members_of(struct mw_flows *flows, const struct mw_unit *unit,
            const struct mw_name *rack, int64_t now_us)
 {
     GPtrArray *members = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value;
 
-    g_hash_table_iter_init(&iter, flows->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_flow_endpoint *endpoint = value;
+    for (guint i = 0; i < flows->usable->len; i++) {
+        struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
 
-        if (mw_fits_unit(flows, endpoint, unit, now_us) &&
-            (!rack || mw_name_equal(&endpoint->rack, rack))) {
+        if ((!rack || mw_name_equal(&endpoint->rack, rack)) &&
+            mw_fits_unit(flows, endpoint, unit, now_us)) {
             g_ptr_array_add(members, endpoint);
         }
     }
@@ -211,28 +209,25 @@
 {
     GPtrArray *victims = g_ptr_array_new();
     GPtrArray *cleared = g_ptr_array_new();
-    GHashTable *seen = g_hash_table_new(mw_hash_name, mw_same_name);
-    GHashTableIter iter;
-    gpointer value;
+    const struct mw_name *rack = NULL;
     struct group best = {.cost = UINT64_MAX};
 
-    g_hash_table_iter_init(&iter, flows->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_flow_endpoint *endpoint = value;
+    for (guint i = 0; i < flows->usable->len; i++) {
+        const struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
         struct group group;
 
-        if (!g_hash_table_add(seen, &endpoint->rack)) {
+        if (rack && mw_name_equal(rack, &endpoint->rack)) {
             continue;
         }
+        rack = &endpoint->rack;
         g_ptr_array_set_size(victims, 0);
         g_ptr_array_set_size(cleared, 0);
-        group = clear_group(flows, unit, &endpoint->rack, tasks, now_us,
-                            victims, cleared);
+        group =
+            clear_group(flows, unit, rack, tasks, now_us, victims, cleared);
         if (group.room >= tasks && group.cost < best.cost) {
             best = group;
         }
     }
-    g_hash_table_unref(seen);
     g_ptr_array_unref(victims);
     g_ptr_array_unref(cleared);
     return best.rack;
@@ -329,6 +324,7 @@
             g_hash_table_size(flows->endpoints) / WAIT_PART) {
         return;
     }
+    unit->reclaim_deadline_us = now_us + MW_RECLAIM_RETRY_US;
     if (unit->step->one_rack) {
         rack = cheapest_rack(flows, unit, tasks, now_us);
         if (!rack && !mw_may_spread(flows, unit, now_us, tasks)) {
--- a/source/core/flow/flow-reserve.c
+++ b/source/core/flow/flow-reserve.c
@@ -60,7 +60,7 @@
 void
 mw_keep_racks(struct mw_flows *flows, int64_t now_us)
 {
-    GPtrArray *usable = g_ptr_array_new();
+    GPtrArray *usable = flows->usable;
     GHashTableIter iter;
     gpointer value;
     uint32_t demand = urgent_demand(flows);
@@ -72,12 +72,14 @@
 
     flows->urgent_peak -= flows->urgent_peak / PEAK_DECAY;
     flows->urgent_peak = MAX(flows->urgent_peak, demand * 1000);
+    g_ptr_array_set_size(usable, 0);
     g_hash_table_iter_init(&iter, flows->endpoints);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct mw_flow_endpoint *endpoint = value;
 
         endpoint->kept = false;
-        if (mw_endpoint_is_usable(flows, endpoint, now_us)) {
+        endpoint->usable = mw_endpoint_is_usable(flows, endpoint, now_us);
+        if (endpoint->usable) {
             g_ptr_array_add(usable, endpoint);
             all += endpoint->beat.total.gpus;
             used += endpoint->used.gpus;
@@ -99,7 +101,6 @@
         endpoint->kept = true;
         kept += endpoint->beat.total.gpus;
     }
-    g_ptr_array_unref(usable);
 }
 
 bool
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -57,6 +57,7 @@
         g_hash_table_new_full(mw_hash_name, mw_same_name, g_free, NULL);
     flows->endpoints = g_hash_table_new_full(mw_hash_name, mw_same_name, NULL,
                                              mw_drop_flow_endpoint);
+    flows->usable = g_ptr_array_new();
     flows->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     flows->waiters = g_array_new(FALSE, FALSE, sizeof(struct mw_flow_waiter));
@@ -71,6 +72,7 @@
     if (!flows) {
         return;
     }
+    g_ptr_array_unref(flows->usable);
     g_hash_table_unref(flows->endpoints);
     g_hash_table_unref(flows->calls);
     g_hash_table_unref(flows->zones_out);
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -322,6 +322,7 @@
     int err;
 
     t->task = task;
+    mw_task_gathers(task);
     t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
     t->key = mw_new_blob(LINK_KEY);
     mw_log_change(t->log, mw_now(), "start", mw_name_str(&t->setup.zone),
@@ -630,9 +631,9 @@
         log.role == MW_LEADER, log.term, log.commit, flows.flows, flows.active,
         flows.endpoints, flows.places, mw_event_log_dropped(t->log));
     for (int time = 0; time < MW_FLOW_TIMES; time++) {
-        add_histogram(out, mw_flow_time_word((enum mw_flow_time)time),
-                      mw_flow_control_histogram(t->control,
-                                                (enum mw_flow_time)time));
+        add_histogram(
+            out, mw_flow_time_word((enum mw_flow_time)time),
+            mw_flow_control_histogram(t->control, (enum mw_flow_time)time));
     }
     return out;
 }
--- a/source/run/task.c
+++ b/source/run/task.c
@@ -131,6 +131,31 @@
     return G_SOURCE_CONTINUE;
 }
 
+/* below so many sockets a turn costs little */
+#define GATHER_FROM 150
+#define GATHER_US_PER_SOCKET 2
+#define GATHER_MOST_US 2000
+
+static gint
+poll_gathered(GPollFD *fds, guint count, gint timeout_ms)
+{
+    gulong wait_us = MIN(count * GATHER_US_PER_SOCKET, GATHER_MOST_US);
+
+    if (count >= GATHER_FROM) {
+        g_usleep(wait_us);
+        if (timeout_ms > 0) {
+            timeout_ms = MAX(timeout_ms - (gint)(wait_us / 1000), 0);
+        }
+    }
+    return g_poll(fds, count, timeout_ms);
+}
+
+void
+mw_task_gathers(struct mw_task *task)
+{
+    g_main_context_set_poll_func(task->context, poll_gathered);
+}
+
 static GSourceFuncs mailbox_funcs = {
     .prepare = mailbox_prepare,
     .check = mailbox_check,
--- a/source/run/task.h
+++ b/source/run/task.h
@@ -119,6 +119,14 @@
 /* mw_task_rearm: look at the deadline again after a socket event. */
 void mw_task_rearm(struct mw_task *task);
 
+/*
+ * mw_task_gathers: a task with many sockets handles events together.
+ *
+ * Each turn of the main loop looks at every socket, so with many of them
+ * the loop waits a moment, in proportion to their number, before it looks.
+ */
+void mw_task_gathers(struct mw_task *task);
+
 /* mw_task_context: the main context for the task's own sources. */
 GMainContext *mw_task_context(struct mw_task *task);
 
