--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -2,7 +2,7 @@
 # packages.sh: install the Debian packages that are missing, by name.
 set -eu
 packages="libglib2.0-dev libsoup-3.0-dev libprotobuf-c-dev libargtable2-dev
-    libjansson-dev zlib1g-dev libxxhash-dev check pkg-config gcc make curl
+    libjansson-dev zlib1g-dev libxxhash-dev libyaml-dev check pkg-config gcc make curl
     clang clang-format clang-tidy cppcheck spin"
 missing=""
 for package in $packages; do
