The specification of the log shows what a stale leader does

A leader that was cut off now goes on as the stale one: it copies its log to members that have heard of no later term, and may admit.

--- a/spec/log.pml
+++ b/spec/log.pml
@@ -7,6 +7,9 @@
  * until the leader has brought it up to date and a quorum of the
  * configuration before it holds the admission.
  *
+ * A leader that was cut off goes on as the stale one until it hears of a
+ * later term: it copies its log to members that have not, and may admit.
+ *
  * PROPERTY  whoever is elected holds every committed entry
  * FLAGS     each leaves one guard out, and the property must then fail:
  *           NO_ADMIT      an empty member counts at once
@@ -24,6 +27,7 @@
 byte entry[6];            /* entry[i * LENGTH + k]: term of entry k */
 bool up[N], admitted[N];
 byte leader, leader_term; /* leader: N when there is none */
+byte stale, stale_term;   /* the leader before it; N when there is none */
 byte committed;           /* entries known to be committed */
 byte committed_term[LENGTH];
 byte losses;
@@ -46,19 +50,20 @@
 #else
 #define HELD(i, k) (COUNTS(i) && synced[i] > k && same(i, k))
 #endif
-#define same(i, k) (entry[(i) * LENGTH + (k)] == entry[leader * LENGTH + (k)])
+#define alike(l, i, k) (entry[(i) * LENGTH + (k)] == entry[(l) * LENGTH + (k)])
+#define same(i, k) alike(leader, i, k)
 
-/* the third member, beside the leader and the one to be admitted */
-#define THIRD(f) (3 - leader - (f))
+/* the third member, beside the leader l and the one to be admitted */
+#define THIRD(l, f) (3 - (l) - (f))
 #ifdef NO_OLD_QUORUM
-#define OLD_AGREES(f) true
+#define OLD_AGREES(l, lt, f) true
 #else
-#define OLD_AGREES(f) \
-    (COUNTS(leader) && COUNTS(THIRD(f)) && \
-     term[THIRD(f)] == leader_term && \
-     synced[THIRD(f)] == length[leader] && \
-     length[THIRD(f)] == length[leader] && \
-     (length[f] == 0 || same(THIRD(f), length[f] - 1)))
+#define OLD_AGREES(l, lt, f) \
+    (COUNTS(l) && COUNTS(THIRD(l, f)) && \
+     term[THIRD(l, f)] == lt && \
+     synced[THIRD(l, f)] == length[l] && \
+     length[THIRD(l, f)] == length[l] && \
+     (length[f] == 0 || alike(l, THIRD(l, f), length[f] - 1)))
 #endif
 
 inline check(c) {
@@ -82,6 +87,16 @@
         :: t < TERMS && COUNTS(c) && GRANTS(v, c) ->
             term[c] = t;
             term[v] = t;
+            if
+            :: leader < N && leader != c ->
+                stale = leader;
+                stale_term = leader_term
+            :: else -> skip
+            fi;
+            if
+            :: stale == c || stale == v -> stale = N
+            :: else -> skip
+            fi;
             leader = c;
             leader_term = t;
             check(c)
@@ -100,20 +115,20 @@
     }
 }
 
-/* Copy the leader's log to a member, one entry further than they agree. */
-inline copy(f) {
+/* Copy a leader's log to a member, one entry further than they agree. */
+inline copy(l, lt, f) {
     atomic {
-        leader < N && f != leader && up[leader] && up[f] &&
-           term[leader] == leader_term && term[f] <= leader_term ->
-            term[f] = leader_term;
+        l < N && f != l && up[l] && up[f] &&
+           term[l] == lt && term[f] <= lt ->
+            term[f] = lt;
             k = 0;
             do
-            :: k < length[leader] && k < length[f] && same(f, k) -> k++
+            :: k < length[l] && k < length[f] && alike(l, f, k) -> k++
             :: else -> break
             od;
             if
-            :: k < length[leader] ->
-                entry[f * LENGTH + k] = entry[leader * LENGTH + k];
+            :: k < length[l] ->
+                entry[f * LENGTH + k] = entry[l * LENGTH + k];
                 length[f] = k + 1;
                 synced[f] = (synced[f] > k -> k : synced[f])
             :: else -> skip
@@ -144,15 +159,19 @@
     }
 }
 
-/* The admission is an entry like others; its commit needs the old quorum. */
-inline admit(f) {
+/*
+ * The admission is an entry like others; its commit needs the old quorum.
+ * The leader admits once it knows all its entries to be committed; a stale
+ * one may have known that before its successor committed more.
+ */
+inline admit(l, lt, f) {
     atomic {
-        leader < N && f != leader && up[leader] && up[f] && !admitted[f] &&
-           term[leader] == leader_term && term[f] == leader_term &&
-           length[f] == length[leader] && synced[f] == length[f] &&
-           committed == length[leader] &&
-           (length[f] == 0 || same(f, length[f] - 1)) &&
-           OLD_AGREES(f) -> admitted[f] = true
+        l < N && f != l && up[l] && up[f] && !admitted[f] &&
+           term[l] == lt && term[f] == lt &&
+           length[f] == length[l] && synced[f] == length[f] &&
+           (l == stale || committed == length[l]) &&
+           (length[f] == 0 || alike(l, f, length[f] - 1)) &&
+           OLD_AGREES(l, lt, f) -> admitted[f] = true
     }
 }
 
@@ -164,6 +183,10 @@
             if
             :: leader == i -> leader = N
             :: else -> skip
+            fi;
+            if
+            :: stale == i -> stale = N
+            :: else -> skip
             fi
     }
 }
@@ -185,6 +208,10 @@
             if
             :: leader == i -> leader = N
             :: else -> skip
+            fi;
+            if
+            :: stale == i -> stale = N
+            :: else -> skip
             fi
     }
 }
@@ -194,6 +221,7 @@
 
     d_step {
         leader = N;
+        stale = N;
         up[0] = true; up[1] = true; up[2] = true;
         admitted[0] = true; admitted[1] = true; admitted[2] = true
     }
@@ -205,16 +233,22 @@
     :: elect(2, 0)
     :: elect(2, 1)
     :: append()
-    :: copy(0)
-    :: copy(1)
-    :: copy(2)
+    :: copy(leader, leader_term, 0)
+    :: copy(stale, stale_term, 0)
+    :: copy(leader, leader_term, 1)
+    :: copy(stale, stale_term, 1)
+    :: copy(leader, leader_term, 2)
+    :: copy(stale, stale_term, 2)
     :: atomic { up[0] && synced[0] != length[0] -> synced[0] = length[0] }
     :: atomic { up[1] && synced[1] != length[1] -> synced[1] = length[1] }
     :: atomic { up[2] && synced[2] != length[2] -> synced[2] = length[2] }
     :: commit()
-    :: admit(0)
-    :: admit(1)
-    :: admit(2)
+    :: admit(leader, leader_term, 0)
+    :: admit(stale, stale_term, 0)
+    :: admit(leader, leader_term, 1)
+    :: admit(stale, stale_term, 1)
+    :: admit(leader, leader_term, 2)
+    :: admit(stale, stale_term, 2)
     :: crash(0)
     :: crash(1)
     :: crash(2)
