A member's slot and admission do not wait for a quiet moment

Test: log/replaced-under-load, seen failing. Safe, since until a member holds its ADMIT record it adds to no quorum.

--- a/source/core/log-admit.c
+++ b/source/core/log-admit.c
@@ -5,6 +5,9 @@
 
 #include "log-impl.h"
 
+/* entries that a member may lack when it is admitted */
+#define BEHIND_MAX 128
+
 static void
 propose_member(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
                const struct mw_log_peer *peer, uint64_t incarnation)
@@ -22,11 +25,15 @@
             MW_FMT(mw_name_str(&peer->name)));
 }
 
+/*
+ * Nearly all is enough: until it holds its ADMIT record, and so all before
+ * it, the member adds nothing to any quorum.
+ */
 static bool
 is_caught_up(const struct mw_log *log, const struct mw_log_peer *peer,
              int64_t now_us)
 {
-    return peer->match >= mw_log_last(log) &&
+    return peer->match + BEHIND_MAX >= mw_log_last(log) && peer->match > 0 &&
            now_us - peer->acked_sent_us <= MW_LEASE_US;
 }
 
@@ -231,8 +238,7 @@
     int slot = free_slot(log);
 
     if (log->target == 0 || !mw_log_leads(log, now_us) ||
-        mw_log_find_peer(log, name) || slot < 0 || log->pending_count > 0 ||
-        log->commit < mw_log_last(log)) {
+        mw_log_find_peer(log, name) || slot < 0 || log->pending_count > 0) {
         return;
     }
     if (members + count_learners(log, now_us) >= log->target &&
