An end that could not be recorded stays listed; a lease that comes back keeps what is known

Change: the place is freed once the record is proposed; a done run counts also when it was given up before; without a live lease, but with nobody else leading, nothing is decided and nothing forgotten.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -345,6 +345,14 @@
 void mw_flows_lead(struct mw_flows *flows, int64_t now_us, bool lead,
                    uint64_t fence);
 
+/*
+ * mw_flows_suspend: the lease has run out, but nobody else leads.
+ *
+ * Until it is live again nothing is decided and no order goes out; what is
+ * known of endpoints is kept, since no other leader can have acted.
+ */
+void mw_flows_suspend(struct mw_flows *flows, bool suspended);
+
 /* mw_flows_request: leads to exactly one reply, at once or later. */
 void mw_flows_request(struct mw_context *ctx, struct mw_flows *flows,
                       int64_t now_us, int64_t wall_us,
--- a/source/core/flow/flow-answer.c
+++ b/source/core/flow/flow-answer.c
@@ -178,6 +178,31 @@
     }
 }
 
+/* Nothing may be decided now: every order can be sent again. */
+static void
+ask_again(struct mw_flows *flows, int64_t now_us,
+          const struct mw_flow_call *call)
+{
+    struct mw_flow_endpoint *endpoint =
+        mw_find_flow_endpoint(flows, &call->endpoint);
+    struct mw_place *place;
+
+    if (!endpoint || endpoint->born != call->born) {
+        return;
+    }
+    if (call->kind == MW_FLOW_HOLD) {
+        endpoint->holding = false;
+        endpoint->hold_deadline_us = now_us;
+        return;
+    }
+    place = mw_find_run(endpoint, &call->task, call->run);
+    if (place) {
+        place->busy = false;
+        place->unanswered |= call->kind == MW_FLOW_START;
+        place->retry_deadline_us = now_us;
+    }
+}
+
 void
 mw_flows_answer(struct mw_flows *flows, int64_t now_us,
                 const struct mw_flow_answer *answer)
@@ -189,7 +214,10 @@
         return;
     }
     g_hash_table_steal(flows->calls, &answer->ref);
-    if (flows->lead) {
+    if (flows->suspended) {
+        ask_again(flows, now_us, call);
+    }
+    else if (flows->lead) {
         take_answer(flows, now_us, call, answer);
         flows->dirty = true;
     }
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -23,6 +23,9 @@
     int64_t now_us;
     struct mw_context *ctx;
     bool led;
+    /* leader of its term still, but without a live lease */
+    bool suspended;
+    uint64_t led_term;
     bool leaving;
     int64_t heartbeat_deadline_us;
     /* of a leader heard by heartbeat, for a standby */
@@ -221,6 +224,23 @@
     }
 }
 
+static void
+suspend(struct mw_flow_control *control, bool suspended)
+{
+    struct mw_flow_event event = {.name = "lease",
+                                  .outcome = suspended ? "lost" : "regained",
+                                  .age_us = -1,
+                                  .number = control->led_term};
+
+    if (suspended == control->suspended) {
+        return;
+    }
+    control->suspended = suspended;
+    control->heartbeat_deadline_us = control->now_us;
+    mw_flows_suspend(control->flows, suspended);
+    control->setup.output.event(control->setup.output.opaque, &event);
+}
+
 /* Sets the time and who acts, before anything is decided. */
 static void
 enter(struct mw_context *ctx, struct mw_flow_control *control, int64_t now_us)
@@ -236,6 +256,11 @@
         return;
     }
     mw_log_look(control->log, &view);
+    if (control->led && view.role == MW_LEADER &&
+        view.term == control->led_term) {
+        suspend(control, !leads);
+        return;
+    }
     if (leads != control->led) {
         struct mw_flow_event event = {.name = "lead",
                                       .outcome = leads ? "gained" : "lost",
@@ -243,6 +268,8 @@
                                       .number = view.term};
 
         control->led = leads;
+        control->led_term = view.term;
+        control->suspended = false;
         control->heartbeat_deadline_us = now_us;
         control->setup.output.event(control->setup.output.opaque, &event);
     }
@@ -396,7 +423,8 @@
 
     beat->role = MW_ROLE_CONTROL;
     beat->zone = control->setup.zone;
-    beat->leads_region = control->led && !control->leaving;
+    beat->leads_region =
+        control->led && !control->suspended && !control->leaving;
     beat->leaving = control->leaving;
     beat->version[MW_PRODUCTION] = mw_flows_version(control->flows);
     if (control->log) {
@@ -445,7 +473,7 @@
 mw_flow_control_leads(struct mw_flow_control *control, int64_t now_us)
 {
     enter(NULL, control, now_us);
-    return control->led;
+    return control->led && !control->suspended;
 }
 
 struct mw_name
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -183,7 +183,7 @@
 {
     struct mw_flow_endpoint *endpoint;
 
-    if (!flows->lead) {
+    if (!flows->lead || flows->suspended) {
         return MW_ERR_NOT_LEADER;
     }
     endpoint = mw_find_flow_endpoint(flows, &beat->id);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -231,6 +231,7 @@
     GHashTable *zones_out;
 
     bool lead;
+    bool suspended;
     uint64_t fence;
     int64_t led_since_us;
     GHashTable *endpoints;
--- a/source/core/flow/flow-observe.c
+++ b/source/core/flow/flow-observe.c
@@ -173,7 +173,25 @@
     }
 }
 
-/* Returns false when the end could not be proposed and must be seen again. */
+/* The run no longer takes room where it was. */
+static void
+end_place(struct mw_flows *flows, int64_t now_us, struct mw_place *place,
+          const char *how)
+{
+    if (place) {
+        mw_place_note(flows, "run_ended", place, how,
+                      now_us - place->started_us);
+        mw_measure(flows, MW_TIME_RUN, now_us - place->started_us);
+        mw_free_place(flows, place);
+    }
+}
+
+/*
+ * Returns false when the end could not be proposed and must be seen again.
+ *
+ * A run is ever ordered on one endpoint alone, so its number is enough; an
+ * end that is heard of after the run was given up still counts.
+ */
 static bool
 take_end(struct mw_flows *flows, int64_t now_us,
          struct mw_flow_endpoint *endpoint, const struct mw_listed_run *run)
@@ -186,14 +204,8 @@
 
     flows->counters.ends++;
     mw_judge_end(flows, now_us, endpoint, run->end);
-    if (place) {
-        mw_place_note(flows, "run_ended", place, word.ptr,
-                      now_us - place->started_us);
-        mw_measure(flows, MW_TIME_RUN, now_us - place->started_us);
-        mw_free_place(flows, place);
-    }
-    if (!task || !is_run_of(task, run->run) ||
-        !mw_name_equal(&task->endpoint, &endpoint->id)) {
+    if (!task || !is_run_of(task, run->run)) {
+        end_place(flows, now_us, place, word.ptr);
         return true;
     }
     record = new_notes(unit->step->count);
@@ -207,6 +219,7 @@
         note_not_done(flows, record, unit, run);
     }
     if (record->tasks.count == 0) {
+        end_place(flows, now_us, place, word.ptr);
         mw_drop_record(record);
         return true;
     }
@@ -215,6 +228,7 @@
     if (!propose(flows, record)) {
         return false;
     }
+    end_place(flows, now_us, place, word.ptr);
     if (run->end != MW_END_DONE && unit->step->gang) {
         mw_stop_unit(flows, now_us, unit);
     }
--- a/source/core/flow/flow-order.c
+++ b/source/core/flow/flow-order.c
@@ -118,7 +118,7 @@
     }
     place->phase = MW_PLACE_STOPPING;
     place->retry_deadline_us = now_us;
-    if (place->endpoint->known) {
+    if (place->endpoint->known && !flows->suspended) {
         mw_send_stop(flows, now_us, place);
     }
 }
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -375,6 +375,7 @@
     }
     forget_leading(flows);
     flows->lead = lead;
+    flows->suspended = false;
     flows->fence = fence;
     flows->led_since_us = now_us;
     flows->proposed_version = mw_flows_version(flows);
@@ -385,6 +386,13 @@
     }
 }
 
+void
+mw_flows_suspend(struct mw_flows *flows, bool suspended)
+{
+    flows->suspended = suspended;
+    flows->dirty = true;
+}
+
 static void
 forget_ended(struct mw_flows *flows, int64_t now_us)
 {
@@ -420,7 +428,7 @@
               int64_t wall_us)
 {
     (void)ctx;
-    if (!flows->lead) {
+    if (!flows->lead || flows->suspended) {
         return;
     }
     if (now_us >= flows->tick_deadline_us) {
@@ -440,7 +448,7 @@
 int64_t
 mw_flows_deadline(const struct mw_flows *flows)
 {
-    if (!flows->lead) {
+    if (!flows->lead || flows->suspended) {
         return INT64_MAX;
     }
     return flows->dirty ? MIN(flows->pump_deadline_us, flows->tick_deadline_us)
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -375,7 +375,7 @@
                  const struct mw_flow_request *request)
 {
     flows->now_us = now_us;
-    if (!flows->lead) {
+    if (!flows->lead || flows->suspended) {
         send_error(flows, request->ref, MW_ERR_NOT_LEADER, MW_STR(""));
         return;
     }
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -298,7 +298,10 @@
         return;
     }
     place->phase = MW_PLACE_STARTING;
-    if (place->unit->flow->state == MW_FLOW_ACTIVE) {
+    if (flows->suspended) {
+        place->retry_deadline_us = now_us;
+    }
+    else if (place->unit->flow->state == MW_FLOW_ACTIVE) {
         mw_send_start(flows, now_us, place);
     }
     else {
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -281,6 +281,15 @@
     st->refuse_records = strcmp(mw_word(s, 1), "refuse") == 0;
 }
 
+static void
+cmd_suspend(struct mw_script *s)
+{
+    struct state *st = enter(s);
+
+    mw_flows_suspend(st->flows, strcmp(mw_word(s, 1), "on") == 0);
+    settle(st);
+}
+
 static void
 cmd_lists(struct mw_script *s)
 {
@@ -595,6 +604,7 @@
     {"commit", 0, cmd_commit},
     {"records", 1, cmd_records},
     {"lists", 1, cmd_lists},
+    {"suspend", 1, cmd_suspend},
     {"quiet", 1, cmd_quiet},
     {"beat", 1, cmd_beat},
     {"config", 0, cmd_config},
