--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -179,12 +179,16 @@
            a->need.gpus >= b->need.gpus && a->gang == b->gang &&
            a->one_rack == b->one_rack && b->data_rack.len == 0 &&
            b->spread == 0 && mw_name_equal(&a->label, &b->label) &&
+           unit->ready_us >= refused->unit->ready_us &&
            unit->rank >= refused->unit->rank && (b->saves || !a->saves) &&
            mw_name_equal(&unit->flow->route.service,
                          &refused->unit->flow->route.service);
 }
 
-/* What needs at least as much as something that found no room finds none. */
+/*
+ * What needs at least as much as something that found no room finds none,
+ * unless it has waited longer and may go where the other may not yet.
+ */
 static bool
 is_hopeless(const GArray *refused, const struct mw_unit *unit, uint32_t wanted)
 {
--- a/source/core/flow/flow-reserve.c
+++ b/source/core/flow/flow-reserve.c
@@ -16,7 +16,7 @@
 /* of the peak of urgent demand, in percent, and of all accelerators */
 #define KEPT_PERCENT 600
 #define KEPT_MOST_PERCENT 100
-#define BUSY_PERCENT 52
+#define BUSY_PERCENT 45
 /* above it, work that saves is kept out too */
 #define FULL_PERCENT 70
 /* while endpoints are idle, nothing else waits longer for those kept */
@@ -79,11 +79,13 @@
 
         endpoint->kept = false;
         endpoint->usable = mw_endpoint_is_usable(flows, endpoint, now_us);
-        if (endpoint->usable) {
-            g_ptr_array_add(usable, endpoint);
+        if (endpoint->known && !endpoint->departed) {
             all += endpoint->beat.total.gpus;
             used += endpoint->used.gpus;
         }
+        if (endpoint->usable) {
+            g_ptr_array_add(usable, endpoint);
+        }
     }
     flows->busy = used > all * BUSY_PERCENT / 100;
     flows->full = used > all * FULL_PERCENT / 100;
