--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -8,7 +8,7 @@
 DIR=$(mktemp -d /tmp/mimosawind-mutants.XXXXXX)
 trap 'rm -rf "$DIR"' EXIT
 status=0
-cp -r Makefile source include tests KNOWN-RED.txt "$DIR"
+cp -r Makefile source include platform tests KNOWN-RED.txt "$DIR"
 mkdir -p "$DIR/build"
 cp -r "${BUILD:-build}/source" "${BUILD:-build}/tests" "$DIR/build/" 2>/dev/null
 find "$DIR/build" -name '*.d' -delete
