--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -16,16 +16,12 @@
  * UNITS   microseconds; processors in thousandths; memory in MB
  */
 
-/* mw_flow_lease_us and the rest: what the deployment grants. */
+/* mw_flow_bounds: what the deployment grants. */
 struct mw_flow_bounds {
     /* longest lease that an endpoint accepts */
     int64_t lease_max_us;
     /* longest time that a stop takes */
     int64_t stop_us;
-    /* how long the members of a gang wait for each other */
-    int64_t gang_us;
-    /* a reclaimed guarantee is in use after so long */
-    int64_t reclaim_us;
     /* how long the state of an ended flow stays readable */
     int64_t state_kept_us;
 };
@@ -184,7 +180,7 @@
     struct mw_str checkpoint;
 };
 
-/* mw_flow_result_of: the answer to an order; lent for the call. */
+/* mw_flow_answer: the answer to an order; lent for the call. */
 struct mw_flow_answer {
     uint64_t ref;
     enum mw_flow_result result;
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -106,9 +106,9 @@
     }
 }
 
+/* Record the runs; their starts are sent once the record is committed. */
 static void
-intend(struct mw_flows *flows, int64_t now_us, struct mw_unit *unit,
-       GPtrArray *chosen)
+intend(struct mw_flows *flows, struct mw_unit *unit, GPtrArray *chosen)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
     uint32_t gang_run = mw_unit_run_max(unit) + 1;
@@ -147,7 +147,6 @@
             }
         }
     }
-    (void)now_us;
     mw_drop_record(record);
 }
 
@@ -218,7 +217,7 @@
         }
     }
     if (found > 0) {
-        intend(flows, now_us, unit, chosen);
+        intend(flows, unit, chosen);
     }
     if (found < waiting && unit->rank == 2) {
         mw_wait_for_room(flows, unit, waiting, now_us);
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -10,8 +10,6 @@
 #define LEAVE_US 3000000
 /* the platform names so many machines at the first start */
 #define FOUNDING_COUNT 3
-/* between the system's own processes; guards against mix-ups alone */
-#define LINK_KEY MW_STR("mimosawind-region")
 
 struct mw_flow_control_task {
     struct mw_flow_control_task_setup setup;
@@ -250,8 +248,7 @@
 static void
 dial(struct mw_flow_control_task *t, const struct mw_name *name)
 {
-    struct mw_dial dial = {.name = *name};
-    char address[MW_NAME_MAX + 1];
+    struct mw_dial dial = mw_region_dial(name, t->setup.link_port);
     struct mw_name members[MW_MEMBERS_MAX];
     uint32_t count = mw_flow_control_members(t->control, members);
     bool both =
@@ -261,9 +258,6 @@
         (both && memcmp(name, &t->setup.name, sizeof *name) > 0)) {
         return;
     }
-    g_snprintf(address, sizeof address, "%.*s:%u", MW_FMT(mw_name_str(name)),
-               t->setup.link_port);
-    dial.address = mw_name_of(mw_str_from(address));
     mw_links_dial(t->links, &dial);
 }
 
@@ -284,7 +278,6 @@
 static bool
 start_links(struct mw_flow_control_task *t, char **message)
 {
-    char listen[MW_NAME_MAX + 1];
     struct mw_link_setup setup = {
         .name = t->setup.name,
         .zone = t->setup.zone,
@@ -295,9 +288,7 @@
         .ctx = t->ctx,
     };
 
-    g_snprintf(listen, sizeof listen, "%.*s:%u",
-               MW_FMT(mw_name_str(&t->setup.name)), t->setup.link_port);
-    setup.listen = mw_name_of(mw_str_from(listen));
+    setup.listen = mw_region_dial(&t->setup.name, t->setup.link_port).address;
     t->links = mw_new_links(&setup, message);
     if (!t->links) {
         return false;
@@ -324,7 +315,7 @@
     t->task = task;
     mw_task_gathers(task);
     t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
-    t->key = mw_new_blob(LINK_KEY);
+    t->key = mw_new_blob(MW_REGION_LINK_KEY);
     mw_log_change(t->log, mw_now(), "start", mw_name_str(&t->setup.zone),
                   "control");
     if (!start_links(t, &message)) {
@@ -374,6 +365,17 @@
     }
 }
 
+static void
+dump(struct mw_flow_control_task *t)
+{
+    GString *text = mw_flow_control_task_metrics(t);
+    struct mw_blob *blob = mw_new_blob((struct mw_str){text->str, text->len});
+
+    mw_write_dump(blob);
+    mw_drop_blob(blob);
+    g_string_free(text, TRUE);
+}
+
 static void
 receive(void *opaque, struct mw_mail *mail)
 {
@@ -400,6 +402,11 @@
                           mail->up ? "regained" : "lost");
         }
         break;
+    case MW_MAIL_LOOK:
+        if (!mail->text) {
+            dump(t);
+        }
+        break;
     case MW_MAIL_DIAL:
         dial(t, &mail->process);
         break;
@@ -502,6 +509,12 @@
     }
 }
 
+void
+mw_flow_control_task_dump(struct mw_flow_control_task *t)
+{
+    mw_post(t->task, mw_new_mail(MW_MAIL_LOOK));
+}
+
 void
 mw_flow_control_task_leave(struct mw_flow_control_task *t)
 {
--- a/source/run/flow-control-task.h
+++ b/source/run/flow-control-task.h
@@ -58,6 +58,9 @@
 mw_new_flow_control_task(const struct mw_flow_control_task_setup *setup);
 void mw_drop_flow_control_task(struct mw_flow_control_task *task);
 
+/* mw_flow_control_task_dump: state on standard error; any thread. */
+void mw_flow_control_task_dump(struct mw_flow_control_task *task);
+
 /* mw_flow_control_task_leave: planned stop; any thread. */
 void mw_flow_control_task_leave(struct mw_flow_control_task *task);
 
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -3,8 +3,6 @@
 #include <inttypes.h>
 #include <unistd.h>
 
-/* between the system's own processes; guards against mix-ups alone */
-#define LINK_KEY MW_STR("mimosawind-region")
 #define HEARTBEAT_US 500000
 #define LEAVE_TICK_US 100000
 
@@ -67,15 +65,11 @@
 static void
 dial(struct mw_flow_entry_task *t, const struct mw_name *name)
 {
-    struct mw_dial dial = {.name = *name};
-    char address[MW_NAME_MAX + 1];
+    struct mw_dial dial = mw_region_dial(name, t->setup.link_port);
 
     if (name->len == 0) {
         return;
     }
-    g_snprintf(address, sizeof address, "%.*s:%u", MW_FMT(mw_name_str(name)),
-               t->setup.link_port);
-    dial.address = mw_name_of(mw_str_from(address));
     mw_links_dial(t->links, &dial);
 }
 
@@ -112,7 +106,7 @@
 
     t->task = task;
     t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
-    t->key = mw_new_blob(LINK_KEY);
+    t->key = mw_new_blob(MW_REGION_LINK_KEY);
     t->entry = mw_new_flow_entry(&output);
     t->heartbeat_deadline_us = mw_now();
     mw_log_change(t->log, mw_now(), "start", mw_name_str(&t->setup.zone),
@@ -153,6 +147,17 @@
     t->setup.port.leave(t->setup.port.opaque);
 }
 
+static void
+dump(struct mw_flow_entry_task *t)
+{
+    GString *text = mw_flow_entry_task_metrics(t);
+    struct mw_blob *blob = mw_new_blob((struct mw_str){text->str, text->len});
+
+    mw_write_dump(blob);
+    mw_drop_blob(blob);
+    g_string_free(text, TRUE);
+}
+
 static void
 receive(void *opaque, struct mw_mail *mail)
 {
@@ -176,6 +181,11 @@
             mw_flow_entry_lost(t->entry, mw_now(), &mail->process);
         }
         break;
+    case MW_MAIL_LOOK:
+        if (!mail->text) {
+            dump(t);
+        }
+        break;
     case MW_MAIL_DIAL:
         dial(t, &mail->process);
         break;
@@ -283,6 +293,12 @@
     }
 }
 
+void
+mw_flow_entry_task_dump(struct mw_flow_entry_task *t)
+{
+    mw_post(t->task, mw_new_mail(MW_MAIL_LOOK));
+}
+
 void
 mw_flow_entry_task_leave(struct mw_flow_entry_task *t)
 {
--- a/source/run/flow-entry-task.h
+++ b/source/run/flow-entry-task.h
@@ -44,6 +44,10 @@
 struct mw_flow_entry_task *
 mw_new_flow_entry_task(const struct mw_flow_entry_task_setup *setup);
 void mw_drop_flow_entry_task(struct mw_flow_entry_task *task);
+/* mw_flow_entry_task_dump: state on standard error; any thread. */
+void mw_flow_entry_task_dump(struct mw_flow_entry_task *task);
+
+/* mw_flow_entry_task_leave: planned stop; any thread. */
 void mw_flow_entry_task_leave(struct mw_flow_entry_task *task);
 
 /* the port's calls, in the task's thread */
--- a/source/run/link.c
+++ b/source/run/link.c
@@ -574,6 +574,18 @@
     }
 }
 
+struct mw_dial
+mw_region_dial(const struct mw_name *name, uint16_t port)
+{
+    struct mw_dial dial = {.name = *name};
+    char address[MW_NAME_MAX + 1];
+
+    g_snprintf(address, sizeof address, "%.*s:%u", MW_FMT(mw_name_str(name)),
+               port);
+    dial.address = mw_name_of(mw_str_from(address));
+    return dial;
+}
+
 void
 mw_links_dial(struct mw_links *links, const struct mw_dial *dial)
 {
--- a/source/run/link.h
+++ b/source/run/link.h
@@ -83,6 +83,15 @@
  */
 void mw_links_dial(struct mw_links *links, const struct mw_dial *dial);
 
+/*
+ * The key of links within a region whose settings give no secret: it guards
+ * against mix-ups, not against an intruder.
+ */
+#define MW_REGION_LINK_KEY MW_STR("mimosawind-region")
+
+/* mw_region_dial: a process that is named by its IP number. */
+struct mw_dial mw_region_dial(const struct mw_name *name, uint16_t port);
+
 /* mw_parse_address: IP:PORT into a socket address; NULL when invalid. */
 GSocketAddress *mw_parse_address(const struct mw_name *text);
 
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -135,8 +135,6 @@
     struct mw_flow_bounds bounds = {
         .lease_max_us = 10000000,
         .stop_us = 900000,
-        .gang_us = 3000000,
-        .reclaim_us = 3400000,
         .state_kept_us = 240000000,
     };
     struct mw_flow_output output = {st,
