--- a/tests/platform-script.c
+++ b/tests/platform-script.c
@@ -3,8 +3,10 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "decode.h"
+#include "event-log.h"
 #include "platform/settings.h"
 #include "script.h"
 
@@ -183,11 +185,61 @@
     mw_drop_blob(order.checkpoint);
 }
 
+static size_t
+read_all(int fd)
+{
+    static char bytes[64 * 1024];
+    size_t total = 0;
+    ssize_t n = read(fd, bytes, sizeof bytes);
+
+    while (n > 0) {
+        total += (size_t)n;
+        n = read(fd, bytes, sizeof bytes);
+    }
+    return total;
+}
+
+/* log-lines SECONDS LINES: so many lines a second, with nobody reading */
+static void
+cmd_log_lines(struct mw_script *s)
+{
+    int seconds = atoi(mw_word(s, 1));
+    int lines = atoi(mw_word(s, 2));
+    struct mw_flow_event event = {
+        .name = "accepted", .outcome = "committed", .age_us = -1};
+    struct mw_event_log *log;
+    int ends[2];
+
+    if (pipe(ends) != 0) {
+        mw_say(s, "log-lines: no pipe");
+        return;
+    }
+    log = mw_new_event_log(ends[1], MW_STR("10.0.0.1"));
+    for (int second = 1; second <= seconds; second++) {
+        for (int i = 0; i < lines; i++) {
+            mw_log_event(log, second * G_USEC_PER_SEC, &event);
+        }
+        mw_flush_event_log(log, second * G_USEC_PER_SEC);
+    }
+    mw_say(s, "log-lines: %d written, dropped %s", seconds * lines,
+           mw_event_log_dropped(log) ? "some, counted" : "none");
+    close(ends[1]);
+    mw_say(s, "  the reader gets %s",
+           read_all(ends[0]) > 0 ? "what was kept" : "nothing");
+    close(ends[0]);
+    mw_drop_event_log(log);
+}
+
 static const struct mw_script_command commands[] = {
-    {"config", 0, cmd_config}, {"route", 0, cmd_route},
-    {"plan", 0, cmd_plan},     {"beat", 0, cmd_beat},
-    {"list", 0, cmd_list},     {"settings", 0, cmd_settings},
-    {"order", 1, cmd_order},   {NULL, 0, NULL}};
+    {"config", 0, cmd_config},
+    {"route", 0, cmd_route},
+    {"plan", 0, cmd_plan},
+    {"beat", 0, cmd_beat},
+    {"list", 0, cmd_list},
+    {"settings", 0, cmd_settings},
+    {"order", 1, cmd_order},
+    {"log-lines", 2, cmd_log_lines},
+    {NULL, 0, NULL}};
 
 const struct mw_script_kind mw_platform_scripts = {"platform", commands, begin,
                                                    end};
