--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -83,6 +83,11 @@
         endpoint->pending_ends > 0 || now_us < endpoint->hold_deadline_us) {
         return false;
     }
+    /* its heartbeats come, so its calls may come through again */
+    if (endpoint->silent > 0 &&
+        now_us - endpoint->heard_us < MW_HEARD_MAX_US) {
+        return true;
+    }
     return !endpoint->listed || endpoint->strays > 0 ||
            has_started(endpoint) ||
            endpoint->committed_end > endpoint->acknowledged_end;
