--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -52,6 +52,8 @@
 #define MW_RESERVED_EXTRA_US INT64_C(800000)
 /* a gang that wants one rack waits so long before it is spread */
 #define MW_SPREAD_AFTER_US INT64_C(2500000)
+/* urgent ones less: they must begin within the time to reclaim */
+#define MW_URGENT_SPREAD_US INT64_C(900000)
 /* tasks wait so long for the rack that holds their data */
 #define MW_FAR_AFTER_US INT64_C(2000000)
 
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -294,8 +294,10 @@
 mw_may_spread(const struct mw_flows *flows, const struct mw_unit *unit,
               int64_t now_us, uint32_t wanted)
 {
-    return !unit->step->one_rack ||
-           now_us - unit->ready_us >= MW_SPREAD_AFTER_US ||
+    int64_t after_us =
+        unit->rank < 2 ? MW_URGENT_SPREAD_US : MW_SPREAD_AFTER_US;
+
+    return !unit->step->one_rack || now_us - unit->ready_us >= after_us ||
            !a_rack_could_hold(flows, unit, wanted);
 }
 
