One way to post messages, stored items, leaving and a dump between tasks

Cause: the review of the change found the tails of the four process tasks written four times: the mail for a message to one process or to a role, the hand-over of what was stored, the mails for leaving and for a dump. Two of the dumps copied their text into a blob only to write it.

Change: mw_post_msg, mw_post_msg_all, mw_post_stored, mw_post_leave and mw_post_dump in run/task; mw_write_dump takes a string. mw_task_context and mw_flow_entry_task_log had no callers and go.

Ruled out: one struct under all four tasks; they share no state but the names of fields, and the older two take changes and looks of operators besides.

--- a/source/run/caller-http.c
+++ b/source/run/caller-http.c
@@ -228,7 +228,7 @@
     caller->drain_deadline_us = now_us + DRAIN_TICK_US;
     if (mw_http_open(caller->http) == 0) {
         caller->left = true;
-        mw_post(caller->owner, mw_new_mail(MW_MAIL_LEAVE));
+        mw_post_leave(caller->owner);
     }
 }
 
--- a/source/run/control-task.c
+++ b/source/run/control-task.c
@@ -39,22 +39,16 @@
 {
     struct mw_control_task *t = opaque;
     bool self = mw_name_equal(to, &t->setup.control.name);
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
 
-    mail->process = *to;
-    mail->msg = mw_keep_msg(msg);
-    mw_post(self ? t->task : t->links_task, mail);
+    mw_post_msg(self ? t->task : t->links_task, to, msg);
 }
 
 static void
 send_all(void *opaque, enum mw_process_role role, struct mw_msg *msg)
 {
     struct mw_control_task *t = opaque;
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
 
-    mail->role = role;
-    mail->msg = mw_keep_msg(msg);
-    mw_post(t->links_task, mail);
+    mw_post_msg_all(t->links_task, role, msg);
 }
 
 static void
@@ -100,8 +94,6 @@
 static void
 flush_stored(struct mw_control_task *t)
 {
-    struct mw_mail *mail;
-
     if (t->stored->len == 0) {
         return;
     }
@@ -109,10 +101,7 @@
         confirm_stored(t);
         return;
     }
-    mail = mw_new_mail(MW_MAIL_STORE);
-    mail->stored = t->stored;
-    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
-    mw_post(t->disk_task, mail);
+    mw_post_stored(t->disk_task, &t->stored);
 }
 
 static int
@@ -228,7 +217,7 @@
     struct mw_blob *text = dump(t, mw_name_str(&mail->process));
 
     if (mail->handle == 0) {
-        mw_write_dump(text);
+        mw_write_dump(mw_blob_str(text));
         mw_drop_blob(text);
         return;
     }
@@ -368,7 +357,7 @@
 
     t->setup = *setup;
     t->ctx = setup->ctx;
-    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
+    t->stored = mw_new_stored();
     t->task = mw_new_task("control", &work);
     return t;
 }
@@ -387,14 +376,11 @@
 void
 mw_control_task_leave(struct mw_control_task *t)
 {
-    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+    mw_post_leave(t->task);
 }
 
 void
 mw_control_task_dump(struct mw_control_task *t)
 {
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_LOOK);
-
-    mail->process = mw_name_of(MW_STR("dump"));
-    mw_post(t->task, mail);
+    mw_post_dump(t->task);
 }
--- a/source/run/entry-task.c
+++ b/source/run/entry-task.c
@@ -41,22 +41,16 @@
 send_one(void *opaque, const struct mw_name *to, struct mw_msg *msg)
 {
     struct mw_entry_task *t = opaque;
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
 
-    mail->process = *to;
-    mail->msg = mw_keep_msg(msg);
-    mw_post(mw_links_task(t->links), mail);
+    mw_post_msg(mw_links_task(t->links), to, msg);
 }
 
 static void
 send_all(void *opaque, enum mw_process_role role, struct mw_msg *msg)
 {
     struct mw_entry_task *t = opaque;
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
 
-    mail->role = role;
-    mail->msg = mw_keep_msg(msg);
-    mw_post(mw_links_task(t->links), mail);
+    mw_post_msg_all(mw_links_task(t->links), role, msg);
 }
 
 static void
@@ -169,7 +163,7 @@
         post_reply(t, mail->handle, 200, text);
         return;
     }
-    mw_write_dump(text);
+    mw_write_dump(mw_blob_str(text));
     mw_drop_blob(text);
 }
 
@@ -266,7 +260,7 @@
     }
     if (!t->closing && now_us >= t->close_deadline_us) {
         t->closing = true;
-        mw_post(mw_caller_http_task(t->callers), mw_new_mail(MW_MAIL_LEAVE));
+        mw_post_leave(mw_caller_http_task(t->callers));
     }
     bool idle =
         t->callers_left && mw_entry_open(t->entry) == 0 && t->calls_open == 0;
@@ -394,14 +388,11 @@
 void
 mw_entry_task_leave(struct mw_entry_task *t)
 {
-    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+    mw_post_leave(t->task);
 }
 
 void
 mw_entry_task_dump(struct mw_entry_task *t)
 {
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_LOOK);
-
-    mail->process = mw_name_of(MW_STR("dump"));
-    mw_post(t->task, mail);
+    mw_post_dump(t->task);
 }
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -51,22 +51,16 @@
 send_one(void *opaque, const struct mw_name *to, struct mw_msg *msg)
 {
     struct mw_flow_control_task *t = opaque;
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
 
-    mail->process = *to;
-    mail->msg = mw_keep_msg(msg);
-    mw_post(t->links_task, mail);
+    mw_post_msg(t->links_task, to, msg);
 }
 
 static void
 send_all(void *opaque, enum mw_process_role role, struct mw_msg *msg)
 {
     struct mw_flow_control_task *t = opaque;
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
 
-    mail->role = role;
-    mail->msg = mw_keep_msg(msg);
-    mw_post(t->links_task, mail);
+    mw_post_msg_all(t->links_task, role, msg);
 }
 
 static void
@@ -85,15 +79,10 @@
 static void
 flush_stored(struct mw_flow_control_task *t)
 {
-    struct mw_mail *mail;
-
     if (t->stored->len == 0 || !t->disk_task) {
         return;
     }
-    mail = mw_new_mail(MW_MAIL_STORE);
-    mail->stored = t->stored;
-    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
-    mw_post(t->disk_task, mail);
+    mw_post_stored(t->disk_task, &t->stored);
 }
 
 static void
@@ -369,10 +358,8 @@
 dump(struct mw_flow_control_task *t)
 {
     GString *text = mw_flow_control_task_metrics(t);
-    struct mw_blob *blob = mw_new_blob((struct mw_str){text->str, text->len});
 
-    mw_write_dump(blob);
-    mw_drop_blob(blob);
+    mw_write_dump((struct mw_str){text->str, text->len});
     g_string_free(text, TRUE);
 }
 
@@ -494,7 +481,7 @@
 
     t->setup = *setup;
     t->ctx = setup->ctx;
-    t->stored = g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
+    t->stored = mw_new_stored();
     t->task = mw_new_task("flow-control", &work);
     return t;
 }
@@ -512,13 +499,13 @@
 void
 mw_flow_control_task_dump(struct mw_flow_control_task *t)
 {
-    mw_post(t->task, mw_new_mail(MW_MAIL_LOOK));
+    mw_post_dump(t->task);
 }
 
 void
 mw_flow_control_task_leave(struct mw_flow_control_task *t)
 {
-    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+    mw_post_leave(t->task);
 }
 
 /* After an event from the port: what it led to must go out. */
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -39,11 +39,8 @@
 send_one(void *opaque, const struct mw_name *to, struct mw_msg *msg)
 {
     struct mw_flow_entry_task *t = opaque;
-    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
 
-    mail->process = *to;
-    mail->msg = mw_keep_msg(msg);
-    mw_post(t->links_task, mail);
+    mw_post_msg(t->links_task, to, msg);
 }
 
 static void
@@ -151,10 +148,8 @@
 dump(struct mw_flow_entry_task *t)
 {
     GString *text = mw_flow_entry_task_metrics(t);
-    struct mw_blob *blob = mw_new_blob((struct mw_str){text->str, text->len});
 
-    mw_write_dump(blob);
-    mw_drop_blob(blob);
+    mw_write_dump((struct mw_str){text->str, text->len});
     g_string_free(text, TRUE);
 }
 
@@ -296,13 +291,13 @@
 void
 mw_flow_entry_task_dump(struct mw_flow_entry_task *t)
 {
-    mw_post(t->task, mw_new_mail(MW_MAIL_LOOK));
+    mw_post_dump(t->task);
 }
 
 void
 mw_flow_entry_task_leave(struct mw_flow_entry_task *t)
 {
-    mw_post(t->task, mw_new_mail(MW_MAIL_LEAVE));
+    mw_post_leave(t->task);
 }
 
 void
@@ -336,12 +331,6 @@
     mw_post(t->task, mail);
 }
 
-struct mw_event_log *
-mw_flow_entry_task_log(struct mw_flow_entry_task *t)
-{
-    return t->log;
-}
-
 GString *
 mw_flow_entry_task_metrics(struct mw_flow_entry_task *t)
 {
--- a/source/run/flow-entry-task.h
+++ b/source/run/flow-entry-task.h
@@ -59,7 +59,6 @@
 /* mw_flow_entry_task_seed: one more process to know; any thread */
 void mw_flow_entry_task_seed(struct mw_flow_entry_task *task,
                              const struct mw_name *seed);
-struct mw_event_log *mw_flow_entry_task_log(struct mw_flow_entry_task *task);
 GString *mw_flow_entry_task_metrics(struct mw_flow_entry_task *task);
 
 #endif
--- a/source/run/task.c
+++ b/source/run/task.c
@@ -276,12 +276,65 @@
 }
 
 void
-mw_write_dump(const struct mw_blob *text)
+mw_post_msg(struct mw_task *links, const struct mw_name *to,
+            struct mw_msg *msg)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG);
+
+    mail->process = *to;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(links, mail);
+}
+
+void
+mw_post_msg_all(struct mw_task *links, enum mw_process_role role,
+                struct mw_msg *msg)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_MSG_ALL);
+
+    mail->role = role;
+    mail->msg = mw_keep_msg(msg);
+    mw_post(links, mail);
+}
+
+GArray *
+mw_new_stored(void)
+{
+    return g_array_new(FALSE, FALSE, sizeof(struct mw_stored_blob));
+}
+
+void
+mw_post_stored(struct mw_task *disk, GArray **stored)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_STORE);
+
+    mail->stored = *stored;
+    *stored = mw_new_stored();
+    mw_post(disk, mail);
+}
+
+void
+mw_post_leave(struct mw_task *task)
+{
+    mw_post(task, mw_new_mail(MW_MAIL_LEAVE));
+}
+
+void
+mw_post_dump(struct mw_task *task)
+{
+    struct mw_mail *mail = mw_new_mail(MW_MAIL_LOOK);
+
+    mail->process = mw_name_of(MW_STR("dump"));
+    mw_post(task, mail);
+}
+
+void
+mw_write_dump(struct mw_str text)
 {
     size_t at = 0;
 
-    while (at < text->len) {
-        ssize_t n = write(STDERR_FILENO, text->ptr + at, text->len - at);
+    while (at < text.len) {
+        ssize_t n = write(STDERR_FILENO, text.ptr + at, text.len - at);
 
         if (n <= 0) {
             return;
@@ -289,9 +342,3 @@
         at += (size_t)n;
     }
 }
-
-GMainContext *
-mw_task_context(struct mw_task *task)
-{
-    return task->context;
-}
--- a/source/run/task.h
+++ b/source/run/task.h
@@ -113,8 +113,29 @@
 /* mw_post_failed: tell a task of a failure that its process can't bear. */
 void mw_post_failed(struct mw_task *task, int error, struct mw_str text);
 
+/*
+ * mw_post_msg, mw_post_msg_all: a message to one process, or to all of a
+ * role, by the task of the links.  They keep a reference of their own.
+ */
+void mw_post_msg(struct mw_task *links, const struct mw_name *to,
+                 struct mw_msg *msg);
+void mw_post_msg_all(struct mw_task *links, enum mw_process_role role,
+                     struct mw_msg *msg);
+
+/* mw_new_stored: an empty list of struct mw_stored_blob. */
+GArray *mw_new_stored(void);
+
+/* mw_post_stored: hand the list to the disk's task; a new one takes over. */
+void mw_post_stored(struct mw_task *disk, GArray **stored);
+
+/* mw_post_leave: ask a task to leave in a planned way. */
+void mw_post_leave(struct mw_task *task);
+
+/* mw_post_dump: ask a task for its state, on standard error. */
+void mw_post_dump(struct mw_task *task);
+
 /* mw_write_dump: the whole text to standard error. */
-void mw_write_dump(const struct mw_blob *text);
+void mw_write_dump(struct mw_str text);
 
 /* mw_task_rearm: look at the deadline again after a socket event. */
 void mw_task_rearm(struct mw_task *task);
@@ -127,9 +148,6 @@
  */
 void mw_task_gathers(struct mw_task *task);
 
-/* mw_task_context: the main context for the task's own sources. */
-GMainContext *mw_task_context(struct mw_task *task);
-
 /* mw_now: monotonic time in microseconds. */
 int64_t mw_now(void);
 
