--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -225,6 +225,9 @@
     MW_REPLY_ERROR = 5
 };
 
+/* a caller that was refused for a moment comes back after so long */
+#define MW_FLOW_RETRY_AFTER_US 1000000
+
 /* mw_flow_reply: the answer to a request; lent for the callback. */
 struct mw_flow_reply {
     uint64_t ref;
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -4,8 +4,6 @@
 #include "flow-impl.h"
 #include "mimosawind/flow-process.h"
 
-#define RETRY_AFTER_US 1000000
-
 /* mw_entry_call: a request that waits for the leader's answer. */
 struct mw_entry_call {
     uint64_t ref;
@@ -96,7 +94,7 @@
         .ref = ref, .kind = MW_REPLY_ERROR, .error = error};
 
     if (error != MW_ERR_DEADLINE) {
-        reply.retry_after_us = RETRY_AFTER_US;
+        reply.retry_after_us = MW_FLOW_RETRY_AFTER_US;
     }
     entry->output.reply(entry->output.opaque, &reply);
 }
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -48,7 +48,6 @@
 #define MW_QUARANTINE_PART 4
 /* a task whose percentage stands still for so long is given up */
 #define MW_STALLED_US INT64_C(4300000)
-#define MW_SILENT_SICK_US INT64_C(3000000)
 #define MW_RESERVED_EXTRA_US INT64_C(800000)
 /* a gang that wants one rack waits so long before it is spread */
 #define MW_SPREAD_AFTER_US INT64_C(2500000)
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -9,7 +9,6 @@
 #include "flow-impl.h"
 
 #define ID_LEN 16
-#define RETRY_AFTER_US 1000000
 
 static void
 send_reply(struct mw_flows *flows, struct mw_flow_reply *reply)
@@ -26,7 +25,7 @@
 
     if (error == MW_ERR_NOT_LEADER || error == MW_ERR_OVERLOADED ||
         error == MW_ERR_PENDING) {
-        reply.retry_after_us = RETRY_AFTER_US;
+        reply.retry_after_us = MW_FLOW_RETRY_AFTER_US;
     }
     send_reply(flows, &reply);
 }
--- a/source/run/endpoint-http.c
+++ b/source/run/endpoint-http.c
@@ -227,13 +227,6 @@
     mw_post(ep->owner, mail);
 }
 
-static void
-handle_gone(void *opaque, uint64_t handle)
-{
-    (void)opaque;
-    (void)handle;
-}
-
 static void
 endpoint_start(void *opaque, struct mw_task *task)
 {
@@ -246,7 +239,6 @@
         .body_max = ANNOUNCE_BYTES_MAX,
         .opaque = ep,
         .request = handle_request,
-        .gone = handle_gone,
     };
 
     (void)task;
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -402,7 +402,6 @@
             t->leaving = true;
             t->leave_deadline_us = mw_now() + LEAVE_US;
             mw_log_change(t->log, mw_now(), "leave", MW_STR(""), "begun");
-            t->setup.port.leave(t->setup.port.opaque);
         }
         break;
     default:
--- a/source/run/flow-control-task.h
+++ b/source/run/flow-control-task.h
@@ -24,8 +24,6 @@
     void (*order)(void *opaque, const struct mw_flow_order *order);
     void (*reply)(void *opaque, const struct mw_flow_reply *reply);
     void (*tick)(void *opaque, int64_t now_us);
-    /* leave: take no new connections */
-    void (*leave)(void *opaque);
     void (*stop)(void *opaque);
     struct mw_flow_config *(*decode_config)(void *opaque,
                                             struct mw_context *ctx,
--- a/source/run/http.c
+++ b/source/run/http.c
@@ -102,7 +102,7 @@
 
     (void)message;
     stop_arrival(exchange);
-    if (exchange->handed && !exchange->replied) {
+    if (exchange->handed && !exchange->replied && http->setup.gone) {
         http->setup.gone(http->setup.opaque, exchange->handle);
     }
     g_hash_table_remove(http->open, &exchange->handle);
--- a/source/run/http.h
+++ b/source/run/http.h
@@ -15,7 +15,6 @@
  */
 
 #define MW_HTTP_ARRIVE_US 10000000
-#define MW_HTTP_IDLE_US 120000000
 #define MW_HTTP_OPEN_MAX 16384
 
 /* mw_http_request: lent for the length of the callback. */
@@ -36,7 +35,7 @@
     void *opaque;
     /* request: each one must be replied to exactly once */
     void (*request)(void *opaque, const struct mw_http_request *request);
-    /* gone: the other end has closed before the reply */
+    /* gone: the other end has closed before the reply; may be NULL */
     void (*gone)(void *opaque, uint64_t handle);
 };
 
--- a/source/run/link.h
+++ b/source/run/link.h
@@ -19,7 +19,6 @@
 #define MW_LINK_SILENT_US 1500000
 #define MW_LINK_REDIAL_US 200000
 #define MW_LINK_QUEUE_BYTES_MAX (256u * 1024 * 1024)
-#define MW_LINK_HELLO_US 2000000
 #define MW_LINKS_MAX 1024
 
 /* mw_dial: a process to keep a connection to. */
