--- a/source/core/flow/flow-reclaim.c
+++ b/source/core/flow/flow-reclaim.c
@@ -255,6 +255,19 @@
     }
 }
 
+/* Keeps endpoints for the unit that asked until the deadline. */
+static void
+reserve(GPtrArray *cleared, struct mw_unit *unit, int64_t deadline_us)
+{
+    for (guint i = 0; i < cleared->len; i++) {
+        struct mw_flow_endpoint *endpoint = cleared->pdata[i];
+
+        endpoint->reserved_for = unit;
+        endpoint->reserved_rank = unit->rank;
+        endpoint->reserved_deadline_us = deadline_us;
+    }
+}
+
 void
 mw_make_room(struct mw_flows *flows, struct mw_unit *unit, uint32_t tasks,
              int64_t now_us)
@@ -280,13 +293,7 @@
     if (group.room >= (unit->step->gang ? tasks : 1)) {
         unit->reclaim_deadline_us =
             now_us + flows->bounds.stop_us + MW_RESERVED_EXTRA_US;
-        for (guint i = 0; i < cleared->len; i++) {
-            struct mw_flow_endpoint *endpoint = cleared->pdata[i];
-
-            endpoint->reserved_for = unit;
-            endpoint->reserved_rank = unit->rank;
-            endpoint->reserved_deadline_us = unit->reclaim_deadline_us;
-        }
+        reserve(cleared, unit, unit->reclaim_deadline_us);
         stop_victims(flows, victims, now_us);
     }
     g_ptr_array_unref(victims);
@@ -336,13 +343,7 @@
     if (clear_group(flows, unit, rack, tasks, now_us, ignored, cleared).room >=
         tasks) {
         unit->reclaim_deadline_us = now_us + WAIT_KEPT_US;
-        for (guint i = 0; i < cleared->len; i++) {
-            struct mw_flow_endpoint *endpoint = cleared->pdata[i];
-
-            endpoint->reserved_for = unit;
-            endpoint->reserved_rank = unit->rank;
-            endpoint->reserved_deadline_us = now_us + 2 * WAIT_KEPT_US;
-        }
+        reserve(cleared, unit, now_us + 2 * WAIT_KEPT_US);
     }
     g_ptr_array_unref(ignored);
     g_ptr_array_unref(cleared);
--- a/source/core/log/log-admit.c
+++ b/source/core/log/log-admit.c
@@ -163,15 +163,15 @@
 mw_log_set_slot(struct mw_log *log, uint32_t slot, const struct mw_name *name)
 {
     struct mw_log_peer *peer = &log->peers[slot];
+    struct mw_log_peer *former;
 
     log->peer_count = MAX(log->peer_count, slot + 1);
     if (mw_name_equal(&peer->name, name)) {
         return;
     }
-    for (unsigned i = 0; i < log->peer_count; i++) {
-        if (mw_name_equal(&log->peers[i].name, name)) {
-            log->peers[i].name = (struct mw_name){0};
-        }
+    former = mw_log_find_peer(log, name);
+    if (former) {
+        former->name = (struct mw_name){0};
     }
     g_clear_pointer(&peer->snapshot, g_ptr_array_unref);
     memset(peer, 0, sizeof *peer);
--- a/source/core/zone/zone-attempt.c
+++ b/source/core/zone/zone-attempt.c
@@ -67,13 +67,11 @@
     }
 }
 
-static void
-record_intent(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
-              struct mw_job *job)
+struct mw_record *
+mw_intent_record(const struct mw_zone *zone, const struct mw_job *job)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_INTENT);
 
-    job->state = MW_JOB_INTENDING;
     record->intent.attempt =
         (struct mw_attempt_id){zone->name, job->id, job->epoch, job->number};
     record->intent.part_count = job->place_count;
@@ -82,6 +80,16 @@
         record->intent.parts[i].endpoint = job->places[i].endpoint->name;
         record->intent.parts[i].tasks = job->places[i].tasks;
     }
+    return record;
+}
+
+static void
+record_intent(struct mw_context *ctx, struct mw_zone *zone, int64_t now_us,
+              struct mw_job *job)
+{
+    struct mw_record *record = mw_intent_record(zone, job);
+
+    job->state = MW_JOB_INTENDING;
     bool allowed =
         job->spec.idempotent || zone->output.may_record(zone->output.opaque);
     int err = allowed ? zone->output.propose(zone->output.opaque, record)
--- a/source/core/zone/zone-impl.h
+++ b/source/core/zone/zone-impl.h
@@ -308,6 +308,9 @@
                    bool for_good);
 void mw_send_order(struct mw_zone *zone, struct mw_job *job,
                    struct mw_place *place, enum mw_order_kind kind);
+/* mw_intent_record: where the attempt under way of a job is to run. */
+struct mw_record *mw_intent_record(const struct mw_zone *zone,
+                                   const struct mw_job *job);
 void mw_resume_reclaiming(struct mw_context *ctx, struct mw_zone *zone,
                           int64_t now_us);
 void mw_active_tick(struct mw_context *ctx, struct mw_zone *zone,
--- a/source/core/zone/zone-record.c
+++ b/source/core/zone/zone-record.c
@@ -213,16 +213,8 @@
 collect_intent(struct mw_zone *zone, const struct mw_job *job, void *out,
                void (*add)(void *out, struct mw_record *record))
 {
-    struct mw_record *record = mw_new_record(MW_RECORD_INTENT);
+    struct mw_record *record = mw_intent_record(zone, job);
 
-    record->intent.attempt =
-        (struct mw_attempt_id){zone->name, job->id, job->epoch, job->number};
-    record->intent.part_count = job->place_count;
-    record->intent.parts = g_new0(struct mw_part, job->place_count);
-    for (uint32_t i = 0; i < job->place_count; i++) {
-        record->intent.parts[i].endpoint = job->places[i].endpoint->name;
-        record->intent.parts[i].tasks = job->places[i].tasks;
-    }
     add(out, record);
     mw_drop_record(record);
 }
--- a/source/daemons/mwcontrold.c
+++ b/source/daemons/mwcontrold.c
@@ -71,15 +71,15 @@
     return order < 0 || (order == 0 && self->len < peer->len);
 }
 
-static bool
-has_member(const struct mw_members *members, const struct mw_name *name)
+static const struct mw_member *
+find_member(const struct mw_members *members, const struct mw_name *name)
 {
     for (uint32_t i = 0; i < members->count; i++) {
         if (mw_name_equal(&members->member[i].name, name)) {
-            return true;
+            return &members->member[i];
         }
     }
-    return false;
+    return NULL;
 }
 
 static void
@@ -97,20 +97,15 @@
              const struct mw_members *region, const struct mw_members *group)
 {
     const char *problem = NULL;
-    struct mw_member own = {0};
+    const struct mw_member *own = find_member(group, &setup->control.name);
 
-    for (uint32_t i = 0; i < group->count; i++) {
-        if (mw_name_equal(&group->member[i].name, &setup->control.name)) {
-            own = group->member[i];
-        }
-    }
     if (region->count > MW_MEMBERS_MAX || group->count > MW_MEMBERS_MAX) {
         problem = "--region, --group: give at most 8 members";
     }
-    else if (own.name.len == 0) {
+    else if (!own) {
         problem = "--group: --name is not in the list; add it";
     }
-    else if (own.disk != (setup->folder.len > 0)) {
+    else if (own->disk != (setup->folder.len > 0)) {
         problem = "--data: give a folder for a member with a disk, and "
                   "none for one listed with /memory";
     }
@@ -126,7 +121,7 @@
           const struct mw_members *group)
 {
     const struct mw_name *self = &setup->control.name;
-    bool standby = !has_member(region, self);
+    bool standby = !find_member(region, self);
 
     mw_add_dials(region, setup->dials, &setup->dial_count,
                  standby ? NULL : is_lesser, self);
@@ -185,7 +180,7 @@
     if (check_groups(&setup, &region, &group)) {
         return 2;
     }
-    if (has_member(&region, &setup.control.name)) {
+    if (find_member(&region, &setup.control.name)) {
         set_members(&setup.control, MW_GROUP_REGION, &region);
     }
     set_members(&setup.control, MW_GROUP_ZONE, &group);
--- a/source/wire/frame.c
+++ b/source/wire/frame.c
@@ -261,13 +261,7 @@
     Mw__Wire__Frame wire = MW__WIRE__FRAME__INIT;
 
     pack_msg(&s, msg, name, now_us, &wire);
-    size_t size = mw__wire__frame__get_packed_size(&wire);
-    struct mw_blob *blob = g_malloc(sizeof *blob + size + 1);
-
-    blob->refs = 1;
-    blob->len = mw__wire__frame__pack(&wire, (uint8_t *)blob->ptr);
-    g_ptr_array_unref(s.blocks);
-    return blob;
+    return mw_encode_packed(&s, &wire.base);
 }
 
 static bool
--- a/source/wire/pack-job.c
+++ b/source/wire/pack-job.c
@@ -11,6 +11,19 @@
     return block;
 }
 
+struct mw_blob *
+mw_encode_packed(struct mw_scratch *scratch, const ProtobufCMessage *wire)
+{
+    size_t size = protobuf_c_message_get_packed_size(wire);
+    struct mw_blob *blob = g_malloc(sizeof *blob + size + 1);
+
+    blob->refs = 1;
+    blob->len = protobuf_c_message_pack(wire, (uint8_t *)blob->ptr);
+    blob->ptr[blob->len] = 0;
+    g_ptr_array_unref(scratch->blocks);
+    return blob;
+}
+
 ProtobufCBinaryData
 mw_pack_name(const struct mw_name *name)
 {
--- a/source/wire/pack.h
+++ b/source/wire/pack.h
@@ -19,6 +19,10 @@
 
 void *mw_scratch_new(struct mw_scratch *scratch, size_t size);
 
+/* mw_encode_packed: a whole message as bytes; the scratch list is freed. */
+struct mw_blob *mw_encode_packed(struct mw_scratch *scratch,
+                                 const ProtobufCMessage *wire);
+
 ProtobufCBinaryData mw_pack_name(const struct mw_name *name);
 ProtobufCBinaryData mw_pack_blob(const struct mw_blob *blob);
 int mw_unpack_name(ProtobufCBinaryData data, struct mw_name *name);
--- a/source/wire/stored.c
+++ b/source/wire/stored.c
@@ -27,13 +27,7 @@
     for (uint32_t i = 0; i < item->record_count; i++) {
         wire.records[i] = mw_pack_record(&s, item->records[i]);
     }
-    size_t size = mw__wire__stored__get_packed_size(&wire);
-    struct mw_blob *blob = g_malloc(sizeof *blob + size + 1);
-
-    blob->refs = 1;
-    blob->len = mw__wire__stored__pack(&wire, (uint8_t *)blob->ptr);
-    g_ptr_array_unref(s.blocks);
-    return blob;
+    return mw_encode_packed(&s, &wire.base);
 }
 
 static int
