Places are freed with the scheduler that holds them

Ruled out: a leak in a running leader. Every trace ends in places that were live at the end of a script; runs that end, are lost or forgotten free theirs.

Change: mw_forget_endpoints, called by both.

Conclusion: the leak was at exit only.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -15,6 +15,23 @@
     g_free(endpoint);
 }
 
+void
+mw_forget_endpoints(struct mw_flows *flows)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+
+        while (endpoint->places->len > 0) {
+            mw_free_place(flows, endpoint->places->pdata[0]);
+        }
+    }
+    g_hash_table_remove_all(flows->endpoints);
+}
+
 struct mw_flow_endpoint *
 mw_find_flow_endpoint(struct mw_flows *flows, const struct mw_name *id)
 {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -279,6 +279,8 @@
 struct mw_flow_endpoint *mw_new_stub(struct mw_flows *flows, int64_t now_us,
                                      const struct mw_name *id, uint64_t born);
 void mw_drop_flow_endpoint(void *endpoint);
+/* mw_forget_endpoints: all of them, with the places on them. */
+void mw_forget_endpoints(struct mw_flows *flows);
 void mw_endpoint_gone(struct mw_flows *flows, int64_t now_us,
                       struct mw_flow_endpoint *endpoint, const char *why);
 int64_t mw_endpoint_clock(const struct mw_flow_endpoint *endpoint,
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -344,18 +344,7 @@
 static void
 forget_leading(struct mw_flows *flows)
 {
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, flows->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_flow_endpoint *endpoint = value;
-
-        while (endpoint->places->len > 0) {
-            mw_free_place(flows, endpoint->places->pdata[0]);
-        }
-    }
-    g_hash_table_remove_all(flows->endpoints);
+    mw_forget_endpoints(flows);
     g_hash_table_remove_all(flows->calls);
     for (guint f = 0; f < flows->active->len; f++) {
         struct mw_flow *flow = flows->active->pdata[f];
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -72,6 +72,7 @@
     if (!flows) {
         return;
     }
+    mw_forget_endpoints(flows);
     g_ptr_array_unref(flows->usable);
     g_hash_table_unref(flows->endpoints);
     g_hash_table_unref(flows->calls);
