Lines for acknowledged configurations, zones and cancellations

Cause: a configuration that was not acknowledged in time could not be traced: the log told what was proposed and never what was answered. Each commit that a request waits for now has its line, and a resent version too (not_higher).

--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -324,6 +324,7 @@
     version = config->version;
     mw_drop_flow_config(config);
     if (flows->config && version <= flows->config->version) {
+        mw_flow_note(flows, "config_acknowledged", &none, "not_higher");
         send_done(flows, request->ref, MW_REPLY_DONE);
         return;
     }
@@ -418,6 +419,23 @@
     }
 }
 
+/* The event that says that the record of such a request is committed. */
+static const char *
+committed_event(enum mw_flow_request_kind kind)
+{
+    switch (kind) {
+    case MW_FLOW_CANCEL:
+        return "cancelled";
+    case MW_FLOW_CONFIG:
+        return "config_acknowledged";
+    case MW_FLOW_ZONE_OUT:
+    case MW_FLOW_ZONE_IN:
+        return "zone_acknowledged";
+    default:
+        return "accepted";
+    }
+}
+
 void
 mw_answer_requests(struct mw_flows *flows, const struct mw_record *record)
 {
@@ -430,13 +448,11 @@
         }
         g_array_remove_index(flows->waiters, i - 1);
         mw_measure(flows, MW_TIME_COMMIT, flows->now_us - waiter.asked_us);
-        if (waiter.kind == MW_FLOW_SUBMIT) {
-            mw_flow_note(flows, "accepted", &waiter.name, "committed");
-            send_done(flows, waiter.ref, MW_REPLY_ACCEPTED);
-        }
-        else {
-            send_done(flows, waiter.ref, MW_REPLY_DONE);
-        }
+        mw_flow_note(flows, committed_event(waiter.kind), &waiter.name,
+                     "committed");
+        send_done(flows, waiter.ref,
+                  waiter.kind == MW_FLOW_SUBMIT ? MW_REPLY_ACCEPTED
+                                                : MW_REPLY_DONE);
     }
 }
 
