A core machine that does not lead passes operators' requests on itself

Change: a control process holds the same hand-over to the leader that entry processes have (flow-entry), and passes the leader's answer on. Endpoints' heartbeats are still redirected: they stay with the leader then.

Ruled out: slow commits (7.32 s proposed, 7.34 s answered), a leader not found (gained at 3.7 s).

Test: region/operator-anywhere, with a new kind of script that runs the region's processes over a network of its own.

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -12,6 +12,11 @@
  * handed over again to the next leader, since a flow is known by its
  * identifier.
  *
+ * A control process that is asked by an operator without leading hands the
+ * request to the leader in the same way and passes the answer on: where
+ * answers get lost, one answer is lost less often than a redirection and an
+ * answer.
+ *
  * A process is named by its IP number, which is also how it is found.
  */
 
@@ -19,6 +24,8 @@
 /* a leader not heard for so long is not handed requests */
 #define MW_FLOW_LEADER_LOST_US 1500000
 #define MW_FLOW_CALLS_MAX 4096
+/* operators turn to another process after a second without an answer */
+#define MW_FLOW_FORWARD_US 900000
 
 struct mw_flow_control_output {
     void *opaque;
@@ -74,6 +81,10 @@
 void mw_flow_control_synced(struct mw_context *ctx,
                             struct mw_flow_control *control, int64_t now_us,
                             uint64_t sequence);
+/* mw_flow_control_lost: what was handed to the process may be lost. */
+void mw_flow_control_lost(struct mw_flow_control *control, int64_t now_us,
+                          const struct mw_name *process);
+/* mw_flow_control_request: one reply, here or by way of the leader. */
 void mw_flow_control_request(struct mw_context *ctx,
                              struct mw_flow_control *control, int64_t now_us,
                              int64_t wall_us,
@@ -142,6 +153,9 @@
                         const struct mw_name *process);
 void mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us);
 int64_t mw_flow_entry_deadline(const struct mw_flow_entry *entry);
+/* mw_flow_entry_leader: who is handed requests; empty for nobody. */
+struct mw_name mw_flow_entry_leader(const struct mw_flow_entry *entry,
+                                    int64_t now_us);
 bool mw_flow_entry_ready(const struct mw_flow_entry *entry, int64_t now_us);
 uint32_t mw_flow_entry_open(const struct mw_flow_entry *entry);
 const struct mw_flow_entry_counters *
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -28,10 +28,9 @@
     uint64_t led_term;
     bool leaving;
     int64_t heartbeat_deadline_us;
-    /* of a leader heard by heartbeat, for a standby */
-    struct mw_name heard_leader;
-    uint64_t heard_epoch;
-    int64_t heard_us;
+    /* requests that another process must answer, and who leads */
+    struct mw_flow_entry *entry;
+    /* of the leader's heartbeat, for a standby */
     uint32_t heard_member_count;
     struct mw_name heard_members[MW_MEMBERS_MAX];
 };
@@ -148,6 +147,22 @@
     g_hash_table_remove(control->calls, &reply->ref);
 }
 
+static void
+entry_send(void *opaque, const struct mw_name *to, struct mw_msg *msg)
+{
+    struct mw_flow_control *control = opaque;
+
+    control->setup.output.send(control->setup.output.opaque, to, msg);
+}
+
+static void
+entry_reply(void *opaque, const struct mw_flow_reply *reply)
+{
+    struct mw_flow_control *control = opaque;
+
+    control->setup.output.reply(control->setup.output.opaque, reply);
+}
+
 static struct mw_flow_config *
 flows_decode_config(void *opaque, struct mw_context *ctx, struct mw_str text,
                     int *error)
@@ -200,6 +215,8 @@
     struct mw_flow_output output = {
         control,     flows_propose,       flows_order,      flows_reply,
         flows_event, flows_decode_config, flows_decode_plan};
+    struct mw_flow_entry_output entry = {control, entry_send, entry_reply,
+                                         flows_event};
 
     control->setup = *setup;
     control->next_ref = 1;
@@ -207,6 +224,7 @@
     control->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     control->flows = mw_new_flows(&setup->bounds, &output);
+    control->entry = mw_new_flow_entry(&entry);
     if (setup->member_count > 0) {
         control->log = new_log(control);
     }
@@ -219,6 +237,7 @@
     if (control) {
         mw_drop_log(control->log);
         mw_drop_flows(control->flows);
+        mw_drop_flow_entry(control->entry);
         g_hash_table_unref(control->calls);
         g_free(control);
     }
@@ -332,11 +351,6 @@
         memcpy(control->heard_members, beat->members,
                sizeof control->heard_members);
     }
-    if (beat->leads_region && beat->epoch >= control->heard_epoch) {
-        control->heard_leader = *from;
-        control->heard_epoch = beat->epoch;
-        control->heard_us = now_us;
-    }
 }
 
 void
@@ -357,6 +371,10 @@
         break;
     case MW_MSG_HEARTBEAT:
         take_heartbeat(control, now_us, from, &msg->heartbeat);
+        mw_flow_entry_receive(control->entry, now_us, from, msg);
+        break;
+    case MW_MSG_FLOW_RETURN:
+        mw_flow_entry_receive(control->entry, now_us, from, msg);
         break;
     default:
         break;
@@ -364,6 +382,13 @@
     enter(ctx, control, now_us);
 }
 
+void
+mw_flow_control_lost(struct mw_flow_control *control, int64_t now_us,
+                     const struct mw_name *process)
+{
+    mw_flow_entry_lost(control->entry, now_us, process);
+}
+
 void
 mw_flow_control_synced(struct mw_context *ctx, struct mw_flow_control *control,
                        int64_t now_us, uint64_t sequence)
@@ -384,6 +409,11 @@
     struct mw_flow_request inner = *request;
 
     enter(ctx, control, now_us);
+    if (!control->led || control->suspended) {
+        mw_flow_entry_request(control->entry, now_us, request,
+                              now_us + MW_FLOW_FORWARD_US);
+        return;
+    }
     inner.ref = add_call(control, &self, request->ref);
     mw_flows_request(ctx, control->flows, now_us, wall_us, &inner);
 }
@@ -448,6 +478,7 @@
 {
     enter(ctx, control, now_us);
     mw_flows_tick(ctx, control->flows, now_us, wall_us);
+    mw_flow_entry_tick(control->entry, now_us);
     if (control->log) {
         mw_log_tick(ctx, control->log, now_us);
     }
@@ -463,6 +494,7 @@
     int64_t deadline_us = control->heartbeat_deadline_us;
 
     deadline_us = MIN(deadline_us, mw_flows_deadline(control->flows));
+    deadline_us = MIN(deadline_us, mw_flow_entry_deadline(control->entry));
     if (control->log) {
         deadline_us = MIN(deadline_us, mw_log_deadline(control->log));
     }
@@ -481,9 +513,9 @@
 {
     struct mw_log_view view = {0};
 
-    if (control->heard_leader.len > 0 &&
-        now_us - control->heard_us < MW_FLOW_LEADER_LOST_US) {
-        return control->heard_leader;
+    view.leader = mw_flow_entry_leader(control->entry, now_us);
+    if (view.leader.len > 0) {
+        return view.leader;
     }
     if (control->log) {
         mw_log_look(control->log, &view);
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -285,6 +285,12 @@
     return has_leader(entry, now_us) && entry->version > 0;
 }
 
+struct mw_name
+mw_flow_entry_leader(const struct mw_flow_entry *entry, int64_t now_us)
+{
+    return has_leader(entry, now_us) ? entry->leader : (struct mw_name){0};
+}
+
 uint32_t
 mw_flow_entry_open(const struct mw_flow_entry *entry)
 {
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -388,6 +388,9 @@
                           mw_name_str(&mail->process),
                           mail->up ? "regained" : "lost");
         }
+        if (!mail->up) {
+            mw_flow_control_lost(t->control, mw_now(), &mail->process);
+        }
         break;
     case MW_MAIL_LOOK:
         if (!mail->text) {
--- a/tests/script.h
+++ b/tests/script.h
@@ -62,6 +62,7 @@
 extern const struct mw_script_kind mw_world_scripts;
 extern const struct mw_script_kind mw_input_scripts;
 extern const struct mw_script_kind mw_flow_scripts;
+extern const struct mw_script_kind mw_region_scripts;
 extern const struct mw_script_kind mw_story_scripts;
 extern const struct mw_script_kind mw_platform_scripts;
 
