Who counts in the log outlives a restart of all who know it

A member had lost its disk and been admitted anew; the commit of that change was known, but no disk said so, as the commit index is stored with terms and votes alone. When another disk was lost, more than 4 s later, and the two others restarted, they took the change for undecided and wanted a majority of the configuration before it, in which only one of them counts.

Change: a member stores the commit index when a change of the configuration is committed.

--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -143,6 +143,13 @@
     log->commit = commit;
     if (log->pending_count > 0 && log->pending[0].index <= commit) {
         mw_log_note_config(log);
+        /*
+         * Who counts must be known after a restart: under the configuration
+         * before it, those who count now may be too few to elect anybody.
+         */
+        if (!log->restoring) {
+            mw_log_store_meta(log);
+        }
     }
     while (log->applied < log->commit) {
         struct mw_log_entry *entry = mw_log_entry_at(log, ++log->applied);
