--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -89,8 +89,9 @@
                              struct mw_flow_control *control, int64_t now_us,
                              int64_t wall_us,
                              const struct mw_flow_request *request);
+/* mw_flow_control_beat: see mw_flows_beat; ref is the caller's own. */
 int mw_flow_control_beat(struct mw_flow_control *control, int64_t now_us,
-                         const struct mw_beat *beat);
+                         const struct mw_beat *beat, uint64_t ref);
 void mw_flow_control_answer(struct mw_flow_control *control, int64_t now_us,
                             const struct mw_flow_answer *answer);
 void mw_flow_control_tick(struct mw_context *ctx,
--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -80,6 +80,41 @@
     struct mw_task_note *notes;
 };
 
+/* mw_flow_amount: what a task takes, or an endpoint has. */
+struct mw_flow_amount {
+    uint32_t cpu;
+    uint32_t memory_mb;
+    uint32_t gpus;
+};
+
+/* mw_beat: what an endpoint says about itself. */
+struct mw_beat {
+    struct mw_name id;
+    struct mw_name service;
+    struct mw_name address;
+    struct mw_name zone;
+    struct mw_flow_amount total;
+    uint32_t label_count;
+    struct mw_name labels[8];
+    bool draining;
+    /* the endpoint says that it ends now */
+    bool leaving;
+    uint64_t seq;
+    uint64_t born;
+    int64_t clock_us;
+};
+
+/*
+ * mw_record_endpoint: what endpoints say of themselves, for the next leader.
+ *
+ * seq and clock_us of the heartbeat are left out: 0.
+ */
+struct mw_record_endpoint {
+    struct mw_beat *beat;
+    /* it has left, or has not been heard of for long */
+    bool gone;
+};
+
 struct mw_record_config {
     uint64_t version;
     struct mw_blob *text;
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -57,13 +57,6 @@
 #define MW_FLOW_TASKS_MAX 4096
 #define MW_FLOW_TIMES_MAX 1024
 
-/* mw_flow_amount: what a task takes, or an endpoint has. */
-struct mw_flow_amount {
-    uint32_t cpu;
-    uint32_t memory_mb;
-    uint32_t gpus;
-};
-
 struct mw_flow_step {
     uint32_t count;
     struct mw_flow_amount need;
@@ -96,23 +89,6 @@
     const char *unserved;
 };
 
-/* mw_beat: what an endpoint says about itself. */
-struct mw_beat {
-    struct mw_name id;
-    struct mw_name service;
-    struct mw_name address;
-    struct mw_name zone;
-    struct mw_flow_amount total;
-    uint32_t label_count;
-    struct mw_name labels[8];
-    bool draining;
-    /* the endpoint says that it ends now */
-    bool leaving;
-    uint64_t seq;
-    uint64_t born;
-    int64_t clock_us;
-};
-
 enum mw_flow_order_kind {
     MW_FLOW_START = 0,
     MW_FLOW_STOP = 1,
@@ -202,7 +178,9 @@
     MW_FLOW_READ_CONFIG = 4,
     MW_FLOW_ZONE_OUT = 5,
     MW_FLOW_ZONE_IN = 6,
-    MW_FLOW_REQUESTS = 7
+    MW_FLOW_REQUESTS = 7,
+    /* an endpoint's, that it drains: comes by mw_flows_beat alone */
+    MW_FLOW_DRAIN = 8
 };
 
 /* mw_flow_request: what a caller or operator asks for; lent. */
@@ -357,9 +335,15 @@
                       int64_t now_us, int64_t wall_us,
                       const struct mw_flow_request *request);
 
-/* mw_flows_beat: an endpoint's heartbeat; 0, or an error to refuse it. */
+/*
+ * mw_flows_beat: an endpoint's heartbeat.
+ *
+ * Returns 0 where it may be acknowledged now, and MW_ERR_PENDING where ref
+ * gets a reply later: that an endpoint drains is acknowledged once it is
+ * committed.  Another error refuses it.
+ */
 int mw_flows_beat(struct mw_flows *flows, int64_t now_us,
-                  const struct mw_beat *beat);
+                  const struct mw_beat *beat, uint64_t ref);
 
 /* mw_flows_answer: the result of an order. */
 void mw_flows_answer(struct mw_flows *flows, int64_t now_us,
--- a/include/mimosawind/record.h
+++ b/include/mimosawind/record.h
@@ -32,7 +32,8 @@
     MW_RECORD_TASKS = 13,
     /* a slot of the group belongs to a process from here on */
     MW_RECORD_MEMBER = 14,
-    MW_RECORD_LAST = 15
+    MW_RECORD_ENDPOINT = 15,
+    MW_RECORD_LAST = 16
 };
 
 struct mw_record_admit {
@@ -105,6 +106,7 @@
         struct mw_record_flow flow;
         struct mw_record_flow_state flow_state;
         struct mw_record_tasks tasks;
+        struct mw_record_endpoint endpoint;
     };
 };
 
--- a/source/core/flow/flow-answer.c
+++ b/source/core/flow/flow-answer.c
@@ -149,9 +149,7 @@
     }
     if (answer->result == MW_FLOW_OTHER_INCARNATION ||
         (answer->born != 0 && answer->born != endpoint->born)) {
-        mw_endpoint_gone(flows, now_us, endpoint, "other_incarnation");
-        endpoint->departed = true;
-        endpoint->heard_us = now_us;
+        mw_depart_endpoint(flows, now_us, endpoint, "other_incarnation");
         return;
     }
     if (answer->has_clock) {
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -420,10 +420,19 @@
 
 int
 mw_flow_control_beat(struct mw_flow_control *control, int64_t now_us,
-                     const struct mw_beat *beat)
+                     const struct mw_beat *beat, uint64_t ref)
 {
+    static const struct mw_name self = {0};
+    uint64_t inner;
+    int err;
+
     enter(NULL, control, now_us);
-    return mw_flows_beat(control->flows, now_us, beat);
+    inner = add_call(control, &self, ref);
+    err = mw_flows_beat(control->flows, now_us, beat, inner);
+    if (err != MW_ERR_PENDING) {
+        g_hash_table_remove(control->calls, &inner);
+    }
+    return err;
 }
 
 void
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -112,6 +112,17 @@
     flows->dirty = true;
 }
 
+void
+mw_depart_endpoint(struct mw_flows *flows, int64_t now_us,
+                   struct mw_flow_endpoint *endpoint, const char *why)
+{
+    mw_endpoint_gone(flows, now_us, endpoint, why);
+    endpoint->departed = true;
+    endpoint->recording = false;
+    endpoint->heard_us = now_us;
+    mw_record_gone(flows, endpoint);
+}
+
 /* The rack is the label that is not the kind: r, a region part, a number. */
 static void
 set_rack(struct mw_flow_endpoint *endpoint)
@@ -148,17 +159,16 @@
             superseded = true;
         }
         else if (other->born < beat->born) {
-            mw_endpoint_gone(flows, now_us, other, "address_taken_over");
-            other->departed = true;
+            mw_depart_endpoint(flows, now_us, other, "address_taken_over");
         }
     }
     return superseded;
 }
 
 static void
-start_life(struct mw_flow_endpoint *endpoint, const struct mw_beat *beat)
+start_life(struct mw_flow_endpoint *endpoint, uint64_t born)
 {
-    endpoint->born = beat->born;
+    endpoint->born = born;
     endpoint->known = true;
     endpoint->departed = false;
     endpoint->seen_end = 0;
@@ -173,6 +183,7 @@
     endpoint->sick_deadline_us = 0;
     endpoint->holding = false;
     endpoint->hold_deadline_us = 0;
+    endpoint->recording = false;
 }
 
 static void
@@ -184,8 +195,9 @@
     endpoint->beat = *beat;
     endpoint->heard_us = now_us;
     set_rack(endpoint);
-    if (endpoint->clock_at_us == 0 ||
-        now_us - endpoint->clock_at_us > MW_HEARD_MAX_US) {
+    if (beat->clock_us > 0 &&
+        (endpoint->clock_at_us == 0 ||
+         now_us - endpoint->clock_at_us > MW_HEARD_MAX_US)) {
         mw_note_clock(endpoint, now_us, beat->clock_us);
     }
     if (beat->draining && !was_draining) {
@@ -194,44 +206,73 @@
     flows->dirty = true;
 }
 
-int
-mw_flows_beat(struct mw_flows *flows, int64_t now_us,
-              const struct mw_beat *beat)
+void
+mw_meet_endpoint(struct mw_flows *flows, int64_t now_us,
+                 const struct mw_beat *beat, const char *how)
 {
-    struct mw_flow_endpoint *endpoint;
+    struct mw_flow_endpoint *endpoint =
+        mw_find_flow_endpoint(flows, &beat->id);
 
-    if (!flows->lead || flows->suspended) {
-        return MW_ERR_NOT_LEADER;
-    }
-    endpoint = mw_find_flow_endpoint(flows, &beat->id);
-    if (beat->leaving) {
-        if (endpoint && !endpoint->departed) {
-            mw_endpoint_gone(flows, now_us, endpoint, "left");
-            endpoint->departed = true;
-            endpoint->heard_us = now_us;
-        }
-        return 0;
-    }
     if (endpoint &&
         (beat->born < endpoint->born ||
          (beat->born == endpoint->born && endpoint->known &&
           (endpoint->departed || beat->seq <= endpoint->beat.seq)))) {
-        return 0;
+        return;
     }
     if (is_superseded(flows, now_us, beat)) {
-        return 0;
+        return;
     }
     if (!endpoint) {
         endpoint = mw_new_stub(flows, now_us, &beat->id, beat->born);
     }
     else if (endpoint->born != beat->born) {
         mw_endpoint_gone(flows, now_us, endpoint, "started_anew");
-        start_life(endpoint, beat);
+        start_life(endpoint, beat->born);
     }
     if (!endpoint->known) {
-        start_life(endpoint, beat);
-        mw_endpoint_note(flows, "endpoint_found", endpoint, "known", 0);
+        start_life(endpoint, beat->born);
+        mw_endpoint_note(flows, "endpoint_found", endpoint, how, 0);
     }
     take_beat(flows, now_us, endpoint, beat);
-    return 0;
+}
+
+static void
+take_leave(struct mw_flows *flows, int64_t now_us, const struct mw_name *id)
+{
+    struct mw_flow_endpoint *endpoint = mw_find_flow_endpoint(flows, id);
+
+    if (endpoint && !endpoint->departed) {
+        mw_depart_endpoint(flows, now_us, endpoint, "left");
+    }
+}
+
+int
+mw_flows_beat(struct mw_flows *flows, int64_t now_us,
+              const struct mw_beat *beat, uint64_t ref)
+{
+    struct mw_flow_endpoint *endpoint;
+    struct mw_flow_waiter waiter = {
+        .ref = ref, .kind = MW_FLOW_DRAIN, .name = beat->id};
+
+    if (!flows->lead || flows->suspended) {
+        return MW_ERR_NOT_LEADER;
+    }
+    if (beat->leaving) {
+        take_leave(flows, now_us, &beat->id);
+        return 0;
+    }
+    mw_meet_endpoint(flows, now_us, beat, "known");
+    endpoint = mw_find_flow_endpoint(flows, &beat->id);
+    if (!endpoint || endpoint->departed || endpoint->born != beat->born) {
+        return 0;
+    }
+    if (!mw_record_endpoint(flows, endpoint)) {
+        return beat->draining ? MW_ERR_OVERLOADED : 0;
+    }
+    if (!beat->draining || mw_is_recorded(flows, endpoint)) {
+        return 0;
+    }
+    waiter.asked_us = now_us;
+    g_array_append_val(flows->waiters, waiter);
+    return MW_ERR_PENDING;
 }
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -10,11 +10,12 @@
  *
  * ORDER OF CALLS
  *   flow-request.c, flow-endpoint.c, flow-answer.c   events come in
- *   flow-observe.c                         what an endpoint lists becomes
- * facts flow-state.c                           committed records become state
+ *   flow-observe.c                 what an endpoint lists becomes facts
+ *   flow-state.c, flow-known.c     committed records become state
  *   flow-pump.c                            what is due: place, order, hold
- *   flow-queue.c, flow-place.c, flow-reclaim.c       who is next, where, and
- * who makes room flow-order.c                           orders go out
+ *   flow-queue.c, flow-place.c     who is next, and where
+ *   flow-reclaim.c                 who makes room
+ *   flow-order.c                   orders go out
  *
  * A task's replicated state changes only in flow-state.c.  Everything about
  * endpoints and places is the leader's own and is learnt anew by the next.
@@ -197,6 +198,9 @@
     bool usable;
     /* in a rack that is kept for urgent work */
     bool kept;
+    /* a record of what it says is on its way, and what that tells */
+    bool recording;
+    bool recording_draining;
     struct mw_unit *reserved_for;
     uint32_t reserved_rank;
     int64_t reserved_deadline_us;
@@ -230,6 +234,8 @@
     /* flows that have not ended, oldest first */
     GPtrArray *active;
     GHashTable *zones_out;
+    /* the records of the endpoints that are there, by identifier */
+    GHashTable *known;
 
     bool lead;
     bool suspended;
@@ -292,8 +298,33 @@
                            int64_t now_us);
 bool mw_endpoint_has_label(const struct mw_flow_endpoint *endpoint,
                            const struct mw_name *label);
+/*
+ * mw_meet_endpoint: what a heartbeat, or a record of one, tells; how goes
+ * into the log line of an endpoint that was not known.  An older one than
+ * the last changes nothing.
+ */
+void mw_meet_endpoint(struct mw_flows *flows, int64_t now_us,
+                      const struct mw_beat *beat, const char *how);
+/* mw_depart_endpoint: it has left; a later life of it is met again. */
+void mw_depart_endpoint(struct mw_flows *flows, int64_t now_us,
+                        struct mw_flow_endpoint *endpoint, const char *why);
 bool mw_zone_out_has(const struct mw_flows *flows, const struct mw_name *zone);
 
+/* flow-known.c */
+/* whether the log knows what the endpoint says of itself */
+bool mw_is_recorded(const struct mw_flows *flows,
+                    const struct mw_flow_endpoint *endpoint);
+/* proposes a record where one is needed; false when this process can't */
+bool mw_record_endpoint(struct mw_flows *flows,
+                        struct mw_flow_endpoint *endpoint);
+void mw_record_gone(struct mw_flows *flows,
+                    const struct mw_flow_endpoint *endpoint);
+void mw_forget_unheard(struct mw_flows *flows, int64_t now_us);
+void mw_apply_endpoint(struct mw_flows *flows, struct mw_record *record);
+void mw_recall_endpoints(struct mw_flows *flows, int64_t now_us);
+void mw_collect_endpoints(const struct mw_flows *flows, void *out,
+                          void (*add)(void *out, struct mw_record *record));
+
 /* flow-place.c */
 struct mw_place *mw_add_place(struct mw_flow_endpoint *endpoint,
                               struct mw_unit *unit, uint32_t index,
--- /dev/null
+++ b/source/core/flow/flow-known.c
@@ -0,0 +1,168 @@
+/*
+ * flow-known: the endpoints that the log knows.
+ *
+ * LOAD   a leader that is lost while endpoints are at work.  Its successor
+ *        would learn of them by their next heartbeats, which go to the old
+ *        leader first and come over seconds later; all that time nothing
+ *        could be placed.  What an endpoint says of itself is therefore
+ *        recorded when it changes, and who leads next lists all of them at
+ *        once.
+ *
+ * That an endpoint drains is recorded before its heartbeat is acknowledged:
+ * otherwise the next leader could still give it work.
+ */
+#include <string.h>
+
+#include "flow-impl.h"
+
+/* an endpoint without work that was not heard of for so long is dropped */
+#define FORGET_US INT64_C(60000000)
+
+static const struct mw_beat *
+known_beat(const struct mw_flows *flows, const struct mw_name *id)
+{
+    const struct mw_record *record = g_hash_table_lookup(flows->known, id);
+
+    return record ? record->endpoint.beat : NULL;
+}
+
+static bool
+says_the_same(const struct mw_beat *a, const struct mw_beat *b)
+{
+    return a && a->born == b->born && a->draining == b->draining;
+}
+
+static bool
+propose(struct mw_flows *flows, const struct mw_beat *beat, bool gone)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_ENDPOINT);
+    int err;
+
+    record->endpoint.beat = g_memdup2(beat, sizeof *beat);
+    record->endpoint.beat->seq = 0;
+    record->endpoint.beat->clock_us = 0;
+    record->endpoint.gone = gone;
+    err = flows->output.propose(flows->output.opaque, record);
+    mw_drop_record(record);
+    return err == 0;
+}
+
+bool
+mw_is_recorded(const struct mw_flows *flows,
+               const struct mw_flow_endpoint *endpoint)
+{
+    return says_the_same(known_beat(flows, &endpoint->id), &endpoint->beat);
+}
+
+bool
+mw_record_endpoint(struct mw_flows *flows, struct mw_flow_endpoint *endpoint)
+{
+    if (mw_is_recorded(flows, endpoint) ||
+        (endpoint->recording &&
+         endpoint->recording_draining == endpoint->beat.draining)) {
+        return true;
+    }
+    if (!propose(flows, &endpoint->beat, false)) {
+        return false;
+    }
+    endpoint->recording = true;
+    endpoint->recording_draining = endpoint->beat.draining;
+    return true;
+}
+
+void
+mw_record_gone(struct mw_flows *flows, const struct mw_flow_endpoint *endpoint)
+{
+    const struct mw_beat *beat = known_beat(flows, &endpoint->id);
+
+    if (beat) {
+        propose(flows, beat, true);
+    }
+}
+
+void
+mw_forget_unheard(struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+
+        if (endpoint->places->len == 0 &&
+            now_us - endpoint->heard_us > FORGET_US) {
+            endpoint->recording = false;
+            mw_record_gone(flows, endpoint);
+        }
+    }
+}
+
+void
+mw_apply_endpoint(struct mw_flows *flows, struct mw_record *record)
+{
+    const struct mw_beat *beat = record->endpoint.beat;
+    const struct mw_beat *before = known_beat(flows, &beat->id);
+    struct mw_flow_endpoint *endpoint =
+        mw_find_flow_endpoint(flows, &beat->id);
+
+    if (endpoint && endpoint->born == beat->born) {
+        endpoint->recording = false;
+    }
+    if (before && before->born > beat->born) {
+        return;
+    }
+    if (record->endpoint.gone) {
+        g_hash_table_remove(flows->known, &beat->id);
+        return;
+    }
+    g_hash_table_replace(flows->known, &record->endpoint.beat->id,
+                         mw_keep_record(record));
+    /* an earlier leader's record that is committed only now */
+    if (flows->lead && (!endpoint || endpoint->born < beat->born)) {
+        mw_meet_endpoint(flows, flows->now_us, beat, "recalled");
+    }
+}
+
+void
+mw_recall_endpoints(struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->known);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_record *record = value;
+
+        mw_meet_endpoint(flows, now_us, record->endpoint.beat, "recalled");
+    }
+}
+
+static gint
+by_id(gconstpointer a, gconstpointer b)
+{
+    const struct mw_record *x = *(const struct mw_record *const *)a;
+    const struct mw_record *y = *(const struct mw_record *const *)b;
+
+    return memcmp(&x->endpoint.beat->id, &y->endpoint.beat->id,
+                  sizeof x->endpoint.beat->id);
+}
+
+void
+mw_collect_endpoints(const struct mw_flows *flows, void *out,
+                     void (*add)(void *out, struct mw_record *record))
+{
+    GPtrArray *all = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->known);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(all, value);
+    }
+    g_ptr_array_sort(all, by_id);
+    for (guint i = 0; i < all->len; i++) {
+        add(out, all->pdata[i]);
+    }
+    g_ptr_array_unref(all);
+}
--- a/source/core/flow/flow-pump.c
+++ b/source/core/flow/flow-pump.c
@@ -379,6 +379,7 @@
     flows->tick_deadline_us = lead ? now_us : INT64_MAX;
     if (lead) {
         recall_places(flows, now_us);
+        mw_recall_endpoints(flows, now_us);
         flows->dirty = true;
     }
 }
@@ -435,6 +436,7 @@
         flows->chores_deadline_us = now_us + MW_FLOW_CHORES_US;
         free_orphans(flows);
         forget_ended(flows, now_us);
+        mw_forget_unheard(flows, now_us);
     }
     if (now_us >= flows->pump_deadline_us) {
         flows->pump_deadline_us = now_us + MW_FLOW_PUMP_US;
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -410,6 +410,9 @@
     case MW_RECORD_CONFIG:
         return waiter->kind == MW_FLOW_CONFIG &&
                waiter->version <= record->config.version;
+    case MW_RECORD_ENDPOINT:
+        return waiter->kind == MW_FLOW_DRAIN &&
+               mw_name_equal(&waiter->name, &record->endpoint.beat->id);
     case MW_RECORD_ZONE_OUT:
         return waiter->kind == (record->zone_out.out ? MW_FLOW_ZONE_OUT
                                                      : MW_FLOW_ZONE_IN) &&
@@ -426,6 +429,8 @@
     switch (kind) {
     case MW_FLOW_CANCEL:
         return "cancelled";
+    case MW_FLOW_DRAIN:
+        return "drain_acknowledged";
     case MW_FLOW_CONFIG:
         return "config_acknowledged";
     case MW_FLOW_ZONE_OUT:
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -57,6 +57,8 @@
         g_hash_table_new_full(mw_hash_name, mw_same_name, g_free, NULL);
     flows->endpoints = g_hash_table_new_full(mw_hash_name, mw_same_name, NULL,
                                              mw_drop_flow_endpoint);
+    flows->known = g_hash_table_new_full(mw_hash_name, mw_same_name, NULL,
+                                         (GDestroyNotify)mw_drop_record);
     flows->usable = g_ptr_array_new();
     flows->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -75,6 +77,7 @@
     mw_forget_endpoints(flows);
     g_ptr_array_unref(flows->usable);
     g_hash_table_unref(flows->endpoints);
+    g_hash_table_unref(flows->known);
     g_hash_table_unref(flows->calls);
     g_hash_table_unref(flows->zones_out);
     g_ptr_array_unref(flows->active);
@@ -421,6 +424,9 @@
             follow_end(flows, &record->tasks.notes[0]);
         }
         break;
+    case MW_RECORD_ENDPOINT:
+        mw_apply_endpoint(flows, record);
+        break;
     default:
         return;
     }
@@ -436,6 +442,7 @@
     g_ptr_array_set_size(flows->active, 0);
     g_hash_table_remove_all(flows->flows);
     g_hash_table_remove_all(flows->zones_out);
+    g_hash_table_remove_all(flows->known);
     g_clear_pointer(&flows->config, mw_drop_flow_config);
 }
 
@@ -525,6 +532,7 @@
         add(out, record);
         mw_drop_record(record);
     }
+    mw_collect_endpoints(flows, out, add);
     g_hash_table_iter_init(&iter, flows->flows);
     while (g_hash_table_iter_next(&iter, NULL, &flow)) {
         g_ptr_array_add(all, flow);
--- a/source/core/record.c
+++ b/source/core/record.c
@@ -58,6 +58,9 @@
     case MW_RECORD_TASKS:
         drop_tasks(&record->tasks);
         break;
+    case MW_RECORD_ENDPOINT:
+        g_free(record->endpoint.beat);
+        break;
     default:
         break;
     }
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -529,9 +529,9 @@
 
 int
 mw_flow_control_task_beat(struct mw_flow_control_task *t,
-                          const struct mw_beat *beat)
+                          const struct mw_beat *beat, uint64_t ref)
 {
-    int err = mw_flow_control_beat(t->control, mw_now(), beat);
+    int err = mw_flow_control_beat(t->control, mw_now(), beat, ref);
 
     follow_up(t);
     return err;
--- a/source/run/flow-control-task.h
+++ b/source/run/flow-control-task.h
@@ -66,7 +66,7 @@
 void mw_flow_control_task_request(struct mw_flow_control_task *task,
                                   const struct mw_flow_request *request);
 int mw_flow_control_task_beat(struct mw_flow_control_task *task,
-                              const struct mw_beat *beat);
+                              const struct mw_beat *beat, uint64_t ref);
 void mw_flow_control_task_answer(struct mw_flow_control_task *task,
                                  const struct mw_flow_answer *answer);
 bool mw_flow_control_task_leads(struct mw_flow_control_task *task);
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &mw__wire__record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__wire__endpoint__init
+                     (Mw__Wire__Endpoint         *message)
+{
+  static const Mw__Wire__Endpoint init_value = MW__WIRE__ENDPOINT__INIT;
+  *message = init_value;
+}
+size_t mw__wire__endpoint__get_packed_size
+                     (const Mw__Wire__Endpoint *message)
+{
+  assert(message->base.descriptor == &mw__wire__endpoint__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__wire__endpoint__pack
+                     (const Mw__Wire__Endpoint *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__wire__endpoint__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__wire__endpoint__pack_to_buffer
+                     (const Mw__Wire__Endpoint *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__wire__endpoint__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__Wire__Endpoint *
+       mw__wire__endpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__Wire__Endpoint *)
+     protobuf_c_message_unpack (&mw__wire__endpoint__descriptor,
+                                allocator, len, data);
+}
+void   mw__wire__endpoint__free_unpacked
+                     (Mw__Wire__Endpoint *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__wire__endpoint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__wire__route__init
                      (Mw__Wire__Route         *message)
 {
@@ -1749,7 +1794,7 @@
   (ProtobufCMessageInit) mw__wire__part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__record__field_descriptors[16] =
+static const ProtobufCFieldDescriptor mw__wire__record__field_descriptors[17] =
 {
   {
     "kind",
@@ -1943,9 +1988,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Record, endpoint),
+    &mw__wire__endpoint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__record__field_indices_by_name[] = {
   8,   /* field[8] = attempt */
+  16,   /* field[16] = endpoint */
   3,   /* field[3] = environment */
   10,   /* field[10] = error */
   14,   /* field[14] = flow */
@@ -1965,7 +2023,7 @@
 static const ProtobufCIntRange mw__wire__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor mw__wire__record__descriptor =
 {
@@ -1975,13 +2033,181 @@
   "Mw__Wire__Record",
   "mw.wire",
   sizeof(Mw__Wire__Record),
-  16,
+  17,
   mw__wire__record__field_descriptors,
   mw__wire__record__field_indices_by_name,
   1,  mw__wire__record__number_ranges,
   (ProtobufCMessageInit) mw__wire__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mw__wire__endpoint__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, zone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Mw__Wire__Endpoint, n_labels),
+    offsetof(Mw__Wire__Endpoint, labels),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gpus",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, gpus),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__wire__endpoint__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  1,   /* field[1] = born */
+  6,   /* field[6] = cpu */
+  9,   /* field[9] = draining */
+  10,   /* field[10] = gone */
+  8,   /* field[8] = gpus */
+  0,   /* field[0] = id */
+  5,   /* field[5] = labels */
+  7,   /* field[7] = memory_mb */
+  2,   /* field[2] = service */
+  4,   /* field[4] = zone */
+};
+static const ProtobufCIntRange mw__wire__endpoint__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor mw__wire__endpoint__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.wire.Endpoint",
+  "Endpoint",
+  "Mw__Wire__Endpoint",
+  "mw.wire",
+  sizeof(Mw__Wire__Endpoint),
+  11,
+  mw__wire__endpoint__field_descriptors,
+  mw__wire__endpoint__field_indices_by_name,
+  1,  mw__wire__endpoint__number_ranges,
+  (ProtobufCMessageInit) mw__wire__endpoint__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mw__wire__route__field_descriptors[9] =
 {
   {
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Mw__Wire__Attempt Mw__Wire__Attempt;
 typedef struct Mw__Wire__Part Mw__Wire__Part;
 typedef struct Mw__Wire__Record Mw__Wire__Record;
+typedef struct Mw__Wire__Endpoint Mw__Wire__Endpoint;
 typedef struct Mw__Wire__Route Mw__Wire__Route;
 typedef struct Mw__Wire__Flow Mw__Wire__Flow;
 typedef struct Mw__Wire__TaskNote Mw__Wire__TaskNote;
@@ -147,10 +148,32 @@
   Mw__Wire__Flow *flow;
   size_t n_tasks;
   Mw__Wire__TaskNote **tasks;
+  Mw__Wire__Endpoint *endpoint;
 };
 #define MW__WIRE__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__record__descriptor) \
-    , 0, {0,NULL}, 0, 0, {0,NULL}, {0,NULL}, 0, NULL, NULL, 0,NULL, 0, 0, NULL, 0, NULL, 0,NULL }
+    , 0, {0,NULL}, 0, 0, {0,NULL}, {0,NULL}, 0, NULL, NULL, 0,NULL, 0, 0, NULL, 0, NULL, 0,NULL, NULL }
+
+
+struct  Mw__Wire__Endpoint
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData id;
+  uint64_t born;
+  ProtobufCBinaryData service;
+  ProtobufCBinaryData address;
+  ProtobufCBinaryData zone;
+  size_t n_labels;
+  ProtobufCBinaryData *labels;
+  uint32_t cpu;
+  uint32_t memory_mb;
+  uint32_t gpus;
+  protobuf_c_boolean draining;
+  protobuf_c_boolean gone;
+};
+#define MW__WIRE__ENDPOINT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__wire__endpoint__descriptor) \
+    , {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Mw__Wire__Route
@@ -662,6 +685,25 @@
 void   mw__wire__record__free_unpacked
                      (Mw__Wire__Record *message,
                       ProtobufCAllocator *allocator);
+/* Mw__Wire__Endpoint methods */
+void   mw__wire__endpoint__init
+                     (Mw__Wire__Endpoint         *message);
+size_t mw__wire__endpoint__get_packed_size
+                     (const Mw__Wire__Endpoint   *message);
+size_t mw__wire__endpoint__pack
+                     (const Mw__Wire__Endpoint   *message,
+                      uint8_t             *out);
+size_t mw__wire__endpoint__pack_to_buffer
+                     (const Mw__Wire__Endpoint   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__Wire__Endpoint *
+       mw__wire__endpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__wire__endpoint__free_unpacked
+                     (Mw__Wire__Endpoint *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__Wire__Route methods */
 void   mw__wire__route__init
                      (Mw__Wire__Route         *message);
@@ -1119,6 +1161,9 @@
 typedef void (*Mw__Wire__Record_Closure)
                  (const Mw__Wire__Record *message,
                   void *closure_data);
+typedef void (*Mw__Wire__Endpoint_Closure)
+                 (const Mw__Wire__Endpoint *message,
+                  void *closure_data);
 typedef void (*Mw__Wire__Route_Closure)
                  (const Mw__Wire__Route *message,
                   void *closure_data);
@@ -1200,6 +1245,7 @@
 extern const ProtobufCMessageDescriptor mw__wire__attempt__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__part__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__record__descriptor;
+extern const ProtobufCMessageDescriptor mw__wire__endpoint__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__route__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__flow__descriptor;
 extern const ProtobufCMessageDescriptor mw__wire__task_note__descriptor;
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -61,6 +61,34 @@
     }
 }
 
+static void
+pack_endpoint(struct mw_scratch *scratch,
+              const struct mw_record_endpoint *endpoint,
+              Mw__Wire__Record *wire)
+{
+    const struct mw_beat *beat = endpoint->beat;
+    Mw__Wire__Endpoint *at = mw_scratch_new(scratch, sizeof *at);
+
+    mw__wire__endpoint__init(at);
+    at->id = mw_pack_name(&beat->id);
+    at->born = beat->born;
+    at->service = mw_pack_name(&beat->service);
+    at->address = mw_pack_name(&beat->address);
+    at->zone = mw_pack_name(&beat->zone);
+    at->n_labels = beat->label_count;
+    at->labels =
+        mw_scratch_new(scratch, (beat->label_count + 1) * sizeof *at->labels);
+    for (uint32_t i = 0; i < beat->label_count; i++) {
+        at->labels[i] = mw_pack_name(&beat->labels[i]);
+    }
+    at->cpu = beat->total.cpu;
+    at->memory_mb = beat->total.memory_mb;
+    at->gpus = beat->total.gpus;
+    at->draining = beat->draining;
+    at->gone = endpoint->gone;
+    wire->endpoint = at;
+}
+
 void
 mw_pack_flow_record(struct mw_scratch *scratch, const struct mw_record *record,
                     Mw__Wire__Record *wire)
@@ -89,6 +117,9 @@
     case MW_RECORD_TASKS:
         pack_tasks(scratch, &record->tasks, wire);
         break;
+    case MW_RECORD_ENDPOINT:
+        pack_endpoint(scratch, &record->endpoint, wire);
+        break;
     default:
         break;
     }
@@ -172,6 +203,51 @@
     return err;
 }
 
+static int
+unpack_labels(const Mw__Wire__Endpoint *wire, struct mw_beat *beat)
+{
+    int err = 0;
+
+    if (wire->n_labels > G_N_ELEMENTS(beat->labels)) {
+        return MW_ERR_OUT_OF_RANGE;
+    }
+    for (size_t i = 0; i < wire->n_labels && !err; i++) {
+        err = mw_unpack_name(wire->labels[i], &beat->labels[i]);
+        beat->label_count++;
+    }
+    return err;
+}
+
+static int
+unpack_endpoint(const Mw__Wire__Endpoint *wire,
+                struct mw_record_endpoint *endpoint)
+{
+    struct mw_beat *beat;
+    int err;
+
+    if (!wire) {
+        return MW_ERR_MISSING;
+    }
+    beat = g_new0(struct mw_beat, 1);
+    endpoint->beat = beat;
+    endpoint->gone = wire->gone;
+    beat->born = wire->born;
+    beat->total =
+        (struct mw_flow_amount){wire->cpu, wire->memory_mb, wire->gpus};
+    beat->draining = wire->draining;
+    err = mw_unpack_name(wire->id, &beat->id);
+    if (!err) {
+        err = mw_unpack_name(wire->service, &beat->service);
+    }
+    if (!err) {
+        err = mw_unpack_name(wire->address, &beat->address);
+    }
+    if (!err) {
+        err = mw_unpack_name(wire->zone, &beat->zone);
+    }
+    return err ? err : unpack_labels(wire, beat);
+}
+
 int
 mw_unpack_flow_record(struct mw_context *ctx, const Mw__Wire__Record *wire,
                       struct mw_record *record)
@@ -206,6 +282,8 @@
         return mw_unpack_name(wire->name, &record->flow_state.id);
     case MW_RECORD_TASKS:
         return unpack_tasks(wire, &record->tasks);
+    case MW_RECORD_ENDPOINT:
+        return unpack_endpoint(wire->endpoint, &record->endpoint);
     default:
         return 0;
     }
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -14,6 +14,8 @@
 #include "script.h"
 
 #define START_US 1000000000
+/* heartbeats are numbered from here on */
+#define HEARTBEAT_REFS 1000
 /* what is due so soon is waited for after each command */
 #define SOON_US 20000
 #define WALL_US INT64_C(1700000000000000)
@@ -36,6 +38,7 @@
     GArray *sent;
     GHashTable *beats;
     uint64_t next_request;
+    uint64_t beats_sent;
     /* endpoints whose first list, an empty one, has been given */
     GHashTable *first_lists;
     GArray *first_refs;
@@ -315,6 +318,7 @@
     struct state *st = enter(s);
     struct mw_beat *beat = g_hash_table_lookup(st->beats, mw_word(s, 1));
     bool fresh = !beat;
+    int err;
 
     if (fresh) {
         beat = g_new0(struct mw_beat, 1);
@@ -340,7 +344,13 @@
     beat->label_count = 0;
     add_label(beat, mw_option(s, "kind", "a"));
     add_label(beat, mw_option(s, "rack", "r1"));
-    mw_flows_beat(st->flows, st->now_us, beat);
+    err = mw_flows_beat(st->flows, st->now_us, beat,
+                        HEARTBEAT_REFS + ++st->beats_sent);
+    if (err) {
+        mw_say(s, "  heartbeat %d: %.*s",
+               (int)(HEARTBEAT_REFS + st->beats_sent),
+               MW_FMT(mw_error_word(err)));
+    }
     settle(st);
 }
 
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -3,15 +3,17 @@
  * through the script.
  *
  * Messages cross the real encoders and take 1 ms; what is stored is synced
- * at the end of a step of 10 ms.  There are no endpoints, so accepted flows
- * wait.  After every step: one process leads at most.  At the end of a
- * seeded run: what was acknowledged is there, what was refused is not.
+ * at the end of a step of 10 ms.  Endpoints are fakes; orders to them are
+ * lost, or carried out late, in a seeded run.  After every step: one process
+ * leads at most.  At the end of a seeded run: what was acknowledged is there,
+ * what was refused is not, and every accepted flow has ended.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "decode.h"
 #include "mimosawind/flow-process.h"
+#include "region-endpoint.h"
 #include "script.h"
 
 #define NODES_MAX 12
@@ -26,6 +28,12 @@
 #define CALM_US 12000000
 #define FLOWS_MAX 400
 #define CATCH_UP_US 4000000
+#define ENDPOINTS 4
+#define BEAT_US 500000
+/* of the orders, one in so many is lost, or late by up to LATE_US */
+#define LOST_ORDERS 40
+#define LATE_ORDERS 40
+#define LATE_US 4000000
 
 struct flight {
     int from;
@@ -34,6 +42,21 @@
     struct mw_blob *payload;
 };
 
+/* call: an order on its way to an endpoint, then its answer on the way back.
+ */
+struct call {
+    struct node *node;
+    /* the life of the process that waits for the answer */
+    uint64_t life;
+    struct mw_flow_order order;
+    struct mw_flow_answer answer;
+    bool answered;
+    /* held up within the endpoint, and lost with this life of it */
+    bool late;
+    uint64_t born;
+    int64_t at_us;
+};
+
 struct node {
     struct region *region;
     int index;
@@ -49,6 +72,8 @@
     GPtrArray *stored;
     guint synced;
     uint64_t sequence;
+    /* counts its starts */
+    uint64_t life;
     uint32_t member_count;
     struct mw_name members[MW_MEMBERS_MAX];
 };
@@ -58,6 +83,15 @@
     unsigned asked;
     unsigned refused;
     bool accepted;
+    bool ended;
+};
+
+/* What a request of a seeded run was about, by its reference. */
+struct question {
+    enum mw_flow_request_kind kind;
+    uint64_t number;
+    /* of a heartbeat: the life of the endpoint */
+    uint64_t born;
 };
 
 struct region {
@@ -68,12 +102,17 @@
     int64_t cut_since_us[NODES_MAX][NODES_MAX];
     bool lost[NODES_MAX][NODES_MAX];
     GPtrArray *flights;
+    GPtrArray *calls;
+    struct mw_fake_endpoints *endpoints;
     int64_t now_us;
     uint64_t next_ref;
+    uint64_t lives;
     uint64_t next_incarnation;
     bool quiet;
     GString *fault;
     GRand *rand;
+    /* orders to endpoints get lost, or late */
+    bool troubled;
     /* of a seeded run */
     GHashTable *asked;
     struct told told[FLOWS_MAX];
@@ -84,12 +123,6 @@
     bool may_wipe;
 };
 
-/* What a request of a seeded run was about, by its reference. */
-struct question {
-    enum mw_flow_request_kind kind;
-    uint64_t number;
-};
-
 static void
 free_flight(void *data)
 {
@@ -158,11 +191,153 @@
     g_ptr_array_add(node->stored, mw_encode_stored(item));
 }
 
+static void
+free_call(void *data)
+{
+    struct call *call = data;
+
+    g_free(call->answer.runs);
+    g_free(call);
+}
+
+static bool
+chance(struct region *region, int in)
+{
+    return region->rand && g_rand_int_range(region->rand, 0, in) == 0;
+}
+
+static uint64_t
+born_of(struct region *region, const struct mw_name *id)
+{
+    const struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint(region->endpoints, id);
+
+    return endpoint ? endpoint->born : 0;
+}
+
 static void
 node_order(void *opaque, const struct mw_flow_order *order)
 {
-    (void)opaque;
-    (void)order;
+    struct node *node = opaque;
+    struct region *region = node->region;
+    struct call *call = g_new0(struct call, 1);
+
+    call->node = node;
+    call->life = node->life;
+    call->order = *order;
+    call->order.spec = NULL;
+    call->order.checkpoint = NULL;
+    call->at_us = region->now_us + LATENCY_US;
+    call->born = born_of(region, &order->endpoint);
+    call->answer.ref = order->ref;
+    call->answer.result = MW_FLOW_NO_ANSWER;
+    if (region->troubled && chance(region, LATE_ORDERS)) {
+        call->late = true;
+        call->at_us += g_rand_int_range(region->rand, 1, LATE_US);
+    }
+    g_ptr_array_add(region->calls, call);
+}
+
+/* An answer comes back, if its process still waits for it. */
+static void
+give_answer(struct call *call)
+{
+    struct node *node = call->node;
+
+    if (node->up && node->life == call->life) {
+        mw_flow_control_answer(node->control, node->region->now_us,
+                               &call->answer);
+    }
+}
+
+static void
+carry_out(struct region *region, struct call *call)
+{
+    struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint(region->endpoints, &call->order.endpoint);
+
+    if (!endpoint || (call->late && endpoint->born != call->born) ||
+        (region->troubled && chance(region, LOST_ORDERS))) {
+        return;
+    }
+    call->answer = mw_fake_carry_out(region->endpoints, endpoint, &call->order,
+                                     region->now_us, call->late);
+}
+
+/* Orders arrive, or are given up; answers take as long. */
+static void
+move_calls(struct region *region)
+{
+    for (guint i = 0; i < region->calls->len;) {
+        struct call *call = region->calls->pdata[i];
+        bool overdue = region->now_us >= call->order.answer_deadline_us;
+
+        if (!call->answered && region->now_us >= call->at_us) {
+            call->answered = true;
+            call->at_us = region->now_us + LATENCY_US;
+            carry_out(region, call);
+            if (call->answer.result == MW_FLOW_NO_ANSWER) {
+                call->at_us = call->order.answer_deadline_us;
+            }
+        }
+        else if (call->late && overdue && call->node) {
+            struct call given_up = *call;
+
+            /* no answer in time; it is carried out all the same */
+            given_up.answer.result = MW_FLOW_NO_ANSWER;
+            give_answer(&given_up);
+            call->life = 0;
+        }
+        if (!call->answered || region->now_us < call->at_us ||
+            (call->node->up && call->node->frozen)) {
+            i++;
+            continue;
+        }
+        g_ptr_array_steal_index(region->calls, i);
+        give_answer(call);
+        free_call(call);
+    }
+}
+
+static void
+step_endpoints(struct region *region)
+{
+    for (int i = 0; i < region->endpoints->count; i++) {
+        struct mw_fake_endpoint *endpoint = &region->endpoints->all[i];
+
+        mw_fake_step(endpoint, region->now_us);
+        if (region->now_us < endpoint->beat_deadline_us) {
+            continue;
+        }
+        endpoint->beat_deadline_us = region->now_us + BEAT_US;
+        for (int n = 0; n < region->count; n++) {
+            struct node *node = &region->nodes[n];
+            struct question q = {MW_FLOW_DRAIN, (uint64_t)i, endpoint->born};
+            struct mw_beat beat = mw_fake_beat(endpoint, region->now_us);
+            uint64_t ref = ++region->next_ref;
+            int err;
+
+            if (!node->core || !node->up || node->frozen) {
+                continue;
+            }
+            g_hash_table_insert(region->asked, g_memdup2(&ref, sizeof ref),
+                                g_memdup2(&q, sizeof q));
+            err = mw_flow_control_beat(node->control, region->now_us, &beat,
+                                       ref);
+            if (err == 0 && beat.draining) {
+                mw_release_fake_endpoint(endpoint, region->now_us);
+            }
+        }
+    }
+}
+
+/* Its draining was acknowledged, if it still is in that life. */
+static void
+release(struct mw_fake_endpoint *endpoint, uint64_t born, int64_t now_us)
+{
+    if (endpoint->born == born) {
+        mw_release_fake_endpoint(endpoint, now_us);
+    }
 }
 
 /* A reply of a seeded run: what it claims is kept, or compared. */
@@ -172,7 +347,10 @@
 {
     struct told *told = &region->told[q->number % FLOWS_MAX];
 
-    if (q->kind == MW_FLOW_CONFIG && status == 200) {
+    if (q->kind == MW_FLOW_DRAIN && status == 200) {
+        release(&region->endpoints->all[q->number], q->born, region->now_us);
+    }
+    else if (q->kind == MW_FLOW_CONFIG && status == 200) {
         region->acknowledged = MAX(region->acknowledged, q->number);
     }
     else if (q->kind == MW_FLOW_SUBMIT) {
@@ -184,6 +362,11 @@
         bool never = told->refused == told->asked;
 
         region->checked++;
+        told->ended = known && reply->state == MW_FLOW_COMPLETED;
+        if (told->accepted && known && !told->ended) {
+            g_string_append_printf(region->fault, "flow %d has not ended; ",
+                                   (int)q->number);
+        }
         if ((told->accepted && !known) || (never && known)) {
             g_string_append_printf(
                 region->fault, "flow %d: %s, then %d; ", (int)q->number,
@@ -306,6 +489,7 @@
         return;
     }
     node->up = true;
+    node->life = ++node->region->lives;
     node->frozen = false;
     if (!node->core) {
         node->entry = mw_new_flow_entry(&output);
@@ -490,6 +674,8 @@
     while (region->now_us < until_us) {
         region->now_us += STEP_US;
         deliver(region);
+        move_calls(region);
+        step_endpoints(region);
         lose_links(region);
         for (int i = 0; i < region->count; i++) {
             step_node(&region->nodes[i]);
@@ -562,11 +748,12 @@
 
 /* The first members, as a region starts for the first time. */
 static void
-found(struct region *region)
+found(struct region *region, int endpoints)
 {
     struct mw_name members[MW_MEMBERS_MAX] = {{0}};
     uint32_t count = 0;
 
+    region->endpoints = mw_new_fake_endpoints(endpoints, region->fault);
     for (int i = 0; i < region->count; i++) {
         if (region->nodes[i].core && count < 3) {
             members[count++] = region->nodes[i].name;
@@ -583,6 +770,7 @@
             node->member_count = count;
             memcpy(node->members, members, sizeof members);
             node->up = true;
+            node->life = ++region->lives;
             join(node, MW_FOUNDING_INCARNATION);
         }
         else {
@@ -599,6 +787,7 @@
     region->now_us = START_US;
     region->next_incarnation = 100;
     region->flights = g_ptr_array_new_with_free_func(free_flight);
+    region->calls = g_ptr_array_new_with_free_func(free_call);
     region->fault = g_string_new(NULL);
     region->asked =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -618,6 +807,8 @@
     memset(region->lost, 0, sizeof region->lost);
     memset(region->told, 0, sizeof region->told);
     g_ptr_array_set_size(region->flights, 0);
+    g_ptr_array_set_size(region->calls, 0);
+    g_clear_pointer(&region->endpoints, mw_drop_fake_endpoints);
     g_hash_table_remove_all(region->asked);
 }
 
@@ -628,6 +819,7 @@
 
     clear_nodes(region);
     g_ptr_array_unref(region->flights);
+    g_ptr_array_unref(region->calls);
     g_hash_table_unref(region->asked);
     g_string_free(region->fault, TRUE);
     g_free(region);
@@ -655,7 +847,8 @@
     return node;
 }
 
-/* region CORES ENTRIES: c1.. and e1.., started for the first time */
+/* region CORES ENTRIES [endpoints=N]: c1.. and e1.., started for the first
+ * time */
 static void
 cmd_region(struct mw_script *s)
 {
@@ -668,7 +861,7 @@
             add_node(region, name, kind == 0);
         }
     }
-    found(region);
+    found(region, (int)mw_option_int(s, "endpoints", 0));
 }
 
 static void
@@ -810,7 +1003,7 @@
 static void
 ask_flow(struct region *region, enum mw_flow_request_kind kind, uint64_t n)
 {
-    struct question q = {kind, n};
+    struct question q = {kind, n, 0};
     char *path = g_strdup_printf("/b/%016d", (int)n);
 
     region->told[n].asked += kind == MW_FLOW_SUBMIT;
@@ -822,8 +1015,8 @@
 static void
 ask_config(struct region *region)
 {
-    struct question put = {MW_FLOW_CONFIG, ++region->next_version};
-    struct question read = {MW_FLOW_READ_CONFIG, region->acknowledged};
+    struct question put = {MW_FLOW_CONFIG, ++region->next_version, 0};
+    struct question read = {MW_FLOW_READ_CONFIG, region->acknowledged, 0};
     char *text = config_text(put.number);
 
     ask(any(region, true), MW_FLOW_CONFIG, "", text, &put);
@@ -831,13 +1024,32 @@
     g_free(text);
 }
 
+/* An endpoint drains and, some time later, another life of it is there. */
+static void
+drain_one(struct region *region)
+{
+    struct mw_fake_endpoint *endpoint =
+        &region->endpoints->all[g_rand_int_range(region->rand, 0, ENDPOINTS)];
+
+    if (!endpoint->draining) {
+        endpoint->draining = true;
+        endpoint->beat_deadline_us = region->now_us;
+    }
+    else if (endpoint->released_us > 0) {
+        mw_restart_fake_endpoint(endpoint);
+    }
+}
+
 static void
 trouble(struct region *region)
 {
     struct node *node = any(region, true);
     struct node *other = any(region, true);
 
-    switch (g_rand_int_range(region->rand, 0, 7)) {
+    switch (g_rand_int_range(region->rand, 0, 8)) {
+    case 7:
+        drain_one(region);
+        break;
     case 0:
         crash_node(node);
         break;
@@ -874,13 +1086,18 @@
         region->nodes[i].frozen = false;
         start_node(&region->nodes[i]);
     }
+    for (int i = 0; i < region->endpoints->count; i++) {
+        if (region->endpoints->all[i].draining) {
+            mw_restart_fake_endpoint(&region->endpoints->all[i]);
+        }
+    }
 }
 
 /* All is calm: what was said must be so, and a request is served. */
 static void
 check_promises(struct region *region, uint64_t flows)
 {
-    struct question read = {MW_FLOW_READ_CONFIG, region->acknowledged};
+    struct question read = {MW_FLOW_READ_CONFIG, region->acknowledged, 0};
 
     region->checked = 1;
     for (uint64_t n = 0; n < flows; n++) {
@@ -913,8 +1130,9 @@
         g_snprintf(name, sizeof name, "%c%d", i < cores ? 'c' : 'e', i);
         add_node(region, name, i < cores);
     }
-    found(region);
+    found(region, ENDPOINTS);
     advance(region, 3000000);
+    region->troubled = true;
     until_us = region->now_us + TROUBLE_US;
     while (region->now_us < until_us) {
         advance(region, STEP_US * g_rand_int_range(region->rand, 1, 60));
@@ -935,6 +1153,7 @@
         }
     }
     heal(region);
+    region->troubled = false;
     advance(region, CALM_US);
     check_promises(region, flows);
     clear_nodes(region);
