A start without an answer is stopped in the endpoint's next life before the task runs elsewhere

A start was sent to an endpoint that had started anew under its identifier; the new life carried it out, since an order names its endpoint by identifier alone, and answered with its own birth time. The leader took that for the end of all that ran there and started the task elsewhere.

Change: when a later life shows, by a heartbeat or an answer, only runs that the former life had answered for are over. A start that was sent and not answered, and what an earlier leader recorded, is stopped at the new life and counts as over once its list lacks it. Until its heartbeat says what the new life has, it gets no work.

Ruled out: late orders (those end with the life that holds them), two leaders (one fence number in all traces).

--- a/source/core/flow/flow-answer.c
+++ b/source/core/flow/flow-answer.c
@@ -147,8 +147,11 @@
     if (!endpoint || endpoint->born != call->born) {
         return;
     }
-    if (answer->result == MW_FLOW_OTHER_INCARNATION ||
-        (answer->born != 0 && answer->born != endpoint->born)) {
+    if (answer->born != 0 && answer->born != endpoint->born) {
+        mw_endpoint_started_anew(flows, now_us, endpoint, answer->born);
+        return;
+    }
+    if (answer->result == MW_FLOW_OTHER_INCARNATION) {
         mw_depart_endpoint(flows, now_us, endpoint, "other_incarnation");
         return;
     }
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -92,8 +92,8 @@
                       const struct mw_flow_endpoint *endpoint, int64_t now_us)
 {
     return endpoint->known && !endpoint->departed && endpoint->listed &&
-           endpoint->strays == 0 && !endpoint->beat.draining &&
-           endpoint->silent == 0 &&
+           !endpoint->awaits_beat && endpoint->strays == 0 &&
+           !endpoint->beat.draining && endpoint->silent == 0 &&
            now_us - endpoint->heard_us < MW_HEARD_MAX_US &&
            now_us >= endpoint->sick_deadline_us &&
            !mw_zone_out_has(flows, &endpoint->beat.zone);
@@ -112,6 +112,46 @@
     flows->dirty = true;
 }
 
+/* Whether a start of the run may reach the endpoint's next life. */
+static bool
+may_start_late(const struct mw_place *place)
+{
+    return place->phase == MW_PLACE_STARTING ||
+           place->phase == MW_PLACE_UNKNOWN || place->unanswered;
+}
+
+/*
+ * What ran there is over.  A start that was sent and not answered may have
+ * been carried out by the new life, as orders name an endpoint by its
+ * identifier alone: such a run is stopped there before it counts as over.
+ */
+static void
+end_life(struct mw_flows *flows, int64_t now_us,
+         struct mw_flow_endpoint *endpoint)
+{
+    GPtrArray *places = g_ptr_array_copy(endpoint->places, NULL, NULL);
+
+    mw_endpoint_note(flows, "endpoint_gone", endpoint, "started_anew",
+                     now_us - endpoint->heard_us);
+    for (guint i = 0; i < places->len; i++) {
+        struct mw_place *place = places->pdata[i];
+
+        if (!g_ptr_array_find(endpoint->places, place, NULL)) {
+            continue;
+        }
+        if (may_start_late(place)) {
+            place->phase = MW_PLACE_STOPPING;
+            place->busy = false;
+            place->retry_deadline_us = now_us;
+        }
+        else {
+            mw_lose_run(flows, now_us, place, "started_anew");
+        }
+    }
+    g_ptr_array_unref(places);
+    flows->dirty = true;
+}
+
 void
 mw_depart_endpoint(struct mw_flows *flows, int64_t now_us,
                    struct mw_flow_endpoint *endpoint, const char *why)
@@ -169,6 +209,7 @@
 start_life(struct mw_flow_endpoint *endpoint, uint64_t born)
 {
     endpoint->born = born;
+    endpoint->awaits_beat = false;
     endpoint->known = true;
     endpoint->departed = false;
     endpoint->seen_end = 0;
@@ -193,6 +234,7 @@
     bool was_draining = endpoint->beat.draining;
 
     endpoint->beat = *beat;
+    endpoint->awaits_beat = false;
     endpoint->heard_us = now_us;
     set_rack(endpoint);
     if (beat->clock_us > 0 &&
@@ -226,7 +268,7 @@
         endpoint = mw_new_stub(flows, now_us, &beat->id, beat->born);
     }
     else if (endpoint->born != beat->born) {
-        mw_endpoint_gone(flows, now_us, endpoint, "started_anew");
+        end_life(flows, now_us, endpoint);
         start_life(endpoint, beat->born);
     }
     if (!endpoint->known) {
@@ -236,6 +278,16 @@
     take_beat(flows, now_us, endpoint, beat);
 }
 
+void
+mw_endpoint_started_anew(struct mw_flows *flows, int64_t now_us,
+                         struct mw_flow_endpoint *endpoint, uint64_t born)
+{
+    end_life(flows, now_us, endpoint);
+    start_life(endpoint, born);
+    endpoint->beat.seq = 0;
+    endpoint->awaits_beat = true;
+}
+
 static void
 take_leave(struct mw_flows *flows, int64_t now_us, const struct mw_name *id)
 {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -201,6 +201,8 @@
     /* a record of what it says is on its way, and what that tells */
     bool recording;
     bool recording_draining;
+    /* an answer told of this life; what it has, its heartbeat will say */
+    bool awaits_beat;
     struct mw_unit *reserved_for;
     uint32_t reserved_rank;
     int64_t reserved_deadline_us;
@@ -305,6 +307,10 @@
  */
 void mw_meet_endpoint(struct mw_flows *flows, int64_t now_us,
                       const struct mw_beat *beat, const char *how);
+/* mw_endpoint_started_anew: an answer came from a later life of it. */
+void mw_endpoint_started_anew(struct mw_flows *flows, int64_t now_us,
+                              struct mw_flow_endpoint *endpoint,
+                              uint64_t born);
 /* mw_depart_endpoint: it has left; a later life of it is met again. */
 void mw_depart_endpoint(struct mw_flows *flows, int64_t now_us,
                         struct mw_flow_endpoint *endpoint, const char *why);
