Requests wait for the next leader where one is near, and are refused at once where none can be

Cause: an entry process handed requests to a lost leader for 1.5 s, then refused all for as long as nobody led; in a zone that is cut off the first of them were held until the caller's deadline and ended in 504, while with a mere change of the leader those refused had to come back a second later.

Change: an entry process knows the members of the log and hears their heartbeats. With a majority of them heard and a leader within the last 3 s, a request waits for the next leader, 1 s at most, and is then refused, truthfully, since no leader has seen it. Without a majority it is refused at once, and the process is not ready, after 1 s in place of 1.5.

Lines about zones have a field of their own (zone).

Test: region/entry-cut.

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -23,6 +23,12 @@
 #define MW_FLOW_HEARTBEAT_US 400000
 /* a leader not heard for so long is not handed requests */
 #define MW_FLOW_LEADER_LOST_US 1500000
+/* a member of the log not heard for so long does not count as there */
+#define MW_FLOW_MEMBER_LOST_US 1000000
+/* an election takes less: without a leader for so long none is near */
+#define MW_FLOW_LEADER_OVERDUE_US 3000000
+/* a request waits so long for the next leader before it is refused */
+#define MW_FLOW_NEXT_LEADER_US 1000000
 #define MW_FLOW_CALLS_MAX 4096
 /* operators turn to another process after a second without an answer */
 #define MW_FLOW_FORWARD_US 900000
@@ -139,8 +145,10 @@
 
 struct mw_flow_entry;
 
+/* mw_new_flow_entry: self names a process that is a member of the log. */
 struct mw_flow_entry *
-mw_new_flow_entry(const struct mw_flow_entry_output *output);
+mw_new_flow_entry(const struct mw_flow_entry_output *output,
+                  const struct mw_name *self);
 void mw_drop_flow_entry(struct mw_flow_entry *entry);
 
 /* mw_flow_entry_request: one reply, at the latest at the deadline. */
@@ -154,6 +162,12 @@
                         const struct mw_name *process);
 void mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us);
 int64_t mw_flow_entry_deadline(const struct mw_flow_entry *entry);
+/*
+ * mw_flow_entry_can_serve: whether a leader is there, or soon will be: a
+ * majority of the log's members is heard.
+ */
+bool mw_flow_entry_can_serve(const struct mw_flow_entry *entry,
+                             int64_t now_us);
 /* mw_flow_entry_leader: who is handed requests; empty for nobody. */
 struct mw_name mw_flow_entry_leader(const struct mw_flow_entry *entry,
                                     int64_t now_us);
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -234,6 +234,7 @@
     /* the flow's queue */
     struct mw_name queue;
     struct mw_name endpoint;
+    struct mw_name zone;
     uint32_t run;
     const char *outcome;
     /* age of the input that decided it; -1 for none */
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -1,6 +1,14 @@
 /*
  * flow-entry: requests on their way to the leader, and who that is.
+ *
+ * LOAD   requests that come while the leader is lost.  Where a majority of
+ *        the log's members is heard, the next leader is a moment away: a
+ *        request waits for it, MW_FLOW_NEXT_LEADER_US at most.  Where it is
+ *        not, as in a zone that is cut off, nothing can be served and the
+ *        request is refused at once.
  */
+#include <string.h>
+
 #include "flow-impl.h"
 #include "mimosawind/flow-process.h"
 
@@ -9,18 +17,30 @@
     uint64_t ref;
     struct mw_msg *msg;
     int64_t deadline_us;
+    /* when a call that was never handed over is refused */
+    int64_t leader_deadline_us;
     int64_t taken_us;
     uint32_t handed;
     struct mw_name handed_to;
 };
 
+/* mw_member_heard: a member of the log, and its last heartbeat. */
+struct mw_member_heard {
+    struct mw_name name;
+    int64_t heard_us;
+};
+
 struct mw_flow_entry {
     struct mw_flow_entry_output output;
+    /* a member of the log itself; empty for an entry process */
+    struct mw_name self;
     GHashTable *calls;
     struct mw_name leader;
     uint64_t epoch;
     uint64_t version;
     int64_t heard_us;
+    uint32_t member_count;
+    struct mw_member_heard members[MW_MEMBERS_MAX];
     struct mw_flow_entry_counters counters;
 };
 
@@ -34,11 +54,13 @@
 }
 
 struct mw_flow_entry *
-mw_new_flow_entry(const struct mw_flow_entry_output *output)
+mw_new_flow_entry(const struct mw_flow_entry_output *output,
+                  const struct mw_name *self)
 {
     struct mw_flow_entry *entry = g_new0(struct mw_flow_entry, 1);
 
     entry->output = *output;
+    entry->self = *self;
     entry->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
     return entry;
@@ -60,6 +82,22 @@
            now_us - entry->heard_us < MW_FLOW_LEADER_LOST_US;
 }
 
+/* Whether enough members are heard for one of them to lead soon. */
+static bool
+hears_majority(const struct mw_flow_entry *entry, int64_t now_us)
+{
+    uint32_t heard = 0;
+
+    for (uint32_t i = 0; i < entry->member_count; i++) {
+        const struct mw_member_heard *member = &entry->members[i];
+
+        heard += mw_name_equal(&member->name, &entry->self) ||
+                 (member->heard_us > 0 &&
+                  now_us - member->heard_us < MW_FLOW_MEMBER_LOST_US);
+    }
+    return heard > entry->member_count / 2;
+}
+
 /* The last part of a path: the identifier of a flow. */
 static struct mw_name
 id_in(struct mw_str path)
@@ -99,6 +137,16 @@
     entry->output.reply(entry->output.opaque, &reply);
 }
 
+/* No leader has seen it: that it does not run is true. */
+static void
+refuse_unhanded(struct mw_flow_entry *entry, int64_t now_us, uint64_t ref,
+                struct mw_str path)
+{
+    entry->counters.refused++;
+    note(entry, "refused", "no_leader", now_us - entry->heard_us, path);
+    refuse(entry, ref, MW_ERR_NOT_LEADER);
+}
+
 static void
 hand(struct mw_flow_entry *entry, struct mw_entry_call *call)
 {
@@ -108,6 +156,14 @@
     entry->output.send(entry->output.opaque, &entry->leader, call->msg);
 }
 
+bool
+mw_flow_entry_can_serve(const struct mw_flow_entry *entry, int64_t now_us)
+{
+    return entry->heard_us > 0 &&
+           now_us - entry->heard_us < MW_FLOW_LEADER_OVERDUE_US &&
+           hears_majority(entry, now_us);
+}
+
 void
 mw_flow_entry_request(struct mw_flow_entry *entry, int64_t now_us,
                       const struct mw_flow_request *request,
@@ -116,17 +172,15 @@
     struct mw_entry_call *call;
 
     entry->counters.requests++;
-    if (!has_leader(entry, now_us) ||
+    if (!mw_flow_entry_can_serve(entry, now_us) ||
         g_hash_table_size(entry->calls) >= MW_FLOW_CALLS_MAX) {
-        entry->counters.refused++;
-        note(entry, "refused", "no_leader", now_us - entry->heard_us,
-             request->path);
-        refuse(entry, request->ref, MW_ERR_NOT_LEADER);
+        refuse_unhanded(entry, now_us, request->ref, request->path);
         return;
     }
     call = g_new0(struct mw_entry_call, 1);
     call->ref = request->ref;
     call->deadline_us = deadline_us;
+    call->leader_deadline_us = now_us + MW_FLOW_NEXT_LEADER_US;
     call->taken_us = now_us;
     call->msg = mw_new_msg(MW_MSG_FLOW_CALL);
     call->msg->flow_call.ref = request->ref;
@@ -136,7 +190,9 @@
     call->msg->flow_call.key = mw_new_blob(request->key);
     call->msg->flow_call.body = mw_new_blob(request->body);
     g_hash_table_insert(entry->calls, &call->ref, call);
-    hand(entry, call);
+    if (has_leader(entry, now_us)) {
+        hand(entry, call);
+    }
 }
 
 void
@@ -184,6 +240,38 @@
     }
 }
 
+static void
+set_members(struct mw_flow_entry *entry, const struct mw_heartbeat *beat)
+{
+    struct mw_member_heard members[MW_MEMBERS_MAX] = {{{0}, 0}};
+
+    for (uint32_t i = 0; i < beat->member_count; i++) {
+        members[i].name = beat->members[i];
+        for (uint32_t k = 0; k < entry->member_count; k++) {
+            if (mw_name_equal(&entry->members[k].name, &beat->members[i])) {
+                members[i].heard_us = entry->members[k].heard_us;
+            }
+        }
+    }
+    entry->member_count = beat->member_count;
+    memcpy(entry->members, members, sizeof entry->members);
+}
+
+static void
+hear_member(struct mw_flow_entry *entry, int64_t now_us,
+            const struct mw_name *from, const struct mw_heartbeat *beat)
+{
+    if (beat->member_count > 0 &&
+        (beat->leads_region || entry->member_count == 0)) {
+        set_members(entry, beat);
+    }
+    for (uint32_t i = 0; i < entry->member_count; i++) {
+        if (mw_name_equal(&entry->members[i].name, from)) {
+            entry->members[i].heard_us = now_us;
+        }
+    }
+}
+
 static void
 take_heartbeat(struct mw_flow_entry *entry, int64_t now_us,
                const struct mw_name *from, const struct mw_heartbeat *beat)
@@ -191,6 +279,9 @@
     bool changed =
         !mw_name_equal(from, &entry->leader) || beat->epoch != entry->epoch;
 
+    if (beat->role == MW_ROLE_CONTROL) {
+        hear_member(entry, now_us, from, beat);
+    }
     if (!beat->leads_region || beat->epoch < entry->epoch) {
         return;
     }
@@ -230,6 +321,13 @@
     entry->leader = (struct mw_name){0};
 }
 
+static int64_t
+due_us(const struct mw_entry_call *call)
+{
+    return call->handed > 0 ? call->deadline_us
+                            : MIN(call->deadline_us, call->leader_deadline_us);
+}
+
 static GPtrArray *
 overdue(struct mw_flow_entry *entry, int64_t now_us)
 {
@@ -239,27 +337,38 @@
 
     g_hash_table_iter_init(&iter, entry->calls);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (now_us >= ((struct mw_entry_call *)value)->deadline_us) {
+        if (now_us >= due_us(value)) {
             g_ptr_array_add(calls, value);
         }
     }
     return calls;
 }
 
+static void
+give_up(struct mw_flow_entry *entry, int64_t now_us,
+        struct mw_entry_call *call)
+{
+    uint64_t ref = call->ref;
+    struct mw_str path = mw_blob_str(call->msg->flow_call.path);
+
+    if (call->handed == 0) {
+        refuse_unhanded(entry, now_us, ref, path);
+    }
+    else {
+        entry->counters.timed_out++;
+        note(entry, "timed_out", "no_answer", now_us - call->taken_us, path);
+        refuse(entry, ref, MW_ERR_DEADLINE);
+    }
+    g_hash_table_remove(entry->calls, &ref);
+}
+
 void
 mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us)
 {
     GPtrArray *calls = overdue(entry, now_us);
 
     for (guint i = 0; i < calls->len; i++) {
-        struct mw_entry_call *call = calls->pdata[i];
-        uint64_t ref = call->ref;
-
-        entry->counters.timed_out++;
-        note(entry, "timed_out", "no_answer", now_us - call->taken_us,
-             mw_blob_str(call->msg->flow_call.path));
-        g_hash_table_remove(entry->calls, &ref);
-        refuse(entry, ref, MW_ERR_DEADLINE);
+        give_up(entry, now_us, calls->pdata[i]);
     }
     g_ptr_array_unref(calls);
 }
@@ -273,8 +382,7 @@
 
     g_hash_table_iter_init(&iter, entry->calls);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        deadline_us =
-            MIN(deadline_us, ((struct mw_entry_call *)value)->deadline_us);
+        deadline_us = MIN(deadline_us, due_us(value));
     }
     return deadline_us;
 }
@@ -282,7 +390,7 @@
 bool
 mw_flow_entry_ready(const struct mw_flow_entry *entry, int64_t now_us)
 {
-    return has_leader(entry, now_us) && entry->version > 0;
+    return mw_flow_entry_can_serve(entry, now_us) && entry->version > 0;
 }
 
 struct mw_name
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -59,6 +59,16 @@
     emit(flows, &event);
 }
 
+void
+mw_zone_note(struct mw_flows *flows, const char *name,
+             const struct mw_name *zone, const char *outcome, int64_t age_us)
+{
+    struct mw_flow_event event = {
+        .name = name, .zone = *zone, .outcome = outcome, .age_us = age_us};
+
+    emit(flows, &event);
+}
+
 struct mw_str
 mw_flow_state_word(enum mw_flow_state state)
 {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -15,6 +15,7 @@
  *   flow-pump.c                            what is due: place, order, hold
  *   flow-queue.c, flow-place.c     who is next, and where
  *   flow-reclaim.c                 who makes room
+ *   flow-reserve.c, flow-judge.c   which endpoints to use
  *   flow-order.c                   orders go out
  *
  * A task's replicated state changes only in flow-state.c.  Everything about
@@ -419,6 +420,9 @@
 void mw_place_note(struct mw_flows *flows, const char *name,
                    const struct mw_place *place, const char *outcome,
                    int64_t age_us);
+void mw_zone_note(struct mw_flows *flows, const char *name,
+                  const struct mw_name *zone, const char *outcome,
+                  int64_t age_us);
 void mw_endpoint_note(struct mw_flows *flows, const char *name,
                       const struct mw_flow_endpoint *endpoint,
                       const char *outcome, int64_t age_us);
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -364,8 +364,8 @@
 
     record->zone_out.zone = zone;
     record->zone_out.out = request->kind == MW_FLOW_ZONE_OUT;
-    mw_flow_note(flows, "zone_proposed", &zone,
-                 record->zone_out.out ? "out" : "in");
+    mw_zone_note(flows, "zone_proposed", &zone,
+                 record->zone_out.out ? "out" : "in", -1);
     propose_for(flows, request, record, &zone, 0);
 }
 
@@ -422,22 +422,35 @@
     }
 }
 
-/* The event that says that the record of such a request is committed. */
-static const char *
-committed_event(enum mw_flow_request_kind kind)
+/* The line that says that the record of a request is committed. */
+static void
+note_committed(struct mw_flows *flows, const struct mw_flow_waiter *waiter)
 {
-    switch (kind) {
+    static const char committed[] = "committed";
+    struct mw_flow_endpoint *endpoint;
+
+    switch (waiter->kind) {
     case MW_FLOW_CANCEL:
-        return "cancelled";
+        mw_flow_note(flows, "cancelled", &waiter->name, committed);
+        break;
     case MW_FLOW_DRAIN:
-        return "drain_acknowledged";
+        endpoint = mw_find_flow_endpoint(flows, &waiter->name);
+        if (endpoint) {
+            mw_endpoint_note(flows, "drain_acknowledged", endpoint, committed,
+                             flows->now_us - waiter->asked_us);
+        }
+        break;
     case MW_FLOW_CONFIG:
-        return "config_acknowledged";
+        mw_flow_note(flows, "config_acknowledged", &waiter->name, committed);
+        break;
     case MW_FLOW_ZONE_OUT:
     case MW_FLOW_ZONE_IN:
-        return "zone_acknowledged";
+        mw_zone_note(flows, "zone_acknowledged", &waiter->name, committed,
+                     flows->now_us - waiter->asked_us);
+        break;
     default:
-        return "accepted";
+        mw_flow_note(flows, "accepted", &waiter->name, committed);
+        break;
     }
 }
 
@@ -453,8 +466,7 @@
         }
         g_array_remove_index(flows->waiters, i - 1);
         mw_measure(flows, MW_TIME_COMMIT, flows->now_us - waiter.asked_us);
-        mw_flow_note(flows, committed_event(waiter.kind), &waiter.name,
-                     "committed");
+        note_committed(flows, &waiter);
         send_done(flows, waiter.ref,
                   waiter.kind == MW_FLOW_SUBMIT ? MW_REPLY_ACCEPTED
                                                 : MW_REPLY_DONE);
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -141,6 +141,9 @@
         json_object_set_new(line, "endpoint",
                             text(mw_name_str(&event->endpoint)));
     }
+    if (event->zone.len > 0) {
+        json_object_set_new(line, "zone", text(mw_name_str(&event->zone)));
+    }
     if (event->age_us >= 0) {
         json_object_set_new(line, "age_us", json_integer(event->age_us));
     }
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -104,7 +104,7 @@
     t->task = task;
     t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
     t->key = mw_new_blob(MW_REGION_LINK_KEY);
-    t->entry = mw_new_flow_entry(&output);
+    t->entry = mw_new_flow_entry(&output, &t->setup.name);
     t->heartbeat_deadline_us = mw_now();
     mw_log_change(t->log, mw_now(), "start", mw_name_str(&t->setup.zone),
                   "entry");
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -127,9 +127,9 @@
         strcmp(e->name, "stop") == 0) {
         return;
     }
-    mw_say(st->script, "  - %s %s %.*s%s%.*s", e->name, e->outcome,
-           MW_FMT(mw_name_str(&e->flow)), e->endpoint.len ? " " : "",
-           MW_FMT(mw_name_str(&e->endpoint)));
+    mw_say(st->script, "  - %s %s %.*s%.*s%s%.*s", e->name, e->outcome,
+           MW_FMT(mw_name_str(&e->flow)), MW_FMT(mw_name_str(&e->zone)),
+           e->endpoint.len ? " " : "", MW_FMT(mw_name_str(&e->endpoint)));
 }
 
 static void
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -492,7 +492,7 @@
     node->life = ++node->region->lives;
     node->frozen = false;
     if (!node->core) {
-        node->entry = mw_new_flow_entry(&output);
+        node->entry = mw_new_flow_entry(&output, &node->name);
         return;
     }
     node->incarnation = ++node->region->next_incarnation;
