A soak of the real programs under faults from outside

Faults by signals (stop, pause, kill, SIGHUP, planned stop with restart), by proxies in front of entry processes and endpoints (delay, reset, one way, silence), by lost disks and torn logs, by endpoints that drain or start anew. Callers keep their connections. Checked: no task runs at two places or after its end was acknowledged, nothing starts at an endpoint that drains (2 s), no version read is older than one acknowledged, no accepted job is unknown or fails to end, no refused one runs, no process ends by itself, planned stops exit with 0.

A seed fixes what is done; when follows the clock.

Not covered: clocks (the product reads the time of day for due times alone), a full disk, partitions between core processes (they are known by their addresses, so no proxy can stand between them; region/seeds plays those).

--- a/Makefile
+++ b/Makefile
@@ -138,6 +138,15 @@
 soak: $(BUILD)/check
 	MW_SEEDS=$(or $(SEEDS),300) $(BUILD)/check seeds
 
+# the real programs under faults from outside: make soak-processes FIRST=1
+# SEEDS=50 SECONDS=20
+$(BUILD)/run-soak: $(call object,$(wildcard tests/soak/*.c) tests/region-endpoint.c) \
+		$(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
+
+soak-processes: all $(BUILD)/run-soak
+	$(BUILD)/run-soak $(or $(FIRST),1) $(or $(SEEDS),5) $(or $(SECONDS),20)
+
 # formatter and linters clean, and the core without input or output
 SOURCES := $(shell find source include platform bench tests -name '*.[ch]' | \
 	grep -v '\.pb-c\.')
@@ -174,4 +183,4 @@
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 .PHONY: all check bench plots slopes load proofs model model-faults mutants \
-	fuzz soak lint demo target clean
+	fuzz soak soak-processes lint demo target clean
