A member that was replaced does not count against those that are left

An entry process counted the slots of the log as its members, also one whose owner had been replaced for good. With four slots and two of the three members up it heard no majority and refused every request, though a leader was there.

Change: members that were not heard for 10 s do not count, and a leader heard within the last second is enough by itself. A call that a process refuses since it leads no longer waits for the next leader too, as no leader has seen it.

Test: region/entry-replaced, seen failing first (503 to a caller and to an operator with a leader in place).

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -25,6 +25,8 @@
 #define MW_FLOW_LEADER_LOST_US 1500000
 /* a member of the log not heard for so long does not count as there */
 #define MW_FLOW_MEMBER_LOST_US 1000000
+/* one not heard for so long may have been replaced */
+#define MW_FLOW_MEMBER_GONE_US 10000000
 /* an election takes less: without a leader for so long none is near */
 #define MW_FLOW_LEADER_OVERDUE_US 3000000
 /* a request waits so long for the next leader before it is refused */
@@ -163,8 +165,8 @@
 void mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us);
 int64_t mw_flow_entry_deadline(const struct mw_flow_entry *entry);
 /*
- * mw_flow_entry_can_serve: whether a leader is there, or soon will be: a
- * majority of the log's members is heard.
+ * mw_flow_entry_can_serve: whether a leader is there, or soon will be: one
+ * was heard of late, and is still, or a majority of the log's members is.
  */
 bool mw_flow_entry_can_serve(const struct mw_flow_entry *entry,
                              int64_t now_us);
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -82,20 +82,32 @@
            now_us - entry->heard_us < MW_FLOW_LEADER_LOST_US;
 }
 
-/* Whether enough members are heard for one of them to lead soon. */
+static bool
+was_heard(const struct mw_flow_entry *entry,
+          const struct mw_member_heard *member, int64_t now_us,
+          int64_t within_us)
+{
+    return mw_name_equal(&member->name, &entry->self) ||
+           (member->heard_us > 0 && now_us - member->heard_us < within_us);
+}
+
+/*
+ * Whether enough members are heard for one of them to lead soon.  One that
+ * was not heard for long may have been replaced and counts for nothing.
+ */
 static bool
 hears_majority(const struct mw_flow_entry *entry, int64_t now_us)
 {
     uint32_t heard = 0;
+    uint32_t there = 0;
 
     for (uint32_t i = 0; i < entry->member_count; i++) {
         const struct mw_member_heard *member = &entry->members[i];
 
-        heard += mw_name_equal(&member->name, &entry->self) ||
-                 (member->heard_us > 0 &&
-                  now_us - member->heard_us < MW_FLOW_MEMBER_LOST_US);
+        heard += was_heard(entry, member, now_us, MW_FLOW_MEMBER_LOST_US);
+        there += was_heard(entry, member, now_us, MW_FLOW_MEMBER_GONE_US);
     }
-    return heard > entry->member_count / 2;
+    return heard > there / 2;
 }
 
 /* The last part of a path: the identifier of a flow. */
@@ -159,8 +171,12 @@
 bool
 mw_flow_entry_can_serve(const struct mw_flow_entry *entry, int64_t now_us)
 {
-    return entry->heard_us > 0 &&
-           now_us - entry->heard_us < MW_FLOW_LEADER_OVERDUE_US &&
+    int64_t unheard_us = now_us - entry->heard_us;
+
+    if (entry->heard_us == 0 || unheard_us >= MW_FLOW_LEADER_OVERDUE_US) {
+        return false;
+    }
+    return unheard_us < MW_FLOW_MEMBER_LOST_US ||
            hears_majority(entry, now_us);
 }
 
@@ -220,6 +236,11 @@
         msg->error == MW_ERR_DEADLINE ||
         (msg->error == MW_ERR_NOT_LEADER && call && call->handed > 1);
 
+    if (call && msg->error == MW_ERR_NOT_LEADER && call->handed == 1) {
+        /* it has not been seen by a leader yet: it may wait for the next */
+        call->handed = 0;
+        return;
+    }
     if (!call || (msg->kind == MW_REPLY_ERROR && undecided)) {
         /* the next leader is asked, or the deadline ends it */
         return;
