Requests that wait are handed to a leader that has its lease back

A request that a leader without a lease refused waited for the next leader alone; the same one back within a moment did not get it, and it was refused after 1 s.

Change: each heartbeat of the leader hands over what waits. A refusal by a process that never heard a leader no longer tells an age.

--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -155,7 +155,8 @@
                 struct mw_str path)
 {
     entry->counters.refused++;
-    note(entry, "refused", "no_leader", now_us - entry->heard_us, path);
+    note(entry, "refused", "no_leader",
+         entry->heard_us > 0 ? now_us - entry->heard_us : -1, path);
     refuse(entry, ref, MW_ERR_NOT_LEADER);
 }
 
@@ -249,15 +250,20 @@
     entry->output.reply(entry->output.opaque, &reply);
 }
 
+/* To a leader that is new all calls, else those that wait for one. */
 static void
-hand_all(struct mw_flow_entry *entry)
+hand_calls(struct mw_flow_entry *entry, bool all)
 {
     GHashTableIter iter;
     gpointer value;
 
     g_hash_table_iter_init(&iter, entry->calls);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        hand(entry, value);
+        struct mw_entry_call *call = value;
+
+        if (all || call->handed == 0) {
+            hand(entry, call);
+        }
     }
 }
 
@@ -309,13 +315,14 @@
     entry->heard_us = now_us;
     entry->version = beat->version[MW_PRODUCTION];
     if (!changed) {
+        hand_calls(entry, false);
         return;
     }
     entry->leader = *from;
     entry->epoch = beat->epoch;
     entry->counters.leaders++;
     note(entry, "leader", "found", 0, MW_STR(""));
-    hand_all(entry);
+    hand_calls(entry, true);
 }
 
 void
