--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -106,6 +106,8 @@
     struct mw_fake_endpoints *endpoints;
     int64_t now_us;
     uint64_t next_ref;
+    /* how many members the log is to have */
+    uint32_t target;
     uint64_t lives;
     uint64_t next_incarnation;
     bool quiet;
@@ -435,7 +437,7 @@
         .incarnation = node->incarnation,
         .member_count = node->member_count,
         .founding_count = MIN(node->member_count, 3),
-        .target = 3,
+        .target = region->target,
         .compact_after = 60,
         .seed = (uint32_t)(node->index + 1) * 31 + (uint32_t)node->incarnation,
         .now_us = region->now_us,
@@ -786,6 +788,7 @@
 
     region->now_us = START_US;
     region->next_incarnation = 100;
+    region->target = 3;
     region->flights = g_ptr_array_new_with_free_func(free_flight);
     region->calls = g_ptr_array_new_with_free_func(free_call);
     region->fault = g_string_new(NULL);
@@ -847,14 +850,15 @@
     return node;
 }
 
-/* region CORES ENTRIES [endpoints=N]: c1.. and e1.., started for the first
- * time */
+/* region CORES ENTRIES [endpoints=N] [target=N]: c1.. and e1.., started for
+ * the first time */
 static void
 cmd_region(struct mw_script *s)
 {
     struct region *region = enter(s);
     char name[16];
 
+    region->target = (uint32_t)mw_option_int(s, "target", 3);
     for (int kind = 0; kind < 2; kind++) {
         for (int i = 1; i <= atoi(mw_word(s, 1 + kind)); i++) {
             g_snprintf(name, sizeof name, "%c%d", "ce"[kind], i);
