--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -97,6 +97,8 @@
 struct region {
     struct mw_script *script;
     int count;
+    /* how many members the log is to have */
+    uint32_t target;
     struct node nodes[NODES_MAX];
     bool cut[NODES_MAX][NODES_MAX];
     int64_t cut_since_us[NODES_MAX][NODES_MAX];
@@ -106,8 +108,6 @@
     struct mw_fake_endpoints *endpoints;
     int64_t now_us;
     uint64_t next_ref;
-    /* how many members the log is to have */
-    uint32_t target;
     uint64_t lives;
     uint64_t next_incarnation;
     bool quiet;
