--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -268,6 +268,11 @@
     struct mw_name zone;
     uint32_t run;
     const char *outcome;
+    /* the flow that causes the decision about another */
+    struct mw_name cause;
+    /* tasks that need a place, and those that would fit; 0 and 0 for none */
+    uint32_t wanted;
+    uint32_t capacity;
     /* age of the information behind the decision; -1 for none */
     int64_t age_us;
     /* of the configuration */
@@ -314,6 +319,10 @@
     /* runs that are over without a listed end */
     uint64_t lost_runs;
     uint64_t preempted;
+    /* preemptions for guaranteed work that found too few runs to stop */
+    uint64_t preemptions_impossible;
+    /* reservations that expired before their group was placed */
+    uint64_t reservations_expired;
     uint64_t quarantined;
 };
 
@@ -329,7 +338,9 @@
     MW_LATENCY_RUN = 3,
     /* from the acceptance of a flow to its end */
     MW_LATENCY_FLOW = 4,
-    MW_FLOW_LATENCIES = 5
+    /* from a guaranteed step being ready until all its tasks have started */
+    MW_LATENCY_RECLAIM = 5,
+    MW_FLOW_LATENCIES = 6
 };
 
 /* bucket i counts latencies below 2^i milliseconds; the last, all others */
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -46,6 +46,45 @@
     emit(flows, &event);
 }
 
+void
+mw_emit_preempted_event(struct mw_flows *flows,
+                        const struct mw_task_placement *victim,
+                        const struct mw_task_group *group, int64_t age_us)
+{
+    struct mw_task_id id = mw_placed_task_id(victim);
+    struct mw_flow_event event = {
+        .name = "preempted",
+        .task = &id,
+        .flow = id.flow,
+        .endpoint = victim->endpoint->id,
+        .run = victim->run,
+        .outcome = "for_urgent_work",
+        .cause = group->flow->id,
+        .age_us = age_us,
+    };
+
+    emit(flows, &event);
+}
+
+void
+mw_emit_task_group_event(struct mw_flows *flows, const char *name,
+                         const struct mw_task_group *group,
+                         const char *outcome, uint32_t wanted,
+                         uint32_t capacity, int64_t age_us)
+{
+    struct mw_flow_event event = {
+        .name = name,
+        .flow = group->flow->id,
+        .queue = group->flow->route.name,
+        .outcome = outcome,
+        .wanted = wanted,
+        .capacity = capacity,
+        .age_us = age_us,
+    };
+
+    emit(flows, &event);
+}
+
 void
 mw_emit_flow_endpoint_event(struct mw_flows *flows, const char *name,
                             const struct mw_flow_endpoint *endpoint,
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -148,6 +148,8 @@
     int64_t ready_us;
     /* a start command has been sent */
     bool started;
+    /* all its tasks have started */
+    bool complete;
     /*
      * 0 and 1 are urgent: priority 0 within its organisation's guarantee, and
      * beyond it.  From 2 on it is the priority plus 1; urgent work that is
@@ -164,6 +166,8 @@
     uint32_t preemption_count;
     /* when it may preempt, or reserve, again */
     int64_t preemption_deadline_us;
+    /* endpoints are reserved for the tasks of a preemption */
+    bool awaiting_victims;
 };
 
 /* mw_flow: a flow, with the groups of each occurrence in a row. */
@@ -451,6 +455,11 @@
                                struct mw_task_group *group, uint32_t tasks,
                                int64_t now_us);
 
+/* flow-measure.c */
+/* measures how long a guaranteed group waited, once all tasks have started */
+void mw_measure_reclaim(struct mw_flows *flows, struct mw_task_group *group,
+                        int64_t now_us);
+
 /* flow-command.c */
 void mw_send_start(struct mw_flows *flows, int64_t now_us,
                    struct mw_task_placement *placement);
@@ -515,6 +524,16 @@
 void mw_emit_task_event(struct mw_flows *flows, const char *name,
                         const struct mw_task_placement *placement,
                         const char *outcome, int64_t age_us);
+/* the victim is stopped for the group */
+void mw_emit_preempted_event(struct mw_flows *flows,
+                             const struct mw_task_placement *victim,
+                             const struct mw_task_group *group,
+                             int64_t age_us);
+/* wanted and capacity: see mw_flow_event */
+void mw_emit_task_group_event(struct mw_flows *flows, const char *name,
+                              const struct mw_task_group *group,
+                              const char *outcome, uint32_t wanted,
+                              uint32_t capacity, int64_t age_us);
 void mw_emit_flow_zone_event(struct mw_flows *flows, const char *name,
                              const struct mw_name *zone, const char *outcome,
                              int64_t age_us);
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -254,7 +254,8 @@
 }
 
 static void
-preempt(struct mw_flows *flows, GPtrArray *victims, int64_t now_us)
+preempt(struct mw_flows *flows, const struct mw_task_group *group,
+        GPtrArray *victims, int64_t now_us)
 {
     for (guint i = 0; i < victims->len; i++) {
         struct mw_task_placement *placement = victims->pdata[i];
@@ -264,8 +265,8 @@
         }
         flows->counters.preempted++;
         placement->group->preemption_count++;
-        mw_emit_task_event(flows, "preempted", placement, "for_urgent_work",
-                           now_us - placement->started_us);
+        mw_emit_preempted_event(flows, placement, group,
+                                now_us - placement->started_us);
         if (placement->group->step->gang) {
             mw_stop_task_group(flows, now_us, placement->group);
         }
@@ -288,6 +289,51 @@
     }
 }
 
+/* Tasks of the group that fit now on the endpoints reserved for it. */
+static uint32_t
+reserved_capacity(const struct mw_flows *flows,
+                  const struct mw_task_group *group)
+{
+    uint32_t capacity = 0;
+
+    for (guint i = 0; i < flows->usable->len; i++) {
+        const struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
+
+        if (endpoint->reserved_for == group) {
+            capacity += mw_tasks_that_fit(&endpoint->heartbeat.total,
+                                          &endpoint->used, &group->step->need);
+        }
+    }
+    return capacity;
+}
+
+/* The group was not placed before the reservation of its victims expired. */
+static void
+report_expired_reservation(struct mw_flows *flows, struct mw_task_group *group,
+                           uint32_t tasks, int64_t now_us)
+{
+    uint32_t capacity = reserved_capacity(flows, group);
+
+    group->awaiting_victims = false;
+    flows->counters.reservations_expired++;
+    mw_emit_task_group_event(flows, "reservation_expired", group,
+                             capacity >= tasks ? "not_used" : "not_free",
+                             tasks, capacity, now_us - group->ready_us);
+}
+
+static void
+report_impossible_preemption(struct mw_flows *flows,
+                             const struct mw_task_group *group,
+                             const char *outcome, uint32_t tasks,
+                             uint32_t capacity, int64_t now_us)
+{
+    if (group->rank == 0) {
+        flows->counters.preemptions_impossible++;
+        mw_emit_task_group_event(flows, "preemption", group, outcome, tasks,
+                                 capacity, now_us - group->ready_us);
+    }
+}
+
 void
 mw_preempt_for_task_group(struct mw_flows *flows, struct mw_task_group *group,
                           uint32_t tasks, int64_t now_us)
@@ -300,11 +346,16 @@
     if (group->rank >= 2 || now_us < group->preemption_deadline_us) {
         return;
     }
+    if (group->awaiting_victims) {
+        report_expired_reservation(flows, group, tasks, now_us);
+    }
     if (group->step->prefer_one_rack) {
         rack = cheapest_rack(flows, group, tasks, now_us);
     }
     group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
     if (!rack && !mw_may_span_racks(flows, group, now_us, tasks)) {
+        report_impossible_preemption(flows, group, "waits_for_rack", tasks, 0,
+                                     now_us);
         return;
     }
     victims = g_ptr_array_new();
@@ -314,8 +365,13 @@
     if (plan.capacity >= (group->step->gang ? tasks : 1)) {
         group->preemption_deadline_us =
             now_us + flows->limits.stop_timeout_us + MW_RESERVATION_MARGIN_US;
+        group->awaiting_victims = true;
         reserve_endpoints(selected, group, group->preemption_deadline_us);
-        preempt(flows, victims, now_us);
+        preempt(flows, group, victims, now_us);
+    }
+    else {
+        report_impossible_preemption(flows, group, "too_few_victims", tasks,
+                                     plan.capacity, now_us);
     }
     g_ptr_array_unref(victims);
     g_ptr_array_unref(selected);
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -278,6 +278,7 @@
         placement->started_us = now_us;
         placement->last_response_us = now_us;
         mw_emit_task_event(flows, "run_seen", placement, "running", 0);
+        mw_measure_reclaim(flows, placement->group, now_us);
         if (placement->group->flow->state != MW_FLOW_ACTIVE) {
             mw_stop_task_placement(flows, now_us, placement);
         }
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -239,6 +239,7 @@
         }
     }
     if (found > 0) {
+        group->awaiting_victims = false;
         propose_runs(flows, group, chosen);
     }
     if (found < waiting && group->rank == 2) {
@@ -377,6 +378,7 @@
         for (uint32_t u = 0; u < flow->group_count; u++) {
             flow->groups[u].ready_us = 0;
             flow->groups[u].preemption_deadline_us = 0;
+            flow->groups[u].awaiting_victims = false;
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
             }
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -152,6 +152,14 @@
         json_object_set_new(line, "zone",
                             json_text(mw_name_str(&event->zone)));
     }
+    if (event->cause.len > 0) {
+        json_object_set_new(line, "cause",
+                            json_text(mw_name_str(&event->cause)));
+    }
+    if (event->wanted > 0) {
+        json_object_set_new(line, "wanted", json_integer(event->wanted));
+        json_object_set_new(line, "capacity", json_integer(event->capacity));
+    }
     if (event->age_us >= 0) {
         json_object_set_new(line, "age_us", json_integer(event->age_us));
     }
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -643,6 +643,8 @@
     COUNTER(failures);
     COUNTER(lost_runs);
     COUNTER(preempted);
+    COUNTER(preemptions_impossible);
+    COUNTER(reservations_expired);
     COUNTER(quarantined);
     g_string_append_printf(
         out,
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -139,9 +139,15 @@
         return;
     }
     mw_script_printf(
-        st->script, "  - %s %s %.*s%.*s%s%.*s", event->name, event->outcome,
-        MW_FMT(mw_name_str(&event->flow)), MW_FMT(mw_name_str(&event->zone)),
-        event->endpoint.len ? " " : "", MW_FMT(mw_name_str(&event->endpoint)));
+        st->script, "  - %s %s %.*s%.*s%s%.*s%s%.*s", event->name,
+        event->outcome, MW_FMT(mw_name_str(&event->flow)),
+        MW_FMT(mw_name_str(&event->zone)), event->endpoint.len ? " " : "",
+        MW_FMT(mw_name_str(&event->endpoint)), event->cause.len ? " for " : "",
+        MW_FMT(mw_name_str(&event->cause)));
+    if (event->wanted > 0) {
+        mw_script_printf(st->script, "      %u of %u tasks fit",
+                         event->capacity, event->wanted);
+    }
 }
 
 static void
