--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -51,6 +51,8 @@
     GArray *first_refs;
     bool manual_lists;
     bool quiet_events;
+    /* API key of the next requests */
+    struct mw_name key;
 };
 
 static int
@@ -176,6 +178,7 @@
 
     st->now_us = START_US;
     st->fence = 1;
+    st->key = mw_name_from("k1");
     st->uncommitted =
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
     st->sent = g_array_new(FALSE, TRUE, sizeof(struct sent_command));
@@ -400,7 +403,7 @@
         .kind = kind,
         .host = mw_str_from("h.example"),
         .path = mw_str_from(path),
-        .key = mw_str_from("k1"),
+        .key = mw_name_str(&st->key),
         .body = mw_str_from(body),
     };
 
@@ -422,18 +425,27 @@
     return at ? at : "";
 }
 
+/* key KEY: the next requests come from the organisation with this API key */
+static void
+cmd_key(struct mw_script *s)
+{
+    script_state(s)->key = mw_name_from(mw_script_word(s, 1));
+}
+
 static void
 cmd_config(struct mw_script *s)
 {
     send_request(s, MW_FLOW_CONFIG, "", s->rest);
 }
 
-/* setup [guaranteed=GPUS]: three queues by priority and an organisation */
+/* setup [version=N guaranteed=GPUS other=GPUS]: three queues by priority, the
+ * organisations org, with key k1, and other, with key k2, and their
+ * guarantees */
 static void
 cmd_setup(struct mw_script *s)
 {
     char *text = g_strdup_printf(
-        "{\"version\":1,\"services\":[{\"name\":\"svc\"}],\"routes\":["
+        "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],\"routes\":["
         "{\"name\":\"urgent\",\"host\":\"h.example\",\"path-prefix\":\"/u/\","
         "\"service\":\"svc\",\"priority\":0,\"max-attempts\":2,"
         "\"slack-factor\":1.5,\"target-latency-ms\":250,\"timeout-ms\":3000},"
@@ -444,8 +456,12 @@
         "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
         "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
         "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
+        "\"guaranteed\":{\"gpus\":%d}},"
+        "{\"name\":\"other\",\"api-keys\":[\"k2\"],"
         "\"guaranteed\":{\"gpus\":%d}}]}",
-        (int)mw_script_option_int(s, "guaranteed", 16));
+        (int)mw_script_option_int(s, "version", 1),
+        (int)mw_script_option_int(s, "guaranteed", 16),
+        (int)mw_script_option_int(s, "other", 0));
 
     send_request(s, MW_FLOW_CONFIG, "", text);
     g_free(text);
@@ -661,6 +677,7 @@
     {"suspend", 1, cmd_suspend},
     {"quiet", 1, cmd_quiet},
     {"heartbeat", 1, cmd_heartbeat},
+    {"key", 1, cmd_key},
     {"config", 0, cmd_config},
     {"setup", 0, cmd_setup},
     {"read-config", 0, cmd_read_config},
