Guaranteed work stops urgent work beyond other organisations' guarantees

Cause: whether a run may be stopped was decided by the priority of its queue. All runs of priority 0 were kept, also those of an organisation beyond its guarantee, which only borrows the accelerators.

Change: a group within the guarantee may stop every run that is not within one, where stopping less urgent work does not suffice. The accelerators that are then kept are those within guarantees, which are fewer than there are. Work of priority 0 costs most and is stopped last.

--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -7,6 +7,10 @@
  *        costs least; gangs are stopped as a whole.  The endpoints are then
  *        reserved for the urgent tasks until the victims have ended.
  *
+ *        Urgent jobs of organisations beyond their guarantees, which fill
+ *        the endpoints.  A group within its organisation's guarantee stops
+ *        them, too, where too little other work can be stopped.
+ *
  *        A less urgent gang preempts nothing.  The endpoints where the runs in
  *        its way end soonest are reserved for it.
  */
@@ -26,6 +30,17 @@
 #define GANG_RESERVED_ONE_IN 3
 /* an accelerator costs as much as this many cores */
 #define GPU_CORES 8
+/* lost work of queues of priority 0 and 1 costs so much more, in times */
+#define URGENT_COST_FACTOR 4
+#define PRIORITY_1_COST_FACTOR 2
+
+/* victim_scope: the runs that a preemption may stop. */
+enum victim_scope {
+    /* of less urgent queues */
+    VICTIMS_LESS_URGENT = 0,
+    /* all that are not within a guarantee */
+    VICTIMS_NOT_GUARANTEED = 1
+};
 
 /* preemption_plan: what a preemption in one rack, or in all, would yield. */
 struct preemption_plan {
@@ -45,10 +60,20 @@
  */
 static bool
 can_be_displaced(const struct mw_task_placement *placement,
-                 const struct mw_task_group *group)
+                 const struct mw_task_group *group, enum victim_scope scope)
+{
+    if (placement->phase != MW_PLACEMENT_RUNNING) {
+        return false;
+    }
+    return group->rank >= 2 || placement->group->flow->route.priority > 0 ||
+           (scope == VICTIMS_NOT_GUARANTEED && placement->group->rank > 0);
+}
+
+/* Only a guarantee justifies that urgent work is stopped. */
+static enum victim_scope
+widest_scope(const struct mw_task_group *group)
 {
-    return placement->phase == MW_PLACEMENT_RUNNING &&
-           (group->rank >= 2 || placement->group->flow->route.priority > 0);
+    return group->rank == 0 ? VICTIMS_NOT_GUARANTEED : VICTIMS_LESS_URGENT;
 }
 
 static bool
@@ -58,6 +83,16 @@
            placement->phase == MW_PLACEMENT_STOPPED;
 }
 
+/* The least urgent work is stopped first. */
+static uint64_t
+urgency_factor(const struct mw_task_group *group)
+{
+    if (group->flow->route.priority == 0) {
+        return URGENT_COST_FACTOR;
+    }
+    return group->rank >= 3 ? 1 : PRIORITY_1_COST_FACTOR;
+}
+
 /*
  * Returns the work that is lost, in thousandths of core-milliseconds.  Steps
  * with checkpoints lose little.  Each earlier preemption of the group raises
@@ -78,8 +113,7 @@
     if (group->step->gang) {
         weight *= group->step->count;
     }
-    /* the least urgent work is stopped first */
-    return ran_ms * weight * (group->rank >= 3 ? 1 : 2) *
+    return ran_ms * weight * urgency_factor(group) *
            (1 + group->preemption_count);
 }
 
@@ -124,8 +158,9 @@
  */
 static uint32_t
 plan_endpoint(struct mw_flow_endpoint *endpoint,
-              const struct mw_task_group *group, int64_t now_us,
-              uint32_t wanted, GPtrArray *victims, uint64_t *cost)
+              const struct mw_task_group *group, enum victim_scope scope,
+              int64_t now_us, uint32_t wanted, GPtrArray *victims,
+              uint64_t *cost)
 {
     cost_function cost_of_run =
         group->rank < 2 ? preemption_cost : remaining_time;
@@ -140,7 +175,7 @@
         if (is_stopping(placement)) {
             subtract(&used, &placement->need);
         }
-        else if (can_be_displaced(placement, group)) {
+        else if (can_be_displaced(placement, group, scope)) {
             g_ptr_array_add(placements, placement);
         }
     }
@@ -203,15 +238,16 @@
  */
 static struct preemption_plan
 plan_preemption(struct mw_flows *flows, const struct mw_task_group *group,
-                const struct mw_name *rack, uint32_t tasks, int64_t now_us,
-                GPtrArray *victims, GPtrArray *selected)
+                const struct mw_name *rack, enum victim_scope scope,
+                uint32_t tasks, int64_t now_us, GPtrArray *victims,
+                GPtrArray *selected)
 {
     GPtrArray *endpoints = eligible_endpoints(flows, group, rack, now_us);
     struct preemption_plan plan = {.rack = rack};
 
     for (guint i = 0; i < endpoints->len && plan.capacity < tasks; i++) {
         uint32_t capacity =
-            plan_endpoint(endpoints->pdata[i], group, now_us,
+            plan_endpoint(endpoints->pdata[i], group, scope, now_us,
                           tasks - plan.capacity, victims, &plan.cost);
 
         plan.capacity += capacity;
@@ -225,7 +261,7 @@
 
 static const struct mw_name *
 cheapest_rack(struct mw_flows *flows, const struct mw_task_group *group,
-              uint32_t tasks, int64_t now_us)
+              enum victim_scope scope, uint32_t tasks, int64_t now_us)
 {
     GPtrArray *victims = g_ptr_array_new();
     GPtrArray *selected = g_ptr_array_new();
@@ -242,8 +278,8 @@
         rack = &endpoint->rack;
         g_ptr_array_set_size(victims, 0);
         g_ptr_array_set_size(selected, 0);
-        plan = plan_preemption(flows, group, rack, tasks, now_us, victims,
-                               selected);
+        plan = plan_preemption(flows, group, rack, scope, tasks, now_us,
+                               victims, selected);
         if (plan.capacity >= tasks && plan.cost < best.cost) {
             best = plan;
         }
@@ -334,47 +370,93 @@
     }
 }
 
+/*
+ * Stops runs in one rack, or in all if rack is NULL, if that makes room for so
+ * many tasks as are required.  Returns for how many it would.
+ */
+static uint32_t
+preempt_in(struct mw_flows *flows, struct mw_task_group *group,
+           const struct mw_name *rack, enum victim_scope scope, uint32_t tasks,
+           uint32_t required, int64_t now_us)
+{
+    GPtrArray *victims = g_ptr_array_new();
+    GPtrArray *selected = g_ptr_array_new();
+    struct preemption_plan plan = plan_preemption(
+        flows, group, rack, scope, tasks, now_us, victims, selected);
+
+    if (plan.capacity >= required) {
+        group->preemption_deadline_us =
+            now_us + flows->limits.stop_timeout_us + MW_RESERVATION_MARGIN_US;
+        group->awaiting_victims = true;
+        reserve_endpoints(selected, group, group->preemption_deadline_us);
+        preempt(flows, group, victims, now_us);
+    }
+    g_ptr_array_unref(victims);
+    g_ptr_array_unref(selected);
+    return plan.capacity;
+}
+
+static bool
+preempt_in_one_rack(struct mw_flows *flows, struct mw_task_group *group,
+                    uint32_t tasks, int64_t now_us)
+{
+    enum victim_scope widest = widest_scope(group);
+    const struct mw_name *rack = NULL;
+
+    for (enum victim_scope s = VICTIMS_LESS_URGENT; s <= widest; s++) {
+        rack = cheapest_rack(flows, group, s, tasks, now_us);
+        if (rack) {
+            preempt_in(flows, group, rack, s, tasks, tasks, now_us);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Fewer than all tasks are enough in the widest scope, except for a gang. */
+static void
+preempt_anywhere(struct mw_flows *flows, struct mw_task_group *group,
+                 uint32_t tasks, int64_t now_us)
+{
+    enum victim_scope widest = widest_scope(group);
+    uint32_t capacity = 0;
+    uint32_t required = tasks;
+
+    for (enum victim_scope s = VICTIMS_LESS_URGENT; s <= widest; s++) {
+        if (s == widest && !group->step->gang) {
+            required = 1;
+        }
+        capacity = preempt_in(flows, group, NULL, s, tasks, required, now_us);
+        if (capacity >= required) {
+            return;
+        }
+    }
+    report_impossible_preemption(flows, group, "too_few_victims", tasks,
+                                 capacity, now_us);
+}
+
 void
 mw_preempt_for_task_group(struct mw_flows *flows, struct mw_task_group *group,
                           uint32_t tasks, int64_t now_us)
 {
-    const struct mw_name *rack = NULL;
-    GPtrArray *victims;
-    GPtrArray *selected;
-    struct preemption_plan plan;
-
     if (group->rank >= 2 || now_us < group->preemption_deadline_us) {
         return;
     }
     if (group->awaiting_victims) {
         report_expired_reservation(flows, group, tasks, now_us);
     }
-    if (group->step->prefer_one_rack) {
-        rack = cheapest_rack(flows, group, tasks, now_us);
-    }
     group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
-    if (!rack && !mw_may_span_racks(flows, group, now_us, tasks)) {
-        report_impossible_preemption(flows, group, "waits_for_rack", tasks, 0,
-                                     now_us);
+    if (group->step->prefer_one_rack &&
+        preempt_in_one_rack(flows, group, tasks, now_us)) {
         return;
     }
-    victims = g_ptr_array_new();
-    selected = g_ptr_array_new();
-    plan =
-        plan_preemption(flows, group, rack, tasks, now_us, victims, selected);
-    if (plan.capacity >= (group->step->gang ? tasks : 1)) {
-        group->preemption_deadline_us =
-            now_us + flows->limits.stop_timeout_us + MW_RESERVATION_MARGIN_US;
-        group->awaiting_victims = true;
-        reserve_endpoints(selected, group, group->preemption_deadline_us);
-        preempt(flows, group, victims, now_us);
+    if (mw_may_span_racks(flows, group, now_us, tasks)) {
+        preempt_anywhere(flows, group, tasks, now_us);
     }
     else {
-        report_impossible_preemption(flows, group, "too_few_victims", tasks,
-                                     plan.capacity, now_us);
+        report_impossible_preemption(flows, group, "waits_for_rack", tasks, 0,
+                                     now_us);
     }
-    g_ptr_array_unref(victims);
-    g_ptr_array_unref(selected);
 }
 
 static uint32_t
@@ -410,14 +492,15 @@
     }
     group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
     if (group->step->prefer_one_rack) {
-        rack = cheapest_rack(flows, group, tasks, now_us);
+        rack = cheapest_rack(flows, group, VICTIMS_LESS_URGENT, tasks, now_us);
         if (!rack && !mw_may_span_racks(flows, group, now_us, tasks)) {
             return;
         }
     }
     ignored = g_ptr_array_new();
     selected = g_ptr_array_new();
-    if (plan_preemption(flows, group, rack, tasks, now_us, ignored, selected)
+    if (plan_preemption(flows, group, rack, VICTIMS_LESS_URGENT, tasks, now_us,
+                        ignored, selected)
             .capacity >= tasks) {
         group->preemption_deadline_us = now_us + GANG_RESERVATION_US;
         reserve_endpoints(selected, group, now_us + 2 * GANG_RESERVATION_US);
