A group with a reservation is always searched for

What callers saw: urgent jobs that waited 1.2 to 1.7 s longer, beside accelerators that were idle and reserved for one of them.

Cause: a pass skips the search for a group that requires as much as an earlier one that found nothing. The earlier one does not see endpoints that are reserved for the later one, so the skipped group is the only one that could use them, and nobody does until the reservation expires.

Evidence: flow/reservation-used on the code before: after the last victim has ended, `preemption too_few_victims` for the earlier gang until the reservation expires 1.4 s later, `reservation_expired`, and the later gang starts only after the first.

Change: a group knows how many endpoints are reserved for it and is searched for while there are any; the later gang now starts as its victims end.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -166,8 +166,8 @@
     uint32_t preemption_count;
     /* when it may preempt, or reserve, again */
     int64_t preemption_deadline_us;
-    /* endpoints are reserved for the tasks of a preemption */
-    bool awaiting_victims;
+    /* endpoints that are reserved for it; 0 for no reservation */
+    uint32_t reserved_count;
 };
 
 /* mw_flow: a flow, with the groups of each occurrence in a row. */
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -323,6 +323,7 @@
         endpoint->reserved_rank = group->rank;
         endpoint->reserved_deadline_us = deadline_us;
     }
+    group->reserved_count = selected->len;
 }
 
 /* Tasks of the group that fit now on the endpoints reserved for it. */
@@ -350,7 +351,7 @@
 {
     uint32_t capacity = reserved_capacity(flows, group);
 
-    group->awaiting_victims = false;
+    group->reserved_count = 0;
     flows->counters.reservations_expired++;
     mw_emit_task_group_event(flows, "reservation_expired", group,
                              capacity >= tasks ? "not_used" : "not_free",
@@ -387,7 +388,6 @@
     if (plan.capacity >= required) {
         group->preemption_deadline_us =
             now_us + flows->limits.stop_timeout_us + MW_RESERVATION_MARGIN_US;
-        group->awaiting_victims = true;
         reserve_endpoints(selected, group, group->preemption_deadline_us);
         preempt(flows, group, victims, now_us);
     }
@@ -442,7 +442,7 @@
     if (group->rank >= 2 || now_us < group->preemption_deadline_us) {
         return;
     }
-    if (group->awaiting_victims) {
+    if (group->reserved_count > 0) {
         report_expired_reservation(flows, group, tasks, now_us);
     }
     group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
@@ -491,6 +491,7 @@
         return;
     }
     group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
+    group->reserved_count = 0;
     if (group->step->prefer_one_rack) {
         rack = cheapest_rack(flows, group, VICTIMS_LESS_URGENT, tasks, now_us);
         if (!rack && !mw_may_span_racks(flows, group, now_us, tasks)) {
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -205,12 +205,16 @@
 /*
  * Whether the search for endpoints can be skipped: a group that requires at
  * least as much as a misfit does not fit either.  One that has waited longer
- * may use endpoints that the misfit may not use yet, and is searched for.
+ * may use endpoints that the misfit may not use yet, and is searched for, as
+ * is one that has a reservation.
  */
 static bool
 is_misfit(const GArray *misfits, const struct mw_task_group *group,
           uint32_t wanted)
 {
+    if (group->reserved_count > 0) {
+        return false;
+    }
     for (guint i = 0; i < misfits->len; i++) {
         const struct misfit *misfit =
             &g_array_index(misfits, struct misfit, i);
@@ -239,7 +243,7 @@
         }
     }
     if (found > 0) {
-        group->awaiting_victims = false;
+        group->reserved_count = 0;
         propose_runs(flows, group, chosen);
     }
     if (found < waiting && group->rank == 2) {
@@ -378,7 +382,7 @@
         for (uint32_t u = 0; u < flow->group_count; u++) {
             flow->groups[u].ready_us = 0;
             flow->groups[u].preemption_deadline_us = 0;
-            flow->groups[u].awaiting_victims = false;
+            flow->groups[u].reserved_count = 0;
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
             }
