The reclaim latency is measured from when a step is guaranteed

Cause: it was measured from when the step was ready, so an urgent job that was beyond its organisation's guarantee for seconds looked like a broken guarantee.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -338,7 +338,7 @@
     MW_LATENCY_RUN = 3,
     /* from the acceptance of a flow to its end */
     MW_LATENCY_FLOW = 4,
-    /* from a guaranteed step being ready until all its tasks have started */
+    /* from a ready step being guaranteed until all its tasks have started */
     MW_LATENCY_RECLAIM = 5,
     MW_FLOW_LATENCIES = 6
 };
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -148,6 +148,8 @@
     int64_t ready_us;
     /* a start command has been sent */
     bool started;
+    /* when it came to be within the guarantee; 0 while it is not */
+    int64_t guaranteed_us;
     /* all its tasks have started */
     bool complete;
     /*
--- a/source/core/flow/flow-queue.c
+++ b/source/core/flow/flow-queue.c
@@ -131,6 +131,12 @@
         group->lateness = MW_TOO_LATE;
     }
     group->rank = 1 + flow->route.priority;
+    if (!guaranteed) {
+        group->guaranteed_us = 0;
+    }
+    else if (group->guaranteed_us == 0) {
+        group->guaranteed_us = now_us;
+    }
     if (guaranteed) {
         group->rank = 0;
     }
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -381,6 +381,7 @@
         flow->end_proposed = false;
         for (uint32_t u = 0; u < flow->group_count; u++) {
             flow->groups[u].ready_us = 0;
+            flow->groups[u].guaranteed_us = 0;
             flow->groups[u].preemption_deadline_us = 0;
             flow->groups[u].reserved_count = 0;
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
