A reservation ends when its group is placed, or its flow ends

What callers saw: urgent jobs that waited for a preemption while endpoints were empty, or about to be.

Cause: endpoints that were reserved for a group and then not used by it, since room came up elsewhere or its flow ended, stayed reserved until the reservation's deadline (1.2 to 1.7 s); no group of the same urgency could use them.

Evidence: flow/reservation-released on the code before: b1 is placed on e2, e1 is empty, and b2 gets `preemption too_few_victims` and stays queued.

Change: the reservation is released when all tasks of the group are placed and when its flow ends; b2 starts on e1 as the last victim ends.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -456,6 +456,9 @@
 void mw_preempt_for_task_group(struct mw_flows *flows,
                                struct mw_task_group *group, uint32_t tasks,
                                int64_t now_us);
+/* the endpoints that are reserved for the group are free for others again */
+void mw_release_reservation(struct mw_flows *flows,
+                            struct mw_task_group *group);
 
 /* flow-measure.c */
 /* measures how long a guaranteed group waited, once all tasks have started */
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -326,6 +326,26 @@
     group->reserved_count = selected->len;
 }
 
+void
+mw_release_reservation(struct mw_flows *flows, struct mw_task_group *group)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (group->reserved_count == 0) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+
+        if (endpoint->reserved_for == group) {
+            endpoint->reserved_for = NULL;
+        }
+    }
+    group->reserved_count = 0;
+}
+
 /*
  * Whether an endpoint that is reserved for the group can't be used any more,
  * or was reserved for a more urgent group since.
@@ -385,7 +405,7 @@
         flows, "reservation_lost", group,
         lost_reservation_outcome(flows, group, tasks, capacity), tasks,
         capacity, now_us - group->ready_us);
-    group->reserved_count = 0;
+    mw_release_reservation(flows, group);
 }
 
 static void
@@ -522,7 +542,7 @@
         return;
     }
     group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
-    group->reserved_count = 0;
+    mw_release_reservation(flows, group);
     if (group->step->prefer_one_rack) {
         rack = cheapest_rack(flows, group, VICTIMS_LESS_URGENT, tasks, now_us);
         if (!rack && !mw_may_span_racks(flows, group, now_us, tasks)) {
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -148,9 +148,6 @@
         entry->checkpoint = mw_keep_blob(task->checkpoint);
         mw_add_task_placement(endpoint, group, i, entry->run,
                               MW_PLACEMENT_PROPOSED);
-        if (endpoint->reserved_for == group) {
-            endpoint->reserved_for = NULL;
-        }
     }
     if (!mw_propose_tasks(flows, record)) {
         for (uint32_t i = 0; i < group->step->count; i++) {
@@ -243,9 +240,11 @@
         }
     }
     if (found > 0) {
-        group->reserved_count = 0;
         propose_runs(flows, group, chosen);
     }
+    if (found == waiting) {
+        mw_release_reservation(flows, group);
+    }
     if (found < waiting && group->rank == 2) {
         mw_reserve_for_task_group(flows, group, waiting, now_us);
     }
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -273,6 +273,7 @@
     end_flow(flows, flow, record->state);
     for (uint32_t i = 0; flows->is_leader && i < flow->group_count; i++) {
         mw_stop_task_group(flows, now_us, &flow->groups[i]);
+        mw_release_reservation(flows, &flow->groups[i]);
     }
 }
 
