Urgent work is stopped only while the guarantee is not used up

What callers saw, since guaranteed work may stop urgent work of others: where all organisations need more than they are guaranteed, their jobs stopped each other.

Cause: a job counted as guaranteed by what older jobs of its organisation need, running or not. An organisation whose younger jobs already used its guarantee could stop others' work for an older one, and runs within another one's guarantee could be its victims.

Change: flow-guarantee.c tells for each urgent flow whether its organisation would run more than its guarantee with it (then it stops no urgent work of others), and whether its organisation already runs more than its guarantee with it (only then it is a victim of guaranteed work). An organisation all of whose urgent jobs need no more than its guarantee can always reclaim.

flow/reclaim-own-use on the code before: b2, of the same organisation, and a2 are stopped for b1.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -15,6 +15,7 @@
  *   flow-reconcile.c                 reconciles lists of runs with placements
  *   flow-state.c, flow-registry.c     apply committed records
  *   flow-schedule.c                    scheduling passes, start of leadership
+ *   flow-guarantee.c                 use of the organisations' guarantees
  *   flow-queue.c, flow-place.c     rank waiting work, choose endpoints
  *   flow-preempt.c                 preemption and reservations
  *   flow-urgent-pool.c                 the pool of racks for urgent work
@@ -193,6 +194,16 @@
     bool end_proposed;
     /* when the leader first saw that it had ended; 0 for not yet */
     int64_t ended_us;
+    /* accelerators of its runs, for an urgent flow of an organisation */
+    uint32_t running_gpus;
+    /* it and the older urgent flows of its organisation need no more than the
+     * guarantee */
+    bool guaranteed;
+    /* its organisation would not run more than its guarantee with it, so it
+     * may stop urgent work of others */
+    bool may_reclaim;
+    /* urgent, and its organisation runs more than its guarantee with it */
+    bool exceeds_guarantee;
 };
 
 /* mw_flow_endpoint: an endpoint as the leader knows it. */
@@ -444,8 +455,10 @@
 /* mw_rank_waiting_groups: groups to place, the most urgent first. */
 GPtrArray *mw_rank_waiting_groups(struct mw_flows *flows, int64_t now_us,
                                   int64_t wall_us);
-/* mw_flow_peak_gpus: accelerators of its largest step. */
-uint32_t mw_flow_peak_gpus(const struct mw_flow *flow);
+
+/* flow-guarantee.c */
+/* which urgent flows are within a guarantee, and which use more, as of now */
+void mw_apply_guarantees(struct mw_flows *flows);
 
 /* flow-preempt.c */
 /* reserves the endpoints that become free soonest for a less urgent gang */
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -66,14 +66,17 @@
         return false;
     }
     return group->rank >= 2 || placement->group->flow->route.priority > 0 ||
-           (scope == VICTIMS_NOT_GUARANTEED && placement->group->rank > 0);
+           (scope == VICTIMS_NOT_GUARANTEED &&
+            placement->group->flow->exceeds_guarantee);
 }
 
-/* Only a guarantee justifies that urgent work is stopped. */
+/* Only a guarantee that is not used up justifies that urgent work is stopped.
+ */
 static enum victim_scope
 widest_scope(const struct mw_task_group *group)
 {
-    return group->rank == 0 ? VICTIMS_NOT_GUARANTEED : VICTIMS_LESS_URGENT;
+    return group->flow->may_reclaim ? VICTIMS_NOT_GUARANTEED
+                                    : VICTIMS_LESS_URGENT;
 }
 
 static bool
--- a/source/core/flow/flow-queue.c
+++ b/source/core/flow/flow-queue.c
@@ -29,48 +29,6 @@
            flow->route.target_us;
 }
 
-uint32_t
-mw_flow_peak_gpus(const struct mw_flow *flow)
-{
-    uint32_t most = 0;
-
-    for (uint32_t i = 0; i < flow->plan->step_count; i++) {
-        const struct mw_flow_step *step = &flow->plan->steps[i];
-
-        most = MAX(most, step->count * step->need.gpus);
-    }
-    return most;
-}
-
-/*
- * Whether a flow of priority 0 is within the guarantee of its organisation.
- * Must be called for all flows, oldest first: guaranteed_use sums up what they
- * use.
- */
-static bool
-is_guaranteed(const struct mw_flows *flows, GHashTable *guaranteed_use,
-              const struct mw_flow *flow)
-{
-    uint32_t used_gpus;
-
-    if (flow->route.priority != 0 || !flows->config) {
-        return false;
-    }
-    used_gpus =
-        GPOINTER_TO_UINT(g_hash_table_lookup(guaranteed_use, &flow->org)) +
-        mw_flow_peak_gpus(flow);
-    g_hash_table_insert(guaranteed_use, (gpointer)&flow->org,
-                        GUINT_TO_POINTER(used_gpus));
-    for (uint32_t i = 0; i < flows->config->org_count; i++) {
-        const struct mw_flow_org *org = &flows->config->orgs[i];
-
-        if (mw_name_equal(&org->name, &flow->org)) {
-            return used_gpus <= org->guaranteed_gpus;
-        }
-    }
-    return false;
-}
-
 static bool
 needs_placement(const struct mw_task_group *group)
 {
@@ -108,8 +66,7 @@
 }
 
 static void
-compute_rank(struct mw_task_group *group, int64_t now_us, int64_t wall_us,
-             bool guaranteed)
+compute_rank(struct mw_task_group *group, int64_t now_us, int64_t wall_us)
 {
     const struct mw_flow *flow = group->flow;
     int64_t objective_us = latency_objective_us(flow);
@@ -131,13 +88,13 @@
         group->lateness = MW_TOO_LATE;
     }
     group->rank = 1 + flow->route.priority;
-    if (!guaranteed) {
+    if (!flow->guaranteed) {
         group->guaranteed_us = 0;
     }
     else if (group->guaranteed_us == 0) {
         group->guaranteed_us = now_us;
     }
-    if (guaranteed) {
+    if (flow->guaranteed) {
         group->rank = 0;
     }
     else if (flow->route.priority == 0 && group->lateness != MW_ON_TIME) {
@@ -149,11 +106,10 @@
 mw_rank_waiting_groups(struct mw_flows *flows, int64_t now_us, int64_t wall_us)
 {
     GPtrArray *groups = g_ptr_array_new();
-    GHashTable *guaranteed_use = g_hash_table_new(mw_hash_name, mw_same_name);
 
+    mw_apply_guarantees(flows);
     for (guint f = 0; f < flows->active->len; f++) {
         struct mw_flow *flow = flows->active->pdata[f];
-        bool guaranteed = is_guaranteed(flows, guaranteed_use, flow);
 
         for (uint32_t i = 0; !flow->end_proposed && i < flow->group_count;
              i++) {
@@ -163,13 +119,12 @@
                 !mw_task_group_is_ready(group, wall_us)) {
                 continue;
             }
-            compute_rank(group, now_us, wall_us, guaranteed);
+            compute_rank(group, now_us, wall_us);
             if (needs_placement(group)) {
                 g_ptr_array_add(groups, group);
             }
         }
     }
-    g_hash_table_unref(guaranteed_use);
     g_ptr_array_sort(groups, by_urgency);
     return groups;
 }
