Two processes that dial each other keep one connection

Cause: a new connection always replaced the present one. Where both ends dial, each end closed the connection that the other had just accepted, dialed again after 0.2 s, and so on.

Change: link-choice.c decides which of two connections stays, the same at both ends: the one that the process with the greater name dialed, unless it is stale or the peer was started again. A process is not dialed while it has dialed this one.

--- a/include/mimosawind.h
+++ b/include/mimosawind.h
@@ -7,6 +7,7 @@
 #include "mimosawind/entry.h"
 #include "mimosawind/error.h"
 #include "mimosawind/job.h"
+#include "mimosawind/link-choice.h"
 #include "mimosawind/log.h"
 #include "mimosawind/message.h"
 #include "mimosawind/record.h"
--- /dev/null
+++ b/include/mimosawind/link-choice.h
@@ -0,0 +1,42 @@
+#ifndef MIMOSAWIND_LINK_CHOICE_H
+#define MIMOSAWIND_LINK_CHOICE_H
+
+#include "mimosawind/str.h"
+
+/*
+ * link-choice: which of two connections between the same processes is kept.
+ *
+ * Each of two processes may dial the other.  Both ends have to keep the same
+ * connection, or each closes the one that the other keeps, and both dial
+ * again.  The connection dialed by the process whose name compares greater is
+ * preferred, unless nothing was received on it for a while: an established
+ * connection can stop carrying data for good while new ones work.
+ *
+ * UNITS   microseconds
+ */
+
+/* a connection on which nothing was received for so long loses its preference
+ */
+#define MW_LINK_STALE_US 750000
+
+/* mw_link_end: a connection as one of its ends knows it. */
+struct mw_link_end {
+    /* this process has dialed, not the peer */
+    bool dialed_here;
+    /* of the peer, as it said */
+    uint64_t peer_incarnation;
+    int64_t last_receive_us;
+};
+
+/*
+ * mw_replaces_link: whether a new connection to a peer replaces the present
+ * one; otherwise the new one has to be closed.
+ *
+ * It does if the peer was started again since, if the same process has dialed
+ * both, if the new one is preferred, or if the present one is stale.
+ */
+bool mw_replaces_link(const struct mw_name *self, const struct mw_name *peer,
+                      const struct mw_link_end *present,
+                      const struct mw_link_end *fresh, int64_t now_us);
+
+#endif
--- a/source/run/link.c
+++ b/source/run/link.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "auth.h"
+#include "mimosawind/link-choice.h"
 
 #define LENGTH_LEN 4
 #define HEADER_LEN (LENGTH_LEN + MW_MAC_LEN)
@@ -20,8 +21,10 @@
     /* index of the dial target, -1 for an accepted connection */
     int dial;
     bool open;
-    /* the peer has sent its hello, so that process and role are known */
+    /* the peer has sent its hello, so that process, role and incarnation are
+     * known */
     bool has_hello;
+    uint64_t peer_incarnation;
     bool has_peer_nonce;
     bool writing;
     uint8_t nonce[MW_NONCE_LEN];
@@ -199,7 +202,28 @@
     mw_drop_msg(msg);
 }
 
-static void
+static struct mw_link_end
+link_end(const struct connection *c)
+{
+    return (struct mw_link_end){
+        .dialed_here = c->dial >= 0,
+        .peer_incarnation = c->peer_incarnation,
+        .last_receive_us = c->last_receive_us,
+    };
+}
+
+static bool
+replaces(const struct connection *c, const struct connection *old)
+{
+    struct mw_link_end fresh = link_end(c);
+    struct mw_link_end present = link_end(old);
+
+    return mw_replaces_link(&c->links->setup.name, &c->process, &present,
+                            &fresh, mw_now());
+}
+
+/* Returns false if the present connection to the process is kept instead. */
+static bool
 accept_hello(struct connection *c, const struct mw_msg *msg,
              const struct mw_name *name)
 {
@@ -208,12 +232,17 @@
 
     c->process = *name;
     c->role = msg->hello.role;
-    if (old) {
+    c->peer_incarnation = msg->hello.incarnation;
+    if (old && old != c) {
+        if (!replaces(c, old)) {
+            return false;
+        }
         close_connection(old);
     }
     c->has_hello = true;
     g_hash_table_insert(links->by_process, &c->process, c);
     post_link_state(links, c, true);
+    return true;
 }
 
 /* Returns false if the connection must be closed. */
@@ -236,9 +265,10 @@
     }
     links->counters.frames_in++;
     if (msg->kind == MW_MSG_HELLO) {
-        accept_hello(c, msg, &name);
+        bool keep = accept_hello(c, msg, &name);
+
         mw_drop_msg(msg);
-        return true;
+        return keep;
     }
     if (!c->has_hello) {
         mw_drop_msg(msg);
@@ -471,6 +501,15 @@
     mw_post(links->setup.owner, task_msg);
 }
 
+/* Not while the process has dialed this one. */
+static bool
+should_dial(const struct mw_links *links, const struct dial_state *state,
+            int64_t now_us)
+{
+    return !state->active && now_us >= state->redial_deadline_us &&
+           !g_hash_table_contains(links->by_process, &state->dial.name);
+}
+
 static void
 links_tick(void *opaque, int64_t now_us)
 {
@@ -493,8 +532,7 @@
         }
     }
     for (uint32_t i = 0; i < links->dial_count; i++) {
-        if (!links->dials[i].active &&
-            now_us >= links->dials[i].redial_deadline_us) {
+        if (should_dial(links, &links->dials[i], now_us)) {
             begin_connect(links, (int)i);
         }
     }
--- a/source/run/link.h
+++ b/source/run/link.h
@@ -13,8 +13,8 @@
  * The length is checked before memory is allocated.  A connection that has
  * received nothing for MW_LINK_IDLE_TIMEOUT_US is closed and dialed again:
  * an established connection can stop carrying data for good while new
- * connections still work.  A new connection from a process replaces the
- * previous one.
+ * connections still work.  Two processes keep one connection, see
+ * link-choice.
  */
 
 #define MW_LINK_IDLE_TIMEOUT_US 1500000
