The links live until their pending accept and connects have finished

What operators saw: nothing but an exit status of 1 in builds with sanitizers; a control process that shuts down used the links after they were freed.

Cause: a cancelled accept or connect calls back later; mw_drop_links freed the links before the last iterations of the main context ran these callbacks.

Change: a reference count: the owner and each pending accept and connect hold one. make proofs uses the build that SANITIZE selects.

--- a/Makefile
+++ b/Makefile
@@ -110,7 +110,7 @@
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) -o $@
 
 proofs: all $(BUILD)/relay
-	tests/proofs/run.sh $(ONLY)
+	BUILD=$(BUILD) tests/proofs/run.sh $(ONLY)
 
 # models checked by spin; model-faults: spin finds each guard that is left out
 model:
--- a/source/run/link.c
+++ b/source/run/link.c
@@ -48,6 +48,8 @@
 };
 
 struct mw_links {
+    /* the owner, and each accept and connect that is pending */
+    int refs;
     struct mw_link_setup setup;
     struct mw_task *task;
     struct mw_context ctx;
@@ -66,6 +68,27 @@
 static void read_more(struct connection *c);
 static void write_more(struct connection *c);
 
+static struct mw_links *
+keep_links(struct mw_links *links)
+{
+    links->refs++;
+    return links;
+}
+
+static void
+unref_links(struct mw_links *links)
+{
+    if (--links->refs > 0) {
+        return;
+    }
+    g_clear_object(&links->listener);
+    g_object_unref(links->cancel);
+    g_hash_table_unref(links->by_process);
+    g_ptr_array_unref(links->connections);
+    g_rand_free(links->rand);
+    g_free(links);
+}
+
 static struct connection *
 keep_connection(struct connection *c)
 {
@@ -408,6 +431,16 @@
     read_more(c);
 }
 
+static void accept_finished(GObject *object, GAsyncResult *result,
+                            gpointer data);
+
+static void
+accept_next(struct mw_links *links)
+{
+    g_socket_listener_accept_async(links->listener, links->cancel,
+                                   accept_finished, keep_links(links));
+}
+
 static void
 accept_finished(GObject *object, GAsyncResult *result, gpointer data)
 {
@@ -417,6 +450,7 @@
 
     if (g_cancellable_is_cancelled(links->cancel)) {
         g_clear_object(&stream);
+        unref_links(links);
         return;
     }
     if (stream && links->connections->len < MW_LINKS_MAX) {
@@ -426,8 +460,8 @@
     else {
         g_clear_object(&stream);
     }
-    g_socket_listener_accept_async(links->listener, links->cancel,
-                                   accept_finished, links);
+    accept_next(links);
+    unref_links(links);
 }
 
 struct connect_request {
@@ -447,14 +481,16 @@
     g_free(connect_request);
     if (g_cancellable_is_cancelled(links->cancel)) {
         g_clear_object(&stream);
-        return;
     }
-    if (stream) {
+    else if (stream) {
         add_connection(links, stream, dial);
-        return;
     }
-    links->dials[dial].active = false;
-    links->dials[dial].redial_deadline_us = mw_now() + MW_LINK_REDIAL_DELAY_US;
+    else {
+        links->dials[dial].active = false;
+        links->dials[dial].redial_deadline_us =
+            mw_now() + MW_LINK_REDIAL_DELAY_US;
+    }
+    unref_links(links);
 }
 
 static void
@@ -466,7 +502,7 @@
     struct connect_request *connect_request =
         g_new0(struct connect_request, 1);
 
-    connect_request->links = links;
+    connect_request->links = keep_links(links);
     connect_request->dial = index;
     state->active = true;
     links->counters.dials++;
@@ -603,8 +639,7 @@
 
     (void)task;
     if (links->listener) {
-        g_socket_listener_accept_async(links->listener, links->cancel,
-                                       accept_finished, links);
+        accept_next(links);
     }
 }
 
@@ -703,6 +738,7 @@
         .stop = links_stop,
     };
 
+    links->refs = 1;
     links->setup = *setup;
     links->ctx = setup->ctx;
     links->cancel = g_cancellable_new();
@@ -728,12 +764,7 @@
         return;
     }
     mw_drop_task(links->task);
-    g_clear_object(&links->listener);
-    g_object_unref(links->cancel);
-    g_hash_table_unref(links->by_process);
-    g_ptr_array_unref(links->connections);
-    g_rand_free(links->rand);
-    g_free(links);
+    unref_links(links);
 }
 
 struct mw_task *
--- a/tests/proofs/run.sh
+++ b/tests/proofs/run.sh
@@ -328,6 +328,29 @@
     expect "it ran once" equals "$(count_starts order)" 1
 }
 
+# terminate NAME: SIGTERM to the process, returns its exit status
+terminate() {
+    local status
+    kill -TERM "${PID[$1]}"
+    wait "${PID[$1]}"
+    status=$?
+    unset "PID[$1]"
+    return $status
+}
+
+# a control process used its listener after it was freed, found with
+# make proofs SANITIZE=1 ONLY=exit-status
+exit-status() {
+    start_fresh_cluster
+    local z n
+    for z in za zb zc; do
+        for n in $(zone_vms $z); do
+            terminate "c-$z-$n"
+            expect "c-$z-$n ends with status 0" equals $? 0
+        done
+    done
+}
+
 config() {
     start_fresh_cluster
     local n z out deadline
@@ -416,7 +439,7 @@
 
 is_known_red() { grep -q "^$1:" KNOWN-RED.txt 2>/dev/null; }
 
-ALL="reclaim gang zone-out answer not-run at-most-once leaving planned-stop config silent"
+ALL="reclaim gang zone-out answer not-run at-most-once leaving planned-stop exit-status config silent"
 for NAME in ${*:-$ALL}; do
     CASES=0
     FAILED_CASES=0
