--- a/source/tools/event-trace.c
+++ b/source/tools/event-trace.c
@@ -146,15 +146,21 @@
     summary->stalled += is_event(event, "stalled", NULL);
 }
 
-static struct summary
-summarize_job(struct mw_event_trace *trace, const char *id)
+static void
+sort_events(struct mw_event_trace *trace)
 {
-    struct summary summary = {.failed_on = g_string_new(NULL)};
-
     if (!trace->sorted) {
         g_array_sort(trace->events, compare_events);
         trace->sorted = true;
     }
+}
+
+/* The events must be sorted. */
+static struct summary
+summarize_job(const struct mw_event_trace *trace, const char *id)
+{
+    struct summary summary = {.failed_on = g_string_new(NULL)};
+
     for (guint i = 0; i < trace->events->len; i++) {
         const struct event *event =
             &g_array_index(trace->events, struct event, i);
@@ -270,8 +276,10 @@
 mw_explain_job(struct mw_event_trace *trace, struct mw_str id, GString *out)
 {
     char *job_id = g_strndup(id.ptr, id.len);
-    struct summary summary = summarize_job(trace, job_id);
+    struct summary summary;
 
+    sort_events(trace);
+    summary = summarize_job(trace, job_id);
     for (guint i = 0; i < trace->events->len; i++) {
         const struct event *event =
             &g_array_index(trace->events, struct event, i);
@@ -311,6 +319,7 @@
     GHashTable *job_ids = g_hash_table_new(g_str_hash, g_str_equal);
     guint count = 0;
 
+    sort_events(trace);
     for (guint i = 0; i < trace->events->len; i++) {
         const struct event *event =
             &g_array_index(trace->events, struct event, i);
