A script is selected by its path, and selecting none is an error

Cause: the entries zone/seeds of three mutants selected no script, and a run without a script passed, so these entries tested nothing.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -24,12 +24,21 @@
         tail -3 "$DIR/log"
         status=1
     else
-        caught=missed
+        caught_by=
         for script in $scripts; do
-            (cd "$DIR" && CK_FORK=no timeout 60 build/check "$script" >/dev/null 2>&1) || caught=caught
+            if ! "${BUILD:-build}/check" "$script" >/dev/null 2>&1; then
+                echo "$name: $script selects no script, or fails without the mutant"
+                status=1
+            elif ! (cd "$DIR" && CK_FORK=no timeout 60 build/check "$script" >/dev/null 2>&1); then
+                caught_by="$caught_by $script"
+            fi
         done
-        echo "$name: $caught"
-        [ $caught = caught ] || status=1
+        if [ -n "$caught_by" ]; then
+            echo "$name: caught by$caught_by"
+        else
+            echo "$name: missed"
+            status=1
+        fi
     fi
     for file in $(sed -n 's/^+++ b\///p' "$patch"); do
         cp "$file" "$DIR/$file"
--- a/tests/check-main.c
+++ b/tests/check-main.c
@@ -6,7 +6,8 @@
  * printed and the run still succeeds.  MW_UPDATE=1 writes the .out files
  * instead of comparing them; the change is then reviewed with git diff.
  *
- * An argument selects the scripts whose name or directory contains it.
+ * An argument selects the scripts whose KIND/NAME contains it; it is an error
+ * if there are none.
  */
 #include <check.h>
 #include <stdio.h>
@@ -82,6 +83,17 @@
                   ((const struct test *)b)->name);
 }
 
+/* By a part of tests/scripts/KIND/NAME.txt; all without a filter. */
+static bool
+is_selected(const char *directory, const char *name, const char *filter)
+{
+    char *path = g_strdup_printf("%s/%s", directory, name);
+    bool selected = !filter || strstr(path, filter);
+
+    g_free(path);
+    return selected;
+}
+
 static void
 find_tests(const struct mw_script_kind *kind, const char *filter)
 {
@@ -91,10 +103,8 @@
     GArray *found = g_array_new(FALSE, FALSE, sizeof(struct test));
 
     while (dir && (name = g_dir_read_name(dir))) {
-        bool selected =
-            !filter || strstr(name, filter) || strstr(directory, filter);
-
-        if (g_str_has_suffix(name, ".txt") && selected) {
+        if (g_str_has_suffix(name, ".txt") &&
+            is_selected(directory, name, filter)) {
             struct test test = {kind, g_strndup(name, strlen(name) - 4)};
 
             g_array_append_val(found, test);
@@ -132,6 +142,10 @@
                             (int)tests->len);
         suite_add_tcase(suite, tcase);
     }
+    if (tests->len == 0) {
+        printf("no script matches %s\n", argc > 1 ? argv[1] : "");
+        return EXIT_FAILURE;
+    }
     runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
     failed = srunner_ntests_failed(runner);
