Zeros at the end of a data file are not items

Cause: after a power loss, writes that were not synced can be missing, and zeros stand in their place. The checksum of nothing is 0, so eight zeros were a valid empty item, and an empty item decodes as metadata with term 0, no vote and incarnation 0. A member that restarted so forgot whom it had voted for, and was no voter any more: it got no entries (its log ended at 1951, the others' at 6136), and counted in no quorum. It took two lost disks more to be seen.

The zone scheduler's files are read by the same code.

Change: an empty item is damage. The class: a checksum that does not cover the length accepts what was never written.

--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -278,7 +278,10 @@
     return false;
 }
 
-/* Length of the item or sync marker at an offset, 0 if it is damaged. */
+/*
+ * Length of the item or sync marker at an offset, 0 if it is damaged.  No item
+ * is empty; eight zeros would be an empty one with a valid checksum.
+ */
 static size_t
 item_length(const uint8_t *data, size_t len, size_t at)
 {
@@ -294,7 +297,8 @@
         }
         return MARKER_LEN;
     }
-    if (size > ITEM_BYTES_MAX || size > len - at - ITEM_HEADER_LEN ||
+    if (size == 0 || size > ITEM_BYTES_MAX ||
+        size > len - at - ITEM_HEADER_LEN ||
         get_le32(data + at + 4) !=
             (uint32_t)crc32(0, data + at + ITEM_HEADER_LEN, size)) {
         return 0;
--- a/tests/input-script.c
+++ b/tests/input-script.c
@@ -249,7 +249,18 @@
     g_async_queue_unref(done);
 }
 
-/* Flips a bit at a byte or truncates there; from the end if negative. */
+static void
+append_zeros(char **data, gsize *len, gsize count)
+{
+    *data = g_realloc(*data, *len + count);
+    memset(*data + *len, 0, count);
+    *len += count;
+}
+
+/*
+ * Flips a bit at a byte or truncates there, from the end if negative; or
+ * appends so many zeros.
+ */
 static void
 damage_file(const char *data_dir, const char *what, int64_t at)
 {
@@ -266,6 +277,9 @@
     else if (strcmp(what, "truncate") == 0) {
         len = offset;
     }
+    else if (strcmp(what, "zeros") == 0) {
+        append_zeros(&data, &len, (gsize)at);
+    }
     g_file_set_contents(path, data, (gssize)len, NULL);
     g_free(data);
     g_free(path);
@@ -297,7 +311,7 @@
     return detail;
 }
 
-/* disk intact|flip|truncate|locked|other-member|init AT: writes records,
+/* disk intact|flip|truncate|zeros|locked|other-member|init AT: writes records,
  * damages the file at AT or prepares the named case, opens the files again */
 static void
 cmd_disk(struct mw_script *s)
