--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -432,7 +432,6 @@
     uint32_t flows;
     uint32_t active;
     uint32_t endpoints;
-    uint32_t waiting_tasks;
     uint32_t placements;
 };
 
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -186,8 +186,6 @@
             ? MW_RENEWAL_LONG_POLL_US
             : 0;
     endpoint->renewal_pending = true;
-    endpoint->list_wanted = false;
-    endpoint->renewal_sent_us = now_us;
     flows->counters.holds++;
     add_pending_command(flows, now_us, endpoint, &command);
     flows->output.command(flows->output.opaque, &command);
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -24,7 +24,6 @@
     int64_t received_us;
     /* 0 until a leader may have received the request */
     uint32_t forward_count;
-    struct mw_name forwarded_to;
 };
 
 /* mw_known_member: a member of the log, and when its last heartbeat came. */
@@ -185,7 +184,6 @@
 {
     entry->counters.handed_again += pending->forward_count > 0;
     pending->forward_count++;
-    pending->forwarded_to = entry->leader;
     entry->output.send(entry->output.opaque, &entry->leader, pending->msg);
 }
 
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -104,8 +104,6 @@
     struct mw_flow_resources need;
     enum mw_task_placement_phase phase;
     bool command_pending;
-    /* not used */
-    bool full;
     /* a start had no response, so it may still be executed */
     bool start_unanswered;
     uint32_t start_attempts;
@@ -229,12 +227,8 @@
     /* every lease that was ever granted has expired by then */
     int64_t lease_expiry_us;
     bool renewal_pending;
-    /* not used */
-    int64_t renewal_sent_us;
     /* when the next renewal may be sent */
     int64_t renewal_deadline_us;
-    /* not used */
-    bool list_wanted;
     /* numbers of the last end that was listed, recorded, acknowledged */
     uint64_t seen_end;
     uint64_t committed_end;
@@ -305,8 +299,6 @@
     bool is_leader;
     bool suspended;
     uint64_t fence;
-    /* not used */
-    int64_t led_since_us;
     GHashTable *endpoints;
     /* endpoints that may get work in this pass, sorted by rack */
     GPtrArray *usable;
@@ -343,6 +335,7 @@
                                   struct mw_task_group **group);
 /* whether a task waits for a placement and no record of it is pending */
 bool mw_task_is_waiting(const struct mw_flow_task *task);
+uint32_t mw_count_waiting_tasks(const struct mw_task_group *group);
 /* whether its start time has come and the steps it depends on are done */
 bool mw_task_group_is_ready(const struct mw_task_group *group,
                             int64_t wall_us);
--- a/source/core/flow/flow-queue.c
+++ b/source/core/flow/flow-queue.c
@@ -32,13 +32,8 @@
 static bool
 needs_placement(const struct mw_task_group *group)
 {
-    uint32_t waiting = 0;
+    uint32_t waiting = mw_count_waiting_tasks(group);
 
-    for (uint32_t i = 0; i < group->step->count; i++) {
-        const struct mw_flow_task *task = &group->tasks[i];
-
-        waiting += mw_task_is_waiting(task);
-    }
     return group->step->gang ? waiting == group->step->count : waiting > 0;
 }
 
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -161,17 +161,6 @@
     mw_drop_record(record);
 }
 
-static uint32_t
-count_waiting_tasks(const struct mw_task_group *group)
-{
-    uint32_t waiting = 0;
-
-    for (uint32_t i = 0; i < group->step->count; i++) {
-        waiting += mw_task_is_waiting(&group->tasks[i]);
-    }
-    return waiting;
-}
-
 /* misfit: a group that found no endpoint in this pass. */
 struct misfit {
     const struct mw_task_group *group;
@@ -228,7 +217,7 @@
                  struct mw_task_group *group, GPtrArray *chosen,
                  GArray *misfits)
 {
-    uint32_t waiting = count_waiting_tasks(group);
+    uint32_t waiting = mw_count_waiting_tasks(group);
     struct misfit misfit = {group, group->step->gang ? waiting : 1};
     uint32_t found = 0;
 
@@ -405,7 +394,6 @@
     flows->is_leader = is_leader;
     flows->suspended = false;
     flows->fence = fence;
-    flows->led_since_us = now_us;
     flows->proposed_version = mw_flows_config_version(flows);
     flows->tick_deadline_us = is_leader ? now_us : INT64_MAX;
     if (is_leader) {
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -131,6 +131,17 @@
            task->uncommitted_records == 0;
 }
 
+uint32_t
+mw_count_waiting_tasks(const struct mw_task_group *group)
+{
+    uint32_t waiting = 0;
+
+    for (uint32_t i = 0; i < group->step->count; i++) {
+        waiting += mw_task_is_waiting(&group->tasks[i]);
+    }
+    return waiting;
+}
+
 bool
 mw_task_group_is_ready(const struct mw_task_group *group, int64_t wall_us)
 {
