--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -132,12 +132,28 @@
     }
 }
 
+/* One line each time that it is not: it does not stand for election then. */
+static void
+report_admission(struct mw_context *ctx, struct mw_log *log, bool admitted)
+{
+    if (!admitted && !log->reported_unadmitted) {
+        mw_emit_event(ctx, MW_SEVERITY_WARNING,
+                      "event=not_admitted group=%.*s "
+                      "incarnation=%" G_GUINT64_FORMAT,
+                      MW_FMT(mw_name_str(&log->group)), log->incarnation);
+    }
+    log->reported_unadmitted = !admitted;
+}
+
 void
 mw_log_start_prevote(struct mw_context *ctx, struct mw_log *log,
                      int64_t now_us)
 {
+    bool admitted = mw_log_is_admitted(log);
+
     mw_log_reset_election_timer(log, now_us);
-    if (!mw_log_is_admitted(log) || now_us < log->holdoff_deadline_us) {
+    report_admission(ctx, log, admitted);
+    if (!admitted || now_us < log->holdoff_deadline_us) {
         return;
     }
     set_role(ctx, log, MW_PRE_CANDIDATE);
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -99,6 +99,8 @@
      * restart this member may have granted a lease.
      */
     int64_t holdoff_deadline_us;
+    /* a line has said that this member is not admitted */
+    bool reported_unadmitted;
     /*
      * Last message from the leader, or vote granted: for the election
      * timeout from then on this member grants no vote.
