--- a/tests/script.h
+++ b/tests/script.h
@@ -66,6 +66,7 @@
 /* mw_name_from: name from a zero-terminated string. */
 struct mw_name mw_name_from(const char *word);
 
+extern const struct mw_script_kind mw_guarantee_scripts;
 extern const struct mw_script_kind mw_link_scripts;
 extern const struct mw_script_kind mw_log_scripts;
 extern const struct mw_script_kind mw_zone_scripts;
