--- a/tests/guarantee-script.c
+++ b/tests/guarantee-script.c
@@ -29,7 +29,7 @@
 #define RECLAIM_US 2900000
 #define ORGS 4
 /* the organisation that keeps within its guarantee */
-#define MODEST_ORG 0
+#define GUARANTEED_ORG 0
 #define GPUS_PER_ENDPOINT 8
 /* percentage of all accelerators that is guaranteed */
 #define GUARANTEED_PERCENT 62
@@ -85,7 +85,7 @@
     struct mw_record *record;
 };
 
-struct world {
+struct simulation {
     struct mw_context ctx;
     struct mw_flows *flows;
     GRand *rand;
@@ -104,20 +104,20 @@
 static int
 propose(void *opaque, struct mw_record *record)
 {
-    struct world *w = opaque;
-    struct commit commit = {w->now_us + LATENCY_US, mw_keep_record(record)};
+    struct simulation *sim = opaque;
+    struct commit commit = {sim->now_us + LATENCY_US, mw_keep_record(record)};
 
-    g_array_append_val(w->commits, commit);
+    g_array_append_val(sim->commits, commit);
     return 0;
 }
 
 static void
 send_command(void *opaque, const struct mw_flow_command *command)
 {
-    struct world *w = opaque;
-    struct call call = {w->now_us + LATENCY_US, *command};
+    struct simulation *sim = opaque;
+    struct call call = {sim->now_us + LATENCY_US, *command};
 
-    g_array_append_val(w->calls, call);
+    g_array_append_val(sim->calls, call);
 }
 
 static void
@@ -128,19 +128,19 @@
 }
 
 static struct job *
-find_job(struct world *w, const struct mw_name *id)
+find_job(struct simulation *sim, const struct mw_name *id)
 {
-    return g_hash_table_lookup(w->jobs_by_id, id);
+    return g_hash_table_lookup(sim->jobs_by_id, id);
 }
 
 static void
 note_event(void *opaque, const struct mw_flow_event *event)
 {
-    struct world *w = opaque;
-    struct job *job = find_job(w, &event->flow);
+    struct simulation *sim = opaque;
+    struct job *job = find_job(sim, &event->flow);
 
     if (job && strcmp(event->name, "accepted") == 0) {
-        job->accepted_us = w->now_us;
+        job->accepted_us = sim->now_us;
     }
     if (job && strcmp(event->name, "flow_ended") == 0) {
         job->ended = true;
@@ -148,11 +148,11 @@
 }
 
 static struct endpoint *
-find_endpoint(struct world *w, const struct mw_name *id)
+find_endpoint(struct simulation *sim, const struct mw_name *id)
 {
-    for (int i = 0; i < w->endpoint_count; i++) {
-        if (mw_name_equal(&w->endpoints[i].heartbeat.id, id)) {
-            return &w->endpoints[i];
+    for (int i = 0; i < sim->endpoint_count; i++) {
+        if (mw_name_equal(&sim->endpoints[i].heartbeat.id, id)) {
+            return &sim->endpoints[i];
         }
     }
     return NULL;
@@ -174,30 +174,30 @@
 }
 
 static void
-note_started(struct world *w, const struct mw_flow_command *command)
+note_started(struct simulation *sim, const struct mw_flow_command *command)
 {
-    struct job *job = find_job(w, &command->task.flow);
+    struct job *job = find_job(sim, &command->task.flow);
 
     if (!job->started[command->task.index]) {
         job->started[command->task.index] = true;
         job->started_count++;
     }
     if (job->started_count == job->width && job->started_us == 0) {
-        job->started_us = w->now_us;
+        job->started_us = sim->now_us;
     }
 }
 
 static void
-respond(struct world *w, uint64_t ref, struct mw_flow_response response)
+respond(struct simulation *sim, uint64_t ref, struct mw_flow_response response)
 {
     response.ref = ref;
     response.has_clock = true;
-    response.clock_us = w->now_us - START_US;
-    mw_flows_handle_response(w->flows, w->now_us, &response);
+    response.clock_us = sim->now_us - START_US;
+    mw_flows_handle_response(sim->flows, sim->now_us, &response);
 }
 
 static void
-respond_with_list(struct world *w, struct endpoint *endpoint)
+respond_with_list(struct simulation *sim, struct endpoint *endpoint)
 {
     struct mw_flow_response response = {.has_list = true};
     uint64_t ref = endpoint->renewal_ref;
@@ -213,11 +213,11 @@
             .end_number = run->end_number,
             .end = run->end,
             /* every list shows progress, so that no run seems stalled */
-            .percent = (uint32_t)(w->now_us / STEP_US % 100),
+            .percent = (uint32_t)(sim->now_us / STEP_US % 100),
         };
     }
     endpoint->renewal_ref = 0;
-    respond(w, ref, response);
+    respond(sim, ref, response);
     g_free(response.runs);
 }
 
@@ -246,71 +246,73 @@
 }
 
 static void
-execute(struct world *w, const struct mw_flow_command *command)
+execute(struct simulation *sim, const struct mw_flow_command *command)
 {
-    struct endpoint *endpoint = find_endpoint(w, &command->endpoint);
+    struct endpoint *endpoint = find_endpoint(sim, &command->endpoint);
     struct mw_flow_response done = {.result = MW_FLOW_DONE};
 
     if (command->kind == MW_FLOW_COMMAND_RENEW) {
         drop_acknowledged(endpoint, command->acknowledged_end);
         endpoint->renewal_ref = command->ref;
-        endpoint->renewal_deadline_us = w->now_us + command->long_poll_us;
+        endpoint->renewal_deadline_us = sim->now_us + command->long_poll_us;
         return;
     }
     if (command->kind == MW_FLOW_COMMAND_START) {
         struct run run = {.task = command->task, .run = command->run};
 
-        run.end_us = w->now_us + find_job(w, &command->task.flow)->duration_us;
+        run.end_us =
+            sim->now_us + find_job(sim, &command->task.flow)->duration_us;
         g_array_append_val(endpoint->runs, run);
-        note_started(w, command);
+        note_started(sim, command);
     }
     else {
         struct run *run = find_run(endpoint, command);
 
         if (run) {
             run->end = MW_END_STOPPED;
-            run->end_us = MIN(
-                run->end_us, w->now_us + g_rand_int_range(w->rand, STOP_MIN_US,
-                                                          STOP_TIMEOUT_US));
+            run->end_us =
+                MIN(run->end_us,
+                    sim->now_us + g_rand_int_range(sim->rand, STOP_MIN_US,
+                                                   STOP_TIMEOUT_US));
         }
     }
-    respond(w, command->ref, done);
+    respond(sim, command->ref, done);
 }
 
 static void
-step_endpoint(struct world *w, struct endpoint *endpoint)
+step_endpoint(struct simulation *sim, struct endpoint *endpoint)
 {
     for (guint i = 0; i < endpoint->runs->len; i++) {
         struct run *run = &g_array_index(endpoint->runs, struct run, i);
 
-        if (run->end_number == 0 && w->now_us >= run->end_us) {
+        if (run->end_number == 0 && sim->now_us >= run->end_us) {
             run->end_number = ++endpoint->last_end_number;
         }
     }
     if (endpoint->renewal_ref &&
-        (has_ends(endpoint) || w->now_us >= endpoint->renewal_deadline_us)) {
-        respond_with_list(w, endpoint);
+        (has_ends(endpoint) || sim->now_us >= endpoint->renewal_deadline_us)) {
+        respond_with_list(sim, endpoint);
     }
 }
 
 static void
-send_heartbeats(struct world *w)
+send_heartbeats(struct simulation *sim)
 {
-    for (int i = 0; i < w->endpoint_count; i++) {
-        struct mw_flow_heartbeat *heartbeat = &w->endpoints[i].heartbeat;
+    for (int i = 0; i < sim->endpoint_count; i++) {
+        struct mw_flow_heartbeat *heartbeat = &sim->endpoints[i].heartbeat;
 
         heartbeat->seq++;
-        heartbeat->clock_us = w->now_us - START_US;
-        mw_flows_handle_heartbeat(w->flows, w->now_us, heartbeat, 0);
+        heartbeat->clock_us = sim->now_us - START_US;
+        mw_flows_handle_heartbeat(sim->flows, sim->now_us, heartbeat, 0);
     }
 }
 
 static void
-request(struct world *w, enum mw_flow_request_kind kind, const char *path,
-        const char *key, const char *body)
+request(struct simulation *sim, enum mw_flow_request_kind kind,
+        const char *path, const char *key, const char *body)
 {
     struct mw_flow_request req = {
-        .ref = ++w->ref,
+        .ref = ++sim->ref,
         .kind = kind,
         .host = mw_str_from("h.example"),
         .path = mw_str_from(path),
@@ -318,18 +320,18 @@
         .body = mw_str_from(body),
     };
 
-    mw_flows_handle_request(&w->ctx, w->flows, w->now_us,
-                            WALL_US + w->now_us - START_US, &req);
+    mw_flows_handle_request(&sim->ctx, sim->flows, sim->now_us,
+                            WALL_US + sim->now_us - START_US, &req);
 }
 
 static void
-send_config(struct world *w)
+send_config(struct simulation *sim)
 {
     GString *text = g_string_new(NULL);
 
     g_string_append_printf(
         text, "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],\"routes\":[",
-        (int)++w->version);
+        (int)++sim->version);
     for (int p = 0; p < 3; p++) {
         g_string_append_printf(
             text,
@@ -345,21 +347,21 @@
             text,
             "%s{\"name\":\"org%d\",\"api-keys\":[\"k%d\"],\"guaranteed\":"
             "{\"gpus\":%u}}",
-            i ? "," : "", i, i, w->guaranteed_gpus);
+            i ? "," : "", i, i, sim->guaranteed_gpus);
     }
     g_string_append(text, "]}");
-    request(w, MW_FLOW_CONFIG, "", "", text->str);
+    request(sim, MW_FLOW_CONFIG, "", "", text->str);
     g_string_free(text, TRUE);
 }
 
 /* Accelerators that the urgent jobs of an organisation need. */
 static uint32_t
-needed_gpus(const struct world *w, int org)
+needed_gpus(const struct simulation *sim, int org)
 {
     uint32_t gpus = 0;
 
-    for (guint i = 0; i < w->jobs->len; i++) {
-        const struct job *job = w->jobs->pdata[i];
+    for (guint i = 0; i < sim->jobs->len; i++) {
+        const struct job *job = sim->jobs->pdata[i];
 
         if (job->org == org && job->priority == URGENT && !job->ended) {
             gpus += job->width * job->gpus;
@@ -369,19 +371,19 @@
 }
 
 static struct job *
-new_job(struct world *w, int org, int priority)
+new_job(struct simulation *sim, int org, int priority)
 {
     static const uint32_t sizes[] = {1, 2, 4, 8, 8};
     struct job *job = g_new0(struct job, 1);
     char id[17];
 
-    g_snprintf(id, sizeof id, "%016x", w->jobs->len + 1);
+    g_snprintf(id, sizeof id, "%016x", sim->jobs->len + 1);
     job->id = mw_name_from(id);
     job->org = org;
     job->priority = priority;
-    job->width = (uint32_t)g_rand_int_range(w->rand, 1, WIDTH_MAX);
-    job->gpus = sizes[g_rand_int_range(w->rand, 0, G_N_ELEMENTS(sizes))];
-    job->duration_us = g_rand_int_range(w->rand, 500000, 6000000);
+    job->width = (uint32_t)g_rand_int_range(sim->rand, 1, WIDTH_MAX);
+    job->gpus = sizes[g_rand_int_range(sim->rand, 0, G_N_ELEMENTS(sizes))];
+    job->duration_us = g_rand_int_range(sim->rand, 500000, 6000000);
     if (priority > URGENT) {
         job->duration_us += 5000000;
     }
@@ -393,7 +395,7 @@
 }
 
 static void
-submit(struct world *w, struct job *job)
+submit(struct simulation *sim, struct job *job)
 {
     char path[32];
     char key[8];
@@ -402,110 +404,114 @@
         "\"estimate-ms\":%d,\"gang\":%s,\"rack-sensitive\":%s,"
         "\"checkpointing\":%s}]}",
         job->width, job->gpus * 1000, job->gpus,
-        (int)(job->duration_us * g_rand_double_range(w->rand, 0.2, 1.8) /
+        (int)(job->duration_us * g_rand_double_range(sim->rand, 0.2, 1.8) /
               1000),
         job->priority < 2 ? "true" : "false",
-        g_rand_double(w->rand) < 0.8 && job->priority < 2 ? "true" : "false",
-        g_rand_double(w->rand) < 0.45 && job->priority > 0 ? "true" : "false");
+        g_rand_double(sim->rand) < 0.8 && job->priority < 2 ? "true" : "false",
+        g_rand_double(sim->rand) < 0.45 && job->priority > 0 ? "true"
+                                                             : "false");
 
     g_snprintf(path, sizeof path, "/%d/%.*s", job->priority,
                MW_FMT(mw_name_str(&job->id)));
     g_snprintf(key, sizeof key, "k%d", job->org);
-    g_ptr_array_add(w->jobs, job);
-    g_hash_table_insert(w->jobs_by_id, &job->id, job);
-    request(w, MW_FLOW_SUBMIT, path, key, plan);
+    g_ptr_array_add(sim->jobs, job);
+    g_hash_table_insert(sim->jobs_by_id, &job->id, job);
+    request(sim, MW_FLOW_SUBMIT, path, key, plan);
     g_free(plan);
 }
 
-/* The modest organisation sends nothing that exceeds its guarantee. */
+/* GUARANTEED_ORG sends nothing that exceeds its guarantee. */
 static void
-maybe_submit(struct world *w, int org, int priority, double per_s)
+maybe_submit(struct simulation *sim, int org, int priority, double per_s)
 {
     struct job *job;
 
-    if (g_rand_double(w->rand) >= per_s * STEP_US / 1e6) {
+    if (g_rand_double(sim->rand) >= per_s * STEP_US / 1e6) {
         return;
     }
-    job = new_job(w, org, priority);
-    if (org == MODEST_ORG && priority == URGENT &&
-        needed_gpus(w, org) + job->width * job->gpus > w->guaranteed_gpus) {
+    job = new_job(sim, org, priority);
+    if (org == GUARANTEED_ORG && priority == URGENT &&
+        needed_gpus(sim, org) + job->width * job->gpus >
+            sim->guaranteed_gpus) {
         g_free(job);
         return;
     }
-    submit(w, job);
+    submit(sim, job);
 }
 
 static void
-check_jobs(struct world *w)
+check_jobs(struct simulation *sim)
 {
     uint32_t needed[ORGS];
 
     for (int i = 0; i < ORGS; i++) {
-        needed[i] = needed_gpus(w, i);
+        needed[i] = needed_gpus(sim, i);
     }
-    for (guint i = 0; i < w->jobs->len; i++) {
-        struct job *job = w->jobs->pdata[i];
+    for (guint i = 0; i < sim->jobs->len; i++) {
+        struct job *job = sim->jobs->pdata[i];
 
         if (job->priority != URGENT || job->accepted_us == 0 || job->ended ||
             job->started_us > 0) {
             continue;
         }
-        job->beyond |= needed[job->org] > w->guaranteed_gpus;
-        job->late |= !job->beyond && w->now_us - job->accepted_us > RECLAIM_US;
+        job->beyond |= needed[job->org] > sim->guaranteed_gpus;
+        job->late |=
+            !job->beyond && sim->now_us - job->accepted_us > RECLAIM_US;
     }
 }
 
 static void
-deliver(struct world *w)
+deliver(struct simulation *sim)
 {
-    while (w->commits->len > 0 &&
-           g_array_index(w->commits, struct commit, 0).at_us <= w->now_us) {
+    while (sim->commits->len > 0 &&
+           g_array_index(sim->commits, struct commit, 0).at_us <=
+               sim->now_us) {
         struct mw_record *record =
-            g_array_index(w->commits, struct commit, 0).record;
+            g_array_index(sim->commits, struct commit, 0).record;
 
-        g_array_remove_index(w->commits, 0);
-        mw_flows_apply(&w->ctx, w->flows, w->now_us, record);
+        g_array_remove_index(sim->commits, 0);
+        mw_flows_apply(&sim->ctx, sim->flows, sim->now_us, record);
         mw_drop_record(record);
     }
-    while (w->calls->len > 0 &&
-           g_array_index(w->calls, struct call, 0).at_us <= w->now_us) {
+    while (sim->calls->len > 0 &&
+           g_array_index(sim->calls, struct call, 0).at_us <= sim->now_us) {
         struct mw_flow_command command =
-            g_array_index(w->calls, struct call, 0).command;
+            g_array_index(sim->calls, struct call, 0).command;
 
-        g_array_remove_index(w->calls, 0);
-        execute(w, &command);
+        g_array_remove_index(sim->calls, 0);
+        execute(sim, &command);
     }
 }
 
 static void
-step(struct world *w)
+step(struct simulation *sim)
 {
-    int64_t age_us = w->now_us - START_US;
+    int64_t age_us = sim->now_us - START_US;
 
     if (age_us % HEARTBEAT_INTERVAL_US == 0) {
-        send_heartbeats(w);
+        send_heartbeats(sim);
     }
     if (age_us % CONFIG_INTERVAL_US == 0) {
-        send_config(w);
+        send_config(sim);
     }
-    deliver(w);
-    for (int i = 0; i < w->endpoint_count; i++) {
-        step_endpoint(w, &w->endpoints[i]);
+    deliver(sim);
+    for (int i = 0; i < sim->endpoint_count; i++) {
+        step_endpoint(sim, &sim->endpoints[i]);
     }
-    mw_flows_tick(&w->ctx, w->flows, w->now_us,
-                  WALL_US + w->now_us - START_US);
-    check_jobs(w);
-    w->now_us += STEP_US;
+    mw_flows_tick(&sim->ctx, sim->flows, sim->now_us,
+                  WALL_US + sim->now_us - START_US);
+    check_jobs(sim);
+    sim->now_us += STEP_US;
 }
 
-static struct world *
-new_world(uint32_t seed, int racks, int endpoints_per_rack)
+static struct simulation *
+new_simulation(uint32_t seed, int racks, int endpoints_per_rack)
 {
-    struct world *w = g_new0(struct world, 1);
+    struct simulation *sim = g_new0(struct simulation, 1);
     struct mw_flow_limits limits = {.lease_max_us = 6000000,
                                     .stop_timeout_us = STOP_TIMEOUT_US,
                                     .state_retention_us = 240000000};
-    struct mw_flow_output output = {w,
+    struct mw_flow_output output = {sim,
                                     propose,
                                     send_command,
                                     ignore_reply,
@@ -513,18 +519,18 @@
                                     mw_decode_flow_config,
                                     mw_decode_flow_plan};
 
-    w->rand = g_rand_new_with_seed(seed);
-    w->now_us = START_US;
-    w->jobs = g_ptr_array_new_with_free_func(g_free);
-    w->jobs_by_id = g_hash_table_new(mw_hash_name, mw_same_name);
-    w->calls = g_array_new(FALSE, FALSE, sizeof(struct call));
-    w->commits = g_array_new(FALSE, FALSE, sizeof(struct commit));
-    w->endpoint_count = racks * endpoints_per_rack;
-    w->endpoints = g_new0(struct endpoint, w->endpoint_count);
-    w->guaranteed_gpus = (uint32_t)(w->endpoint_count * GPUS_PER_ENDPOINT *
-                                    GUARANTEED_PERCENT / 100 / ORGS);
-    for (int i = 0; i < w->endpoint_count; i++) {
-        struct mw_flow_heartbeat *heartbeat = &w->endpoints[i].heartbeat;
+    sim->rand = g_rand_new_with_seed(seed);
+    sim->now_us = START_US;
+    sim->jobs = g_ptr_array_new_with_free_func(g_free);
+    sim->jobs_by_id = g_hash_table_new(mw_hash_name, mw_same_name);
+    sim->calls = g_array_new(FALSE, FALSE, sizeof(struct call));
+    sim->commits = g_array_new(FALSE, FALSE, sizeof(struct commit));
+    sim->endpoint_count = racks * endpoints_per_rack;
+    sim->endpoints = g_new0(struct endpoint, sim->endpoint_count);
+    sim->guaranteed_gpus = (uint32_t)(sim->endpoint_count * GPUS_PER_ENDPOINT *
+                                      GUARANTEED_PERCENT / 100 / ORGS);
+    for (int i = 0; i < sim->endpoint_count; i++) {
+        struct mw_flow_heartbeat *heartbeat = &sim->endpoints[i].heartbeat;
         char name[16];
 
         g_snprintf(name, sizeof name, "e%d", i);
@@ -537,40 +543,41 @@
             (struct mw_flow_resources){128000, 524288, GPUS_PER_ENDPOINT};
         g_snprintf(name, sizeof name, "r%d", i / endpoints_per_rack);
         heartbeat->labels[heartbeat->label_count++] = mw_name_from(name);
-        w->endpoints[i].runs = g_array_new(FALSE, FALSE, sizeof(struct run));
+        sim->endpoints[i].runs = g_array_new(FALSE, FALSE, sizeof(struct run));
     }
-    w->flows = mw_new_flows(&limits, &output);
-    mw_flows_set_leadership(w->flows, w->now_us, true, 1);
-    return w;
+    sim->flows = mw_new_flows(&limits, &output);
+    mw_flows_set_leadership(sim->flows, sim->now_us, true, 1);
+    return sim;
 }
 
 static void
-drop_world(struct world *w)
+drop_simulation(struct simulation *sim)
 {
-    mw_drop_flows(w->flows);
-    for (guint i = 0; i < w->commits->len; i++) {
-        mw_drop_record(g_array_index(w->commits, struct commit, i).record);
-    }
-    for (int i = 0; i < w->endpoint_count; i++) {
-        g_array_unref(w->endpoints[i].runs);
-    }
-    g_free(w->endpoints);
-    g_array_unref(w->commits);
-    g_array_unref(w->calls);
-    g_hash_table_unref(w->jobs_by_id);
-    g_ptr_array_unref(w->jobs);
-    g_rand_free(w->rand);
-    g_free(w);
+    mw_drop_flows(sim->flows);
+    for (guint i = 0; i < sim->commits->len; i++) {
+        mw_drop_record(g_array_index(sim->commits, struct commit, i).record);
+    }
+    for (int i = 0; i < sim->endpoint_count; i++) {
+        g_array_unref(sim->endpoints[i].runs);
+    }
+    g_free(sim->endpoints);
+    g_array_unref(sim->commits);
+    g_array_unref(sim->calls);
+    g_hash_table_unref(sim->jobs_by_id);
+    g_ptr_array_unref(sim->jobs);
+    g_rand_free(sim->rand);
+    g_free(sim);
 }
 
 static void
-print_late_jobs(struct mw_script *s, const struct world *w, uint32_t seed)
+print_late_jobs(struct mw_script *s, const struct simulation *sim,
+                uint32_t seed)
 {
     int late = 0;
     int checked = 0;
 
-    for (guint i = 0; i < w->jobs->len; i++) {
-        const struct job *job = w->jobs->pdata[i];
+    for (guint i = 0; i < sim->jobs->len; i++) {
+        const struct job *job = sim->jobs->pdata[i];
 
         if (job->priority != URGENT || job->beyond || !job->accepted_us) {
             continue;
@@ -591,7 +598,7 @@
 }
 
 /* play SECONDS seeds=N first=N racks=N endpoints=N urgent=PER_S other=PER_S:
- * urgent is the rate of each organisation but the modest one */
+ * urgent is the rate of each organisation but GUARANTEED_ORG */
 static void
 cmd_play(struct mw_script *s)
 {
@@ -606,20 +613,20 @@
         seeds = (uint32_t)atoi(from_env);
     }
     for (uint32_t seed = first; seed < first + seeds; seed++) {
-        struct world *w =
-            new_world(seed, (int)mw_script_option_int(s, "racks", 4),
-                      (int)mw_script_option_int(s, "endpoints", 5));
+        struct simulation *sim =
+            new_simulation(seed, (int)mw_script_option_int(s, "racks", 4),
+                           (int)mw_script_option_int(s, "endpoints", 5));
 
-        while (w->now_us < START_US + seconds * 1000000) {
+        while (sim->now_us < START_US + seconds * 1000000) {
             for (int org = 0; org < ORGS; org++) {
-                maybe_submit(w, org, URGENT, urgent);
-                maybe_submit(w, org, 1, other);
-                maybe_submit(w, org, 2, other);
+                maybe_submit(sim, org, URGENT, urgent);
+                maybe_submit(sim, org, 1, other);
+                maybe_submit(sim, org, 2, other);
             }
-            step(w);
+            step(sim);
         }
-        print_late_jobs(s, w, seed);
-        drop_world(w);
+        print_late_jobs(s, sim, seed);
+        drop_simulation(sim);
     }
     mw_script_printf(s, "  played");
 }
