--- a/include/mimosawind/link-choice.h
+++ b/include/mimosawind/link-choice.h
@@ -9,14 +9,13 @@
  * Each of two processes may dial the other.  Both ends have to keep the same
  * connection, or each closes the one that the other keeps, and both dial
  * again.  The connection dialed by the process whose name compares greater is
- * preferred, unless nothing was received on it for a while: an established
- * connection can stop carrying data for good while new ones work.
+ * preferred, unless it is stale: an established connection can stop carrying
+ * data for good while new ones work.
  *
  * UNITS   microseconds
  */
 
-/* a connection on which nothing was received for so long loses its preference
- */
+/* without anything received for so long, a connection is stale */
 #define MW_LINK_STALE_US 750000
 
 /* mw_link_end: a connection as one of its ends knows it. */
--- a/source/core/flow/flow-guarantee.c
+++ b/source/core/flow/flow-guarantee.c
@@ -10,16 +10,19 @@
  */
 #include "flow-impl.h"
 
-/* org_use: what the urgent flows of an organisation need and use. */
+/*
+ * org_use: what the urgent flows of an organisation need and use.  Flows are
+ * visited oldest first.
+ */
 struct org_use {
     uint32_t guaranteed_gpus;
-    /* of the flows that were visited so far, running or not */
+    /* that the flows visited so far need, running or not */
     uint32_t needed_gpus;
-    /* of all flows */
+    /* of the runs of all its flows */
     uint32_t running_gpus;
-    /* of the flows that were visited so far */
+    /* of the runs of the flows visited so far */
     uint32_t visited_gpus;
-    /* of the waiting flows that may reclaim accelerators */
+    /* that the flows visited so far wait for and may reclaim */
     uint32_t reclaimed_gpus;
 };
 
@@ -37,7 +40,7 @@
     return most;
 }
 
-/* The accelerators of the flow's runs, without those that are being stopped.
+/* The accelerators of the flow's runs, except of runs that are being stopped.
  */
 static uint32_t
 running_gpus(const struct mw_flow *flow)
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -9,18 +9,22 @@
  * flow-impl: the state of the scheduler of flows.
  *
  * FILES
- *   flow-request.c                 requests of clients and operators
- *   flow-endpoint.c                heartbeats and incarnations
- *   flow-response.c                  responses to commands
- *   flow-reconcile.c                 reconciles lists of runs with placements
- *   flow-state.c, flow-registry.c     apply committed records
- *   flow-schedule.c                    scheduling passes, start of leadership
- *   flow-guarantee.c                 use of the organisations' guarantees
- *   flow-queue.c, flow-place.c     rank waiting work, choose endpoints
- *   flow-preempt.c                 preemption and reservations
- *   flow-urgent-pool.c                 the pool of racks for urgent work
- *   flow-health.c                   quarantine of failing endpoints
- *   flow-command.c                   sends commands and grants leases
+ *   flow-request.c      requests of clients and operators
+ *   flow-endpoint.c     heartbeats and incarnations
+ *   flow-registry.c     records of endpoints
+ *   flow-response.c     responses to commands
+ *   flow-reconcile.c    reconciles lists of runs with placements
+ *   flow-state.c        applies committed records
+ *   flow-schedule.c     scheduling passes, start of leadership
+ *   flow-guarantee.c    use of the organisations' guarantees
+ *   flow-queue.c        ranks waiting work
+ *   flow-place.c        chooses endpoints
+ *   flow-preempt.c      preemption and reservations
+ *   flow-urgent-pool.c  the pool of racks for urgent work
+ *   flow-health.c       quarantine of failing endpoints
+ *   flow-command.c      sends commands and grants leases
+ *   flow-measure.c      latencies
+ *   flow-event.c        lines of the event log
  *
  * The replicated state of tasks changes only in flow-state.c.  The state of
  * endpoints and placements belongs to the leader; the next leader builds its
@@ -194,11 +198,15 @@
     int64_t ended_us;
     /* accelerators of its runs, for an urgent flow of an organisation */
     uint32_t running_gpus;
-    /* it and the older urgent flows of its organisation need no more than the
-     * guarantee */
+    /*
+     * It and the older urgent flows of its organisation need no more than the
+     * guarantee.
+     */
     bool guaranteed;
-    /* its organisation would not run more than its guarantee with it, so it
-     * may stop urgent work of others */
+    /*
+     * Its organisation would run no more than its guarantee with it, so it may
+     * stop urgent work of others.
+     */
     bool may_reclaim;
     /* urgent, and its organisation runs more than its guarantee with it */
     bool exceeds_guarantee;
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -70,8 +70,7 @@
             placement->group->flow->exceeds_guarantee);
 }
 
-/* Only a guarantee that is not used up justifies that urgent work is stopped.
- */
+/* Urgent work is stopped only for a guarantee that is not used up. */
 static enum victim_scope
 widest_scope(const struct mw_task_group *group)
 {
