--- /dev/null
+++ b/tests/region.c
@@ -0,0 +1,774 @@
+/*
+ * region: simulated processes of a region, their network and disks.
+ */
+#include "region.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "decode.h"
+
+#define LATENCY_US 1000
+/* a peer that was not heard from for so long counts as disconnected */
+#define PEER_TIMEOUT_US 1500000
+#define WALL_US INT64_C(1700000000000000)
+#define HEARTBEAT_INTERVAL_US 500000
+/* one command in so many is lost, or delayed by up to DELAY_MAX_US */
+#define LOST_ONE_IN 40
+#define DELAYED_ONE_IN 40
+#define DELAY_MAX_US 4000000
+
+/* A message between two processes, on its way. */
+struct packet {
+    int from;
+    int to;
+    int64_t at_us;
+    struct mw_blob *payload;
+};
+
+/* A command on its way to an endpoint, then the response on its way back. */
+struct endpoint_call {
+    struct mw_region_node *node;
+    /* number of the process's start; a later start gets no response */
+    uint64_t start_number;
+    struct mw_flow_command command;
+    struct mw_flow_response response;
+    /* the command has arrived or is lost; at_us is the response's time */
+    bool executed;
+    /* delayed on its way; lost if the endpoint restarts meanwhile */
+    bool delayed;
+    /* of the endpoint as the command was sent */
+    uint64_t incarnation;
+    int64_t at_us;
+};
+
+static void
+free_packet(void *data)
+{
+    struct packet *packet = data;
+
+    mw_drop_blob(packet->payload);
+    g_free(packet);
+}
+
+struct mw_region_node *
+mw_find_region_node(struct mw_region *region, const struct mw_name *name)
+{
+    for (int i = 0; i < region->count; i++) {
+        if (mw_name_equal(&region->nodes[i].name, name)) {
+            return &region->nodes[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+send_packet(struct mw_region_node *from, struct mw_region_node *to,
+            struct mw_msg *msg)
+{
+    struct mw_region *region = from->region;
+    struct packet *packet;
+
+    if (!to || !to->up || region->cut[from->index][to->index]) {
+        return;
+    }
+    packet = g_new0(struct packet, 1);
+    packet->from = from->index;
+    packet->to = to->index;
+    packet->at_us = region->now_us + LATENCY_US;
+    packet->payload = mw_encode_msg(msg, &from->name, region->now_us);
+    g_ptr_array_add(region->in_flight, packet);
+}
+
+static void
+node_send(void *opaque, const struct mw_name *to, struct mw_msg *msg)
+{
+    struct mw_region_node *node = opaque;
+
+    send_packet(node, mw_find_region_node(node->region, to), msg);
+}
+
+static void
+node_send_all(void *opaque, enum mw_process_role role, struct mw_msg *msg)
+{
+    struct mw_region_node *node = opaque;
+
+    for (int i = 0; i < node->region->count; i++) {
+        struct mw_region_node *to = &node->region->nodes[i];
+
+        if (to->is_control == (role == MW_ROLE_CONTROL) && to != node) {
+            send_packet(node, to, msg);
+        }
+    }
+}
+
+static void
+node_store(void *opaque, const struct mw_stored_item *item)
+{
+    struct mw_region_node *node = opaque;
+
+    node->sequence = item->sequence;
+    g_ptr_array_add(node->stored, mw_encode_stored(item));
+}
+
+static void
+free_endpoint_call(void *data)
+{
+    struct endpoint_call *call = data;
+
+    g_free(call->response.runs);
+    g_free(call);
+}
+
+/* True for one call in count, at random; never without a seed. */
+static bool
+one_in(struct mw_region *region, int count)
+{
+    return region->rand && g_rand_int_range(region->rand, 0, count) == 0;
+}
+
+static uint64_t
+endpoint_incarnation(struct mw_region *region, const struct mw_name *id)
+{
+    const struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint(region->endpoints, id);
+
+    return endpoint ? endpoint->incarnation : 0;
+}
+
+static void
+node_command(void *opaque, const struct mw_flow_command *command)
+{
+    struct mw_region_node *node = opaque;
+    struct mw_region *region = node->region;
+    struct endpoint_call *call = g_new0(struct endpoint_call, 1);
+
+    call->node = node;
+    call->start_number = node->start_number;
+    call->command = *command;
+    call->command.spec = NULL;
+    call->command.checkpoint = NULL;
+    call->at_us = region->now_us + LATENCY_US;
+    call->incarnation = endpoint_incarnation(region, &command->endpoint);
+    call->response.ref = command->ref;
+    call->response.result = MW_FLOW_NO_ANSWER;
+    if (region->lossy && one_in(region, DELAYED_ONE_IN)) {
+        call->delayed = true;
+        call->at_us += g_rand_int_range(region->rand, 1, DELAY_MAX_US);
+    }
+    g_ptr_array_add(region->calls, call);
+}
+
+/* Delivers the response, unless the process has crashed since the command. */
+static void
+deliver_response(struct endpoint_call *call)
+{
+    struct mw_region_node *node = call->node;
+
+    if (node->up && node->start_number == call->start_number) {
+        mw_flow_control_handle_response(node->control, node->region->now_us,
+                                        &call->response);
+    }
+}
+
+static void
+execute_call(struct mw_region *region, struct endpoint_call *call)
+{
+    struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint(region->endpoints, &call->command.endpoint);
+
+    if (!endpoint ||
+        (call->delayed && endpoint->incarnation != call->incarnation) ||
+        (region->lossy && one_in(region, LOST_ONE_IN))) {
+        return;
+    }
+    call->response =
+        mw_execute_fake_command(region->endpoints, endpoint, &call->command,
+                                region->now_us, call->delayed);
+}
+
+/* Commands arrive, or time out; responses take as long as commands. */
+static void
+advance_calls(struct mw_region *region)
+{
+    for (guint i = 0; i < region->calls->len;) {
+        struct endpoint_call *call = region->calls->pdata[i];
+        bool overdue = region->now_us >= call->command.response_deadline_us;
+
+        if (!call->executed && region->now_us >= call->at_us) {
+            call->executed = true;
+            call->at_us = region->now_us + LATENCY_US;
+            execute_call(region, call);
+            if (call->response.result == MW_FLOW_NO_ANSWER) {
+                call->at_us = call->command.response_deadline_us;
+            }
+        }
+        else if (call->delayed && overdue && call->node) {
+            struct endpoint_call timed_out = *call;
+
+            /* no response in time; the endpoint executes it all the same */
+            timed_out.response.result = MW_FLOW_NO_ANSWER;
+            deliver_response(&timed_out);
+            call->start_number = 0;
+        }
+        if (!call->executed || region->now_us < call->at_us ||
+            (call->node->up && call->node->frozen)) {
+            i++;
+            continue;
+        }
+        g_ptr_array_steal_index(region->calls, i);
+        deliver_response(call);
+        free_endpoint_call(call);
+    }
+}
+
+static void
+step_endpoints(struct mw_region *region)
+{
+    for (int i = 0; i < region->endpoints->count; i++) {
+        struct mw_fake_endpoint *endpoint = &region->endpoints->all[i];
+
+        mw_step_fake_endpoint(endpoint, region->now_us);
+        if (region->now_us < endpoint->heartbeat_deadline_us) {
+            continue;
+        }
+        endpoint->heartbeat_deadline_us =
+            region->now_us + HEARTBEAT_INTERVAL_US;
+        for (int n = 0; n < region->count; n++) {
+            struct mw_region_node *node = &region->nodes[n];
+            struct mw_region_pending_request pending = {
+                MW_FLOW_DRAIN, (uint64_t)i, endpoint->incarnation};
+            struct mw_flow_heartbeat heartbeat =
+                mw_fake_endpoint_heartbeat(endpoint, region->now_us);
+            uint64_t ref = ++region->last_ref;
+            int err;
+
+            if (!node->is_control || !node->up || node->frozen) {
+                continue;
+            }
+            g_hash_table_insert(region->pending, g_memdup2(&ref, sizeof ref),
+                                g_memdup2(&pending, sizeof pending));
+            err = mw_flow_control_handle_heartbeat(
+                node->control, region->now_us, &heartbeat, ref);
+            if (err == 0 && heartbeat.draining) {
+                mw_acknowledge_fake_drain(endpoint, region->now_us);
+            }
+        }
+    }
+}
+
+/* Only the incarnation that sent the heartbeat gets the acknowledgement. */
+static void
+acknowledge_drain(struct mw_fake_endpoint *endpoint, uint64_t incarnation,
+                  int64_t now_us)
+{
+    if (endpoint->incarnation == incarnation) {
+        mw_acknowledge_fake_drain(endpoint, now_us);
+    }
+}
+
+/* Remembers what a reply promises, and checks it against earlier promises. */
+static void
+check_reply(struct mw_region *region,
+            const struct mw_region_pending_request *pending,
+            const struct mw_flow_reply *reply, int status)
+{
+    struct mw_region_flow_replies *replies =
+        &region->flow_replies[pending->number % MW_REGION_FLOWS_MAX];
+
+    if (pending->kind == MW_FLOW_DRAIN && status == 200) {
+        acknowledge_drain(&region->endpoints->all[pending->number],
+                          pending->incarnation, region->now_us);
+    }
+    else if (pending->kind == MW_FLOW_CONFIG && status == 200) {
+        region->acknowledged_version =
+            MAX(region->acknowledged_version, pending->number);
+    }
+    else if (pending->kind == MW_FLOW_SUBMIT) {
+        replies->accepted |= status == 200;
+        replies->refused += status == 503;
+    }
+    else if (pending->kind == MW_FLOW_READ_STATE &&
+             region->final_replies > 0) {
+        bool found = status == 200;
+        bool never_accepted = replies->refused == replies->submitted;
+
+        region->final_replies++;
+        replies->ended = found && reply->state == MW_FLOW_COMPLETED;
+        if (replies->accepted && found && !replies->ended) {
+            g_string_append_printf(region->violations,
+                                   "flow %d has not ended; ",
+                                   (int)pending->number);
+        }
+        if ((replies->accepted && !found) || (never_accepted && found)) {
+            g_string_append_printf(
+                region->violations, "flow %d: %s, then %d; ",
+                (int)pending->number,
+                replies->accepted ? "accepted" : "refused", status);
+        }
+    }
+    else if (reply->kind == MW_REPLY_CONFIG) {
+        int err = 0;
+        struct mw_context ctx = {0};
+        struct mw_flow_config *config =
+            mw_decode_flow_config(NULL, &ctx, mw_blob_str(reply->text), &err);
+
+        if (!config || config->version < pending->number) {
+            g_string_append(region->violations, "an older version was read; ");
+        }
+        mw_drop_flow_config(config);
+    }
+}
+
+static void
+node_reply(void *opaque, const struct mw_flow_reply *reply)
+{
+    struct mw_region_node *node = opaque;
+    struct mw_region *region = node->region;
+    struct mw_region_pending_request *pending =
+        g_hash_table_lookup(region->pending, &reply->ref);
+    int status = mw_flow_reply_http_status(reply);
+
+    if (pending) {
+        check_reply(region, pending, reply, status);
+        g_hash_table_remove(region->pending, &reply->ref);
+    }
+    if (!region->quiet) {
+        struct mw_blob *text = mw_encode_flow_reply(reply);
+        struct mw_str body = mw_blob_str(text);
+
+        mw_script_printf(region->script, "  %d ms: reply %d by %.*s: %d %.*s",
+                         (int)((region->now_us - MW_REGION_START_US) / 1000),
+                         (int)reply->ref, MW_FMT(mw_name_str(&node->name)),
+                         status, (int)MIN(body.len, 60), body.ptr);
+        mw_drop_blob(text);
+    }
+}
+
+static void
+node_event(void *opaque, const struct mw_flow_event *event)
+{
+    struct mw_region_node *node = opaque;
+    struct mw_region *region = node->region;
+
+    if (!region->quiet) {
+        mw_script_printf(region->script, "  %d ms: %.*s %s %s%s%.*s",
+                         (int)((region->now_us - MW_REGION_START_US) / 1000),
+                         MW_FMT(mw_name_str(&node->name)), event->name,
+                         event->outcome, event->endpoint.len ? " " : "",
+                         MW_FMT(mw_name_str(&event->endpoint)));
+    }
+}
+
+/* Starts the control process's state anew. */
+static void
+replace_control(struct mw_region_node *node)
+{
+    struct mw_region *region = node->region;
+    struct mw_flow_control_setup setup = {
+        .name = node->name,
+        .zone = mw_name_from("za"),
+        .incarnation = node->incarnation,
+        .member_count = node->member_count,
+        .founding_count = MIN(node->member_count, 3),
+        .target_member_count = region->target_member_count,
+        .compact_after = 60,
+        .random_seed =
+            (uint32_t)(node->index + 1) * 31 + (uint32_t)node->incarnation,
+        .now_us = region->now_us,
+        .limits = {10000000, 900000, 240000000},
+        .output = {node, node_send, node_send_all, node_store, node_command,
+                   node_reply, node_event, mw_decode_flow_config,
+                   mw_decode_flow_plan},
+    };
+
+    memcpy(setup.members, node->members, sizeof setup.members);
+    mw_drop_flow_control(node->control);
+    node->control = mw_new_flow_control(&setup);
+}
+
+/* Becomes a member, with a disk that has nothing but its incarnation. */
+static void
+become_member(struct mw_region_node *node, uint64_t incarnation)
+{
+    struct mw_stored_item meta = {.kind = MW_STORED_META,
+                                  .incarnation = incarnation};
+
+    node->incarnation = incarnation;
+    replace_control(node);
+    g_ptr_array_add(node->stored, mw_encode_stored(&meta));
+    node->synced_count = node->stored->len;
+    mw_flow_control_restore(&node->ctx, node->control, &meta);
+}
+
+/* Restores the state from the disk. */
+static void
+restore(struct mw_region_node *node)
+{
+    for (guint i = 0; i < node->stored->len; i++) {
+        struct mw_stored_item item;
+
+        if (mw_decode_stored(&node->ctx, mw_blob_str(node->stored->pdata[i]),
+                             &item) ||
+            mw_flow_control_restore(&node->ctx, node->control, &item)) {
+            g_string_append(node->region->violations, "replay failed; ");
+        }
+        mw_clear_stored(&item);
+    }
+}
+
+void
+mw_start_node(struct mw_region_node *node)
+{
+    struct mw_flow_entry_output output = {node, node_send, node_reply,
+                                          node_event};
+
+    if (node->up) {
+        return;
+    }
+    node->up = true;
+    node->start_number = ++node->region->start_count;
+    node->frozen = false;
+    if (!node->is_control) {
+        node->entry = mw_new_flow_entry(&output, &node->name);
+        return;
+    }
+    node->incarnation = ++node->region->last_incarnation;
+    replace_control(node);
+    restore(node);
+}
+
+/* The items that were not synced are lost. */
+void
+mw_crash_node(struct mw_region_node *node)
+{
+    node->up = false;
+    mw_drop_flow_control(node->control);
+    mw_drop_flow_entry(node->entry);
+    node->control = NULL;
+    node->entry = NULL;
+    g_ptr_array_set_size(node->stored, (gint)node->synced_count);
+}
+
+/* Crashes the process and loses its disk. */
+void
+mw_wipe_node(struct mw_region_node *node)
+{
+    mw_crash_node(node);
+    g_ptr_array_set_size(node->stored, 0);
+    node->synced_count = 0;
+    node->member_count = 0;
+}
+
+/* Remembers the members that the process knows.  A process with an empty disk
+ * becomes a member once it is among them. */
+static void
+update_membership(struct mw_region_node *node)
+{
+    struct mw_name members[MW_MEMBERS_MAX] = {{0}};
+    uint32_t count;
+
+    if (!node->is_control) {
+        return;
+    }
+    count = mw_flow_control_get_members(node->control, members);
+    if (node->stored->len > 0) {
+        node->member_count = MAX(node->member_count, count);
+        memcpy(node->members, members, sizeof node->members);
+        return;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (mw_name_equal(&members[i], &node->name)) {
+            node->member_count = count;
+            memcpy(node->members, members, sizeof node->members);
+            become_member(node, ++node->region->last_incarnation);
+            return;
+        }
+    }
+}
+
+static int64_t
+wall_us(const struct mw_region *region)
+{
+    return WALL_US + region->now_us - MW_REGION_START_US;
+}
+
+static void
+deliver_packet(struct mw_region *region, const struct packet *packet)
+{
+    struct mw_region_node *to = &region->nodes[packet->to];
+    struct mw_region_node *from = &region->nodes[packet->from];
+    int err = 0;
+    struct mw_msg *msg = mw_decode_msg(&to->ctx, mw_blob_str(packet->payload),
+                                       region->now_us, NULL, &err);
+
+    if (!msg) {
+        g_string_append(region->violations, "frame refused; ");
+        return;
+    }
+    if (to->is_control) {
+        mw_flow_control_receive(&to->ctx, to->control, region->now_us,
+                                wall_us(region), &from->name, msg);
+        update_membership(to);
+    }
+    else {
+        mw_flow_entry_receive(to->entry, region->now_us, &from->name, msg);
+    }
+    mw_drop_msg(msg);
+}
+
+static void
+deliver_packets(struct mw_region *region)
+{
+    for (guint i = 0; i < region->in_flight->len;) {
+        struct packet *packet = region->in_flight->pdata[i];
+        struct mw_region_node *to = &region->nodes[packet->to];
+
+        if (packet->at_us > region->now_us || (to->up && to->frozen)) {
+            i++;
+            continue;
+        }
+        g_ptr_array_steal_index(region->in_flight, i);
+        if (to->up && !region->cut[packet->from][packet->to]) {
+            deliver_packet(region, packet);
+        }
+        free_packet(packet);
+    }
+}
+
+static void
+detect_disconnected(struct mw_region *region)
+{
+    for (int a = 0; a < region->count; a++) {
+        for (int b = 0; b < region->count; b++) {
+            struct mw_region_node *node = &region->nodes[a];
+            bool unreachable = region->cut[a][b] || !region->nodes[b].up ||
+                               region->nodes[b].frozen;
+
+            if (!unreachable) {
+                region->last_heard_us[a][b] = region->now_us;
+                region->disconnected[a][b] = false;
+            }
+            if (region->disconnected[a][b] || !node->up || node->frozen ||
+                region->now_us - region->last_heard_us[a][b] <
+                    PEER_TIMEOUT_US) {
+                continue;
+            }
+            region->disconnected[a][b] = true;
+            if (node->is_control) {
+                mw_flow_control_disconnected(node->control, region->now_us,
+                                             &region->nodes[b].name);
+            }
+            else {
+                mw_flow_entry_disconnected(node->entry, region->now_us,
+                                           &region->nodes[b].name);
+            }
+        }
+    }
+}
+
+static void
+step_node(struct mw_region_node *node)
+{
+    int64_t now_us = node->region->now_us;
+
+    if (!node->up || node->frozen) {
+        return;
+    }
+    if (!node->is_control) {
+        mw_flow_entry_tick(node->entry, now_us);
+        return;
+    }
+    if (now_us >= mw_flow_control_deadline(node->control)) {
+        mw_flow_control_tick(&node->ctx, node->control, now_us,
+                             wall_us(node->region));
+    }
+    if (node->synced_count < node->stored->len) {
+        node->synced_count = node->stored->len;
+        mw_flow_control_synced(&node->ctx, node->control, now_us,
+                               node->sequence);
+    }
+}
+
+static void
+check_single_leader(struct mw_region *region)
+{
+    unsigned leaders = 0;
+
+    for (int i = 0; i < region->count; i++) {
+        struct mw_region_node *node = &region->nodes[i];
+
+        leaders += node->is_control && node->up && !node->frozen &&
+                   mw_flow_control_is_leader(node->control, region->now_us);
+    }
+    if (leaders > 1) {
+        g_string_append_printf(
+            region->violations, "%u leaders at %d ms; ", leaders,
+            (int)((region->now_us - MW_REGION_START_US) / 1000));
+    }
+}
+
+void
+mw_advance_region(struct mw_region *region, int64_t for_us)
+{
+    int64_t until_us = region->now_us + for_us;
+
+    while (region->now_us < until_us) {
+        region->now_us += MW_REGION_STEP_US;
+        deliver_packets(region);
+        advance_calls(region);
+        step_endpoints(region);
+        detect_disconnected(region);
+        for (int i = 0; i < region->count; i++) {
+            step_node(&region->nodes[i]);
+        }
+        check_single_leader(region);
+    }
+}
+
+/* Sends a request; pending, if not NULL, is what the reply is checked by. */
+void
+mw_send_region_request(struct mw_region_node *node,
+                       enum mw_flow_request_kind kind, const char *path,
+                       const char *body,
+                       const struct mw_region_pending_request *pending)
+{
+    struct mw_region *region = node->region;
+    struct mw_flow_request request = {
+        .ref = ++region->last_ref,
+        .kind = kind,
+        .host = MW_STR("h.example"),
+        .path = mw_str_from(path),
+        .key = MW_STR("k1"),
+        .body = mw_str_from(body),
+    };
+
+    if (!node->up || node->frozen) {
+        return;
+    }
+    if (pending) {
+        uint64_t *ref = g_memdup2(&request.ref, sizeof request.ref);
+
+        g_hash_table_insert(region->pending, ref,
+                            g_memdup2(pending, sizeof *pending));
+    }
+    if (node->is_control) {
+        mw_flow_control_request(&node->ctx, node->control, region->now_us,
+                                wall_us(region), &request);
+    }
+    else {
+        mw_flow_entry_request(node->entry, region->now_us, &request,
+                              region->now_us + MW_REGION_REQUEST_TIMEOUT_US);
+    }
+}
+
+char *
+mw_region_config_text(uint64_t version)
+{
+    return g_strdup_printf(
+        "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],\"routes\":["
+        "{\"name\":\"bulk\",\"host\":\"h.example\",\"path-prefix\":\"/b/\","
+        "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
+        "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
+        "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
+        "\"guaranteed\":{\"gpus\":8}}]}",
+        (int)version);
+}
+
+void
+mw_add_region_node(struct mw_region *region, const char *name, bool is_control)
+{
+    struct mw_region_node *node = &region->nodes[region->count];
+
+    node->region = region;
+    node->index = region->count++;
+    node->is_control = is_control;
+    node->name = mw_name_from(name);
+    node->stored =
+        g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_blob);
+}
+
+/* Starts a new region: up to three control processes are its first members. */
+void
+mw_start_region(struct mw_region *region, int endpoints)
+{
+    struct mw_name members[MW_MEMBERS_MAX] = {{0}};
+    uint32_t count = 0;
+
+    region->endpoints = mw_new_fake_endpoints(endpoints, region->violations);
+    for (int i = 0; i < region->count; i++) {
+        if (region->nodes[i].is_control && count < 3) {
+            members[count++] = region->nodes[i].name;
+        }
+    }
+    for (int i = 0; i < region->count; i++) {
+        struct mw_region_node *node = &region->nodes[i];
+        bool is_founding = false;
+
+        for (uint32_t m = 0; node->is_control && m < count; m++) {
+            is_founding |= mw_name_equal(&members[m], &node->name);
+        }
+        if (is_founding) {
+            node->member_count = count;
+            memcpy(node->members, members, sizeof members);
+            node->up = true;
+            node->start_number = ++region->start_count;
+            become_member(node, MW_FOUNDING_INCARNATION);
+        }
+        else {
+            mw_start_node(node);
+        }
+    }
+}
+
+struct mw_region *
+mw_new_region(void)
+{
+    struct mw_region *region = g_new0(struct mw_region, 1);
+
+    region->now_us = MW_REGION_START_US;
+    region->last_incarnation = 100;
+    region->target_member_count = 3;
+    region->in_flight = g_ptr_array_new_with_free_func(free_packet);
+    region->calls = g_ptr_array_new_with_free_func(free_endpoint_call);
+    region->violations = g_string_new(NULL);
+    region->pending =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    return region;
+}
+
+void
+mw_clear_region(struct mw_region *region)
+{
+    for (int i = 0; i < region->count; i++) {
+        mw_crash_node(&region->nodes[i]);
+        g_ptr_array_unref(region->nodes[i].stored);
+    }
+    region->count = 0;
+    memset(region->nodes, 0, sizeof region->nodes);
+    memset(region->cut, 0, sizeof region->cut);
+    memset(region->disconnected, 0, sizeof region->disconnected);
+    memset(region->flow_replies, 0, sizeof region->flow_replies);
+    g_ptr_array_set_size(region->in_flight, 0);
+    g_ptr_array_set_size(region->calls, 0);
+    g_clear_pointer(&region->endpoints, mw_drop_fake_endpoints);
+    g_hash_table_remove_all(region->pending);
+}
+
+void
+mw_drop_region(struct mw_region *region)
+{
+    mw_clear_region(region);
+    g_ptr_array_unref(region->in_flight);
+    g_ptr_array_unref(region->calls);
+    g_hash_table_unref(region->pending);
+    g_string_free(region->violations, TRUE);
+    g_free(region);
+}
+
+void
+mw_set_region_cut(struct mw_region *region, int a, int b, bool cut)
+{
+    region->cut[a][b] = cut;
+    region->cut[b][a] = cut;
+}
--- /dev/null
+++ b/tests/region.h
@@ -0,0 +1,153 @@
+#ifndef MW_TESTS_REGION_H
+#define MW_TESTS_REGION_H
+
+#include <glib.h>
+
+#include "mimosawind/flow-process.h"
+#include "region-endpoint.h"
+#include "script.h"
+
+/*
+ * region: a simulated region that runs flows: control processes, entry
+ * processes and endpoints, in one thread and with simulated time.
+ *
+ * Messages pass through the real encoders; stored items are synced at the end
+ * of a step.  Checked after every step: at most one process leads.
+ */
+
+#define MW_REGION_NODES_MAX 12
+#define MW_REGION_FLOWS_MAX 400
+#define MW_REGION_STEP_US 10000
+#define MW_REGION_START_US 1000000000
+#define MW_REGION_REQUEST_TIMEOUT_US 3000000
+/* a flow of one task */
+#define MW_REGION_PLAN                                                        \
+    "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"cpu\":1000,\"gpus\":1}]}"
+
+/* A process of the region. */
+struct mw_region_node {
+    struct mw_region *region;
+    int index;
+    /* a control process; else an entry process */
+    bool is_control;
+    struct mw_name name;
+    bool up;
+    bool frozen;
+    struct mw_flow_control *control;
+    struct mw_flow_entry *entry;
+    struct mw_context ctx;
+    uint64_t incarnation;
+    /* encoded items on its disk; the first synced_count are synced */
+    GPtrArray *stored;
+    guint synced_count;
+    uint64_t sequence;
+    uint64_t start_number;
+    /* the log's members, as this process knows them */
+    uint32_t member_count;
+    struct mw_name members[MW_MEMBERS_MAX];
+};
+
+/* Replies about one flow, which may be submitted repeatedly. */
+struct mw_region_flow_replies {
+    unsigned submitted;
+    unsigned refused;
+    bool accepted;
+    bool ended;
+};
+
+/* A request of a seeded run, or a heartbeat, that waits for its reply. */
+struct mw_region_pending_request {
+    enum mw_flow_request_kind kind;
+    /* of the flow, the configuration's version or the endpoint */
+    uint64_t number;
+    /* of the endpoint, for a heartbeat */
+    uint64_t incarnation;
+};
+
+struct mw_region {
+    struct mw_script *script;
+    int count;
+    uint32_t target_member_count;
+    struct mw_region_node nodes[MW_REGION_NODES_MAX];
+    /* links that drop all messages */
+    bool cut[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
+    /* by the process that hears, then the one that is heard */
+    int64_t last_heard_us[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
+    bool disconnected[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
+    GPtrArray *in_flight;
+    GPtrArray *calls;
+    struct mw_fake_endpoints *endpoints;
+    int64_t now_us;
+    uint64_t last_ref;
+    uint64_t start_count;
+    uint64_t last_incarnation;
+    bool quiet;
+    /* what the checks found, as text */
+    GString *violations;
+    GRand *rand;
+    /* commands to endpoints get lost or delayed */
+    bool lossy;
+    /* ref to its struct mw_region_pending_request */
+    GHashTable *pending;
+    struct mw_region_flow_replies flow_replies[MW_REGION_FLOWS_MAX];
+    /* highest acknowledged version of the configuration */
+    uint64_t acknowledged_version;
+    uint64_t last_version;
+    /* 0 before the final check, then 1 plus the states of flows replied */
+    unsigned final_replies;
+    /* since when all control processes run and no link is cut */
+    int64_t healthy_since_us;
+    /* a disk may be lost now */
+    bool can_wipe;
+};
+
+/* mw_new_region, mw_drop_region: a region without processes. */
+struct mw_region *mw_new_region(void);
+void mw_drop_region(struct mw_region *region);
+
+/* mw_add_region_node: adds a process, which mw_start_region starts. */
+void mw_add_region_node(struct mw_region *region, const char *name,
+                        bool is_control);
+/* mw_start_region: up to three control processes are its first members. */
+void mw_start_region(struct mw_region *region, int endpoints);
+/* mw_clear_region: ends and removes all processes and endpoints. */
+void mw_clear_region(struct mw_region *region);
+void mw_advance_region(struct mw_region *region, int64_t for_us);
+
+/* mw_set_region_cut: whether the link of two processes drops all messages. */
+void mw_set_region_cut(struct mw_region *region, int a, int b, bool cut);
+
+/* mw_find_region_node: the process with this name, or NULL. */
+struct mw_region_node *mw_find_region_node(struct mw_region *region,
+                                           const struct mw_name *name);
+void mw_start_node(struct mw_region_node *node);
+/* mw_crash_node: what was not synced is lost. */
+void mw_crash_node(struct mw_region_node *node);
+/* mw_wipe_node: crashes the process and loses its disk. */
+void mw_wipe_node(struct mw_region_node *node);
+
+/*
+ * mw_send_region_request: sends a request to a process; pending, if not NULL,
+ * is what the reply is checked by.
+ */
+void mw_send_region_request(struct mw_region_node *node,
+                            enum mw_flow_request_kind kind, const char *path,
+                            const char *body,
+                            const struct mw_region_pending_request *pending);
+
+/* mw_region_config_text: a configuration with this version; g_free it. */
+char *mw_region_config_text(uint64_t version);
+
+/*
+ * mw_run_region_seed: a region with injected faults (region-seeds.c).
+ *
+ * Control processes crash, freeze, lose their disk and get disconnected,
+ * endpoints drain and restart, and commands to endpoints are lost or delayed.
+ * Checked at the end: what was acknowledged is still there, what was refused
+ * is not, and every accepted flow has ended.  Violations are added to the
+ * region's.
+ */
+void mw_run_region_seed(struct mw_region *region, uint32_t seed,
+                        int control_count);
+
+#endif
