--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -358,6 +358,9 @@
 {
     uint32_t reserved = 0;
 
+    if (group->reserved_count == 0) {
+        return false;
+    }
     for (guint i = 0; i < flows->usable->len; i++) {
         const struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
 
