A broken reservation is planned again after the usual delay of a retry

Cause, suspected and not traced: a preemption was planned again in each pass (15 ms) while its reservation kept breaking; each plan looks at all endpoints of all racks, and an overloaded leader loses touch with endpoints, which breaks more reservations.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -173,6 +173,8 @@
     int64_t preemption_deadline_us;
     /* endpoints that are reserved for it; 0 for no reservation */
     uint32_t reserved_count;
+    /* when a preemption last reserved endpoints for it */
+    int64_t reserved_us;
 };
 
 /* mw_flow: a flow, with the groups of each occurrence in a row. */
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -354,11 +354,12 @@
  */
 static bool
 is_reservation_broken(const struct mw_flows *flows,
-                      const struct mw_task_group *group)
+                      const struct mw_task_group *group, int64_t now_us)
 {
     uint32_t reserved = 0;
 
-    if (group->reserved_count == 0) {
+    if (group->reserved_count == 0 ||
+        now_us < group->reserved_us + MW_PREEMPTION_RETRY_US) {
         return false;
     }
     for (guint i = 0; i < flows->usable->len; i++) {
@@ -390,9 +391,9 @@
 static const char *
 lost_reservation_outcome(const struct mw_flows *flows,
                          const struct mw_task_group *group, uint32_t tasks,
-                         uint32_t capacity)
+                         uint32_t capacity, int64_t now_us)
 {
-    if (is_reservation_broken(flows, group)) {
+    if (is_reservation_broken(flows, group, now_us)) {
         return "endpoint_lost";
     }
     return capacity >= tasks ? "not_used" : "not_free";
@@ -408,7 +409,7 @@
     flows->counters.reservations_lost++;
     mw_emit_task_group_event(
         flows, "reservation_lost", group,
-        lost_reservation_outcome(flows, group, tasks, capacity), tasks,
+        lost_reservation_outcome(flows, group, tasks, capacity, now_us), tasks,
         capacity, now_us - group->ready_us);
     mw_release_reservation(flows, group);
 }
@@ -441,6 +442,7 @@
         flows, group, rack, scope, tasks, now_us, victims, selected);
 
     if (plan.capacity >= required) {
+        group->reserved_us = now_us;
         group->preemption_deadline_us =
             now_us + flows->limits.stop_timeout_us + MW_RESERVATION_MARGIN_US;
         reserve_endpoints(selected, group, group->preemption_deadline_us);
@@ -495,7 +497,7 @@
                           uint32_t tasks, int64_t now_us)
 {
     if (group->rank >= 2 || (now_us < group->preemption_deadline_us &&
-                             !is_reservation_broken(flows, group))) {
+                             !is_reservation_broken(flows, group, now_us))) {
         return;
     }
     if (group->reserved_count > 0) {
