The line run_over says how long the lease of the run lasts yet

Why: a run that is given up without a listed end may still be at work. The line named the reason and the age of the last contact, not whether a lease was still valid, so a wait for a lease could not be told from a run that was given up on somebody's word.

Change: lease_left_us in run_over; the scripts of the flow scheduler print it, and the command lease prints what an endpoint was granted.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -279,6 +279,8 @@
     uint32_t capacity;
     /* age of the information behind the decision; -1 for none */
     int64_t age_us;
+    /* of a run that is taken for over: how long its lease still lasts */
+    int64_t lease_left_us;
     /* of the configuration */
     uint64_t version;
     /* term of the leader */
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -46,6 +46,27 @@
     emit(flows, &event);
 }
 
+void
+mw_emit_run_over_event(struct mw_flows *flows,
+                       const struct mw_task_placement *placement,
+                       const char *reason, int64_t now_us)
+{
+    const struct mw_flow_endpoint *endpoint = placement->endpoint;
+    struct mw_task_id id = mw_placed_task_id(placement);
+    struct mw_flow_event event = {
+        .name = "run_over",
+        .task = &id,
+        .flow = id.flow,
+        .endpoint = endpoint->id,
+        .run = placement->run,
+        .outcome = reason,
+        .age_us = now_us - endpoint->last_contact_us,
+        .lease_left_us = MAX(endpoint->lease_expiry_us - now_us, 0),
+    };
+
+    emit(flows, &event);
+}
+
 void
 mw_emit_preempted_event(struct mw_flows *flows,
                         const struct mw_task_placement *victim,
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -608,6 +608,10 @@
 void mw_emit_task_event(struct mw_flows *flows, const char *name,
                         const struct mw_task_placement *placement,
                         const char *outcome, int64_t age_us);
+/* the run is taken for over without a listed end */
+void mw_emit_run_over_event(struct mw_flows *flows,
+                            const struct mw_task_placement *placement,
+                            const char *reason, int64_t now_us);
 /* the victim is stopped for the group */
 void mw_emit_preempted_event(struct mw_flows *flows,
                              const struct mw_task_placement *victim,
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -91,8 +91,7 @@
     bool is_current = is_proposed || (task->state == MW_TASK_ASSIGNED &&
                                       task->run == placement->run);
 
-    mw_emit_task_event(flows, "run_over", placement, reason,
-                       now_us - placement->endpoint->last_contact_us);
+    mw_emit_run_over_event(flows, placement, reason, now_us);
     flows->counters.lost_runs += !is_proposed;
     if (is_current) {
         struct mw_record *record = new_tasks_record(1);
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -163,6 +163,10 @@
     if (event->age_us >= 0) {
         json_object_set_new(line, "age_us", json_integer(event->age_us));
     }
+    if (event->lease_left_us > 0) {
+        json_object_set_new(line, "lease_left_us",
+                            json_integer(event->lease_left_us));
+    }
     json_object_set_new(line, "config",
                         json_integer((json_int_t)event->version));
     json_object_set_new(line, "term", json_integer((json_int_t)event->term));
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -51,6 +51,8 @@
     GArray *first_refs;
     bool manual_lists;
     bool quiet_events;
+    /* endpoint to the latest deadline of a lease that it was granted */
+    GHashTable *leases;
     /* API key of the next requests */
     struct mw_name key;
 };
@@ -87,6 +89,21 @@
            g_hash_table_add(st->first_lists, g_strdup(id));
 }
 
+static void
+note_lease(struct state *st, const struct mw_flow_command *command)
+{
+    char *id =
+        g_strdup_printf("%.*s", MW_FMT(mw_name_str(&command->endpoint)));
+    int64_t *deadline_us = g_hash_table_lookup(st->leases, id);
+
+    if (!deadline_us) {
+        deadline_us = g_new0(int64_t, 1);
+        g_hash_table_insert(st->leases, g_strdup(id), deadline_us);
+    }
+    *deadline_us = MAX(*deadline_us, command->lease_deadline_us);
+    g_free(id);
+}
+
 static void
 send_command(void *opaque, const struct mw_flow_command *command)
 {
@@ -94,6 +111,7 @@
     struct sent_command sent = {.ref = command->ref, .command = *command};
     struct mw_str checkpoint = mw_blob_str(command->checkpoint);
 
+    note_lease(st, command);
     if (is_listed_at_once(st, command)) {
         g_array_append_val(st->first_refs, command->ref);
         return;
@@ -146,6 +164,10 @@
         MW_FMT(mw_name_str(&event->zone)), event->endpoint.len ? " " : "",
         MW_FMT(mw_name_str(&event->endpoint)), event->cause.len ? " for " : "",
         MW_FMT(mw_name_str(&event->cause)));
+    if (event->lease_left_us > 0) {
+        mw_script_printf(st->script, "      lease lasts %d ms yet",
+                         (int)(event->lease_left_us / 1000));
+    }
     if (event->wanted > 0) {
         mw_script_printf(st->script, "      %u of %u tasks fit",
                          event->capacity, event->wanted);
@@ -187,6 +209,8 @@
     st->first_refs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     st->heartbeats =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    st->leases =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     new_flows(st);
     return st;
 }
@@ -200,6 +224,7 @@
     g_ptr_array_unref(st->uncommitted);
     g_array_unref(st->sent);
     g_hash_table_unref(st->heartbeats);
+    g_hash_table_unref(st->leases);
     g_hash_table_unref(st->first_lists);
     g_array_unref(st->first_refs);
     g_free(st);
@@ -645,6 +670,19 @@
     g_free(runs);
 }
 
+/* lease ENDPOINT: how long the last lease of its runs lasts yet */
+static void
+cmd_lease(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    const int64_t *deadline_us =
+        g_hash_table_lookup(st->leases, mw_script_word(s, 1));
+    int64_t left_us = deadline_us ? *deadline_us - (st->now_us - START_US) : 0;
+
+    mw_script_printf(s, "  lease of %s: %d ms left", mw_script_word(s, 1),
+                     (int)(MAX(left_us, 0) / 1000));
+}
+
 static void
 add_record(void *out, struct mw_record *record)
 {
@@ -670,26 +708,16 @@
 }
 
 static const struct mw_script_command commands[] = {
-    {"lead", 1, cmd_lead},
-    {"commits", 1, cmd_commits},
-    {"commit", 0, cmd_commit},
-    {"records", 1, cmd_records},
-    {"lists", 1, cmd_lists},
-    {"suspend", 1, cmd_suspend},
-    {"quiet", 1, cmd_quiet},
-    {"heartbeat", 1, cmd_heartbeat},
-    {"key", 1, cmd_key},
-    {"config", 0, cmd_config},
-    {"setup", 0, cmd_setup},
-    {"read-config", 0, cmd_read_config},
-    {"zone", 2, cmd_zone},
-    {"submit", 1, cmd_submit},
-    {"state", 1, cmd_state},
-    {"cancel", 1, cmd_cancel},
-    {"run", 1, cmd_run},
-    {"respond", 2, cmd_respond},
-    {"list", 1, cmd_list},
-    {"snapshot", 0, cmd_snapshot},
-    {NULL, 0, NULL}};
+    {"lead", 1, cmd_lead},         {"commits", 1, cmd_commits},
+    {"commit", 0, cmd_commit},     {"records", 1, cmd_records},
+    {"lists", 1, cmd_lists},       {"suspend", 1, cmd_suspend},
+    {"quiet", 1, cmd_quiet},       {"heartbeat", 1, cmd_heartbeat},
+    {"key", 1, cmd_key},           {"config", 0, cmd_config},
+    {"setup", 0, cmd_setup},       {"read-config", 0, cmd_read_config},
+    {"zone", 2, cmd_zone},         {"submit", 1, cmd_submit},
+    {"state", 1, cmd_state},       {"cancel", 1, cmd_cancel},
+    {"run", 1, cmd_run},           {"respond", 2, cmd_respond},
+    {"list", 1, cmd_list},         {"lease", 1, cmd_lease},
+    {"snapshot", 0, cmd_snapshot}, {NULL, 0, NULL}};
 
 const struct mw_script_kind mw_flow_scripts = {"flow", commands, begin, end};
