A new leader waits for the longest lease of its predecessor

What callers would see: one task at work on two endpoints.

Cause: a leader whose commands are late grants leases of 9 s; its successor gave up the runs of an endpoint out of reach 7.7 s after it took over, the length of the usual lease. The endpoint may work on for 1.5 s more. The wait was worked out from a constant of this leader, not from what the endpoint had been granted.

Change: until the longest lease that an endpoint accepts (limits.lease_max_us) has passed since the change of leaders, no run is given up for its lease. This covers endpoints without recorded runs as well, whose lease never shortens and applies to what the new leader starts there. The leader's own grants are kept apart, so the renewals of its leases are not put off by the wait.

Evidence: flow/predecessor-lease printed run_over with 1050 ms of the lease left and started run 2 of another task; now the run is given up 10.8 s after the change.

Where leases are at most 6 s the wait is shorter than before: 6.7 s in place of 7.7 s.

--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -45,6 +45,19 @@
     flows->output.command(flows->output.opaque, command);
 }
 
+int64_t
+mw_lease_duration(int64_t lease_us)
+{
+    return lease_us * MW_CLOCK_DRIFT_PERMILLE / 1000 + MW_LEASE_MARGIN_US;
+}
+
+int64_t
+mw_last_lease_expiry(const struct mw_flows *flows,
+                     const struct mw_flow_endpoint *endpoint)
+{
+    return MAX(endpoint->lease_expiry_us, flows->earlier_leases_deadline_us);
+}
+
 /*
  * Returns the deadline of a new lease on the endpoint's clock, and puts off
  * the time at which the endpoint's leases count as expired here.  The reading
@@ -55,8 +68,7 @@
             int64_t lease_us)
 {
     int64_t drift_us = (now_us - endpoint->clock_read_us) / 32;
-    int64_t expiry_us = now_us + lease_us * MW_CLOCK_DRIFT_PERMILLE / 1000 +
-                        drift_us + MW_LEASE_MARGIN_US;
+    int64_t expiry_us = now_us + mw_lease_duration(lease_us) + drift_us;
 
     endpoint->lease_expiry_us = MAX(endpoint->lease_expiry_us, expiry_us);
     return mw_flow_endpoint_clock(endpoint, now_us) + lease_us;
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -50,9 +50,6 @@
     endpoint->incarnation = incarnation;
     endpoint->placements = g_ptr_array_new();
     endpoint->last_contact_us = now_us;
-    endpoint->lease_expiry_us =
-        now_us + MW_RENEWAL_LEASE_US * MW_CLOCK_DRIFT_PERMILLE / 1000 +
-        MW_LEASE_MARGIN_US;
     g_hash_table_insert(flows->endpoints, &endpoint->id, endpoint);
     flows->is_rack_order_stale = true;
     return endpoint;
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -61,7 +61,8 @@
         .run = placement->run,
         .outcome = reason,
         .age_us = now_us - endpoint->last_contact_us,
-        .lease_left_us = MAX(endpoint->lease_expiry_us - now_us, 0),
+        .lease_left_us =
+            MAX(mw_last_lease_expiry(flows, endpoint) - now_us, 0),
     };
 
     emit(flows, &event);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -254,7 +254,7 @@
     /* reading of its clock, and when that was read */
     int64_t clock_us;
     int64_t clock_read_us;
-    /* every lease that was ever granted has expired by then */
+    /* every lease that this leader granted has expired by then */
     int64_t lease_expiry_us;
     bool renewal_pending;
     /* when the next renewal may be sent */
@@ -337,6 +337,8 @@
     bool is_leader;
     bool suspended;
     uint64_t fence;
+    /* every lease that an earlier leader granted has expired by then */
+    int64_t earlier_leases_deadline_us;
     GHashTable *endpoints;
     /* the endpoint that was last heard of at an address */
     GHashTable *by_address;
@@ -525,6 +527,15 @@
                         int64_t now_us);
 
 /* flow-command.c */
+/*
+ * mw_lease_duration: how long a lease may last by this process's clock.
+ *
+ * The endpoint's clock may be slow, and the reading of it may be old.
+ */
+int64_t mw_lease_duration(int64_t lease_us);
+/* when all leases have expired there, also those of earlier leaders */
+int64_t mw_last_lease_expiry(const struct mw_flows *flows,
+                             const struct mw_flow_endpoint *endpoint);
 void mw_send_start(struct mw_flows *flows, int64_t now_us,
                    struct mw_task_placement *placement);
 void mw_send_stop(struct mw_flows *flows, int64_t now_us,
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -160,7 +160,8 @@
 maintain_endpoint(struct mw_flows *flows, int64_t now_us,
                   struct mw_flow_endpoint *endpoint)
 {
-    if (endpoint->placements->len > 0 && now_us >= endpoint->lease_expiry_us) {
+    if (endpoint->placements->len > 0 &&
+        now_us >= mw_last_lease_expiry(flows, endpoint)) {
         expire_leases(flows, now_us, endpoint);
     }
     if (!endpoint->registered) {
@@ -459,6 +460,8 @@
     flows->is_leader = is_leader;
     flows->suspended = false;
     flows->fence = fence;
+    flows->earlier_leases_deadline_us =
+        now_us + mw_lease_duration(flows->limits.lease_max_us);
     flows->proposed_version = mw_flows_config_version(flows);
     flows->tick_deadline_us = is_leader ? now_us : INT64_MAX;
     if (is_leader) {
