An endpoint that leaves is given up when its process has ended

What callers would see: one task at work on two endpoints.

Cause: the message with which an endpoint leaves names an identifier and no incarnation. At its arrival all runs of that identifier were given up: also those of a later incarnation, if the message was delayed, and also while the process was still at work and its list said so. In both cases the next run started within a record and a placement.

Change: the message only ends the placing of work there. The endpoint is asked for its list, with a long poll while it has runs, until the connection is refused or another incarnation answers; then its runs are over. A heartbeat that says ready takes the message back. An endpoint out of reach is waited for until its leases have expired.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -262,6 +262,8 @@
     endpoint->heartbeat = *heartbeat;
     endpoint->awaiting_heartbeat = false;
     endpoint->last_contact_us = now_us;
+    /* the message that it leaves came from an earlier incarnation */
+    endpoint->is_leaving &= heartbeat->draining;
     set_rack(flows, endpoint);
     if (heartbeat->clock_us > 0 &&
         (endpoint->clock_read_us == 0 ||
@@ -321,9 +323,9 @@
 }
 
 /*
- * The list that is being waited for may show runs that ended before the
- * endpoint left; its response comes with the end of the connection at the
- * latest.
+ * The endpoint gets no more work and is asked for its list until its process
+ * has ended.  The message names no incarnation: it may be late and come from
+ * an earlier one, and the runs that are at work now must not be given up.
  */
 static void
 handle_leave(struct mw_flows *flows, int64_t now_us, const struct mw_name *id)
@@ -333,12 +335,25 @@
     if (!endpoint || endpoint->deregistered) {
         return;
     }
-    if (endpoint->renewal_pending && endpoint->placements->len > 0) {
-        endpoint->is_leaving = true;
+    endpoint->is_leaving = true;
+    endpoint->renewal_deadline_us = now_us;
+    flows->dirty = true;
+}
+
+void
+mw_settle_leave(struct mw_flows *flows, int64_t now_us,
+                struct mw_flow_endpoint *endpoint, enum mw_flow_result result)
+{
+    if (!endpoint->is_leaving || endpoint->deregistered) {
+        return;
     }
-    else {
+    if (result == MW_FLOW_NO_PROCESS ||
+        (result != MW_FLOW_DONE && endpoint->placements->len == 0)) {
         mw_deregister_flow_endpoint(flows, now_us, endpoint, "left");
     }
+    else if (endpoint->placements->len == 0) {
+        endpoint->renewal_deadline_us = now_us + MW_RENEWAL_RETRY_US;
+    }
 }
 
 int
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -243,7 +243,7 @@
     bool registered;
     /* shut down or replaced; kept so that late heartbeats are recognised */
     bool deregistered;
-    /* shut down; deregistered once the pending renewal has its response */
+    /* says that it leaves; deregistered once its process has ended */
     bool is_leaving;
     struct mw_flow_heartbeat heartbeat;
     struct mw_name rack;
@@ -442,6 +442,13 @@
 void mw_deregister_flow_endpoint(struct mw_flows *flows, int64_t now_us,
                                  struct mw_flow_endpoint *endpoint,
                                  const char *reason);
+/*
+ * mw_settle_leave: after the response to a renewal, deregisters an endpoint
+ * that leaves if its process has ended.
+ */
+void mw_settle_leave(struct mw_flows *flows, int64_t now_us,
+                     struct mw_flow_endpoint *endpoint,
+                     enum mw_flow_result result);
 bool mw_flow_zone_is_out(const struct mw_flows *flows,
                          const struct mw_name *zone);
 
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -195,9 +195,7 @@
     }
     if (pending->kind == MW_FLOW_COMMAND_RENEW) {
         handle_renewal_response(flows, now_us, endpoint, response, pending);
-        if (endpoint->is_leaving) {
-            mw_deregister_flow_endpoint(flows, now_us, endpoint, "left");
-        }
+        mw_settle_leave(flows, now_us, endpoint, response->result);
         return;
     }
     placement = mw_find_task_placement(endpoint, &pending->task, pending->run);
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -104,7 +104,7 @@
               const struct mw_flow_endpoint *endpoint, int64_t now_us)
 {
     if (mw_command_queue_is_late(&flows->command_queue) &&
-        endpoint->list_read &&
+        !endpoint->is_leaving && endpoint->list_read &&
         can_renew_later(endpoint, now_us, MW_LATE_RENEWAL_MARGIN_US)) {
         return false;
     }
@@ -119,7 +119,7 @@
         return true;
     }
     return !endpoint->list_read || endpoint->unknown_runs > 0 ||
-           has_started_runs(endpoint) ||
+           endpoint->is_leaving || has_started_runs(endpoint) ||
            endpoint->committed_end > endpoint->acknowledged_end;
 }
 
