A heartbeat does not end the runs of an endpoint whose list is being waited for

What callers could see: one task at work on two endpoints.

Cause: incarnations are compared by the time of day at which they started. If that clock is set back between two incarnations, a heartbeat that the ended one sent before and that arrives late looks like a later one: all runs of the incarnation at work were given up at once, both for the same identifier and for another one at the same address.

Change: while an endpoint with runs has not broken off the list that is being waited for, a heartbeat of another incarnation or identifier is left aside; it is acknowledged and comes again. A process that has ended breaks the connection, so where it is true it is delayed by no more than that list.

Evidence: flow/late-heartbeat started run 2 twice beside run 1 before.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -193,7 +193,19 @@
 }
 
 /*
- * Whether a later endpoint has the same address; an earlier one there is
+ * Whether runs are at work there as far as the endpoint itself has said, and
+ * its next list will show if they are not.
+ */
+static bool
+is_at_work(const struct mw_flow_endpoint *endpoint)
+{
+    return endpoint->placements->len > 0 && endpoint->renewal_pending &&
+           endpoint->list_read && endpoint->renewal_failures == 0;
+}
+
+/*
+ * Whether the heartbeat is ignored for another endpoint at the same address:
+ * a later one, or one that is still at work.  Otherwise the other one is
  * deregistered.
  */
 static bool
@@ -207,11 +219,30 @@
         mw_name_equal(&other->id, &heartbeat->id)) {
         return false;
     }
+    if (other->incarnation > heartbeat->incarnation || is_at_work(other)) {
+        return true;
+    }
     if (other->incarnation < heartbeat->incarnation) {
         mw_deregister_flow_endpoint(flows, now_us, other,
                                     "address_taken_over");
     }
-    return other->incarnation > heartbeat->incarnation;
+    return false;
+}
+
+/*
+ * Whether the heartbeat says nothing new: it is older than the last one, or
+ * of another incarnation than the one that is at work.
+ */
+static bool
+is_outdated(const struct mw_flow_endpoint *endpoint,
+            const struct mw_flow_heartbeat *heartbeat)
+{
+    if (heartbeat->incarnation != endpoint->incarnation) {
+        return heartbeat->incarnation < endpoint->incarnation ||
+               is_at_work(endpoint);
+    }
+    return endpoint->registered && (endpoint->deregistered ||
+                                    heartbeat->seq <= endpoint->heartbeat.seq);
 }
 
 /* The endpoint is the one that was last heard of at its address. */
@@ -285,11 +316,7 @@
     struct mw_flow_endpoint *endpoint =
         mw_find_flow_endpoint(flows, &heartbeat->id);
 
-    if (endpoint && (heartbeat->incarnation < endpoint->incarnation ||
-                     (heartbeat->incarnation == endpoint->incarnation &&
-                      endpoint->registered &&
-                      (endpoint->deregistered ||
-                       heartbeat->seq <= endpoint->heartbeat.seq)))) {
+    if (endpoint && is_outdated(endpoint, heartbeat)) {
         return;
     }
     if (is_superseded(flows, now_us, heartbeat)) {
