--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -381,6 +381,12 @@
 /* flow-state.c */
 /* proposes a TASKS record and counts it; false when that is not possible */
 bool mw_propose_tasks(struct mw_flows *flows, struct mw_record *record);
+/*
+ * mw_init_task_record: a record of the task as it was last recorded, but
+ * waiting and on no endpoint.
+ */
+void mw_init_task_record(const struct mw_task_group *group, uint32_t index,
+                         struct mw_task_record *record);
 struct mw_flow *mw_find_flow(struct mw_flows *flows, const struct mw_name *id);
 struct mw_task_group *mw_find_task_group(struct mw_flow *flow,
                                          uint32_t occurrence, uint32_t step);
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -27,16 +27,12 @@
 add_task_entry(struct mw_record *record, const struct mw_task_group *group,
                uint32_t index, enum mw_task_state state, uint32_t run)
 {
-    const struct mw_flow_task *task = &group->tasks[index];
     struct mw_task_record *entry =
         &record->tasks.entries[record->tasks.count++];
 
-    entry->id = (struct mw_task_id){group->flow->id, group->occurrence,
-                                    group->step_index, index};
+    mw_init_task_record(group, index, entry);
     entry->state = state;
     entry->run = run;
-    entry->failures = task->failures;
-    entry->checkpoint = mw_keep_blob(task->checkpoint);
     return entry;
 }
 
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -195,14 +195,11 @@
         }
         endpoint = chosen->pdata[next++];
         record->tasks.count = next;
-        entry->id = (struct mw_task_id){group->flow->id, group->occurrence,
-                                        group->step_index, i};
+        mw_init_task_record(group, i, entry);
         entry->state = MW_TASK_ASSIGNED;
         entry->run = group->step->gang ? gang_run : task->run + 1;
-        entry->failures = task->failures;
         entry->endpoint = endpoint->id;
         entry->incarnation = endpoint->incarnation;
-        entry->checkpoint = mw_keep_blob(task->checkpoint);
         mw_add_task_placement(flows, endpoint, group, i, entry->run,
                               MW_PLACEMENT_PROPOSED);
     }
@@ -338,16 +335,13 @@
 
             for (uint32_t i = 0; i < group->step->count; i++) {
                 const struct mw_flow_task *task = &group->tasks[i];
-                struct mw_task_record entry = {
-                    .id = {flow->id, group->occurrence, group->step_index, i},
-                    .run = task->run,
-                    .failures = task->failures};
+                struct mw_task_record entry;
 
                 if (task->state != MW_TASK_ASSIGNED || task->placement ||
                     task->uncommitted_records > 0) {
                     continue;
                 }
-                entry.checkpoint = mw_keep_blob(task->checkpoint);
+                mw_init_task_record(group, i, &entry);
                 g_array_append_val(entries, entry);
             }
         }
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -23,6 +23,21 @@
     return true;
 }
 
+void
+mw_init_task_record(const struct mw_task_group *group, uint32_t index,
+                    struct mw_task_record *record)
+{
+    const struct mw_flow_task *task = &group->tasks[index];
+
+    *record = (struct mw_task_record){
+        .id = {group->flow->id, group->occurrence, group->step_index, index},
+        .state = MW_TASK_WAITING,
+        .run = task->run,
+        .failures = task->failures,
+        .checkpoint = mw_keep_blob(task->checkpoint),
+    };
+}
+
 static void
 free_flow(void *data)
 {
@@ -485,19 +500,17 @@
             g_new0(struct mw_task_record, group->step->count);
         for (uint32_t t = 0; t < group->step->count; t++) {
             const struct mw_flow_task *task = &group->tasks[t];
+            struct mw_task_record *entry =
+                &record->tasks.entries[record->tasks.count];
 
             if (task->run == 0 && task->state == MW_TASK_WAITING) {
                 continue;
             }
-            record->tasks.entries[record->tasks.count++] =
-                (struct mw_task_record){
-                    .id = {flow->id, group->occurrence, group->step_index, t},
-                    .state = task->state,
-                    .run = task->run,
-                    .failures = task->failures,
-                    .endpoint = task->endpoint,
-                    .incarnation = task->incarnation,
-                    .checkpoint = mw_keep_blob(task->checkpoint)};
+            mw_init_task_record(group, t, entry);
+            entry->state = task->state;
+            entry->endpoint = task->endpoint;
+            entry->incarnation = task->incarnation;
+            record->tasks.count++;
         }
         if (record->tasks.count > 0) {
             add(out, record);
