--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -245,10 +245,11 @@
     return WALL_US + st->now_us - START_US;
 }
 
+/* Commits the oldest records, at most so many. */
 static void
-commit_records(struct state *st)
+commit_records(struct state *st, guint count)
 {
-    while (st->uncommitted->len > 0) {
+    while (st->uncommitted->len > 0 && count-- > 0) {
         struct mw_record *record = g_ptr_array_steal_index(st->uncommitted, 0);
 
         mw_flows_apply(&st->ctx, st->flows, st->now_us, record);
@@ -275,7 +276,7 @@
 {
     for (int i = 0; i < 50; i++) {
         if (!st->hold_commits) {
-            commit_records(st);
+            commit_records(st, G_MAXUINT);
         }
         send_first_lists(st);
 
@@ -315,15 +316,23 @@
     settle(st);
 }
 
+/* commit [only=N]: all records, or the oldest N */
 static void
 cmd_commit(struct mw_script *s)
 {
     struct state *st = script_state(s);
 
-    commit_records(st);
+    commit_records(st, (guint)mw_script_option_int(s, "only", G_MAXINT32));
     settle(st);
 }
 
+/* forget: the records that are not committed never will be */
+static void
+cmd_forget(struct mw_script *s)
+{
+    g_ptr_array_set_size(script_state(s)->uncommitted, 0);
+}
+
 /* records refuse|accept: whether proposals fail */
 static void
 cmd_records(struct mw_script *s)
@@ -708,16 +717,28 @@
 }
 
 static const struct mw_script_command commands[] = {
-    {"lead", 1, cmd_lead},         {"commits", 1, cmd_commits},
-    {"commit", 0, cmd_commit},     {"records", 1, cmd_records},
-    {"lists", 1, cmd_lists},       {"suspend", 1, cmd_suspend},
-    {"quiet", 1, cmd_quiet},       {"heartbeat", 1, cmd_heartbeat},
-    {"key", 1, cmd_key},           {"config", 0, cmd_config},
-    {"setup", 0, cmd_setup},       {"read-config", 0, cmd_read_config},
-    {"zone", 2, cmd_zone},         {"submit", 1, cmd_submit},
-    {"state", 1, cmd_state},       {"cancel", 1, cmd_cancel},
-    {"run", 1, cmd_run},           {"respond", 2, cmd_respond},
-    {"list", 1, cmd_list},         {"lease", 1, cmd_lease},
-    {"snapshot", 0, cmd_snapshot}, {NULL, 0, NULL}};
+    {"lead", 1, cmd_lead},
+    {"commits", 1, cmd_commits},
+    {"commit", 0, cmd_commit},
+    {"forget", 0, cmd_forget},
+    {"records", 1, cmd_records},
+    {"lists", 1, cmd_lists},
+    {"suspend", 1, cmd_suspend},
+    {"quiet", 1, cmd_quiet},
+    {"heartbeat", 1, cmd_heartbeat},
+    {"key", 1, cmd_key},
+    {"config", 0, cmd_config},
+    {"setup", 0, cmd_setup},
+    {"read-config", 0, cmd_read_config},
+    {"zone", 2, cmd_zone},
+    {"submit", 1, cmd_submit},
+    {"state", 1, cmd_state},
+    {"cancel", 1, cmd_cancel},
+    {"run", 1, cmd_run},
+    {"respond", 2, cmd_respond},
+    {"list", 1, cmd_list},
+    {"lease", 1, cmd_lease},
+    {"snapshot", 0, cmd_snapshot},
+    {NULL, 0, NULL}};
 
 const struct mw_script_kind mw_flow_scripts = {"flow", commands, begin, end};
