A task that crashes the endpoints that start it is given up

Cause: a run whose endpoint's process ends has no listed end. It was only lost, and nothing in the record counted it, so there was no bound: the class is an attempt that ends without an answer and is not counted as one.

Change (flow-crash.c): a crash is evidence against each run on the endpoint: most against one that had only just started, little against one that the endpoint is known to have survived. It is recorded with the task, so the next leader knows it. A suspect prefers endpoints without runs and is on trial there, without new neighbours, until a list shows that the endpoint lives half a second after the start; so a neighbour isn't blamed twice. Two crashes at the start, or four where it isn't known whether the run had started, and the flow fails; a lapsed lease counts only against a task that is blamed already, or where no process listened. Endpoints that drain or leave don't count.

Lines and counters: crash_score in run_over, flow_failed endpoints_crashed, endpoint_crashes and crashing_flows; mw explain names the cause.

--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -78,6 +78,8 @@
     uint32_t run;
     /* runs that failed */
     uint32_t failures;
+    /* evidence that the task crashes the endpoints that start it */
+    uint32_t crash_score;
     /* of a run that is assigned: the endpoint and its incarnation */
     struct mw_name endpoint;
     uint64_t incarnation;
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -281,6 +281,8 @@
     int64_t age_us;
     /* of a run that is taken for over: how long its lease still lasts */
     int64_t lease_left_us;
+    /* evidence that the run has crashed its endpoint; 0 for none */
+    uint32_t crash_score;
     /* of the configuration */
     uint64_t version;
     /* term of the leader */
@@ -332,6 +334,10 @@
     /* reservations that expired, or broke, before their group was placed */
     uint64_t reservations_lost;
     uint64_t quarantined;
+    /* endpoints whose process ended without notice, with runs there */
+    uint64_t endpoint_crashes;
+    /* flows that failed because a task crashed endpoints */
+    uint64_t crashing_flows;
 };
 
 /* mw_flow_latency: the latencies that are measured. */
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -369,9 +369,12 @@
             grant_lease(endpoint, now_us, renewal_lease(flows));
     }
     if (reachable && endpoint->list_read && mw_may_long_poll(endpoint)) {
+        int64_t next_us =
+            MIN(mw_next_stall_us(endpoint), mw_next_trial_us(endpoint));
+
         command.long_poll_us =
-            CLAMP(mw_next_stall_us(endpoint) - now_us,
-                  MW_RENEWAL_LONG_POLL_MIN_US, MW_RENEWAL_LONG_POLL_US);
+            CLAMP(next_us - now_us, MW_RENEWAL_LONG_POLL_MIN_US,
+                  MW_RENEWAL_LONG_POLL_US);
     }
     endpoint->renewal_pending = true;
     flows->counters.holds++;
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -61,6 +61,7 @@
         .run = placement->run,
         .outcome = reason,
         .age_us = now_us - endpoint->last_contact_us,
+        .crash_score = placement->crash_score,
         .lease_left_us =
             MAX(mw_last_lease_expiry(flows, endpoint) - now_us, 0),
     };
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -23,6 +23,7 @@
  *   flow-preempt.c      preemption and reservations
  *   flow-urgent-pool.c  the pool of racks for urgent work
  *   flow-health.c       quarantine of failing endpoints
+ *   flow-crash.c        tasks that crash endpoints
  *   flow-command.c      sends commands and grants leases
  *   flow-command-queue.c  which command may be sent next
  *   flow-measure.c      latencies
@@ -138,6 +139,10 @@
     int64_t last_listed_us;
     /* the newest that was listed */
     struct mw_blob *checkpoint;
+    /* evidence that the run has crashed its endpoint, not recorded yet */
+    uint32_t crash_score;
+    /* a suspect's, until the endpoint has survived its start */
+    bool is_on_trial;
 };
 
 /* mw_flow_task: the last record of a task, and its placement. */
@@ -145,6 +150,7 @@
     enum mw_task_state state;
     uint32_t run;
     uint32_t failures;
+    uint32_t crash_score;
     struct mw_name endpoint;
     uint64_t incarnation;
     struct mw_blob *checkpoint;
@@ -164,6 +170,8 @@
     uint32_t step_index;
     struct mw_flow_task *tasks;
     uint32_t done_count;
+    /* a task of it may be what crashed an endpoint */
+    bool is_suspect;
     /* of the leader: */
     /* when the group was first seen to be ready; 0 for not yet */
     int64_t ready_us;
@@ -269,6 +277,12 @@
     uint32_t renewal_failures;
     /* its last command had no response */
     bool unresponsive;
+    /* when its process was last known to be alive */
+    int64_t alive_us;
+    /* no process listened when it was last asked for its list */
+    bool no_process;
+    /* placements on trial */
+    uint32_t trials;
     /* this leader has seen its list of runs */
     bool list_read;
     /* runs of the last list without a placement */
@@ -608,6 +622,25 @@
 void mw_stop_stalled_runs(struct mw_flows *flows, int64_t now_us,
                           struct mw_flow_endpoint *endpoint);
 
+/* flow-crash.c */
+/*
+ * mw_blame_crash, mw_blame_lapse: the endpoint's process has ended without
+ * notice, or its lease has expired; adds to the evidence against the run.
+ */
+void mw_blame_crash(struct mw_flows *flows, struct mw_flow_endpoint *endpoint);
+void mw_blame_lapse(struct mw_task_placement *placement);
+/* mw_crash_limit_is_reached: whether a task with this score is given up. */
+bool mw_crash_limit_is_reached(uint32_t score);
+/* mw_is_crash_suspect: whether a task with this score is kept apart. */
+bool mw_is_crash_suspect(uint32_t score);
+/* mw_update_trial: a list shows that the endpoint has survived the start. */
+void mw_update_trial(struct mw_task_placement *placement);
+/* mw_next_trial_us: when a list may first end a trial; INT64_MAX for never. */
+int64_t mw_next_trial_us(const struct mw_flow_endpoint *endpoint);
+/* mw_trial_excludes: whether a trial keeps the group off the endpoint. */
+bool mw_trial_excludes(const struct mw_flow_endpoint *endpoint,
+                       const struct mw_task_group *group);
+
 /* flow-schedule.c */
 /* mw_run_is_wanted: whether the run should still start on its endpoint. */
 bool mw_run_is_wanted(const struct mw_flows *flows,
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -30,6 +30,9 @@
     g_ptr_array_add(endpoint->placements, placement);
     group->tasks[index].placement = placement;
     flows->proposed_runs += phase == MW_PLACEMENT_PROPOSED;
+    placement->is_on_trial =
+        mw_is_crash_suspect(group->tasks[index].crash_score);
+    endpoint->trials += placement->is_on_trial;
     return placement;
 }
 
@@ -41,6 +44,7 @@
     struct mw_flow_task *task = &placement->group->tasks[placement->index];
 
     flows->proposed_runs -= placement->phase == MW_PLACEMENT_PROPOSED;
+    endpoint->trials -= placement->is_on_trial;
     endpoint->used.cpu -= placement->need.cpu;
     endpoint->used.memory_mb -= placement->need.memory_mb;
     endpoint->used.gpus -= placement->need.gpus;
@@ -134,7 +138,8 @@
         !mw_flow_endpoint_has_label(endpoint, &group->step->label)) {
         return false;
     }
-    if (mw_urgent_pool_excludes(flows, endpoint, group, now_us)) {
+    if (mw_urgent_pool_excludes(flows, endpoint, group, now_us) ||
+        mw_trial_excludes(endpoint, group)) {
         return false;
     }
     return !endpoint->reserved_for || endpoint->reserved_for == group ||
@@ -146,7 +151,10 @@
 struct candidate {
     struct mw_flow_endpoint *endpoint;
     uint32_t capacity;
-    /* urgent work prefers the urgent pool, all other work the other racks */
+    /*
+     * Urgent work prefers the urgent pool, all other work the other racks; a
+     * suspect prefers endpoints without runs.
+     */
     bool less_preferred;
 };
 
@@ -194,6 +202,9 @@
         c.capacity =
             MIN(c.capacity, mw_flow_endpoint_limit_left(c.endpoint, group));
         c.less_preferred = c.endpoint->in_urgent_pool != (group->rank < 2);
+        if (group->is_suspect) {
+            c.less_preferred = c.endpoint->placements->len > 0;
+        }
         if (c.capacity > 0) {
             g_array_append_val(found, c);
         }
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -77,6 +77,48 @@
     return task->run == run && task->state != MW_TASK_DONE;
 }
 
+static uint32_t
+count_failures(const struct mw_task_group *group, uint32_t index)
+{
+    uint32_t failures = 0;
+
+    if (!group->step->gang) {
+        return group->tasks[index].failures;
+    }
+    for (uint32_t i = 0; i < group->step->count; i++) {
+        failures += group->tasks[i].failures;
+    }
+    return failures;
+}
+
+static void
+propose_flow_failure(struct mw_flows *flows, struct mw_flow *flow,
+                     const char *reason)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_FLOW_STATE);
+
+    record->flow_state.id = flow->id;
+    record->flow_state.state = MW_FLOW_FAILED;
+    flow->end_proposed = propose(flows, record);
+    mw_emit_flow_event(flows, "flow_failed", &flow->id, reason);
+}
+
+/* The record of the failed flow goes first: no leader may see only this one.
+ */
+static void
+add_crash_score(struct mw_flows *flows, struct mw_task_record *entry,
+                const struct mw_task_placement *placement)
+{
+    struct mw_flow *flow = placement->group->flow;
+
+    entry->crash_score += placement->crash_score;
+    if (mw_crash_limit_is_reached(entry->crash_score) &&
+        mw_flow_is_open(flow)) {
+        flows->counters.crashing_flows++;
+        propose_flow_failure(flows, flow, "endpoints_crashed");
+    }
+}
+
 void
 mw_lose_run(struct mw_flows *flows, int64_t now_us,
             struct mw_task_placement *placement, const char *reason)
@@ -95,6 +137,7 @@
             record, group, placement->index, MW_TASK_WAITING, placement->run);
 
         set_checkpoint(entry, mw_blob_str(placement->checkpoint));
+        add_crash_score(flows, entry, placement);
         propose(flows, record);
     }
     mw_free_task_placement(flows, placement);
@@ -103,31 +146,6 @@
     }
 }
 
-static uint32_t
-count_failures(const struct mw_task_group *group, uint32_t index)
-{
-    uint32_t failures = 0;
-
-    if (!group->step->gang) {
-        return group->tasks[index].failures;
-    }
-    for (uint32_t i = 0; i < group->step->count; i++) {
-        failures += group->tasks[i].failures;
-    }
-    return failures;
-}
-
-static void
-propose_flow_failure(struct mw_flows *flows, struct mw_flow *flow)
-{
-    struct mw_record *record = mw_new_record(MW_RECORD_FLOW_STATE);
-
-    record->flow_state.id = flow->id;
-    record->flow_state.state = MW_FLOW_FAILED;
-    flow->end_proposed = propose(flows, record);
-    mw_emit_flow_event(flows, "flow_failed", &flow->id, "attempts_used_up");
-}
-
 /* A run of a gang counts as one failure, however many tasks have failed. */
 static bool
 counts_as_failure(struct mw_task_group *group, const struct mw_listed_run *run)
@@ -154,7 +172,9 @@
 
 static void
 record_not_done(struct mw_flows *flows, struct mw_record *record,
-                struct mw_task_group *group, const struct mw_listed_run *run)
+                struct mw_task_group *group,
+                const struct mw_task_placement *placement,
+                const struct mw_listed_run *run)
 {
     struct mw_task_record *entry;
 
@@ -167,12 +187,15 @@
     if (run->checkpoint.len > 0) {
         group->newest_checkpoint_index = run->task.index;
     }
+    if (placement) {
+        add_crash_score(flows, entry, placement);
+    }
     if (counts_as_failure(group, run)) {
         entry->failures++;
         flows->counters.failures++;
         if (count_failures(group, run->task.index) + 1 >=
             group->flow->route.attempts_max) {
-            propose_flow_failure(flows, group->flow);
+            propose_flow_failure(flows, group->flow, "attempts_used_up");
         }
     }
 }
@@ -234,7 +257,7 @@
         record_done(record, group, run);
     }
     else {
-        record_not_done(flows, record, group, run);
+        record_not_done(flows, record, group, placement, run);
     }
     if (record->tasks.count == 0) {
         finish_placement(flows, now_us, placement, outcome.ptr);
@@ -278,6 +301,7 @@
         endpoint->last_progress_us = now_us;
     }
     placement->last_listed_us = listed_us;
+    mw_update_trial(placement);
     if (run->checkpoint.len > 0 &&
         !mw_str_equal(mw_blob_str(placement->checkpoint), run->checkpoint)) {
         mw_drop_blob(placement->checkpoint);
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -7,6 +7,8 @@
 #define STOP_RETRY_US INT64_C(150000)
 /* the delay doubles up to this while the endpoint can't be reached */
 #define STOP_RETRY_MAX_US INT64_C(1200000)
+/* a connection that is not refused at once has reached a process */
+#define OPEN_CONNECTION_MIN_US INT64_C(50000)
 /* the endpoint has seen a higher fencing token: there is another leader */
 #define FENCED_RETRY_US 3200000
 
@@ -132,6 +134,26 @@
     }
 }
 
+/*
+ * A connection that ends while the list is being waited for shows when the
+ * process ended.
+ */
+static void
+note_process_state(int64_t now_us, struct mw_flow_endpoint *endpoint,
+                   const struct mw_flow_response *response,
+                   const struct mw_flow_pending_command *renewal)
+{
+    endpoint->no_process = response->result == MW_FLOW_NO_PROCESS;
+    if (endpoint->no_process &&
+        now_us - renewal->sent_us >= OPEN_CONNECTION_MIN_US) {
+        endpoint->alive_us = now_us;
+    }
+    else if (response->has_list) {
+        endpoint->alive_us =
+            MIN(now_us, renewal->sent_us + renewal->long_poll_us);
+    }
+}
+
 static void
 handle_renewal_response(struct mw_flows *flows, int64_t now_us,
                         struct mw_flow_endpoint *endpoint,
@@ -139,6 +161,7 @@
                         const struct mw_flow_pending_command *pending)
 {
     endpoint->renewal_pending = false;
+    note_process_state(now_us, endpoint, response, pending);
     if (response->result == MW_FLOW_DONE && response->has_list) {
         if (endpoint->renewal_failures > 0) {
             mw_emit_flow_endpoint_event(flows, "endpoint_heard", endpoint,
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -22,6 +22,7 @@
                 endpoint->placements->pdata[i];
 
             if (!mw_run_is_unsent(placement)) {
+                mw_blame_lapse(placement);
                 mw_lose_run(flows, now_us, placement, "lease_lapsed");
                 lost = true;
                 break;
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -167,6 +167,10 @@
         json_object_set_new(line, "lease_left_us",
                             json_integer(event->lease_left_us));
     }
+    if (event->crash_score > 0) {
+        json_object_set_new(line, "crash_score",
+                            json_integer(event->crash_score));
+    }
     json_object_set_new(line, "config",
                         json_integer((json_int_t)event->version));
     json_object_set_new(line, "term", json_integer((json_int_t)event->term));
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -57,6 +57,8 @@
     COUNTER(preemptions_impossible);
     COUNTER(reservations_lost);
     COUNTER(quarantined);
+    COUNTER(endpoint_crashes);
+    COUNTER(crashing_flows);
     g_string_append_printf(
         out,
         "mimosawind_leads %d\nmimosawind_term %" PRIu64
--- a/source/tools/event-trace.c
+++ b/source/tools/event-trace.c
@@ -100,6 +100,8 @@
     const char *end_outcome;
     /* outcome of a refusal, NULL for none */
     const char *refusal;
+    /* why it was given up, NULL for no reason */
+    const char *failure;
     bool undecided;
     bool timed_out;
     /* counts of events about runs */
@@ -107,6 +109,8 @@
     guint preempted;
     guint lost;
     guint stalled;
+    /* lost runs that are blamed for a crash of their endpoint */
+    guint crashes;
     /* how the last one of the lost runs ended */
     const char *lost_outcome;
     /* endpoints of the failed runs, each after a space */
@@ -126,6 +130,9 @@
         summary->ended_us = event->time_us;
         summary->end_outcome = get_text(event, "outcome");
     }
+    else if (is_event(event, "flow_failed", NULL)) {
+        summary->failure = get_text(event, "outcome");
+    }
     else if (is_event(event, "refused", NULL)) {
         summary->refusal = get_text(event, "outcome");
     }
@@ -139,6 +146,8 @@
              !is_event(event, "run_over", "not_sent")) {
         summary->lost++;
         summary->lost_outcome = get_text(event, "outcome");
+        summary->crashes +=
+            json_object_get(event->object, "crash_score") != NULL;
     }
     summary->undecided |= is_event(event, "undecided", NULL);
     summary->timed_out |= is_event(event, "timed_out", NULL);
@@ -193,6 +202,10 @@
         g_string_append_printf(out, "; %u runs lost (%s)", summary->lost,
                                summary->lost_outcome);
     }
+    if (summary->crashes > 0) {
+        g_string_append_printf(out, "; blamed for %u crashes of endpoints",
+                               summary->crashes);
+    }
 }
 
 static void
@@ -222,6 +235,9 @@
         g_string_append_printf(
             out, "%s after %.3f s", summary->end_outcome,
             (double)(summary->ended_us - summary->accepted_us) / US_PER_S);
+        if (summary->failure) {
+            g_string_append_printf(out, ": %s", summary->failure);
+        }
     }
     if (summary->started_us - summary->accepted_us > LATE_START_US &&
         summary->accepted_us) {
@@ -236,6 +252,7 @@
 append_event(const struct event *event, int64_t start_us, GString *out)
 {
     json_t *age = json_object_get(event->object, "age_us");
+    json_t *score = json_object_get(event->object, "crash_score");
 
     g_string_append_printf(out, "%+10.3f s %s %s %s",
                            (double)(event->time_us - start_us) / US_PER_S,
@@ -254,6 +271,10 @@
         g_string_append_printf(out, " (age %.3f s)",
                                (double)json_integer_value(age) / US_PER_S);
     }
+    if (score) {
+        g_string_append_printf(out, " crash score %d",
+                               (int)json_integer_value(score));
+    }
     g_string_append_c(out, '\n');
 }
 
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -2575,7 +2575,7 @@
   (ProtobufCMessageInit) mw__wire__flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[11] =
 {
   {
     "flow",
@@ -2697,10 +2697,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_score",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, crash_score),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__task_note__field_indices_by_name[] = {
   8,   /* field[8] = born */
   9,   /* field[9] = checkpoint */
+  10,   /* field[10] = crash_score */
   7,   /* field[7] = endpoint */
   6,   /* field[6] = failures */
   0,   /* field[0] = flow */
@@ -2713,7 +2726,7 @@
 static const ProtobufCIntRange mw__wire__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mw__wire__task_note__descriptor =
 {
@@ -2723,7 +2736,7 @@
   "Mw__Wire__TaskNote",
   "mw.wire",
   sizeof(Mw__Wire__TaskNote),
-  10,
+  11,
   mw__wire__task_note__field_descriptors,
   mw__wire__task_note__field_indices_by_name,
   1,  mw__wire__task_note__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -247,10 +247,11 @@
   ProtobufCBinaryData endpoint;
   uint64_t born;
   ProtobufCBinaryData checkpoint;
+  uint32_t crash_score;
 };
 #define MW__WIRE__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__task_note__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL} }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0 }
 
 
 /*
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -55,6 +55,7 @@
         message->state = task->state;
         message->run = task->run;
         message->failures = task->failures;
+        message->crash_score = task->crash_score;
         message->endpoint = mw_pack_name(&task->endpoint);
         message->born = task->incarnation;
         message->checkpoint = mw_pack_blob(task->checkpoint);
@@ -184,6 +185,7 @@
     task->state = (enum mw_task_state)wire->state;
     task->run = wire->run;
     task->failures = wire->failures;
+    task->crash_score = wire->crash_score;
     task->incarnation = wire->born;
     task->checkpoint = mw_unpack_blob(wire->checkpoint);
     return err ? err : mw_unpack_name(wire->endpoint, &task->endpoint);
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -168,6 +168,10 @@
         mw_script_printf(st->script, "      lease lasts %d ms yet",
                          (int)(event->lease_left_us / 1000));
     }
+    if (event->crash_score > 0) {
+        mw_script_printf(st->script, "      crash score %u",
+                         event->crash_score);
+    }
     if (event->wanted > 0) {
         mw_script_printf(st->script, "      %u of %u tasks fit",
                          event->capacity, event->wanted);
@@ -263,6 +267,8 @@
     while (st->first_refs->len > 0) {
         struct mw_flow_response response = {
             .ref = g_array_index(st->first_refs, uint64_t, 0),
+            .has_clock = true,
+            .clock_us = st->now_us - START_US,
             .has_list = true};
 
         g_array_remove_index(st->first_refs, 0);
