No start on an endpoint that uses more than it has in any dimension

Cause: times_that_fit() took a dimension of which the task needs nothing as free, also where more of it was used than the endpoint still had. A start then left the endpoint over its capacity. The driver's heartbeat takes mem=.

--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -78,13 +78,14 @@
     return NULL;
 }
 
+/* None while more is used than there is: the total may have shrunk. */
 static uint32_t
 times_that_fit(uint32_t total, uint32_t used, uint32_t need)
 {
-    if (need == 0) {
-        return UINT32_MAX;
+    if (used > total) {
+        return 0;
     }
-    return used >= total ? 0 : (total - used) / need;
+    return need == 0 ? UINT32_MAX : (total - used) / need;
 }
 
 uint32_t
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -341,9 +341,9 @@
     }
 }
 
-/* heartbeat ID [service= address= zone= seq= incarnation= gpus= cpu= state=
- * kind= rack=]: seq defaults to the next one and incarnation to the current
- * one; the others have the same default in every heartbeat */
+/* heartbeat ID [service= address= zone= seq= incarnation= gpus= cpu= mem=
+ * state= kind= rack=]: seq defaults to the next one and incarnation to the
+ * current one; the others have the same default in every heartbeat */
 static void
 cmd_heartbeat(struct mw_script *s)
 {
@@ -359,7 +359,6 @@
                             heartbeat);
         heartbeat->id = mw_name_from(mw_script_word(s, 1));
         heartbeat->incarnation = 1000;
-        heartbeat->total = (struct mw_flow_resources){32000, 65536, 8};
         heartbeat->zone = mw_name_from("za");
     }
     heartbeat->service = mw_name_from(mw_script_option(s, "service", "svc"));
@@ -372,6 +371,8 @@
         s, "incarnation", (int64_t)heartbeat->incarnation);
     heartbeat->total.gpus = (uint32_t)mw_script_option_int(s, "gpus", 8);
     heartbeat->total.cpu = (uint32_t)mw_script_option_int(s, "cpu", 32000);
+    heartbeat->total.memory_mb =
+        (uint32_t)mw_script_option_int(s, "mem", 65536);
     if (!is_new && mw_script_option_int(s, "incarnation", 0) > 0) {
         g_hash_table_remove(st->first_lists, mw_script_word(s, 1));
     }
