A start that no longer fits is not sent

Cause: whether a run fits was decided when it was placed. Its start is sent after the record is committed, after up to 2 s in the queue of commands, once more without a response, or by a new leader whose list lacks it; the endpoint's capacity may have shrunk meanwhile. Change: a start is sent only if the endpoint holds it beside all runs whose start was sent. Otherwise it is withdrawn, or stopped if it may be executed already, and with it its gang. flow/shrunk-before-start, -before-gang and -takeover failed before: two starts beyond the capacity, a gang's, a repeated one.

--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -178,7 +178,7 @@
     flows->counters.starts_withdrawn++;
     if (placement->start_unanswered) {
         /* an earlier start may still be executed */
-        mw_stop_task_placement(flows, now_us, placement);
+        mw_give_up_start(flows, now_us, placement);
     }
     else {
         mw_lose_run(flows, now_us, placement, reason);
@@ -209,6 +209,9 @@
         else if (!mw_run_is_wanted(flows, placement)) {
             withdraw_start(flows, now_us, placement, "not_wanted");
         }
+        else if (!mw_start_fits(placement)) {
+            withdraw_start(flows, now_us, placement, "no_capacity");
+        }
         else {
             transmit_start(flows, now_us, pending, placement);
             return;
@@ -314,6 +317,18 @@
     }
 }
 
+void
+mw_give_up_start(struct mw_flows *flows, int64_t now_us,
+                 struct mw_task_placement *placement)
+{
+    struct mw_task_group *group = placement->group;
+
+    mw_stop_task_placement(flows, now_us, placement);
+    if (group->step->gang) {
+        mw_stop_task_group(flows, now_us, group);
+    }
+}
+
 bool
 mw_may_long_poll(const struct mw_flow_endpoint *endpoint)
 {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -476,6 +476,11 @@
 uint32_t mw_tasks_that_fit(const struct mw_flow_resources *total,
                            const struct mw_flow_resources *used,
                            const struct mw_flow_resources *need);
+/*
+ * mw_start_fits: whether the run, and all of its gang that is not sent yet,
+ * still fits; an endpoint's capacity may have shrunk since it was placed.
+ */
+bool mw_start_fits(const struct mw_task_placement *placement);
 /*
  * mw_flow_endpoint_is_eligible: whether the group's tasks may run there:
  * service, label, urgent pool and reservations allow it.  Free resources are
@@ -541,6 +546,9 @@
                             struct mw_task_placement *placement);
 void mw_stop_task_group(struct mw_flows *flows, int64_t now_us,
                         struct mw_task_group *group);
+/* mw_give_up_start: also stops the others of the run's gang. */
+void mw_give_up_start(struct mw_flows *flows, int64_t now_us,
+                      struct mw_task_placement *placement);
 void mw_send_renewal(struct mw_flows *flows, int64_t now_us,
                      struct mw_flow_endpoint *endpoint);
 /*
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -25,10 +25,7 @@
         placement->retry_deadline_us = now_us;
         return;
     }
-    mw_stop_task_placement(flows, now_us, placement);
-    if (placement->group->step->gang) {
-        mw_stop_task_group(flows, now_us, placement->group);
-    }
+    mw_give_up_start(flows, now_us, placement);
 }
 
 /*
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -55,11 +55,12 @@
             continue;
         }
         if (placement->phase == MW_PLACEMENT_STARTING) {
-            if (mw_run_is_wanted(flows, placement)) {
+            if (mw_run_is_wanted(flows, placement) &&
+                mw_start_fits(placement)) {
                 mw_send_start(flows, now_us, placement);
             }
             else {
-                mw_stop_task_placement(flows, now_us, placement);
+                mw_give_up_start(flows, now_us, placement);
             }
         }
         else if (placement->phase == MW_PLACEMENT_STOPPING) {
