No start on a capacity that is not known to be recent

Cause: an endpoint counted as heard of with each list of runs, which says nothing of its capacity, so one whose heartbeats were lost got starts for as long as lists came. A heartbeat that was delayed counted as new, and so did the log's record at a new leader. Between placing and sending, the age was not looked at.

--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -209,7 +209,7 @@
         else if (!mw_run_is_wanted(flows, placement)) {
             withdraw_start(flows, now_us, placement, "not_wanted");
         }
-        else if (!mw_start_fits(placement)) {
+        else if (!mw_start_fits(placement, now_us)) {
             withdraw_start(flows, now_us, placement, "no_capacity");
         }
         else {
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -99,6 +99,7 @@
            !endpoint->is_leaving && endpoint->list_read &&
            !endpoint->awaiting_heartbeat && endpoint->unknown_runs == 0 &&
            !endpoint->heartbeat.draining && endpoint->renewal_failures == 0 &&
+           mw_endpoint_capacity_counts(endpoint, now_us) &&
            now_us - endpoint->last_contact_us < MW_CONTACT_TIMEOUT_US &&
            now_us >= endpoint->quarantine_deadline_us &&
            !mw_flow_zone_is_out(flows, &endpoint->heartbeat.zone);
@@ -266,11 +267,7 @@
     endpoint->awaiting_heartbeat = false;
     endpoint->last_contact_us = now_us;
     set_rack(flows, endpoint);
-    if (heartbeat->clock_us > 0 &&
-        (endpoint->clock_read_us == 0 ||
-         now_us - endpoint->clock_read_us > MW_CONTACT_TIMEOUT_US)) {
-        mw_update_flow_endpoint_clock(endpoint, now_us, heartbeat->clock_us);
-    }
+    mw_note_endpoint_capacity(endpoint, now_us, heartbeat);
     if (heartbeat->draining && !was_draining) {
         mw_emit_flow_endpoint_event(flows, "endpoint_draining", endpoint,
                                     "noted", 0);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -19,6 +19,7 @@
  *   flow-schedule.c     scheduling passes, start of leadership
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
+ *   flow-capacity.c     how long a capacity counts, whether a start fits
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption and reservations
  *   flow-urgent-pool.c  the pool of racks for urgent work
@@ -247,6 +248,8 @@
     bool is_leaving;
     struct mw_flow_heartbeat heartbeat;
     struct mw_name rack;
+    /* the capacity of the heartbeat counts until then */
+    int64_t capacity_deadline_us;
     struct mw_flow_resources used;
     GPtrArray *placements;
     /* last heartbeat or list */
@@ -460,6 +463,26 @@
                                 void (*add)(void *out,
                                             struct mw_record *record));
 
+/* flow-capacity.c */
+/* mw_note_endpoint_capacity: a heartbeat, or a record of one, has come. */
+void mw_note_endpoint_capacity(struct mw_flow_endpoint *endpoint,
+                               int64_t now_us,
+                               const struct mw_flow_heartbeat *heartbeat);
+/*
+ * mw_read_flow_endpoint_clock: a response tells the endpoint's clock, and so
+ * how old its last heartbeat is.
+ */
+void mw_read_flow_endpoint_clock(struct mw_flow_endpoint *endpoint,
+                                 int64_t now_us, int64_t clock_us);
+/* whether the capacity of its last heartbeat is recent enough for a start */
+bool mw_endpoint_capacity_counts(const struct mw_flow_endpoint *endpoint,
+                                 int64_t now_us);
+/*
+ * mw_start_fits: whether the run, and all of its gang that is not sent yet,
+ * still fits; an endpoint's capacity may have shrunk since it was placed.
+ */
+bool mw_start_fits(const struct mw_task_placement *placement, int64_t now_us);
+
 /* flow-place.c */
 struct mw_task_placement *
 mw_add_task_placement(struct mw_flows *flows,
@@ -476,11 +499,6 @@
 uint32_t mw_tasks_that_fit(const struct mw_flow_resources *total,
                            const struct mw_flow_resources *used,
                            const struct mw_flow_resources *need);
-/*
- * mw_start_fits: whether the run, and all of its gang that is not sent yet,
- * still fits; an endpoint's capacity may have shrunk since it was placed.
- */
-bool mw_start_fits(const struct mw_task_placement *placement);
 /*
  * mw_flow_endpoint_is_eligible: whether the group's tasks may run there:
  * service, label, urgent pool and reservations allow it.  Free resources are
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -102,51 +102,6 @@
     return MIN(capacity, MW_FLOW_TASKS_MAX);
 }
 
-/* Whether the starts of both runs are sent together or not at all. */
-static bool
-start_together(const struct mw_task_placement *a,
-               const struct mw_task_placement *b)
-{
-    return a == b || (a->group == b->group && a->group->step->gang);
-}
-
-/* Whether the endpoint holds the run beside those that it may have already. */
-static bool
-fits_on_endpoint(const struct mw_task_placement *placement)
-{
-    const struct mw_flow_endpoint *endpoint = placement->endpoint;
-    const struct mw_flow_resources *total = &endpoint->heartbeat.total;
-    struct mw_flow_resources used = {0};
-
-    for (guint i = 0; i < endpoint->placements->len; i++) {
-        const struct mw_task_placement *other = endpoint->placements->pdata[i];
-
-        if (!mw_run_is_unsent(other) || start_together(other, placement)) {
-            used.cpu += other->need.cpu;
-            used.memory_mb += other->need.memory_mb;
-            used.gpus += other->need.gpus;
-        }
-    }
-    return used.cpu <= total->cpu && used.memory_mb <= total->memory_mb &&
-           used.gpus <= total->gpus;
-}
-
-bool
-mw_start_fits(const struct mw_task_placement *placement)
-{
-    const struct mw_task_group *group = placement->group;
-    bool fits = fits_on_endpoint(placement);
-
-    for (uint32_t i = 0; group->step->gang && fits && i < group->step->count;
-         i++) {
-        const struct mw_task_placement *member = group->tasks[i].placement;
-
-        fits =
-            !member || !mw_run_is_unsent(member) || fits_on_endpoint(member);
-    }
-    return fits;
-}
-
 uint32_t
 mw_flow_endpoint_limit_left(const struct mw_flow_endpoint *endpoint,
                             const struct mw_task_group *group)
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -56,7 +56,7 @@
         }
         if (placement->phase == MW_PLACEMENT_STARTING) {
             if (mw_run_is_wanted(flows, placement) &&
-                mw_start_fits(placement)) {
+                mw_start_fits(placement, now_us)) {
                 mw_send_start(flows, now_us, placement);
             }
             else {
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -342,8 +342,9 @@
 }
 
 /* heartbeat ID [service= address= zone= seq= incarnation= gpus= cpu= mem=
- * state= kind= rack=]: seq defaults to the next one and incarnation to the
- * current one; the others have the same default in every heartbeat */
+ * state= kind= rack= age=]: seq defaults to the next one and incarnation to
+ * the current one; the others have the same default in every heartbeat.  age
+ * is how many milliseconds ago it was sent. */
 static void
 cmd_heartbeat(struct mw_script *s)
 {
@@ -380,7 +381,8 @@
         strcmp(mw_script_option(s, "state", "ready"), "draining") == 0;
     heartbeat->leaving =
         strcmp(mw_script_option(s, "state", "ready"), "leaving") == 0;
-    heartbeat->clock_us = st->now_us - START_US;
+    heartbeat->clock_us =
+        st->now_us - START_US - 1000 * mw_script_option_int(s, "age", 0);
     heartbeat->label_count = 0;
     add_label(heartbeat, mw_script_option(s, "kind", "a"));
     add_label(heartbeat, mw_script_option(s, "rack", "r1"));
