A job is not refused for a capacity that has only shrunk

Cause: a job was refused as impossible if no endpoint of its service held one of its tasks at that moment; a capacity that has shrunk may grow again. Change: each endpoint counts with the most that its incarnation ever had. flow/shrunk-not-impossible failed before: 503 for the job that the endpoint could hold again 500 ms later.

--- a/source/core/flow/flow-capacity.c
+++ b/source/core/flow/flow-capacity.c
@@ -45,8 +45,12 @@
 mw_note_endpoint_capacity(struct mw_flow_endpoint *endpoint, int64_t now_us,
                           const struct mw_flow_heartbeat *heartbeat)
 {
+    struct mw_flow_resources *largest = &endpoint->largest_total;
     int64_t delay_us;
 
+    largest->cpu = MAX(largest->cpu, heartbeat->total.cpu);
+    largest->memory_mb = MAX(largest->memory_mb, heartbeat->total.memory_mb);
+    largest->gpus = MAX(largest->gpus, heartbeat->total.gpus);
     if (is_recorded(heartbeat)) {
         endpoint->capacity_deadline_us = now_us + RECALLED_TIMEOUT_US;
         return;
@@ -78,6 +82,12 @@
     }
 }
 
+bool
+mw_endpoint_is_heard(const struct mw_flow_endpoint *endpoint)
+{
+    return !is_recorded(&endpoint->heartbeat);
+}
+
 bool
 mw_endpoint_capacity_counts(const struct mw_flow_endpoint *endpoint,
                             int64_t now_us)
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -253,6 +253,7 @@
     endpoint->renewal_pending = false;
     endpoint->renewal_deadline_us = 0;
     endpoint->record_pending = false;
+    endpoint->largest_total = (struct mw_flow_resources){0};
 }
 
 static void
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -250,6 +250,8 @@
     struct mw_name rack;
     /* the capacity of the heartbeat counts until then */
     int64_t capacity_deadline_us;
+    /* the most of each that this incarnation had */
+    struct mw_flow_resources largest_total;
     struct mw_flow_resources used;
     GPtrArray *placements;
     /* last heartbeat or list */
@@ -474,6 +476,8 @@
  */
 void mw_read_flow_endpoint_clock(struct mw_flow_endpoint *endpoint,
                                  int64_t now_us, int64_t clock_us);
+/* whether this leader has a heartbeat of it, not only a record of one */
+bool mw_endpoint_is_heard(const struct mw_flow_endpoint *endpoint);
 /* whether the capacity of its last heartbeat is recent enough for a start */
 bool mw_endpoint_capacity_counts(const struct mw_flow_endpoint *endpoint,
                                  int64_t now_us);
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -97,15 +97,32 @@
     return false;
 }
 
+/*
+ * Whether the endpoint could hold such a task, as far as is known of it: a
+ * record may say that its capacity is not known.
+ */
+static bool
+could_hold(const struct mw_flow_endpoint *endpoint,
+           const struct mw_flow_resources *need)
+{
+    static const struct mw_flow_resources nothing = {0};
+    const struct mw_flow_resources *largest = &endpoint->largest_total;
+    bool has_capacity = largest->cpu || largest->memory_mb || largest->gpus;
+
+    return (!has_capacity && !mw_endpoint_is_heard(endpoint)) ||
+           mw_tasks_that_fit(largest, &nothing, need) > 0;
+}
+
 /*
  * Whether one task of each step fits some registered endpoint, if nothing else
- * runs there.  Without any endpoint of the service the flow may wait for one.
+ * runs there and it has the most that it ever had: a capacity that has shrunk
+ * may grow again.  Without any endpoint of the service the flow may wait for
+ * one.
  */
 static bool
 can_ever_run(const struct mw_flows *flows, const struct mw_flow_route *route,
              const struct mw_flow_plan *plan)
 {
-    static const struct mw_flow_resources nothing = {0};
     GHashTableIter iter;
     gpointer value;
 
@@ -123,8 +140,7 @@
                 continue;
             }
             any = true;
-            fits = mw_tasks_that_fit(&endpoint->heartbeat.total, &nothing,
-                                     &plan->steps[i].need) > 0;
+            fits = could_hold(endpoint, &plan->steps[i].need);
         }
         if (any && !fits) {
             return false;
