A changed capacity is recorded for the next leader

Cause: an endpoint was recorded again only when its incarnation or draining state changed, so the next leader recalled the capacity of its first heartbeat and could place on that before it heard of the endpoint. Change: a capacity that has shrunk is recorded at once, also while a record is not committed yet; one that has grown once in 10 s. One that shrinks again within these is recorded as nothing, so that a capacity which changes with every heartbeat costs two records in 10 s.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -254,6 +254,7 @@
     endpoint->renewal_deadline_us = 0;
     endpoint->record_pending = false;
     endpoint->largest_total = (struct mw_flow_resources){0};
+    endpoint->capacity_record_deadline_us = 0;
 }
 
 static void
@@ -364,7 +365,7 @@
         endpoint->incarnation != heartbeat->incarnation) {
         return 0;
     }
-    if (!mw_propose_flow_endpoint(flows, endpoint)) {
+    if (!mw_propose_flow_endpoint(flows, now_us, endpoint)) {
         return heartbeat->draining ? MW_ERR_OVERLOADED : 0;
     }
     if (!heartbeat->draining ||
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -286,9 +286,12 @@
     bool usable;
     /* its rack belongs to the pool for urgent work */
     bool in_urgent_pool;
-    /* a record of its heartbeat is not committed yet; its draining state */
+    /* a record of its heartbeat is not committed yet, and what it says */
     bool record_pending;
     bool pending_draining;
+    struct mw_flow_resources pending_total;
+    /* until then a capacity that changes is recorded as nothing */
+    int64_t capacity_record_deadline_us;
     /*
      * The incarnation is known from a response only; a heartbeat will say
      * which resources it has.
@@ -453,7 +456,7 @@
 bool mw_flow_endpoint_is_recorded(const struct mw_flows *flows,
                                   const struct mw_flow_endpoint *endpoint);
 /* proposes a record if one is needed; false when that is not possible */
-bool mw_propose_flow_endpoint(struct mw_flows *flows,
+bool mw_propose_flow_endpoint(struct mw_flows *flows, int64_t now_us,
                               struct mw_flow_endpoint *endpoint);
 void mw_propose_flow_endpoint_removal(struct mw_flows *flows,
                                       const struct mw_flow_endpoint *endpoint);
--- a/source/core/flow/flow-registry.c
+++ b/source/core/flow/flow-registry.c
@@ -10,6 +10,11 @@
  *
  * The draining state of an endpoint is recorded before its heartbeat is
  * acknowledged; otherwise the next leader could still give it work.
+ *
+ * LOAD   endpoints whose capacity changes with every heartbeat.  A capacity
+ *        that has shrunk is recorded at once, one that has grown only once in
+ *        a while.  If it shrinks again soon it is recorded as nothing, which
+ *        needs no further records: the next leader waits for a heartbeat.
  */
 #include <string.h>
 
@@ -17,6 +22,8 @@
 
 /* the record of an endpoint without runs and contact is kept so long */
 #define ENDPOINT_RETENTION_US INT64_C(60000000)
+/* a capacity that changes is recorded as it is once in so long */
+#define CAPACITY_INTERVAL_US INT64_C(10000000)
 
 static const struct mw_flow_heartbeat *
 recorded_heartbeat(const struct mw_flows *flows, const struct mw_name *id)
@@ -58,20 +65,91 @@
                                &endpoint->heartbeat);
 }
 
+/* The capacity that the log holds, or will hold. */
+static struct mw_flow_resources
+recorded_capacity(const struct mw_flows *flows,
+                  const struct mw_flow_endpoint *endpoint)
+{
+    return endpoint->record_pending
+               ? endpoint->pending_total
+               : recorded_heartbeat(flows, &endpoint->id)->total;
+}
+
+static bool
+is_within(const struct mw_flow_resources *a, const struct mw_flow_resources *b)
+{
+    return a->cpu <= b->cpu && a->memory_mb <= b->memory_mb &&
+           a->gpus <= b->gpus;
+}
+
+/* Whether to record the capacity of an endpoint that is recorded otherwise. */
+static bool
+must_record_capacity(const struct mw_flows *flows, int64_t now_us,
+                     const struct mw_flow_endpoint *endpoint)
+{
+    const struct mw_flow_resources *total = &endpoint->heartbeat.total;
+    struct mw_flow_resources recorded = recorded_capacity(flows, endpoint);
+
+    if (!is_within(&recorded, total)) {
+        return true;
+    }
+    return !is_within(total, &recorded) &&
+           now_us >= endpoint->capacity_record_deadline_us;
+}
+
+static void
+emit_capacity_event(struct mw_flows *flows, int64_t now_us,
+                    const struct mw_flow_endpoint *endpoint)
+{
+    struct mw_flow_resources recorded = recorded_capacity(flows, endpoint);
+    const char *outcome = "grown";
+
+    if (now_us < endpoint->capacity_record_deadline_us) {
+        outcome = "unsteady";
+    }
+    else if (!is_within(&recorded, &endpoint->heartbeat.total)) {
+        outcome = "shrunk";
+    }
+    mw_emit_flow_endpoint_event(flows, "endpoint_capacity", endpoint, outcome,
+                                0);
+}
+
+static bool
+propose_state(struct mw_flows *flows, int64_t now_us,
+              struct mw_flow_endpoint *endpoint)
+{
+    struct mw_flow_heartbeat heartbeat = endpoint->heartbeat;
+
+    if (now_us < endpoint->capacity_record_deadline_us) {
+        heartbeat.total = (struct mw_flow_resources){0};
+    }
+    if (!propose_endpoint_record(flows, &heartbeat, false)) {
+        return false;
+    }
+    endpoint->record_pending = true;
+    endpoint->pending_draining = heartbeat.draining;
+    endpoint->pending_total = heartbeat.total;
+    return true;
+}
+
 bool
-mw_propose_flow_endpoint(struct mw_flows *flows,
+mw_propose_flow_endpoint(struct mw_flows *flows, int64_t now_us,
                          struct mw_flow_endpoint *endpoint)
 {
-    if (mw_flow_endpoint_is_recorded(flows, endpoint) ||
-        (endpoint->record_pending &&
-         endpoint->pending_draining == endpoint->heartbeat.draining)) {
+    if (!mw_flow_endpoint_is_recorded(flows, endpoint) &&
+        !(endpoint->record_pending &&
+          endpoint->pending_draining == endpoint->heartbeat.draining)) {
+        return propose_state(flows, now_us, endpoint);
+    }
+    if (!must_record_capacity(flows, now_us, endpoint)) {
         return true;
     }
-    if (!propose_endpoint_record(flows, &endpoint->heartbeat, false)) {
+    emit_capacity_event(flows, now_us, endpoint);
+    if (!propose_state(flows, now_us, endpoint)) {
         return false;
     }
-    endpoint->record_pending = true;
-    endpoint->pending_draining = endpoint->heartbeat.draining;
+    endpoint->capacity_record_deadline_us = MAX(
+        endpoint->capacity_record_deadline_us, now_us + CAPACITY_INTERVAL_US);
     return true;
 }
 
@@ -132,6 +210,10 @@
         (!endpoint || endpoint->incarnation < heartbeat->incarnation)) {
         mw_register_flow_endpoint(flows, flows->now_us, heartbeat, "recalled");
     }
+    else if (flows->is_leader && !mw_endpoint_is_heard(endpoint) &&
+             endpoint->incarnation == heartbeat->incarnation) {
+        endpoint->heartbeat.total = heartbeat->total;
+    }
 }
 
 void
