A preemption stops no run that makes no room for a task

Cause: on each endpoint the plan took the cheapest runs until the wanted tasks fitted or none was left, and kept all of them as victims, also on an endpoint that could hold no task at all once its capacity had shrunk. Change: victims after the last one that made room for a task are left out, and their cost with them. flow/shrunk-no-victims failed before (two runs stopped on the shrunk endpoint beside the two that made room), flow/preempt-no-more too (8 stops where 5 made room).

--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -156,7 +156,8 @@
 
 /*
  * Returns how many tasks, up to wanted, fit on one endpoint once the cheapest
- * runs have gone.  Adds these runs to victims and their cost to *cost.
+ * runs have gone.  Adds these runs to victims and their cost to *cost, but
+ * none that would make room for no further task.
  */
 static uint32_t
 plan_endpoint(struct mw_flow_endpoint *endpoint,
@@ -168,6 +169,9 @@
         group->rank < 2 ? preemption_cost : remaining_time;
     struct mw_flow_resources used = endpoint->used;
     GPtrArray *placements = g_ptr_array_new();
+    guint useful_victims = victims->len;
+    uint64_t cost_so_far = *cost;
+    uint32_t best_capacity;
     uint32_t capacity;
 
     wanted = MIN(wanted, mw_flow_endpoint_limit_left(endpoint, group));
@@ -183,19 +187,26 @@
     }
     capacity = mw_tasks_that_fit(&endpoint->heartbeat.total, &used,
                                  &group->step->need);
+    best_capacity = capacity;
     while (capacity < wanted && placements->len > 0) {
         struct mw_task_placement *victim =
             cheapest_run(placements, now_us, cost_of_run);
 
         g_ptr_array_remove_fast(placements, victim);
         g_ptr_array_add(victims, victim);
-        *cost += cost_of_run(victim, now_us);
+        cost_so_far += cost_of_run(victim, now_us);
         subtract(&used, &victim->need);
         capacity = mw_tasks_that_fit(&endpoint->heartbeat.total, &used,
                                      &group->step->need);
+        if (capacity > best_capacity) {
+            best_capacity = capacity;
+            useful_victims = victims->len;
+            *cost = cost_so_far;
+        }
     }
+    g_ptr_array_set_size(victims, (gint)useful_victims);
     g_ptr_array_unref(placements);
-    return MIN(capacity, wanted);
+    return MIN(best_capacity, wanted);
 }
 
 static gint
