--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -19,6 +19,7 @@
  *   flow-schedule.c     scheduling passes, start of leadership
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
+ *   flow-capacity.c     how long a capacity counts, whether a start fits
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption and reservations
  *   flow-urgent-pool.c  the pool of racks for urgent work
@@ -255,6 +256,10 @@
     bool is_leaving;
     struct mw_flow_heartbeat heartbeat;
     struct mw_name rack;
+    /* the capacity of the heartbeat counts until then */
+    int64_t capacity_deadline_us;
+    /* the most of each that this incarnation had */
+    struct mw_flow_resources largest_total;
     struct mw_flow_resources used;
     GPtrArray *placements;
     /* last heartbeat or list */
@@ -295,9 +300,12 @@
     bool usable;
     /* its rack belongs to the pool for urgent work */
     bool in_urgent_pool;
-    /* a record of its heartbeat is not committed yet; its draining state */
+    /* a record of its heartbeat is not committed yet, and what it says */
     bool record_pending;
     bool pending_draining;
+    struct mw_flow_resources pending_total;
+    /* until then a capacity that changes is recorded as nothing */
+    int64_t capacity_record_deadline_us;
     /*
      * The incarnation is known from a response only; a heartbeat will say
      * which resources it has.
@@ -477,7 +485,7 @@
 bool mw_flow_endpoint_is_recorded(const struct mw_flows *flows,
                                   const struct mw_flow_endpoint *endpoint);
 /* proposes a record if one is needed; false when that is not possible */
-bool mw_propose_flow_endpoint(struct mw_flows *flows,
+bool mw_propose_flow_endpoint(struct mw_flows *flows, int64_t now_us,
                               struct mw_flow_endpoint *endpoint);
 void mw_propose_flow_endpoint_removal(struct mw_flows *flows,
                                       const struct mw_flow_endpoint *endpoint);
@@ -489,6 +497,28 @@
                                 void (*add)(void *out,
                                             struct mw_record *record));
 
+/* flow-capacity.c */
+/* mw_note_endpoint_capacity: a heartbeat, or a record of one, has come. */
+void mw_note_endpoint_capacity(struct mw_flow_endpoint *endpoint,
+                               int64_t now_us,
+                               const struct mw_flow_heartbeat *heartbeat);
+/*
+ * mw_read_flow_endpoint_clock: a response tells the endpoint's clock, and so
+ * how old its last heartbeat is.
+ */
+void mw_read_flow_endpoint_clock(struct mw_flow_endpoint *endpoint,
+                                 int64_t now_us, int64_t clock_us);
+/* whether this leader has a heartbeat of it, not only a record of one */
+bool mw_endpoint_is_heard(const struct mw_flow_endpoint *endpoint);
+/* whether the capacity of its last heartbeat is recent enough for a start */
+bool mw_endpoint_capacity_counts(const struct mw_flow_endpoint *endpoint,
+                                 int64_t now_us);
+/*
+ * mw_start_fits: whether the run, and all of its gang that is not sent yet,
+ * still fits; an endpoint's capacity may have shrunk since it was placed.
+ */
+bool mw_start_fits(const struct mw_task_placement *placement, int64_t now_us);
+
 /* flow-place.c */
 struct mw_task_placement *
 mw_add_task_placement(struct mw_flows *flows,
@@ -579,6 +609,9 @@
                             struct mw_task_placement *placement);
 void mw_stop_task_group(struct mw_flows *flows, int64_t now_us,
                         struct mw_task_group *group);
+/* mw_give_up_start: also stops the others of the run's gang. */
+void mw_give_up_start(struct mw_flows *flows, int64_t now_us,
+                      struct mw_task_placement *placement);
 void mw_send_renewal(struct mw_flows *flows, int64_t now_us,
                      struct mw_flow_endpoint *endpoint);
 /*
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -27,10 +27,7 @@
         placement->retry_deadline_us = now_us;
         return;
     }
-    mw_stop_task_placement(flows, now_us, placement);
-    if (placement->group->step->gang) {
-        mw_stop_task_group(flows, now_us, placement->group);
-    }
+    mw_give_up_start(flows, now_us, placement);
 }
 
 /*
@@ -214,7 +211,7 @@
         return;
     }
     if (response->has_clock) {
-        mw_update_flow_endpoint_clock(endpoint, now_us, response->clock_us);
+        mw_read_flow_endpoint_clock(endpoint, now_us, response->clock_us);
     }
     if (pending->kind == MW_FLOW_COMMAND_RENEW) {
         handle_renewal_response(flows, now_us, endpoint, response, pending);
