Part link by job: task, dialing, one connection, hello, frames

link.c held the task, the dial targets, what one connection does, which of two connections is kept, and how frames look in bytes. Each is a file of its own now; link-frame knows no messages and no sockets. Behaviour is unchanged.

--- a/source/run/link.h
+++ b/source/run/link.h
@@ -6,13 +6,10 @@
 /*
  * link: the task that owns the connections to other processes.
  *
- * FRAME   length in 4 bytes, big endian; MAC in 16 bytes; payload
- *
- * The length is checked before memory is allocated.  A connection that has
- * received nothing for MW_LINK_IDLE_TIMEOUT_US is closed and dialed again:
- * an established connection can stop carrying data for good while new
- * connections still work.  Two processes keep one connection, see
- * link-choice.
+ * A connection that has received nothing for MW_LINK_IDLE_TIMEOUT_US is closed
+ * and dialed again: an established connection can stop carrying data for good
+ * while new connections still work.  Two processes keep one connection, see
+ * link-choice; its bytes are frames, see link-frame.
  */
 
 #define MW_LINK_IDLE_TIMEOUT_US 1500000
@@ -86,7 +83,8 @@
  * Call it in the thread of the links.  A process that is already listed is
  * ignored.
  */
-void mw_links_dial(struct mw_links *links, const struct mw_dial_target *dial);
+void mw_links_dial(struct mw_links *links,
+                   const struct mw_dial_target *target);
 
 /*
  * Key for connections within a region, whose settings provide no secret.  It
