Part flow-control-task by job: task, membership, links, output

flow-control-task.c held the task's callbacks, the data directory and the membership that follows from it, the connections to other processes, and the effects of the control process. Each is a file of its own now. Behaviour is unchanged.

--- /dev/null
+++ b/source/run/flow-control-task-impl.h
@@ -0,0 +1,90 @@
+#ifndef MW_RUN_FLOW_CONTROL_TASK_IMPL_H
+#define MW_RUN_FLOW_CONTROL_TASK_IMPL_H
+
+#include "disk.h"
+#include "flow-control-task.h"
+
+/*
+ * flow-control-task-impl: the task of a control process.
+ *
+ * FILES
+ *   flow-control-task.c         the task's callbacks, shutdown, and the calls
+ *                               from the server
+ *   flow-control-task-member.c  whether the process is a member of the log,
+ *                               and its data directory
+ *   flow-control-task-links.c   connections to other processes
+ *   flow-control-task-output.c  effects of the control process
+ */
+
+struct mw_flow_control_task {
+    struct mw_flow_control_task_setup setup;
+    struct mw_context ctx;
+    struct mw_task *task;
+    struct mw_task *links_task;
+    /* NULL without a data directory, as of a standby */
+    struct mw_task *disk_task;
+    struct mw_links *links;
+    struct mw_disk *disk;
+    struct mw_blob *key;
+    struct mw_flow_control *control;
+    struct mw_event_log *log;
+    /* items stored since the last mw_flush_stored */
+    GArray *stored;
+    bool started;
+    /* when to open the data directory again; 0 if that did not fail */
+    int64_t open_deadline_us;
+    bool leaving;
+    bool ended;
+    int64_t leave_deadline_us;
+};
+
+/* flow-control-task.c */
+/* mw_end_flow_control_task: tells the owner, once; error is 0 if planned. */
+void mw_end_flow_control_task(struct mw_flow_control_task *t, int error,
+                              struct mw_str message);
+
+/* flow-control-task-member.c */
+/*
+ * mw_open_member_state: at the start; creates t->control.
+ *
+ * If the disk refuses, because it is full for example, the process runs as a
+ * standby, which only forwards requests; mw_reopen_member_state tries again
+ * from time to time.
+ */
+int mw_open_member_state(struct mw_flow_control_task *t);
+void mw_reopen_member_state(struct mw_flow_control_task *t, int64_t now_us);
+/*
+ * mw_check_membership: joins the log if the other members list this process
+ * although it has no data: a standby that was added, or a member that lost
+ * its disk.
+ */
+void mw_check_membership(struct mw_flow_control_task *t);
+bool mw_contains_name(const struct mw_name *names, uint32_t count,
+                      const struct mw_name *name);
+/* mw_report_disk: logs that the disk refuses writes, or accepts them again. */
+void mw_report_disk(struct mw_flow_control_task *t, int error,
+                    struct mw_str detail);
+
+/* flow-control-task-links.c */
+/* mw_start_flow_links: returns false and sets message on failure. */
+bool mw_start_flow_links(struct mw_flow_control_task *t, char **message);
+/*
+ * mw_dial_process: connects to a process.  Of two members, the one whose name
+ * compares greater connects to the other.
+ */
+void mw_dial_process(struct mw_flow_control_task *t,
+                     const struct mw_name *name);
+/* mw_dial_known_processes: the members, and the seeds of the setup. */
+void mw_dial_known_processes(struct mw_flow_control_task *t);
+
+/* flow-control-task-output.c */
+struct mw_flow_control_output
+mw_flow_control_task_output(struct mw_flow_control_task *t);
+/*
+ * mw_flush_stored: posts all items of one step to the disk task at once.
+ *
+ * Called after each message, tick and call from the server.
+ */
+void mw_flush_stored(struct mw_flow_control_task *t);
+
+#endif
