Part entry by job: admission, pending requests, answers, peers

entry.c held whether a request is accepted, the pending requests and their replies, answers and retries, and what control processes say of themselves. Each is a file of its own now, entry-impl.h names them. Behaviour is unchanged.

--- a/source/core/entry-impl.h
+++ b/source/core/entry-impl.h
@@ -5,6 +5,21 @@
 
 #include "mimosawind/entry.h"
 
+/*
+ * entry-impl: the state of an entry process.
+ *
+ * FILES
+ *   entry.c            messages of control processes, timers
+ *   entry-admission.c  requests of clients and operators, accepted or refused
+ *   entry-request.c    pending requests: forwarding, and the reply to each
+ *   entry-route.c      the process that a request is sent to
+ *   entry-answer.c     answers to requests, and retries
+ *   entry-endpoint.c   announcements of endpoints, commands and their outcomes
+ */
+
+/* what a retry takes from retry_credit */
+#define MW_RETRY_COST 100
+
 /* mw_entry_peer: a control process, with its last heartbeat. */
 struct mw_entry_peer {
     struct mw_name name;
@@ -57,17 +72,50 @@
     uint64_t next_ref;
     /* highest epoch of a leader of the own zone */
     uint64_t epoch;
-    /* retry budget in hundredths of a retry */
+    /* retry budget; see MW_RETRY_COST */
     uint32_t retry_credit;
     bool leaving;
     int64_t tick_deadline_us;
     int64_t heartbeat_deadline_us;
 };
 
+/* entry-request.c */
+/* mw_free_request: for entry->requests. */
+void mw_free_request(void *request);
+/* mw_add_request: takes over msg; not sent yet. */
+struct mw_request *mw_add_request(struct mw_entry *entry, uint64_t handle,
+                                  enum mw_request_kind kind,
+                                  struct mw_msg *msg, int64_t deadline_us);
+/* mw_remove_request: without a reply. */
+void mw_remove_request(struct mw_entry *entry, struct mw_request *request);
+/* mw_send_request: remains unassigned if no process can take it now. */
+void mw_send_request(struct mw_entry *entry, int64_t now_us,
+                     struct mw_request *request);
+/* mw_complete_request: replies and removes the request. */
+void mw_complete_request(struct mw_entry *entry, struct mw_request *request,
+                         struct mw_reply *reply);
+/* mw_send_unassigned_requests: another process may be able to take them. */
+void mw_send_unassigned_requests(struct mw_entry *entry, int64_t now_us);
+/* mw_unassign_requests: the connection to their process was closed. */
+void mw_unassign_requests(struct mw_entry *entry, int64_t now_us,
+                          const struct mw_name *process);
+/* mw_tick_requests: sends and expires requests that are due. */
+void mw_tick_requests(struct mw_entry *entry, int64_t now_us);
+
+/* entry-answer.c */
+void mw_entry_on_answer(struct mw_entry *entry, int64_t now_us,
+                        const struct mw_name *from,
+                        const struct mw_msg_answer *answer);
+/* mw_entry_on_changed: the result of a change request. */
+void mw_entry_on_changed(struct mw_entry *entry, int64_t now_us,
+                         const struct mw_change_result *changed);
+
+/* entry-endpoint.c */
 /* mw_entry_on_command: execute a command, unless its epoch is stale. */
 void mw_entry_on_command(struct mw_entry *entry, const struct mw_name *from,
                          const struct mw_endpoint_command *command);
 
+/* entry-route.c */
 /* mw_entry_leader: the zone's live leader with the highest epoch, or NULL. */
 struct mw_entry_peer *mw_entry_leader(const struct mw_entry *entry,
                                       int64_t now_us,
