Reply to an expired request: room for the longest names

The text of the reply names a zone and its entry process. Its buffer of 160 bytes is too small for names of 58 bytes and more; g_snprintf returns the length of the whole text, so that the reply was cut off and the bytes behind the buffer were read. The buffer's size follows from MW_NAME_MAX now.

--- a/source/core/entry-request.c
+++ b/source/core/entry-request.c
@@ -4,6 +4,8 @@
 #include "entry-impl.h"
 
 #define DEADLINE_GRACE_US 500000
+/* two names and the words round them */
+#define EXPIRY_DETAIL_SIZE (64 + 2 * MW_NAME_MAX)
 
 void
 mw_free_request(void *data)
@@ -135,12 +137,31 @@
     }
 }
 
+/* Names the zone to ask, and its entry process; *text holds the result. */
+static struct mw_str
+expiry_detail(const struct mw_entry *entry, const struct mw_request *request,
+              const struct mw_name *zone, char text[EXPIRY_DETAIL_SIZE])
+{
+    const struct mw_document_zone *document_zone =
+        mw_find_document_zone(entry->document, zone);
+    struct mw_str name = mw_name_str(zone->len ? zone : &entry->zone);
+    struct mw_str address =
+        document_zone ? mw_name_str(&document_zone->entry) : MW_STR("");
+    int len =
+        g_snprintf(text, EXPIRY_DETAIL_SIZE, "%s; ask zone %.*s%s%.*s",
+                   request->sent ? "no answer in time"
+                                 : "this entry VM did not forward it",
+                   MW_FMT(name), address.len ? " at " : "", MW_FMT(address));
+
+    return (struct mw_str){text, (size_t)len};
+}
+
 static void
 expire_request(struct mw_entry *entry, struct mw_request *request)
 {
-    struct mw_reply reply = {.error = MW_ERR_DEADLINE, .zone = entry->zone};
+    struct mw_reply reply = {.error = MW_ERR_DEADLINE};
     struct mw_name zone;
-    char text[160];
+    char text[EXPIRY_DETAIL_SIZE];
 
     /* only the zone is needed; at time 0 no peer is timed out */
     mw_entry_route(entry, 0, request, &zone);
@@ -157,18 +178,7 @@
 
     reply.ran = may_have_run ? MW_MAY_HAVE_RUN : MW_NOT_RUN;
     reply.zone = zone.len ? zone : entry->zone;
-    const struct mw_document_zone *document_zone =
-        mw_find_document_zone(entry->document, &zone);
-    int len =
-        g_snprintf(text, sizeof text, "%s; ask zone %.*s%s%.*s",
-                   request->sent ? "no answer in time"
-                                 : "this entry VM did not forward it",
-                   MW_FMT(mw_name_str(&reply.zone)),
-                   document_zone && document_zone->entry.len ? " at " : "",
-                   document_zone ? (int)document_zone->entry.len : 0,
-                   document_zone ? document_zone->entry.ptr : "");
-
-    reply.detail = (struct mw_str){text, (size_t)len};
+    reply.detail = expiry_detail(entry, request, &zone, text);
     entry->counters.deadline++;
     mw_complete_request(entry, request, &reply);
 }
