One table of peers for control and entry processes

control-peer and entry-route each kept other processes with their last heartbeats and looked for the zone's live leader with the highest epoch, in the same words. source/core/peer does it for both. What is left of control-peer sends heartbeats and is called control-heartbeat. Behaviour is unchanged: a control process does not hear of closed connections, so that all its peers count as connected, as before.

--- a/source/core/control-change.c
+++ b/source/core/control-change.c
@@ -77,8 +77,8 @@
     for (uint32_t i = 0; i < doc->zone_count; i++) {
         const struct mw_document_zone *zone = &doc->zones[i];
         bool own = mw_name_equal(&zone->name, &control->zone_name);
-        const struct mw_control_peer *leader =
-            mw_control_zone_leader(control, now_us, &zone->name);
+        const struct mw_peer *leader =
+            mw_zone_leader(control->peers, now_us, &zone->name);
         uint64_t version =
             leader ? leader->heartbeat.version[MW_PRODUCTION] : 0;
 
--- a/source/core/control-document.c
+++ b/source/core/control-document.c
@@ -106,7 +106,7 @@
 
 void
 mw_control_send_newer_document(struct mw_control *control,
-                               const struct mw_control_peer *peer)
+                               const struct mw_peer *peer)
 {
     bool is_entry = peer->heartbeat.role == MW_ROLE_ENTRY;
     struct mw_document *doc =
--- a/source/core/control-impl.h
+++ b/source/core/control-impl.h
@@ -4,13 +4,7 @@
 #include <glib.h>
 
 #include "mimosawind/control.h"
-
-/* mw_control_peer: another process, with its last heartbeat. */
-struct mw_control_peer {
-    struct mw_name name;
-    struct mw_heartbeat heartbeat;
-    int64_t last_heartbeat_us;
-};
+#include "peer.h"
 
 /* mw_region_document: document of an environment, from the region's log. */
 struct mw_region_document {
@@ -90,24 +84,14 @@
                                       struct mw_control *control,
                                       int64_t now_us);
 void mw_control_send_newer_document(struct mw_control *control,
-                                    const struct mw_control_peer *peer);
+                                    const struct mw_peer *peer);
 void mw_control_receive_document(struct mw_control *control,
                                  const struct mw_msg_document *document);
 
 /* mw_control_zone_output: callbacks for the zone's scheduler. */
 struct mw_zone_output mw_control_zone_output(struct mw_control *control);
 
-/* other processes: control-peer.c */
-struct mw_control_peer *
-mw_control_update_peer(struct mw_control *control, int64_t now_us,
-                       const struct mw_name *from,
-                       const struct mw_heartbeat *heartbeat);
-
-/* mw_control_zone_leader: the live leader with the highest epoch, or NULL. */
-struct mw_control_peer *
-mw_control_zone_leader(const struct mw_control *control, int64_t now_us,
-                       const struct mw_name *zone);
-
+/* heartbeats to other processes: control-heartbeat.c */
 void mw_control_send_heartbeats(struct mw_control *control, int64_t now_us);
 
 #endif
--- a/source/core/control-scheduler.c
+++ b/source/core/control-scheduler.c
@@ -33,7 +33,7 @@
 static struct mw_name
 entry_for_endpoint(struct mw_control *control, const struct mw_name *via)
 {
-    struct mw_control_peer *peer = g_hash_table_lookup(control->peers, via);
+    struct mw_peer *peer = g_hash_table_lookup(control->peers, via);
     GHashTableIter iter;
     gpointer value;
 
@@ -93,7 +93,7 @@
  * the accelerators that the job needs.
  */
 static bool
-take_capacity(struct mw_control_peer *leader, const struct mw_shape *shape)
+take_capacity(struct mw_peer *leader, const struct mw_shape *shape)
 {
     struct mw_zone_load *load = &leader->heartbeat.load;
     uint32_t need = shape ? shape->tasks * shape->need.accelerators : 0;
@@ -119,8 +119,8 @@
         /* round robin, so that handovers are spread over the zones */
         uint32_t index = (i + control->next_ref) % doc->zone_count;
         const struct mw_name *name = &doc->zones[index].name;
-        struct mw_control_peer *leader =
-            mw_control_zone_leader(control, control->now_us, name);
+        struct mw_peer *leader =
+            mw_zone_leader(control->peers, control->now_us, name);
 
         if (leader && !leader->heartbeat.out &&
             !mw_name_equal(name, &control->zone_name) &&
@@ -138,8 +138,8 @@
               const struct mw_job_spec *spec, struct mw_blob *body)
 {
     struct mw_control *control = opaque;
-    const struct mw_control_peer *leader =
-        mw_control_zone_leader(control, control->now_us, zone);
+    const struct mw_peer *leader =
+        mw_zone_leader(control->peers, control->now_us, zone);
 
     if (!leader) {
         return 0;
--- a/source/core/control.c
+++ b/source/core/control.c
@@ -139,8 +139,7 @@
     control->output = setup->output;
     control->now_us = setup->now_us;
     control->next_ref = 1;
-    control->peers =
-        g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
+    control->peers = mw_new_peers();
     control->pending_changes = g_ptr_array_new_with_free_func(mw_free_change);
     control->zone = mw_new_zone(&setup->zone, &output);
     for (int group = 0; group < MW_GROUPS; group++) {
@@ -379,7 +378,7 @@
     case MW_MSG_HEARTBEAT:
         mw_control_send_newer_document(
             control,
-            mw_control_update_peer(control, now_us, from, &msg->heartbeat));
+            mw_update_peer(control->peers, now_us, from, &msg->heartbeat));
         break;
     case MW_MSG_LOG:
         log = msg->log.group < MW_GROUPS ? control->log[msg->log.group] : NULL;
--- a/source/core/entry-endpoint.c
+++ b/source/core/entry-endpoint.c
@@ -48,10 +48,9 @@
     entry->counters.announces++;
     g_hash_table_iter_init(&iter, entry->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_entry_peer *peer = value;
+        struct mw_peer *peer = value;
 
-        if (!peer->connected ||
-            now_us - peer->last_heartbeat_us > MW_PEER_TIMEOUT_US ||
+        if (!mw_peer_is_live(peer, now_us) ||
             !mw_name_equal(&peer->heartbeat.zone, &entry->zone)) {
             continue;
         }
--- a/source/core/entry-impl.h
+++ b/source/core/entry-impl.h
@@ -1,9 +1,8 @@
 #ifndef MW_CORE_ENTRY_IMPL_H
 #define MW_CORE_ENTRY_IMPL_H
 
-#include <glib.h>
-
 #include "mimosawind/entry.h"
+#include "peer.h"
 
 /*
  * entry-impl: the state of an entry process.
@@ -20,14 +19,6 @@
 /* what a retry takes from retry_credit */
 #define MW_RETRY_COST 100
 
-/* mw_entry_peer: a control process, with its last heartbeat. */
-struct mw_entry_peer {
-    struct mw_name name;
-    struct mw_heartbeat heartbeat;
-    int64_t last_heartbeat_us;
-    bool connected;
-};
-
 enum mw_request_kind {
     MW_REQUEST_SUBMIT = 0,
     MW_REQUEST_QUERY = 1,
@@ -116,23 +107,14 @@
                          const struct mw_endpoint_command *command);
 
 /* entry-route.c */
-/* mw_entry_leader: the zone's live leader with the highest epoch, or NULL. */
-struct mw_entry_peer *mw_entry_leader(const struct mw_entry *entry,
-                                      int64_t now_us,
-                                      const struct mw_name *zone);
-
-/* mw_entry_region_leader: a live leader of the region's log, or NULL. */
-struct mw_entry_peer *mw_entry_region_leader(const struct mw_entry *entry,
-                                             int64_t now_us);
-
 /*
  * mw_entry_route: the process that a request must be sent to, or NULL.
  *
  * *zone is set to the zone of the request, empty if there is none.
  */
-struct mw_entry_peer *mw_entry_route(struct mw_entry *entry, int64_t now_us,
-                                     const struct mw_request *request,
-                                     struct mw_name *zone);
+struct mw_peer *mw_entry_route(struct mw_entry *entry, int64_t now_us,
+                               const struct mw_request *request,
+                               struct mw_name *zone);
 
 /* mw_request_key: key of a submission or query. */
 const struct mw_job_key *mw_request_key(const struct mw_request *request);
--- a/source/core/entry-request.c
+++ b/source/core/entry-request.c
@@ -66,7 +66,7 @@
                 struct mw_request *request)
 {
     struct mw_name zone;
-    struct mw_entry_peer *peer = mw_entry_route(entry, now_us, request, &zone);
+    struct mw_peer *peer = mw_entry_route(entry, now_us, request, &zone);
 
     request->resend_deadline_us = now_us + MW_RESEND_INTERVAL_US;
     if (!peer) {
--- a/source/core/entry-route.c
+++ b/source/core/entry-route.c
@@ -3,48 +3,6 @@
  */
 #include "entry-impl.h"
 
-struct mw_entry_peer *
-mw_entry_leader(const struct mw_entry *entry, int64_t now_us,
-                const struct mw_name *zone)
-{
-    struct mw_entry_peer *leader = NULL;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, entry->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_entry_peer *peer = value;
-
-        if (!peer->connected || !peer->heartbeat.leads_zone ||
-            now_us - peer->last_heartbeat_us > MW_PEER_TIMEOUT_US ||
-            !mw_name_equal(&peer->heartbeat.zone, zone)) {
-            continue;
-        }
-        if (!leader || peer->heartbeat.epoch > leader->heartbeat.epoch) {
-            leader = peer;
-        }
-    }
-    return leader;
-}
-
-struct mw_entry_peer *
-mw_entry_region_leader(const struct mw_entry *entry, int64_t now_us)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, entry->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_entry_peer *peer = value;
-
-        if (peer->connected && peer->heartbeat.leads_region &&
-            now_us - peer->last_heartbeat_us <= MW_PEER_TIMEOUT_US) {
-            return peer;
-        }
-    }
-    return NULL;
-}
-
 const struct mw_job_key *
 mw_request_key(const struct mw_request *request)
 {
@@ -81,12 +39,12 @@
  * leader.  Otherwise chooses the next such zone, but not the process tried
  * last, and the own zone again if there is none.
  */
-static struct mw_entry_peer *
+static struct mw_peer *
 route_to_any_zone(struct mw_entry *entry, int64_t now_us,
                   const struct mw_request *request, struct mw_name *zone)
 {
     const struct mw_document *doc = entry->document;
-    struct mw_entry_peer *own = mw_entry_leader(entry, now_us, &entry->zone);
+    struct mw_peer *own = mw_zone_leader(entry->peers, now_us, &entry->zone);
 
     *zone = entry->zone;
     if (own && !own->heartbeat.out && request->tries == 0) {
@@ -94,8 +52,8 @@
     }
     for (uint32_t i = 0; i < doc->zone_count; i++) {
         uint32_t index = (i + request->tries + request->ref) % doc->zone_count;
-        struct mw_entry_peer *peer =
-            mw_entry_leader(entry, now_us, &doc->zones[index].name);
+        struct mw_peer *peer =
+            mw_zone_leader(entry->peers, now_us, &doc->zones[index].name);
 
         if (peer && !peer->heartbeat.out &&
             !mw_name_equal(&peer->name, &request->assigned_to)) {
@@ -106,7 +64,7 @@
     return own && !own->heartbeat.out ? own : NULL;
 }
 
-struct mw_entry_peer *
+struct mw_peer *
 mw_entry_route(struct mw_entry *entry, int64_t now_us,
                const struct mw_request *request, struct mw_name *zone)
 {
@@ -114,20 +72,20 @@
     if (request->kind == MW_REQUEST_CHANGE) {
         if (request->msg->change.kind == MW_CHANGE_ZONE) {
             *zone = request->msg->change.zone;
-            return mw_entry_leader(entry, now_us, zone);
+            return mw_zone_leader(entry->peers, now_us, zone);
         }
-        return mw_entry_region_leader(entry, now_us);
+        return mw_region_leader(entry->peers, now_us);
     }
     if (!entry->document) {
         return NULL;
     }
     if (request->handover_zone.len > 0) {
         *zone = request->handover_zone;
-        return mw_entry_leader(entry, now_us, zone);
+        return mw_zone_leader(entry->peers, now_us, zone);
     }
     if (!mw_request_is_recorded(request)) {
         return route_to_any_zone(entry, now_us, request, zone);
     }
     owner_zone(entry, request, zone);
-    return mw_entry_leader(entry, now_us, zone);
+    return mw_zone_leader(entry->peers, now_us, zone);
 }
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -15,8 +15,7 @@
     entry->output = setup->output;
     entry->next_ref = 1;
     entry->retry_credit = MW_RETRY_BUDGET_BURST * MW_RETRY_COST;
-    entry->peers =
-        g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
+    entry->peers = mw_new_peers();
     entry->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                             mw_free_request);
     entry->requests_by_handle = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -47,25 +46,25 @@
     }
 }
 
+/* Whether requests may have another route after a heartbeat. */
+static bool
+changes_routes(const struct mw_peer *peer,
+               const struct mw_heartbeat *heartbeat)
+{
+    return !peer || !peer->connected ||
+           peer->heartbeat.leads_zone != heartbeat->leads_zone ||
+           peer->heartbeat.leads_region != heartbeat->leads_region ||
+           peer->heartbeat.out != heartbeat->out;
+}
+
 static void
 on_heartbeat(struct mw_entry *entry, int64_t now_us,
              const struct mw_name *from, const struct mw_heartbeat *heartbeat)
 {
-    struct mw_entry_peer *peer = g_hash_table_lookup(entry->peers, from);
+    bool changed =
+        changes_routes(g_hash_table_lookup(entry->peers, from), heartbeat);
 
-    if (!peer) {
-        peer = g_new0(struct mw_entry_peer, 1);
-        peer->name = *from;
-        g_hash_table_insert(entry->peers, &peer->name, peer);
-    }
-    bool changed = !peer->connected ||
-                   peer->heartbeat.leads_zone != heartbeat->leads_zone ||
-                   peer->heartbeat.leads_region != heartbeat->leads_region ||
-                   peer->heartbeat.out != heartbeat->out;
-
-    peer->heartbeat = *heartbeat;
-    peer->last_heartbeat_us = now_us;
-    peer->connected = true;
+    mw_update_peer(entry->peers, now_us, from, heartbeat);
     if (heartbeat->leads_zone &&
         mw_name_equal(&heartbeat->zone, &entry->zone)) {
         entry->epoch = MAX(entry->epoch, heartbeat->epoch);
@@ -121,7 +120,7 @@
 mw_entry_disconnected(struct mw_context *ctx, struct mw_entry *entry,
                       int64_t now_us, const struct mw_name *process)
 {
-    struct mw_entry_peer *peer = g_hash_table_lookup(entry->peers, process);
+    struct mw_peer *peer = g_hash_table_lookup(entry->peers, process);
 
     (void)ctx;
     if (peer) {
@@ -184,7 +183,7 @@
 mw_entry_is_ready(const struct mw_entry *entry, int64_t now_us)
 {
     return !entry->leaving && entry->document &&
-           mw_entry_leader(entry, now_us, &entry->zone) != NULL;
+           mw_zone_leader(entry->peers, now_us, &entry->zone) != NULL;
 }
 
 const struct mw_entry_counters *
@@ -210,7 +209,7 @@
 
     g_hash_table_iter_init(&iter, entry->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct mw_entry_peer *peer = value;
+        const struct mw_peer *peer = value;
 
         each(opaque, &peer->name, &peer->heartbeat, peer->last_heartbeat_us);
     }
