--- a/source/run/endpoint-http.c
+++ b/source/run/endpoint-http.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "http-client.h"
-#include "http.h"
+#include "http-task.h"
 
 #define ANNOUNCE_BYTES_MAX (1024 * 1024)
 #define CONNECTIONS_MAX 4096
@@ -175,7 +175,6 @@
 endpoint_start(void *opaque, struct mw_task *task)
 {
     struct mw_endpoint_http *server = opaque;
-    char *message = NULL;
     struct mw_http_setup setup = {
         .address = server->address,
         .setting_name = "--endpoints",
@@ -194,11 +193,7 @@
 
     (void)task;
     server->client = mw_new_http_client(&client);
-    server->http = mw_new_http(&setup, &message);
-    if (!server->http) {
-        mw_post_failed(server->owner, MW_ERR_INVALID, mw_str_from(message));
-        g_free(message);
-    }
+    server->http = mw_start_http(&setup, server->owner);
 }
 
 static void
@@ -210,8 +205,7 @@
         send_command(server, task_msg);
     }
     else if (task_msg->kind == MW_TASK_MSG_REPLY && server->http) {
-        mw_http_reply(server->http, task_msg->handle, task_msg->status,
-                      task_msg->text);
+        mw_reply_http(server->http, task_msg);
     }
 }
 
--- a/source/run/operator-http.c
+++ b/source/run/operator-http.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "http.h"
+#include "http-task.h"
 #include "auth.h"
 
 struct mw_operator_http {
@@ -123,17 +123,14 @@
 handle_client_closed(void *opaque, uint64_t handle)
 {
     struct mw_operator_http *server = opaque;
-    struct mw_task_msg *task_msg = mw_new_task_msg(MW_TASK_MSG_CLIENT_CLOSED);
 
-    task_msg->handle = handle;
-    mw_post(server->owner, task_msg);
+    mw_post_client_closed(server->owner, handle);
 }
 
 static void
 operator_start(void *opaque, struct mw_task *task)
 {
     struct mw_operator_http *server = opaque;
-    char *message = NULL;
     struct mw_http_setup setup = {
         .address = server->address,
         .setting_name = "--operator",
@@ -145,11 +142,7 @@
     };
 
     (void)task;
-    server->http = mw_new_http(&setup, &message);
-    if (!server->http) {
-        mw_post_failed(server->owner, MW_ERR_INVALID, mw_str_from(message));
-        g_free(message);
-    }
+    server->http = mw_start_http(&setup, server->owner);
 }
 
 static void
@@ -158,8 +151,7 @@
     struct mw_operator_http *server = opaque;
 
     if (server->http && task_msg->kind == MW_TASK_MSG_REPLY) {
-        mw_http_reply(server->http, task_msg->handle, task_msg->status,
-                      task_msg->text);
+        mw_reply_http(server->http, task_msg);
     }
 }
 
