One piece for what the processes of a region share

flow-control-task and flow-entry-task each opened the log, started the links, dialed, logged changes of links and told their owner of the end, in the same words; region-process does it for both, and mw_post_dial posts what both posted. Behaviour is unchanged.

--- a/source/run/flow-control-task-impl.h
+++ b/source/run/flow-control-task-impl.h
@@ -3,6 +3,7 @@
 
 #include "disk.h"
 #include "flow-control-task.h"
+#include "region-process.h"
 
 /*
  * flow-control-task-impl: the task of a control process.
@@ -20,29 +21,20 @@
     struct mw_flow_control_task_setup setup;
     struct mw_context ctx;
     struct mw_task *task;
-    struct mw_task *links_task;
+    struct mw_region_process process;
     /* NULL without a data directory, as of a standby */
     struct mw_task *disk_task;
-    struct mw_links *links;
     struct mw_disk *disk;
-    struct mw_blob *key;
     struct mw_flow_control *control;
-    struct mw_event_log *log;
     /* items stored since the last mw_flush_stored */
     GArray *stored;
     bool started;
     /* when to open the data directory again; 0 if that did not fail */
     int64_t open_deadline_us;
     bool leaving;
-    bool ended;
     int64_t leave_deadline_us;
 };
 
-/* flow-control-task.c */
-/* mw_end_flow_control_task: tells the owner, once; error is 0 if planned. */
-void mw_end_flow_control_task(struct mw_flow_control_task *t, int error,
-                              struct mw_str message);
-
 /* flow-control-task-member.c */
 /*
  * mw_open_member_state: at the start; creates t->control.
@@ -66,8 +58,6 @@
                     struct mw_str detail);
 
 /* flow-control-task-links.c */
-/* mw_start_flow_links: returns false and sets message on failure. */
-bool mw_start_flow_links(struct mw_flow_control_task *t, char **message);
 /*
  * mw_dial_process: connects to a process.  Of two members, the one whose name
  * compares greater connects to the other.
--- a/source/run/flow-control-task-member.c
+++ b/source/run/flow-control-task-member.c
@@ -93,7 +93,7 @@
         replace_control(t, incarnation, members, count);
         err = open_disk(t, incarnation);
     }
-    mw_event_log_write_change(t->log, mw_now(), "member",
+    mw_event_log_write_change(t->process.log, mw_now(), "member",
                               mw_name_str(&t->setup.name),
                               founding ? "founding" : "joins_anew");
     return err;
@@ -115,7 +115,7 @@
         return join(t, t->setup.seeds, t->setup.seed_count, true);
     }
     replace_control(t, (uint64_t)g_get_real_time(), members, 0);
-    mw_event_log_write_change(t->log, mw_now(), "member",
+    mw_event_log_write_change(t->process.log, mw_now(), "member",
                               mw_name_str(&t->setup.name), "standby");
     return 0;
 }
@@ -123,7 +123,7 @@
 void
 mw_report_disk(struct mw_flow_control_task *t, int error, struct mw_str detail)
 {
-    mw_event_log_write_change(t->log, mw_now(), "disk", detail,
+    mw_event_log_write_change(t->process.log, mw_now(), "disk", detail,
                               error ? "refuses_writes" : "writes_again");
 }
 
@@ -168,7 +168,7 @@
         run_without_disk(t);
     }
     else if (err) {
-        mw_end_flow_control_task(t, err, mw_detail(&t->ctx));
+        mw_end_region_process(&t->process, err, mw_detail(&t->ctx));
     }
     else {
         t->open_deadline_us = 0;
@@ -192,7 +192,7 @@
         run_without_disk(t);
     }
     else if (err) {
-        mw_end_flow_control_task(t, err, mw_detail(&t->ctx));
+        mw_end_region_process(&t->process, err, mw_detail(&t->ctx));
     }
     mw_dial_known_processes(t);
 }
--- a/source/run/flow-control-task-output.c
+++ b/source/run/flow-control-task-output.c
@@ -9,7 +9,7 @@
 {
     struct mw_flow_control_task *t = opaque;
 
-    mw_post_peer_msg(t->links_task, to, msg);
+    mw_post_peer_msg(t->process.links_task, to, msg);
 }
 
 static void
@@ -17,7 +17,7 @@
 {
     struct mw_flow_control_task *t = opaque;
 
-    mw_post_broadcast(t->links_task, role, msg);
+    mw_post_broadcast(t->process.links_task, role, msg);
 }
 
 static void
@@ -53,7 +53,7 @@
 {
     struct mw_flow_control_task *t = opaque;
 
-    mw_event_log_write(t->log, mw_now(), flow_event);
+    mw_event_log_write(t->process.log, mw_now(), flow_event);
 }
 
 static struct mw_flow_config *
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -1,24 +1,9 @@
 #include "flow-control-task-impl.h"
 
-#include <unistd.h>
-
 #include "flow-metrics.h"
 
 #define LEAVE_TIMEOUT_US 3000000
 
-void
-mw_end_flow_control_task(struct mw_flow_control_task *t, int error,
-                         struct mw_str message)
-{
-    if (!t->ended) {
-        t->ended = true;
-        mw_event_log_write_change(t->log, mw_now(), "stop", message,
-                                  error ? "failed" : "planned");
-        mw_flush_event_log(t->log, mw_now());
-        t->setup.ended(t->setup.opaque, error, message);
-    }
-}
-
 static void
 post_start_failure(struct mw_flow_control_task *t, int error, char *message)
 {
@@ -31,15 +16,20 @@
 start(void *opaque, struct mw_task *task)
 {
     struct mw_flow_control_task *t = opaque;
+    struct mw_region_process_setup process = {
+        .name = t->setup.name,
+        .zone = t->setup.zone,
+        .role = MW_ROLE_CONTROL,
+        .link_port = t->setup.link_port,
+        .ctx = t->ctx,
+        .opaque = t->setup.opaque,
+        .ended = t->setup.ended,
+    };
     char *message = NULL;
     int err;
 
     t->task = task;
-    t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
-    t->key = mw_new_blob(MW_REGION_LINK_KEY);
-    mw_event_log_write_change(t->log, mw_now(), "start",
-                              mw_name_str(&t->setup.zone), "control");
-    if (!mw_start_flow_links(t, &message)) {
+    if (!mw_start_region_process(&t->process, &process, task, &message)) {
         post_start_failure(t, MW_ERR_INVALID, message);
         return;
     }
@@ -54,7 +44,7 @@
         return;
     }
     t->started = true;
-    mw_flush_event_log(t->log, mw_now());
+    mw_flush_event_log(t->process.log, mw_now());
 }
 
 static void
@@ -74,9 +64,7 @@
                   const struct mw_task_msg *task_msg)
 {
     if (task_msg->role == MW_ROLE_CONTROL) {
-        mw_event_log_write_change(t->log, mw_now(), "link",
-                                  mw_name_str(&task_msg->process),
-                                  task_msg->connected ? "regained" : "lost");
+        mw_log_link_change(&t->process, task_msg);
     }
     if (!task_msg->connected) {
         mw_flow_control_disconnected(t->control, mw_now(), &task_msg->process);
@@ -89,8 +77,8 @@
     if (!t->leaving) {
         t->leaving = true;
         t->leave_deadline_us = mw_now() + LEAVE_TIMEOUT_US;
-        mw_event_log_write_change(t->log, mw_now(), "leave", MW_STR(""),
-                                  "begun");
+        mw_event_log_write_change(t->process.log, mw_now(), "leave",
+                                  MW_STR(""), "begun");
     }
 }
 
@@ -109,11 +97,11 @@
     struct mw_flow_control_task *t = opaque;
 
     if (task_msg->kind == MW_TASK_MSG_FAILED) {
-        mw_end_flow_control_task(t, task_msg->status,
-                                 mw_blob_str(task_msg->text));
+        mw_end_region_process(&t->process, task_msg->status,
+                              mw_blob_str(task_msg->text));
         return;
     }
-    if (t->ended || !t->started) {
+    if (t->process.ended || !t->started) {
         return;
     }
     switch (task_msg->kind) {
@@ -159,7 +147,7 @@
     }
     may_exit = mw_flow_control_leave(t->control, now_us);
     if (may_exit || now_us >= t->leave_deadline_us) {
-        mw_end_flow_control_task(t, 0, MW_STR(""));
+        mw_end_region_process(&t->process, 0, MW_STR(""));
     }
 }
 
@@ -168,14 +156,14 @@
 {
     struct mw_flow_control_task *t = opaque;
 
-    if (t->ended || !t->started) {
+    if (t->process.ended || !t->started) {
         return;
     }
     mw_reopen_member_state(t, now_us);
     mw_flow_control_tick(&t->ctx, t->control, now_us, g_get_real_time());
     mw_flush_stored(t);
     check_leave(t, now_us);
-    mw_flush_event_log(t->log, now_us);
+    mw_flush_event_log(t->process.log, now_us);
 }
 
 static int64_t
@@ -183,7 +171,7 @@
 {
     struct mw_flow_control_task *t = opaque;
 
-    if (t->ended || !t->started) {
+    if (t->process.ended || !t->started) {
         return INT64_MAX;
     }
     return mw_flow_control_deadline(t->control);
@@ -197,11 +185,9 @@
     if (t->started) {
         t->setup.server.stop(t->setup.server.opaque);
     }
-    mw_drop_links(t->links);
+    mw_stop_region_process(&t->process);
     mw_drop_disk(t->disk);
     mw_drop_flow_control(t->control);
-    mw_drop_event_log(t->log);
-    mw_drop_blob(t->key);
 }
 
 struct mw_flow_control_task *
@@ -298,21 +284,18 @@
 mw_flow_control_task_add_seed(struct mw_flow_control_task *t,
                               const struct mw_name *seed)
 {
-    struct mw_task_msg *task_msg = mw_new_task_msg(MW_TASK_MSG_DIAL);
-
-    task_msg->process = *seed;
-    mw_post(t->task, task_msg);
+    mw_post_dial(t->task, seed);
 }
 
 struct mw_event_log *
 mw_flow_control_task_get_event_log(struct mw_flow_control_task *t)
 {
-    return t->log;
+    return t->process.log;
 }
 
 GString *
 mw_flow_control_task_format_metrics(struct mw_flow_control_task *t)
 {
     return mw_format_flow_metrics(t->control,
-                                  mw_event_log_dropped_count(t->log));
+                                  mw_event_log_dropped_count(t->process.log));
 }
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -1,7 +1,8 @@
 #include "flow-entry-task.h"
 
 #include <inttypes.h>
-#include <unistd.h>
+
+#include "region-process.h"
 
 #define HEARTBEAT_INTERVAL_US 500000
 #define LEAVE_CHECK_INTERVAL_US 100000
@@ -10,38 +11,22 @@
     struct mw_flow_entry_task_setup setup;
     struct mw_context ctx;
     struct mw_task *task;
-    struct mw_task *links_task;
-    struct mw_links *links;
-    struct mw_blob *key;
+    struct mw_region_process process;
     struct mw_flow_entry *entry;
-    struct mw_event_log *log;
     bool started;
     bool leaving;
-    bool ended;
     int64_t heartbeat_deadline_us;
     /* when the process may end: if no request is pending, and in any case */
     int64_t leave_from_us;
     int64_t leave_deadline_us;
 };
 
-static void
-end(struct mw_flow_entry_task *t, int error, struct mw_str message)
-{
-    if (!t->ended) {
-        t->ended = true;
-        mw_event_log_write_change(t->log, mw_now(), "stop", message,
-                                  error ? "failed" : "planned");
-        mw_flush_event_log(t->log, mw_now());
-        t->setup.ended(t->setup.opaque, error, message);
-    }
-}
-
 static void
 send_to_process(void *opaque, const struct mw_name *to, struct mw_msg *msg)
 {
     struct mw_flow_entry_task *t = opaque;
 
-    mw_post_peer_msg(t->links_task, to, msg);
+    mw_post_peer_msg(t->process.links_task, to, msg);
 }
 
 static void
@@ -57,43 +42,22 @@
 {
     struct mw_flow_entry_task *t = opaque;
 
-    mw_event_log_write(t->log, mw_now(), flow_event);
+    mw_event_log_write(t->process.log, mw_now(), flow_event);
 }
 
 static void
-dial(struct mw_flow_entry_task *t, const struct mw_name *name)
+dial_seeds(struct mw_flow_entry_task *t)
 {
-    struct mw_dial_target dial =
-        mw_region_dial_target(name, t->setup.link_port);
-
-    if (name->len == 0) {
-        return;
+    for (uint32_t i = 0; i < t->setup.seed_count; i++) {
+        mw_dial_region_process(&t->process, &t->setup.seeds[i]);
     }
-    mw_links_dial(t->links, &dial);
 }
 
-static bool
-start_links(struct mw_flow_entry_task *t, char **message)
+static void
+fail_to_start(struct mw_flow_entry_task *t, char *message)
 {
-    struct mw_link_setup setup = {
-        .name = t->setup.name,
-        .zone = t->setup.zone,
-        .role = MW_ROLE_ENTRY,
-        .incarnation = (uint64_t)g_get_real_time(),
-        .key = t->key,
-        .owner = t->task,
-        .ctx = t->ctx,
-    };
-
-    t->links = mw_new_links(&setup, message);
-    if (!t->links) {
-        return false;
-    }
-    t->links_task = mw_links_task(t->links);
-    for (uint32_t i = 0; i < t->setup.seed_count; i++) {
-        dial(t, &t->setup.seeds[i]);
-    }
-    return true;
+    mw_post_failed(t->task, MW_ERR_INVALID, mw_str_from(message));
+    g_free(message);
 }
 
 static void
@@ -102,23 +66,31 @@
     struct mw_flow_entry_task *t = opaque;
     struct mw_flow_entry_output output = {t, send_to_process, reply,
                                           log_event};
+    struct mw_region_process_setup process = {
+        .name = t->setup.name,
+        .zone = t->setup.zone,
+        .role = MW_ROLE_ENTRY,
+        .link_port = t->setup.link_port,
+        .ctx = t->ctx,
+        .opaque = t->setup.opaque,
+        .ended = t->setup.ended,
+    };
     char *message = NULL;
 
     t->task = task;
-    t->log = mw_new_event_log(STDOUT_FILENO, mw_name_str(&t->setup.name));
-    t->key = mw_new_blob(MW_REGION_LINK_KEY);
     t->entry = mw_new_flow_entry(&output, &t->setup.name);
     t->heartbeat_deadline_us = mw_now();
-    mw_event_log_write_change(t->log, mw_now(), "start",
-                              mw_name_str(&t->setup.zone), "entry");
-    if (!start_links(t, &message) ||
-        !t->setup.server.start(t->setup.server.opaque, t, &message)) {
-        mw_post_failed(t->task, MW_ERR_INVALID, mw_str_from(message));
-        g_free(message);
+    if (!mw_start_region_process(&t->process, &process, task, &message)) {
+        fail_to_start(t, message);
+        return;
+    }
+    dial_seeds(t);
+    if (!t->setup.server.start(t->setup.server.opaque, t, &message)) {
+        fail_to_start(t, message);
         return;
     }
     t->started = true;
-    mw_flush_event_log(t->log, mw_now());
+    mw_flush_event_log(t->process.log, mw_now());
 }
 
 static void
@@ -128,7 +100,7 @@
         const struct mw_heartbeat *heartbeat = &task_msg->msg->heartbeat;
 
         for (uint32_t i = 0; i < heartbeat->member_count; i++) {
-            dial(t, &heartbeat->members[i]);
+            mw_dial_region_process(&t->process, &heartbeat->members[i]);
         }
     }
     mw_flow_entry_receive(t->entry, mw_now(), &task_msg->process,
@@ -144,7 +116,8 @@
     t->leaving = true;
     t->leave_from_us = mw_now() + t->setup.leave_min_us;
     t->leave_deadline_us = mw_now() + t->setup.leave_max_us;
-    mw_event_log_write_change(t->log, mw_now(), "leave", MW_STR(""), "begun");
+    mw_event_log_write_change(t->process.log, mw_now(), "leave", MW_STR(""),
+                              "begun");
     t->setup.server.leave(t->setup.server.opaque);
 }
 
@@ -163,10 +136,11 @@
     struct mw_flow_entry_task *t = opaque;
 
     if (task_msg->kind == MW_TASK_MSG_FAILED) {
-        end(t, task_msg->status, mw_blob_str(task_msg->text));
+        mw_end_region_process(&t->process, task_msg->status,
+                              mw_blob_str(task_msg->text));
         return;
     }
-    if (t->ended || !t->started) {
+    if (t->process.ended || !t->started) {
         return;
     }
     switch (task_msg->kind) {
@@ -174,9 +148,7 @@
         handle_message(t, task_msg);
         break;
     case MW_TASK_MSG_LINK:
-        mw_event_log_write_change(t->log, mw_now(), "link",
-                                  mw_name_str(&task_msg->process),
-                                  task_msg->connected ? "regained" : "lost");
+        mw_log_link_change(&t->process, task_msg);
         if (!task_msg->connected) {
             mw_flow_entry_disconnected(t->entry, mw_now(), &task_msg->process);
         }
@@ -187,7 +159,7 @@
         }
         break;
     case MW_TASK_MSG_DIAL:
-        dial(t, &task_msg->process);
+        mw_dial_region_process(&t->process, &task_msg->process);
         break;
     case MW_TASK_MSG_LEAVE:
         begin_leave(t);
@@ -206,7 +178,7 @@
     task_msg->msg = mw_new_msg(MW_MSG_HEARTBEAT);
     task_msg->msg->heartbeat.role = MW_ROLE_ENTRY;
     task_msg->msg->heartbeat.zone = t->setup.zone;
-    mw_post(t->links_task, task_msg);
+    mw_post(t->process.links_task, task_msg);
     t->heartbeat_deadline_us = now_us + HEARTBEAT_INTERVAL_US;
 }
 
@@ -223,16 +195,16 @@
 {
     struct mw_flow_entry_task *t = opaque;
 
-    if (t->ended || !t->started) {
+    if (t->process.ended || !t->started) {
         return;
     }
     mw_flow_entry_tick(t->entry, now_us);
     if (now_us >= t->heartbeat_deadline_us) {
         send_heartbeat(t, now_us);
     }
-    mw_flush_event_log(t->log, now_us);
+    mw_flush_event_log(t->process.log, now_us);
     if (t->leaving && may_end(t, now_us)) {
-        end(t, 0, MW_STR(""));
+        mw_end_region_process(&t->process, 0, MW_STR(""));
     }
 }
 
@@ -242,7 +214,7 @@
     struct mw_flow_entry_task *t = opaque;
     int64_t due_us = t->heartbeat_deadline_us;
 
-    if (t->ended || !t->started) {
+    if (t->process.ended || !t->started) {
         return INT64_MAX;
     }
     if (t->leaving) {
@@ -259,10 +231,8 @@
     if (t->started) {
         t->setup.server.stop(t->setup.server.opaque);
     }
-    mw_drop_links(t->links);
+    mw_stop_region_process(&t->process);
     mw_drop_flow_entry(t->entry);
-    mw_drop_event_log(t->log);
-    mw_drop_blob(t->key);
 }
 
 struct mw_flow_entry_task *
@@ -329,10 +299,7 @@
 mw_flow_entry_task_add_seed(struct mw_flow_entry_task *t,
                             const struct mw_name *seed)
 {
-    struct mw_task_msg *task_msg = mw_new_task_msg(MW_TASK_MSG_DIAL);
-
-    task_msg->process = *seed;
-    mw_post(t->task, task_msg);
+    mw_post_dial(t->task, seed);
 }
 
 GString *
@@ -351,6 +318,6 @@
         "mimosawind_log_lines_dropped %" PRIu64 "\n",
         c->requests, c->refused, c->handed_again, c->timed_out, c->leaders,
         mw_flow_entry_pending_count(t->entry), mw_flow_entry_task_is_ready(t),
-        mw_event_log_dropped_count(t->log));
+        mw_event_log_dropped_count(t->process.log));
     return out;
 }
--- a/source/run/task.c
+++ b/source/run/task.c
@@ -385,6 +385,15 @@
     mw_post(task, mw_new_task_msg(MW_TASK_MSG_LEAVE));
 }
 
+void
+mw_post_dial(struct mw_task *task, const struct mw_name *process)
+{
+    struct mw_task_msg *task_msg = mw_new_task_msg(MW_TASK_MSG_DIAL);
+
+    task_msg->process = *process;
+    mw_post(task, task_msg);
+}
+
 void
 mw_post_dump(struct mw_task *task)
 {
--- a/source/run/task.h
+++ b/source/run/task.h
@@ -159,6 +159,9 @@
 /* mw_post_leave: ask a task to begin a graceful shutdown. */
 void mw_post_leave(struct mw_task *task);
 
+/* mw_post_dial: ask a task to keep a connection to one more process. */
+void mw_post_dial(struct mw_task *task, const struct mw_name *process);
+
 /* mw_post_dump: ask a task to write its state to standard error. */
 void mw_post_dump(struct mw_task *task);
 
