--- /dev/null
+++ b/tests/links-script.c
@@ -0,0 +1,338 @@
+/*
+ * links-script: the connections between processes, against a peer that sends
+ * what the script says, over loopback.
+ */
+#include <arpa/inet.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "link-frame.h"
+#include "link.h"
+#include "script.h"
+
+#define PORT_FIRST 12000
+#define PORT_COUNT 8000
+/* what has not arrived after so long does not come */
+#define QUIET_MS 200
+#define START_WAIT_US 5000000
+
+struct state {
+    struct mw_name address;
+    uint16_t port;
+    struct mw_blob *key;
+    /* the process; its task owns the links */
+    struct mw_task *task;
+    struct mw_links *links;
+    /* lines that the task pushes */
+    GAsyncQueue *heard;
+    /* the peer's end of the connection, -1 for none */
+    int fd;
+    struct mw_frame_stream frames;
+    GRand *rand;
+};
+
+static void
+start_process(void *opaque, struct mw_task *task)
+{
+    struct state *st = opaque;
+    char *message = NULL;
+    struct mw_link_setup setup = {
+        .name = mw_name_from("self"),
+        .zone = mw_name_from("za"),
+        .role = MW_ROLE_CONTROL,
+        .key = st->key,
+        .listen = st->address,
+        .owner = task,
+    };
+
+    st->links = mw_new_links(&setup, &message);
+    g_async_queue_push(st->heard,
+                       g_strdup(st->links ? "listens" : "can't listen"));
+    g_free(message);
+}
+
+static void
+receive(void *opaque, struct mw_task_msg *task_msg)
+{
+    struct state *st = opaque;
+
+    if (task_msg->kind == MW_TASK_MSG_LINK) {
+        g_async_queue_push(
+            st->heard,
+            g_strdup_printf("%.*s %s", MW_FMT(mw_name_str(&task_msg->process)),
+                            task_msg->connected ? "regained" : "lost"));
+    }
+    else if (task_msg->kind == MW_TASK_MSG_PEER) {
+        g_async_queue_push(
+            st->heard,
+            g_strdup_printf("message from %.*s",
+                            MW_FMT(mw_name_str(&task_msg->process))));
+    }
+}
+
+static void
+stop_process(void *opaque)
+{
+    mw_drop_links(((struct state *)opaque)->links);
+}
+
+static void *
+begin(void)
+{
+    static int used;
+    struct state *st = g_new0(struct state, 1);
+    char text[32];
+    struct mw_task_callbacks work = {.opaque = st,
+                                     .start = start_process,
+                                     .receive = receive,
+                                     .stop = stop_process};
+
+    st->port = (uint16_t)(PORT_FIRST + (getpid() + used++) % PORT_COUNT);
+    g_snprintf(text, sizeof text, "127.0.0.1:%u", st->port);
+    st->address = mw_name_from(text);
+    st->key = mw_new_blob(MW_STR("the key of the test"));
+    st->heard = g_async_queue_new_full(g_free);
+    st->rand = g_rand_new_with_seed(1);
+    st->fd = -1;
+    st->task = mw_new_task("process", &work);
+    return st;
+}
+
+static void
+close_peer(struct state *st)
+{
+    if (st->fd >= 0) {
+        close(st->fd);
+        mw_clear_frame_stream(&st->frames);
+        st->frames.in = NULL;
+    }
+    st->fd = -1;
+}
+
+static void
+end(void *state)
+{
+    struct state *st = state;
+
+    close_peer(st);
+    mw_drop_task(st->task);
+    g_async_queue_unref(st->heard);
+    g_rand_free(st->rand);
+    mw_drop_blob(st->key);
+    g_free(st);
+}
+
+/* Reads until it is quiet; returns whether the connection was closed. */
+static bool
+read_until_quiet(struct state *st)
+{
+    struct pollfd ready = {.fd = st->fd, .events = POLLIN};
+    char buffer[4096];
+
+    while (poll(&ready, 1, QUIET_MS) > 0) {
+        ssize_t got = read(st->fd, buffer, sizeof buffer);
+
+        if (got <= 0) {
+            return true;
+        }
+        mw_add_received(&st->frames, (struct mw_str){buffer, (size_t)got});
+    }
+    return false;
+}
+
+/* Prints what the process heard, and the state of the connection. */
+static void
+print_effects(struct mw_script *s)
+{
+    struct state *st = s->state;
+    bool closed = st->fd >= 0 && read_until_quiet(st);
+    char *line;
+
+    while ((line = g_async_queue_timeout_pop(st->heard, QUIET_MS * 1000))) {
+        mw_script_printf(s, "  %s", line);
+        g_free(line);
+    }
+    if (st->fd >= 0) {
+        mw_script_printf(s, "  %s", closed ? "closed" : "open");
+    }
+    if (closed) {
+        close_peer(st);
+    }
+}
+
+static void
+send_queued(struct state *st)
+{
+    GByteArray *out = st->frames.out;
+
+    send(st->fd, out->data, out->len, MSG_NOSIGNAL);
+    g_byte_array_set_size(out, 0);
+}
+
+static bool
+is_connected(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    if (st->fd < 0) {
+        mw_script_printf(s, "  no connection");
+    }
+    return st->fd >= 0;
+}
+
+/* listen: waits until the process listens */
+static void
+cmd_listen(struct mw_script *s)
+{
+    struct state *st = s->state;
+    char *line = g_async_queue_timeout_pop(st->heard, START_WAIT_US);
+
+    mw_script_printf(s, "  %s", line ? line : "nothing");
+    g_free(line);
+}
+
+/* connect: the peer connects, and both sides exchange their nonces */
+static void
+cmd_connect(struct mw_script *s)
+{
+    struct state *st = s->state;
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons(st->port)};
+
+    close_peer(st);
+    st->fd = socket(AF_INET, SOCK_STREAM, 0);
+    inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+    mw_init_frame_stream(&st->frames, st->key, st->rand);
+    if (connect(st->fd, (struct sockaddr *)&to, sizeof to) != 0) {
+        mw_script_printf(s, "  can't connect");
+        close_peer(st);
+        return;
+    }
+    mw_append_nonce(&st->frames);
+    send_queued(st);
+    print_effects(s);
+    if (st->fd >= 0 && !mw_read_nonce(&st->frames)) {
+        mw_script_printf(s, "  no nonce");
+    }
+}
+
+static void
+send_payload(struct mw_script *s, const struct mw_blob *payload)
+{
+    struct state *st = s->state;
+
+    if (is_connected(s)) {
+        mw_append_frame(&st->frames, payload);
+        send_queued(st);
+        print_effects(s);
+    }
+}
+
+static void
+send_msg(struct mw_script *s, struct mw_msg *msg, const char *name)
+{
+    struct mw_name from = mw_name_from(name);
+    struct mw_blob *payload = mw_encode_msg(msg, &from, mw_now());
+
+    send_payload(s, payload);
+    mw_drop_blob(payload);
+    mw_drop_msg(msg);
+}
+
+/* hello NAME: the peer says who it is */
+static void
+cmd_hello(struct mw_script *s)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_HELLO);
+
+    msg->hello.role = MW_ROLE_CONTROL;
+    msg->hello.zone = mw_name_from("za");
+    msg->hello.incarnation = 1;
+    send_msg(s, msg, mw_script_word(s, 1));
+}
+
+/* heartbeat NAME: another message */
+static void
+cmd_heartbeat(struct mw_script *s)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_HEARTBEAT);
+
+    msg->heartbeat.role = MW_ROLE_CONTROL;
+    msg->heartbeat.zone = mw_name_from("za");
+    send_msg(s, msg, mw_script_word(s, 1));
+}
+
+/* payload TEXT: a frame whose payload is no message */
+static void
+cmd_payload(struct mw_script *s)
+{
+    struct mw_blob *payload = mw_new_blob(mw_str_from(mw_script_word(s, 1)));
+
+    send_payload(s, payload);
+    mw_drop_blob(payload);
+}
+
+/* bytes TEXT: bytes that are no frame; \ooo is an octal escape */
+static void
+cmd_bytes(struct mw_script *s)
+{
+    struct state *st = s->state;
+    const char *word = mw_script_word(s, 1);
+
+    if (!is_connected(s)) {
+        return;
+    }
+    for (const char *at = word; *at; at++) {
+        guint8 byte = (guint8)*at;
+
+        if (*at == '\\' && strlen(at) >= 4) {
+            byte = (guint8)g_ascii_strtoull((char[]){at[1], at[2], at[3], 0},
+                                            NULL, 8);
+            at += 3;
+        }
+        g_byte_array_append(st->frames.out, &byte, 1);
+    }
+    send_queued(st);
+    print_effects(s);
+}
+
+/* send NAME: the process sends a message to the process of that name */
+static void
+cmd_send(struct mw_script *s)
+{
+    struct state *st = s->state;
+    struct mw_name to = mw_name_from(mw_script_word(s, 1));
+    struct mw_msg *msg = mw_new_msg(MW_MSG_HEARTBEAT);
+    guint before = st->frames.in ? st->frames.in->len : 0;
+
+    mw_post_peer_msg(mw_links_task(st->links), &to, msg);
+    mw_drop_msg(msg);
+    print_effects(s);
+    if (st->fd >= 0 && st->frames.in->len > before) {
+        mw_script_printf(s, "  received");
+    }
+}
+
+/* close: the peer closes the connection */
+static void
+cmd_close(struct mw_script *s)
+{
+    close_peer(s->state);
+    print_effects(s);
+}
+
+static const struct mw_script_command commands[] = {
+    {"listen", 0, cmd_listen},
+    {"connect", 0, cmd_connect},
+    {"hello", 1, cmd_hello},
+    {"heartbeat", 1, cmd_heartbeat},
+    {"payload", 1, cmd_payload},
+    {"bytes", 1, cmd_bytes},
+    {"send", 1, cmd_send},
+    {"close", 0, cmd_close},
+    {NULL, 0, NULL},
+};
+
+const struct mw_script_kind mw_links_scripts = {"links", commands, begin, end};
--- a/tests/script.h
+++ b/tests/script.h
@@ -70,6 +70,7 @@
 extern const struct mw_script_kind mw_heartbeat_scripts;
 extern const struct mw_script_kind mw_http_scripts;
 extern const struct mw_script_kind mw_link_scripts;
+extern const struct mw_script_kind mw_links_scripts;
 extern const struct mw_script_kind mw_load_scripts;
 extern const struct mw_script_kind mw_log_scripts;
 extern const struct mw_script_kind mw_zone_scripts;
