Close a connection whose peer says hello twice

A second hello changed the name of a connection that was already listed under its first one. The table of processes kept both; when the connection ended only the second was removed, and the first pointed to freed memory: a heap-use-after-free in send_to_process under AddressSanitizer, with the script below. The region's link key is a constant, so that any process that reaches the port can do this. No process of ours sends two.

--- a/source/run/link-connection.c
+++ b/source/run/link-connection.c
@@ -109,7 +109,8 @@
     }
     links->counters.frames_in++;
     if (msg->kind == MW_MSG_HELLO) {
-        bool keep = mw_accept_hello(link, msg, &name);
+        /* a peer says only once who it is */
+        bool keep = !link->has_hello && mw_accept_hello(link, msg, &name);
 
         mw_drop_msg(msg);
         return keep;
