Name attempts in full, however long the zone's name is

mw_format_attempt returned a name, which holds 63 bytes: with a zone of 58 bytes all attempts were named alike or by no valid text, so that an endpoint took one attempt for another. It returns text of any length now, which is how the path of a command to an endpoint uses it; the world's fake endpoints keep it as text.

--- a/include/mimosawind/wire.h
+++ b/include/mimosawind/wire.h
@@ -70,8 +70,12 @@
 /* mw_format_reply: reply to a client or operator as JSON; a new blob. */
 struct mw_blob *mw_format_reply(const struct mw_reply *reply);
 
-/* mw_format_attempt, mw_parse_attempt: text ZONE.JOB.EPOCH.NUMBER */
-struct mw_name mw_format_attempt(const struct mw_attempt_id *id);
+/*
+ * mw_format_attempt, mw_parse_attempt: text ZONE.JOB.EPOCH.NUMBER.
+ *
+ * It may be longer than a name; free it with g_free.
+ */
+char *mw_format_attempt(const struct mw_attempt_id *id);
 int mw_parse_attempt(struct mw_str text, struct mw_attempt_id *id);
 
 /* mw_parse_outcome: outcome from its string, or MW_ERR_INVALID. */
--- a/source/run/endpoint-http.c
+++ b/source/run/endpoint-http.c
@@ -117,9 +117,8 @@
 {
     const struct mw_endpoint_command *command = &task_msg->command;
     struct command_request *request = g_new0(struct command_request, 1);
-    struct mw_name id = mw_format_attempt(&command->attempt);
-    char *path =
-        g_strdup_printf("/v1/attempts/%.*s", MW_FMT(mw_name_str(&id)));
+    char *id = mw_format_attempt(&command->attempt);
+    char *path = g_strconcat("/v1/attempts/", id, NULL);
     GString *headers = format_headers(command);
     struct mw_http_call call = {
         .address = command->address,
@@ -141,6 +140,7 @@
     mw_http_send(server->client, &call);
     g_string_free(headers, TRUE);
     g_free(path);
+    g_free(id);
 }
 
 static void
--- a/source/wire/request-json.c
+++ b/source/wire/request-json.c
@@ -219,16 +219,12 @@
     return 0;
 }
 
-struct mw_name
+char *
 mw_format_attempt(const struct mw_attempt_id *id)
 {
-    char text[160];
-    int len = g_snprintf(text, sizeof text,
-                         "%.*s.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT ".%u",
-                         MW_FMT(mw_name_str(&id->zone)), id->job, id->epoch,
-                         id->number);
-
-    return mw_name_of((struct mw_str){text, (size_t)len});
+    return g_strdup_printf(
+        "%.*s.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT ".%u",
+        MW_FMT(mw_name_str(&id->zone)), id->job, id->epoch, id->number);
 }
 
 /*
--- a/tests/input-script.c
+++ b/tests/input-script.c
@@ -164,6 +164,26 @@
     print_result(s, "attempt", err, MW_STR(""));
 }
 
+/* format-attempt ZONE JOB EPOCH NUMBER: as it is named to an endpoint */
+static void
+cmd_format_attempt(struct mw_script *s)
+{
+    struct mw_attempt_id id = {
+        .zone = mw_name_from(mw_script_word(s, 1)),
+        .job = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10),
+        .epoch = g_ascii_strtoull(mw_script_word(s, 3), NULL, 10),
+        .number = (uint32_t)g_ascii_strtoull(mw_script_word(s, 4), NULL, 10),
+    };
+    struct mw_attempt_id parsed;
+    char *text = mw_format_attempt(&id);
+    int err = mw_parse_attempt(mw_str_from(text), &parsed);
+
+    mw_script_printf(s, "%s: %s", text,
+                     !err && mw_attempt_equal(&id, &parsed) ? "ok"
+                                                            : "another");
+    g_free(text);
+}
+
 /* errors: the number, word, HTTP status and message of every error */
 static void
 cmd_errors(struct mw_script *s)
@@ -464,6 +484,7 @@
     {"stored", 0, cmd_stored},
     {"members", 0, cmd_members},
     {"attempt", 0, cmd_attempt},
+    {"format-attempt", 4, cmd_format_attempt},
     {"errors", 0, cmd_errors},
     {"disk", 1, cmd_disk},
     {"full-disk", 1, cmd_full_disk},
--- a/tests/world-script.c
+++ b/tests/world-script.c
@@ -334,6 +334,16 @@
     return a->finished ? MW_OUTCOME_FINISHED : MW_OUTCOME_STARTED;
 }
 
+static bool
+has_ended(const struct node *endpoint, const struct mw_attempt_id *attempt)
+{
+    char *id = mw_format_attempt(attempt);
+    bool ended = g_hash_table_contains(endpoint->ended_attempts, id);
+
+    g_free(id);
+    return ended;
+}
+
 static enum mw_outcome
 execute_on_endpoint(struct node *endpoint,
                     const struct mw_endpoint_command *command)
@@ -342,15 +352,14 @@
     bool is_start = command->kind == MW_COMMAND_START ||
                     command->kind == MW_COMMAND_RESERVE;
 
-    struct mw_name id = mw_format_attempt(&command->attempt);
-
     if (is_start &&
         (command->attempt.epoch < endpoint->epoch || endpoint->draining ||
-         g_hash_table_contains(endpoint->ended_attempts, &id))) {
+         has_ended(endpoint, &command->attempt))) {
         return MW_OUTCOME_REFUSED;
     }
     if (!is_start && (!a || command->kind != MW_COMMAND_QUERY)) {
-        g_hash_table_add(endpoint->ended_attempts, g_memdup2(&id, sizeof id));
+        g_hash_table_add(endpoint->ended_attempts,
+                         mw_format_attempt(&command->attempt));
     }
     endpoint->epoch = MAX(endpoint->epoch, command->attempt.epoch);
     switch (command->kind) {
@@ -820,7 +829,7 @@
     node->disk = disk;
     node->attempts = g_ptr_array_new_with_free_func(free_attempt);
     node->ended_attempts =
-        g_hash_table_new_full(mw_hash_name, mw_same_name, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (int g = 0; g < MW_GROUPS; g++) {
         node->stored[g] =
             g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_blob);
