Close the connection of a client that leaves its replies unread

A client that went on sending requests and read no reply had all replies kept for it: a process's memory grew without a limit. A request that arrives with more than 1 MiB of earlier replies untaken ends the connection now; a client that reads each reply before its next request never has any.

--- a/source/run/http.c
+++ b/source/run/http.c
@@ -7,6 +7,8 @@
 #define HEADER_BYTES_MAX (32 * 1024)
 /* bytes of further requests that are kept while one has no reply yet */
 #define PIPELINED_BYTES_MAX (64 * 1024)
+/* a client that has left more of its replies unread gets no further one */
+#define UNREAD_BYTES_MAX (1024 * 1024)
 
 /* After the reply: the client may send the next request, or is sent away. */
 static void
@@ -77,6 +79,10 @@
             keep_pipelined(connection, bytes);
             return;
         }
+        if (mw_conn_queued_bytes(connection->conn) > UNREAD_BYTES_MAX) {
+            mw_drop_http_connection(connection);
+            return;
+        }
         used = mw_parse_http(connection, bytes);
         if (used < 0) {
             return;
--- a/source/run/http.h
+++ b/source/run/http.h
@@ -7,7 +7,8 @@
  * http: an HTTP/1.1 server on the calling thread's loop.
  *
  * A connection serves one request at a time; what a client sends before the
- * reply is kept for later, up to a limit.
+ * reply is kept for later, up to a limit.  A client that sends requests and
+ * does not read the replies loses its connection.
  *
  * Before reading a body it refuses chunked bodies, bodies above the size
  * limit, and all requests beyond MW_HTTP_PENDING_MAX pending ones.  A request
--- a/tests/http-script.c
+++ b/tests/http-script.c
@@ -293,6 +293,33 @@
     g_free(before);
 }
 
+/*
+ * unread BYTES: sends requests, each of 1,000 bytes, and never reads a reply;
+ * the replies are as long
+ */
+static void
+cmd_unread(struct mw_script *s)
+{
+    gint64 left = g_ascii_strtoll(mw_script_word(s, 1), NULL, 10);
+    char *path = g_strnfill(1000, 'a');
+    char *text = g_strdup_printf("GET /%s HTTP/1.1\r\n\r\n", path);
+    int fd = open_socket(s->state);
+    int buffer_bytes = 4096;
+    bool closed = fd < 0;
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+    while (!closed && left > 0) {
+        ssize_t sent = send(fd, text, strlen(text), MSG_NOSIGNAL);
+
+        closed = sent < (ssize_t)strlen(text);
+        left -= sent;
+    }
+    mw_script_printf(s, "  %s", closed ? "closed" : "open");
+    close(fd);
+    g_free(path);
+    g_free(text);
+}
+
 /* client: starts the client, and a socket that it may connect to */
 static void
 cmd_client(struct mw_script *s)
@@ -418,7 +445,7 @@
     {"fill", 3, cmd_fill},     {"client", 0, cmd_client},
     {"answer", 1, cmd_answer}, {"stale", 1, cmd_stale},
     {"silent", 0, cmd_silent}, {"call", 1, cmd_call},
-    {NULL, 0, NULL},
+    {"unread", 1, cmd_unread}, {NULL, 0, NULL},
 };
 
 const struct mw_script_kind mw_http_scripts = {"http", commands, begin, end};
