A run that no list has shown is stopped in the endpoint's next incarnation

What callers could see: one task at work on two endpoints.

Cause: commands name an endpoint by its identifier. If it restarts under that identifier while a start is on its way, the next incarnation executes the start and answers it. The run counted as one of the first incarnation and was given up at once when the restart was noticed, and the task started elsewhere beside it. Found by reading, while the record was traced.

Change: at a restart every run that was sent is stopped in the next incarnation first, unless a list of the first one had shown it and no start was left without a response.

Evidence: flow/started-by-successor started run 2 on e2 while e1 had just answered run 1; now run 1 is stopped there first. incarnations lists the run before the restart, to show the other case as before.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -116,14 +116,16 @@
     flows->dirty = true;
 }
 
-/* Whether the endpoint's next incarnation may receive a start of the run. */
+/*
+ * Whether the endpoint's next incarnation may execute a start of the run, or
+ * has done so: unless a list has shown the run, it may have been the next
+ * incarnation that answered the start.
+ */
 static bool
 may_start_late(const struct mw_task_placement *placement)
 {
-    return (placement->phase == MW_PLACEMENT_STARTING &&
-            !mw_run_is_unsent(placement)) ||
-           placement->phase == MW_PLACEMENT_UNKNOWN ||
-           placement->start_unanswered;
+    return !mw_run_is_unsent(placement) &&
+           (placement->last_listed_us == 0 || placement->start_unanswered);
 }
 
 /*
@@ -151,6 +153,7 @@
         if (may_start_late(placement)) {
             placement->phase = MW_PLACEMENT_STOPPING;
             placement->command_pending = false;
+            placement->last_listed_us = 0;
             placement->retry_deadline_us = now_us;
         }
         else {
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -584,7 +584,8 @@
     settle(st);
 }
 
-/* respond N RESULT: N is the number of a command, or FIRST-LAST */
+/* respond N RESULT [repeated=1 incarnation=]: N is the number of a command, or
+ * FIRST-LAST */
 static void
 cmd_respond(struct mw_script *s)
 {
@@ -596,7 +597,9 @@
     for (guint n = first; n <= last && n <= st->sent->len; n++) {
         struct mw_flow_response response = {
             .result = parse_result(mw_script_word(s, 2)),
-            .was_repeated = mw_script_option_int(s, "repeated", 0) != 0};
+            .was_repeated = mw_script_option_int(s, "repeated", 0) != 0,
+            .incarnation =
+                (uint64_t)mw_script_option_int(s, "incarnation", 0)};
 
         respond(st, &g_array_index(st->sent, struct sent_command, n - 1),
                 &response);
