Region test: faults of endpoints by seed

endpoint-seeds draws, beside the faults of processes: endpoints that crash and come back at their address under another identifier or the same (later incarnation, clock, seq and ends anew, fencing token forgotten), late heartbeats, commands that are executed 2 to 12 s late without a response, endpoints that are cut off for up to 12 s while the leader fails, slow responses, and endpoints that drain and leave. The endpoints also check that a start does not follow an end that is acknowledged later, the room, and failed runs. MW_TRACE=1 prints what happens.

--- /dev/null
+++ b/tests/region-calls.c
@@ -0,0 +1,604 @@
+/*
+ * region-calls: commands and heartbeats between processes and endpoints.
+ */
+#include "region-calls.h"
+
+#include "region-faults.h"
+
+#define LATENCY_US 1000
+#define HEARTBEAT_INTERVAL_US 500000
+/* one command in so many is lost, or delayed by up to DELAY_MAX_US */
+#define LOST_ONE_IN 40
+#define DELAYED_ONE_IN 40
+#define DELAY_MAX_US 4000000
+/* with endpoint faults: one in so many is executed late, without a response */
+#define LATE_ONE_IN 30
+#define LATE_MIN_US 2000000
+#define LATE_MAX_US 12000000
+/* one response in so many is lost */
+#define RESPONSE_LOST_ONE_IN 60
+/* while responses are slow */
+#define SLOW_MIN_US 250000
+#define SLOW_MAX_US 900000
+/* one heartbeat in so many is late, of those in a cut one in so many */
+#define LATE_HEARTBEAT_ONE_IN 40
+#define CUT_HEARTBEAT_ONE_IN 6
+#define LATE_HEARTBEAT_MIN_US 500000
+#define LATE_HEARTBEAT_MAX_US 9000000
+/* between an endpoint's last list and its leaving */
+#define LEAVE_SPREAD_US 400000
+
+enum call_state {
+    CALL_SENT = 0,
+    /* the endpoint waits for an end before it responds */
+    CALL_POLLING = 1,
+    CALL_RESPONDING = 2
+};
+
+/* A command on its way to an endpoint, then the response on its way back. */
+struct endpoint_call {
+    /* NULL if nobody waits for the response */
+    struct mw_region_node *node;
+    /* number of the process's start; a later start gets no response */
+    uint64_t start_number;
+    struct mw_flow_command command;
+    struct mw_flow_response response;
+    enum call_state state;
+    /* delayed on its way; lost if the endpoint restarts meanwhile */
+    bool delayed;
+    /* executed late, also by the next incarnation */
+    bool late;
+    /* of the endpoint as the command was sent, or as it was executed */
+    uint64_t incarnation;
+    /* when the command or the response arrives, or the list is sent */
+    int64_t at_us;
+};
+
+/* A heartbeat on its way to a control process. */
+struct endpoint_heartbeat {
+    struct mw_region_node *node;
+    struct mw_flow_heartbeat heartbeat;
+    /* index of the endpoint */
+    int sender;
+    int64_t at_us;
+};
+
+void
+mw_free_endpoint_call(void *data)
+{
+    struct endpoint_call *call = data;
+
+    g_free(call->response.runs);
+    g_free(call);
+}
+
+void
+mw_free_endpoint_heartbeat(void *data)
+{
+    g_free(data);
+}
+
+/* True for one call in count, at random; never without a seed. */
+static bool
+one_in(struct mw_region *region, int count)
+{
+    return region->rand && g_rand_int_range(region->rand, 0, count) == 0;
+}
+
+static int64_t
+random_us(struct mw_region *region, int min_us, int max_us)
+{
+    return g_rand_int_range(region->rand, min_us, max_us);
+}
+
+static bool
+is_cut(const struct mw_region *region, const struct mw_fake_endpoint *endpoint)
+{
+    return region->now_us >= endpoint->cut_begin_us &&
+           region->now_us < endpoint->cut_deadline_us;
+}
+
+static uint64_t
+endpoint_incarnation(struct mw_region *region, const struct mw_name *id)
+{
+    const struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint(region->endpoints, id);
+
+    return endpoint ? endpoint->incarnation : 0;
+}
+
+static struct endpoint_call *
+add_call(struct mw_region_node *node, const struct mw_flow_command *command)
+{
+    struct mw_region *region = node->region;
+    struct endpoint_call *call = g_new0(struct endpoint_call, 1);
+
+    call->node = node;
+    call->start_number = node->start_number;
+    call->command = *command;
+    call->command.spec = NULL;
+    call->command.checkpoint = NULL;
+    call->at_us = region->now_us + LATENCY_US;
+    call->incarnation = endpoint_incarnation(region, &command->endpoint);
+    call->response.ref = command->ref;
+    call->response.result = MW_FLOW_NO_ANSWER;
+    g_ptr_array_add(region->calls, call);
+    return call;
+}
+
+/* There is no response until the sender's time is up. */
+static void
+lose_response(struct endpoint_call *call)
+{
+    g_clear_pointer(&call->response.runs, g_free);
+    call->response = (struct mw_flow_response){.ref = call->command.ref,
+                                               .result = MW_FLOW_NO_ANSWER};
+    call->state = CALL_RESPONDING;
+    call->at_us = call->command.response_deadline_us;
+}
+
+static void
+call_with_faults(struct mw_region_node *node,
+                 const struct mw_flow_command *command)
+{
+    struct mw_region *region = node->region;
+    struct endpoint_call *call = add_call(node, command);
+    struct endpoint_call *late;
+
+    if (!(region->faults & MW_FAULT_LATE_COMMANDS) || !region->lossy ||
+        !one_in(region, LATE_ONE_IN)) {
+        return;
+    }
+    lose_response(call);
+    late = add_call(node, command);
+    late->node = NULL;
+    late->late = true;
+    late->at_us += random_us(region, LATE_MIN_US, LATE_MAX_US);
+}
+
+void
+mw_call_endpoint(struct mw_region_node *node,
+                 const struct mw_flow_command *command)
+{
+    struct mw_region *region = node->region;
+    struct endpoint_call *call;
+
+    if (region->faults) {
+        call_with_faults(node, command);
+        return;
+    }
+    call = add_call(node, command);
+    if (region->lossy && one_in(region, DELAYED_ONE_IN)) {
+        call->delayed = true;
+        call->at_us += random_us(region, 1, DELAY_MAX_US);
+    }
+}
+
+/* The response has arrived, with a list of these ends. */
+static void
+note_listed_ends(struct endpoint_call *call)
+{
+    struct mw_fake_endpoint *endpoint = mw_find_fake_endpoint_at(
+        call->node->region->endpoints, &call->command.address);
+
+    if (!endpoint || endpoint->incarnation != call->incarnation) {
+        return;
+    }
+    for (uint32_t i = 0; i < call->response.run_count; i++) {
+        endpoint->last_listed_end =
+            MAX(endpoint->last_listed_end, call->response.runs[i].end_number);
+    }
+}
+
+/* Delivers the response, unless the process has crashed since the command. */
+static void
+deliver_response(struct endpoint_call *call)
+{
+    struct mw_region_node *node = call->node;
+
+    if (node && node->up && node->start_number == call->start_number) {
+        mw_flow_control_handle_response(node->control, node->region->now_us,
+                                        &call->response);
+        note_listed_ends(call);
+    }
+}
+
+static void
+respond(struct mw_region *region, struct endpoint_call *call)
+{
+    call->state = CALL_RESPONDING;
+    call->at_us = region->now_us + LATENCY_US;
+    if (region->now_us < region->slow_deadline_us) {
+        call->at_us += random_us(region, SLOW_MIN_US, SLOW_MAX_US);
+    }
+    if ((region->lossy && one_in(region, RESPONSE_LOST_ONE_IN)) ||
+        call->at_us > call->command.response_deadline_us) {
+        lose_response(call);
+    }
+}
+
+static void
+trace_execution(const struct mw_region *region,
+                const struct endpoint_call *call,
+                const struct mw_fake_endpoint *endpoint)
+{
+    static const char *const kinds[] = {"start", "stop", "renew"};
+    const struct mw_flow_command *command = &call->command;
+
+    mw_trace_region(
+        region,
+        "%.*s/%d executes %s%s %.*s.%u run %u ack %d fence %d: %s; lease %d "
+        "of %d, clock %d ms",
+        MW_FMT(mw_name_str(&endpoint->id)), (int)endpoint->incarnation,
+        call->late ? "late " : "", kinds[command->kind],
+        MW_FMT(mw_name_str(&command->task.flow)), command->task.index,
+        command->run, (int)command->acknowledged_end, (int)command->fence,
+        mw_flow_result_str(call->response.result).ptr,
+        (int)(command->lease_deadline_us / 1000),
+        (int)(endpoint->lease_deadline_us / 1000),
+        (int)(call->response.clock_us / 1000));
+}
+
+static void
+execute(struct mw_region *region, struct endpoint_call *call,
+        struct mw_fake_endpoint *endpoint)
+{
+    call->response =
+        mw_execute_fake_command(region->endpoints, endpoint, &call->command,
+                                region->now_us, call->delayed || call->late);
+    call->incarnation = endpoint->incarnation;
+    trace_execution(region, call, endpoint);
+}
+
+/*
+ * Whether a late command takes effect at the next incarnation.  A start whose
+ * end was acknowledged does not: no leader could prevent it.
+ */
+static bool
+survives_restart(struct mw_region *region, const struct endpoint_call *call)
+{
+    return (region->faults & MW_FAULT_LATE_AFTER_RESTART) &&
+           (call->command.kind != MW_FLOW_COMMAND_START ||
+            !mw_run_is_acknowledged(region->endpoints, &call->command.task,
+                                    call->command.run));
+}
+
+/*
+ * A late command that was meant for an earlier incarnation would acknowledge
+ * ends that no list has shown: no leader could prevent that either.
+ */
+static void
+limit_acknowledgement(struct endpoint_call *call,
+                      const struct mw_fake_endpoint *endpoint)
+{
+    call->command.acknowledged_end =
+        MIN(call->command.acknowledged_end, endpoint->last_listed_end);
+}
+
+/* The command arrives at the address, with endpoint faults. */
+static void
+arrive(struct mw_region *region, struct endpoint_call *call)
+{
+    struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint_at(region->endpoints, &call->command.address);
+
+    if (!endpoint || (is_cut(region, endpoint) && !call->late) ||
+        (call->late && endpoint->incarnation != call->incarnation &&
+         !survives_restart(region, call))) {
+        lose_response(call);
+        return;
+    }
+    if (!endpoint->up && one_in(region, 2)) {
+        lose_response(call);
+        return;
+    }
+    if (!endpoint->up) {
+        call->response.result = MW_FLOW_NO_PROCESS;
+    }
+    else if (!mw_name_equal(&endpoint->id, &call->command.endpoint)) {
+        call->response.result = MW_FLOW_OTHER_INCARNATION;
+    }
+    else {
+        if (call->late) {
+            limit_acknowledgement(call, endpoint);
+        }
+        execute(region, call, endpoint);
+        if (call->command.kind == MW_FLOW_COMMAND_RENEW && !call->late) {
+            mw_inject_fault_after_renewal(region, endpoint,
+                                          call->command.lease_deadline_us -
+                                              call->response.clock_us);
+        }
+    }
+    respond(region, call);
+    if (call->response.has_list && call->command.long_poll_us > 0) {
+        call->state = CALL_POLLING;
+        call->at_us = region->now_us + call->command.long_poll_us;
+    }
+}
+
+/* The endpoint responds once a run has ended, or its time is up. */
+static void
+poll(struct mw_region *region, struct endpoint_call *call)
+{
+    struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint_at(region->endpoints, &call->command.address);
+
+    if (!endpoint->up || endpoint->incarnation != call->incarnation) {
+        lose_response(call);
+        if (one_in(region, 2)) {
+            /* the connection has ended */
+            call->at_us = region->now_us + LATENCY_US;
+        }
+    }
+    else if (region->now_us >= call->at_us ||
+             mw_fake_endpoint_has_ends(endpoint)) {
+        mw_list_fake_runs(endpoint, region->now_us, &call->response);
+        respond(region, call);
+    }
+}
+
+/* Returns whether the call has ended. */
+static bool
+finish(struct mw_region *region, struct endpoint_call *call)
+{
+    const struct mw_fake_endpoint *endpoint;
+
+    if (region->now_us < call->at_us ||
+        (call->node && call->node->up && call->node->frozen)) {
+        return false;
+    }
+    endpoint =
+        mw_find_fake_endpoint_at(region->endpoints, &call->command.address);
+    if (endpoint && is_cut(region, endpoint) &&
+        call->response.result != MW_FLOW_NO_ANSWER) {
+        lose_response(call);
+        return false;
+    }
+    return true;
+}
+
+/* With endpoint faults; returns whether the call has ended. */
+static bool
+advance_with_faults(struct mw_region *region, struct endpoint_call *call)
+{
+    switch (call->state) {
+    case CALL_SENT:
+        if (region->now_us >= call->at_us) {
+            arrive(region, call);
+        }
+        return false;
+    case CALL_POLLING:
+        poll(region, call);
+        return false;
+    default:
+        return finish(region, call);
+    }
+}
+
+static void
+execute_call(struct mw_region *region, struct endpoint_call *call)
+{
+    struct mw_fake_endpoint *endpoint =
+        mw_find_fake_endpoint(region->endpoints, &call->command.endpoint);
+
+    if (!endpoint ||
+        (call->delayed && endpoint->incarnation != call->incarnation) ||
+        (region->lossy && one_in(region, LOST_ONE_IN))) {
+        return;
+    }
+    execute(region, call, endpoint);
+}
+
+/* Returns whether the call has ended; responses take as long as commands. */
+static bool
+advance_call(struct mw_region *region, struct endpoint_call *call)
+{
+    bool overdue = region->now_us >= call->command.response_deadline_us;
+
+    if (call->state == CALL_SENT && region->now_us >= call->at_us) {
+        call->state = CALL_RESPONDING;
+        call->at_us = region->now_us + LATENCY_US;
+        execute_call(region, call);
+        if (call->response.result == MW_FLOW_NO_ANSWER) {
+            call->at_us = call->command.response_deadline_us;
+        }
+    }
+    else if (call->delayed && overdue) {
+        struct endpoint_call timed_out = *call;
+
+        /* no response in time; the endpoint executes it all the same */
+        timed_out.response.result = MW_FLOW_NO_ANSWER;
+        deliver_response(&timed_out);
+        call->start_number = 0;
+    }
+    return call->state == CALL_RESPONDING && region->now_us >= call->at_us &&
+           !(call->node->up && call->node->frozen);
+}
+
+void
+mw_advance_endpoint_calls(struct mw_region *region)
+{
+    for (guint i = 0; i < region->calls->len;) {
+        struct endpoint_call *call = region->calls->pdata[i];
+        bool has_ended = region->faults ? advance_with_faults(region, call)
+                                        : advance_call(region, call);
+
+        if (!has_ended) {
+            i++;
+            continue;
+        }
+        g_ptr_array_steal_index(region->calls, i);
+        deliver_response(call);
+        mw_free_endpoint_call(call);
+    }
+}
+
+/* A control process that runs handles the heartbeat now. */
+static void
+handle_heartbeat(struct mw_region_node *node, int sender,
+                 const struct mw_flow_heartbeat *heartbeat)
+{
+    struct mw_region *region = node->region;
+    struct mw_fake_endpoint *endpoint = &region->endpoints->all[sender];
+    struct mw_region_pending_request pending = {
+        heartbeat->draining ? MW_FLOW_DRAIN : MW_REGION_HEARTBEAT,
+        (uint64_t)sender, heartbeat->incarnation};
+    uint64_t ref = ++region->last_ref;
+    int err;
+
+    if (heartbeat->leaving) {
+        mw_trace_region(region, "%.*s hears that %.*s leaves",
+                        MW_FMT(mw_name_str(&node->name)),
+                        MW_FMT(mw_name_str(&heartbeat->id)));
+    }
+    g_hash_table_insert(region->pending, g_memdup2(&ref, sizeof ref),
+                        g_memdup2(&pending, sizeof pending));
+    err = mw_flow_control_handle_heartbeat(node->control, region->now_us,
+                                           heartbeat, ref);
+    if (err == 0 && heartbeat->draining &&
+        endpoint->incarnation == heartbeat->incarnation) {
+        mw_acknowledge_fake_drain(endpoint, region->now_us);
+    }
+}
+
+static void
+send_heartbeat_to_all(struct mw_region *region, int sender)
+{
+    for (int n = 0; n < region->count; n++) {
+        struct mw_region_node *node = &region->nodes[n];
+        struct mw_flow_heartbeat heartbeat = mw_fake_endpoint_heartbeat(
+            &region->endpoints->all[sender], region->now_us);
+
+        if (node->is_control && node->up && !node->frozen) {
+            handle_heartbeat(node, sender, &heartbeat);
+        }
+        else {
+            region->last_ref++;
+        }
+    }
+}
+
+static struct endpoint_heartbeat *
+add_heartbeat(struct mw_region *region, int sender,
+              const struct mw_flow_heartbeat *heartbeat)
+{
+    struct endpoint_heartbeat *out = g_new0(struct endpoint_heartbeat, 1);
+
+    do {
+        out->node =
+            &region->nodes[g_rand_int_range(region->rand, 0, region->count)];
+    } while (!out->node->is_control);
+    out->heartbeat = *heartbeat;
+    out->sender = sender;
+    out->at_us = region->now_us + LATENCY_US;
+    g_ptr_array_add(region->heartbeats, out);
+    return out;
+}
+
+/* Sends it to one control process, with endpoint faults. */
+static void
+send_heartbeat(struct mw_region *region, int sender)
+{
+    struct mw_fake_endpoint *endpoint = &region->endpoints->all[sender];
+    struct mw_flow_heartbeat heartbeat =
+        mw_fake_endpoint_heartbeat(endpoint, region->now_us);
+    bool cut = is_cut(region, endpoint);
+    bool late =
+        (region->faults & MW_FAULT_LATE_HEARTBEATS) && region->lossy &&
+        one_in(region, cut ? CUT_HEARTBEAT_ONE_IN : LATE_HEARTBEAT_ONE_IN);
+    struct endpoint_heartbeat *out;
+
+    if (cut && !late) {
+        return;
+    }
+    out = add_heartbeat(region, sender, &heartbeat);
+    if (cut) {
+        out->at_us = endpoint->cut_deadline_us;
+    }
+    if (late) {
+        out->at_us +=
+            random_us(region, LATE_HEARTBEAT_MIN_US, LATE_HEARTBEAT_MAX_US);
+    }
+}
+
+static void
+deliver_heartbeats(struct mw_region *region)
+{
+    for (guint i = 0; i < region->heartbeats->len;) {
+        struct endpoint_heartbeat *heartbeat = region->heartbeats->pdata[i];
+        struct mw_region_node *node = heartbeat->node;
+
+        if (region->now_us < heartbeat->at_us || (node->up && node->frozen)) {
+            i++;
+            continue;
+        }
+        g_ptr_array_steal_index(region->heartbeats, i);
+        if (node->up) {
+            handle_heartbeat(node, heartbeat->sender, &heartbeat->heartbeat);
+        }
+        mw_free_endpoint_heartbeat(heartbeat);
+    }
+}
+
+void
+mw_step_region_endpoints(struct mw_region *region)
+{
+    deliver_heartbeats(region);
+    for (int i = 0; i < region->endpoints->count; i++) {
+        struct mw_fake_endpoint *endpoint = &region->endpoints->all[i];
+
+        mw_step_fake_endpoint(endpoint, region->now_us);
+        if (!endpoint->up ||
+            region->now_us < endpoint->heartbeat_deadline_us) {
+            continue;
+        }
+        endpoint->heartbeat_deadline_us =
+            region->now_us + HEARTBEAT_INTERVAL_US;
+        if (region->faults) {
+            send_heartbeat(region, i);
+        }
+        else {
+            send_heartbeat_to_all(region, i);
+        }
+    }
+}
+
+/* Sends the last list, or ends the connection without it. */
+static void
+answer_last_poll(struct mw_region *region, struct endpoint_call *call,
+                 const struct mw_fake_endpoint *endpoint)
+{
+    if (one_in(region, 2)) {
+        mw_list_fake_runs(endpoint, region->now_us, &call->response);
+        call->state = CALL_RESPONDING;
+    }
+    else {
+        lose_response(call);
+    }
+    call->at_us =
+        region->now_us + random_us(region, LATENCY_US, LEAVE_SPREAD_US);
+}
+
+void
+mw_leave_region(struct mw_region *region, struct mw_fake_endpoint *endpoint)
+{
+    struct mw_flow_heartbeat leave = {.id = endpoint->id, .leaving = true};
+    struct endpoint_heartbeat *out = add_heartbeat(
+        region, (int)(endpoint - region->endpoints->all), &leave);
+
+    out->at_us += random_us(region, LATENCY_US, LEAVE_SPREAD_US);
+    if ((region->faults & MW_FAULT_LATE_LEAVES) && one_in(region, 4)) {
+        out->at_us +=
+            random_us(region, LATE_HEARTBEAT_MIN_US, LATE_HEARTBEAT_MAX_US);
+    }
+    for (guint i = 0; i < region->calls->len; i++) {
+        struct endpoint_call *call = region->calls->pdata[i];
+
+        if (call->state == CALL_POLLING &&
+            mw_name_equal(&call->command.address, &endpoint->address) &&
+            call->incarnation == endpoint->incarnation) {
+            answer_last_poll(region, call, endpoint);
+        }
+    }
+    mw_crash_fake_endpoint(endpoint);
+}
--- a/tests/region.h
+++ b/tests/region.h
@@ -55,6 +55,33 @@
     bool ended;
 };
 
+/*
+ * Kinds of endpoint faults of a seed; a region without any has endpoints that
+ * are called by their identifiers and that only drain and restart.
+ */
+enum mw_region_fault {
+    /* crashed endpoints come back under another identifier */
+    MW_FAULT_NEW_IDENTIFIER = 1,
+    /* crashed endpoints come back under the same identifier */
+    MW_FAULT_SAME_IDENTIFIER = 2,
+    /* heartbeats arrive seconds later, at any control process */
+    MW_FAULT_LATE_HEARTBEATS = 4,
+    /* commands without a response are executed seconds later */
+    MW_FAULT_LATE_COMMANDS = 8,
+    /* endpoints are cut off from all processes while they work on */
+    MW_FAULT_CUTS = 16,
+    /* responses are slow */
+    MW_FAULT_SLOW = 32,
+    /* endpoints drain and leave */
+    MW_FAULT_LEAVES = 64,
+    /* an endpoint's leaving is heard of seconds later */
+    MW_FAULT_LATE_LEAVES = 128,
+    /* only lists tell which incarnation responds */
+    MW_FAULT_LISTS_TELL_INCARNATION = 256,
+    /* late commands are also executed by the next incarnation */
+    MW_FAULT_LATE_AFTER_RESTART = 512
+};
+
 /* kind of a heartbeat that does not drain, which a leader may get relayed */
 #define MW_REGION_HEARTBEAT MW_FLOW_REQUESTS
 
@@ -79,6 +106,8 @@
     bool disconnected[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
     GPtrArray *in_flight;
     GPtrArray *calls;
+    /* heartbeats on their way, with endpoint faults */
+    GPtrArray *heartbeats;
     struct mw_fake_endpoints *endpoints;
     int64_t now_us;
     uint64_t last_ref;
@@ -102,6 +131,17 @@
     int64_t healthy_since_us;
     /* a disk may be lost now */
     bool can_wipe;
+    /* enum mw_region_fault; 0 for none */
+    unsigned faults;
+    /* with endpoint faults: a new flow in one of so many steps */
+    int flow_one_in;
+    /* kinds that no seed draws */
+    unsigned excluded_faults;
+    /* responses of endpoints are slow until then */
+    int64_t slow_deadline_us;
+    /* when the leader fails, and when a process that failed recovers */
+    int64_t leader_fault_deadline_us;
+    int64_t recovery_deadline_us[MW_REGION_NODES_MAX];
 };
 
 /* mw_new_region, mw_drop_region: a region without processes. */
@@ -117,6 +157,10 @@
 void mw_clear_region(struct mw_region *region);
 void mw_advance_region(struct mw_region *region, int64_t for_us);
 
+/* mw_trace_region: a line to standard error, if MW_TRACE is set. */
+void mw_trace_region(const struct mw_region *region, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
+
 /* mw_set_region_cut: whether the link of two processes drops all messages. */
 void mw_set_region_cut(struct mw_region *region, int a, int b, bool cut);
 
@@ -153,4 +197,11 @@
 void mw_run_region_seed(struct mw_region *region, uint32_t seed,
                         int control_count);
 
+/*
+ * mw_run_endpoint_fault_seed: the same, with endpoint faults of the kinds that
+ * the seed draws (region-faults.c).
+ */
+void mw_run_endpoint_fault_seed(struct mw_region *region, uint32_t seed,
+                                int control_count);
+
 #endif
