A task is blamed for a crash only where a connection broke just after its start

Cause: the evidence was worked out when an endpoint turned out to be gone, from what was not known then: behind a cut nothing dates the crash, an answer 421 proves that the start was not executed, a change of leader forgot how long a run had been at work, and one unanswered start was blamed at each restart.

Change: evidence is noted when the connection breaks, against runs whose start had been answered less than half a second before, and only if connections are refused from then on; 1 for a start without an answer after which no process listened. It counts once a run, is withdrawn when the same process responds again, survives a record that can't be proposed, and is cleared when an endpoint survives the start. A flow whose failure could not be proposed is failed in place of being placed.

Evidence: crash-once-a-run, crash-not-executed, crash-out-of-reach gave the job up before; crash-slow-refusal started it eight times; crash-not-recorded lost the first crash; crash-at-work-before blamed a run of 4 s as one at its start.

Not covered: a task that crashes its endpoint later than half a second after the start has no evidence against it.

--- a/source/core/flow/flow-crash.c
+++ b/source/core/flow/flow-crash.c
@@ -5,24 +5,24 @@
  *        end, so its attempts are not used up, and each run takes another
  *        endpoint and what else runs there with it.
  *
- * A crash is evidence against each run on the endpoint: most against a run
- * that had only just started, little against one that had been at work.  A
- * task with much evidence is a suspect.  Its runs are on trial until the
- * endpoint has survived their start; meanwhile nothing else is placed there,
- * so that a second crash tells the suspect from its neighbours.  A task that
- * reaches the limit is given up, and its flow fails.
+ * Evidence against a run is a connection that broke shortly after the endpoint
+ * had answered its start, and was refused from then on.  An endpoint that is
+ * only out of reach, or crashes while the run has been at work for a while, is
+ * no evidence.  It counts once the run is known to be over with its process.
+ *
+ * A task with evidence is a suspect.  It prefers endpoints without runs, and
+ * nothing else is placed beside it until the endpoint has survived the start;
+ * a run that does clears its task.  At the limit the flow fails.
  */
 #include "flow-impl.h"
 
 /* an endpoint that lives so long after a start has survived it */
 #define SURVIVAL_US INT64_C(500000)
-/* evidence of one crash, by what the run had done */
-#define SCORE_AT_START 4
-#define SCORE_START_UNCLEAR 2
-#define SCORE_AT_WORK 1
-/* two crashes at the start */
-#define SCORE_LIMIT 8
-#define SCORE_SUSPECT 4
+/* evidence of one crash: after an answered start, or one without an answer */
+#define SCORE_AT_START 2
+#define SCORE_START_UNCLEAR 1
+#define SCORE_SUSPECT 2
+#define SCORE_LIMIT 4
 
 bool
 mw_crash_limit_is_reached(uint32_t score)
@@ -36,26 +36,20 @@
     return score >= SCORE_SUSPECT;
 }
 
-/* Whether the endpoint is known to have survived the start of the run. */
-static bool
-has_survived(const struct mw_task_placement *placement)
+static void
+blame(struct mw_task_placement *placement, int64_t crash_us)
 {
-    return placement->started_us > 0 &&
-           placement->endpoint->alive_us - placement->started_us >=
-               SURVIVAL_US;
-}
+    uint32_t score = 0;
 
-static uint32_t
-crash_evidence(const struct mw_task_placement *placement)
-{
-    if (mw_run_is_unsent(placement)) {
-        return 0;
+    if (placement->phase == MW_PLACEMENT_RUNNING && !placement->has_survived &&
+        crash_us - placement->started_us < SURVIVAL_US) {
+        score = SCORE_AT_START;
     }
-    if (has_survived(placement)) {
-        return SCORE_AT_WORK;
+    else if (placement->phase == MW_PLACEMENT_STARTING &&
+             !mw_run_is_unsent(placement)) {
+        score = SCORE_START_UNCLEAR;
     }
-    return placement->phase == MW_PLACEMENT_RUNNING ? SCORE_AT_START
-                                                    : SCORE_START_UNCLEAR;
+    placement->crash_score = MAX(placement->crash_score, score);
 }
 
 void
@@ -67,32 +61,34 @@
     }
     flows->counters.endpoint_crashes++;
     for (guint i = 0; i < endpoint->placements->len; i++) {
-        struct mw_task_placement *placement = endpoint->placements->pdata[i];
-
-        placement->crash_score += crash_evidence(placement);
+        blame(endpoint->placements->pdata[i], endpoint->connection_lost_us);
     }
 }
 
-/*
- * An endpoint out of reach may have crashed or be cut off.  That counts only
- * if no process listened there, or the task is blamed for a crash already.
- */
 void
-mw_blame_lapse(struct mw_task_placement *placement)
+mw_blame_unanswered_start(struct mw_task_placement *placement)
 {
-    const struct mw_flow_task *task =
-        &placement->group->tasks[placement->index];
+    placement->crash_score = MAX(placement->crash_score, SCORE_START_UNCLEAR);
+}
 
-    if (!has_survived(placement) && !mw_run_is_unsent(placement) &&
-        (placement->endpoint->no_process || task->crash_score > 0)) {
-        placement->crash_score += SCORE_START_UNCLEAR;
+void
+mw_withdraw_blame(struct mw_flow_endpoint *endpoint)
+{
+    for (guint i = 0; i < endpoint->placements->len; i++) {
+        struct mw_task_placement *placement = endpoint->placements->pdata[i];
+
+        placement->crash_score = 0;
     }
 }
 
 void
-mw_update_trial(struct mw_task_placement *placement)
+mw_note_survival(struct mw_task_placement *placement, int64_t listed_us)
 {
-    if (placement->is_on_trial && has_survived(placement)) {
+    if (listed_us - placement->started_us < SURVIVAL_US) {
+        return;
+    }
+    placement->has_survived = true;
+    if (placement->is_on_trial) {
         placement->is_on_trial = false;
         placement->endpoint->trials--;
     }
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -140,7 +140,6 @@
 {
     GPtrArray *placements = g_ptr_array_copy(endpoint->placements, NULL, NULL);
 
-    mw_blame_crash(flows, endpoint);
     mw_emit_flow_endpoint_event(flows, "endpoint_gone", endpoint,
                                 "started_anew",
                                 now_us - endpoint->last_contact_us);
@@ -169,7 +168,6 @@
                             struct mw_flow_endpoint *endpoint,
                             const char *reason)
 {
-    mw_blame_crash(flows, endpoint);
     mw_lose_endpoint_runs(flows, now_us, endpoint, reason);
     endpoint->deregistered = true;
     endpoint->is_leaving = false;
@@ -279,8 +277,8 @@
     endpoint->uncommitted_ends = 0;
     endpoint->clock_read_us = 0;
     endpoint->renewal_failures = 0;
-    endpoint->alive_us = 0;
-    endpoint->no_process = false;
+    endpoint->connection_lost_us = 0;
+    endpoint->has_crashed = false;
     endpoint->list_read = false;
     endpoint->unknown_runs = 0;
     endpoint->consecutive_failures = 0;
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -142,6 +142,8 @@
     struct mw_blob *checkpoint;
     /* evidence that the run has crashed its endpoint, not recorded yet */
     uint32_t crash_score;
+    /* a list has shown it at work long enough after its start */
+    bool has_survived;
     /* a suspect's, until the endpoint has survived its start */
     bool is_on_trial;
 };
@@ -156,6 +158,8 @@
     uint64_t incarnation;
     struct mw_blob *checkpoint;
     /* of the leader */
+    /* evidence of a run that is over, not recorded yet */
+    uint32_t unrecorded_crash_score;
     struct mw_task_placement *placement;
     /* records of the task that are proposed and not yet committed */
     uint32_t uncommitted_records;
@@ -282,10 +286,13 @@
     uint32_t renewal_failures;
     /* its last command had no response */
     bool unresponsive;
-    /* when its process was last known to be alive */
-    int64_t alive_us;
-    /* no process listened when it was last asked for its list */
-    bool no_process;
+    /*
+     * When the connection broke on which its list was waited for; 0 while it
+     * responds, and if it only did not respond in time.
+     */
+    int64_t connection_lost_us;
+    /* connections are refused since then */
+    bool has_crashed;
     /* placements on trial */
     uint32_t trials;
     /* this leader has seen its list of runs */
@@ -634,6 +641,9 @@
 void mw_lose_run(struct mw_flows *flows, int64_t now_us,
                  struct mw_task_placement *placement, const char *reason);
 
+/* mw_fail_crashing_flow: a task of it has reached the limit of crashes. */
+void mw_fail_crashing_flow(struct mw_flows *flows, struct mw_flow *flow);
+
 /* flow-urgent-pool.c */
 /* mw_update_urgent_pool: also finds the usable endpoints of this pass. */
 void mw_update_urgent_pool(struct mw_flows *flows, int64_t now_us);
@@ -657,17 +667,20 @@
 
 /* flow-crash.c */
 /*
- * mw_blame_crash, mw_blame_lapse: the endpoint's process has ended without
- * notice, or its lease has expired; adds to the evidence against the run.
+ * mw_blame_crash: connections to the endpoint are refused since one has
+ * broken; evidence against the runs that had just been started there.
  */
 void mw_blame_crash(struct mw_flows *flows, struct mw_flow_endpoint *endpoint);
-void mw_blame_lapse(struct mw_task_placement *placement);
+/* a start had no response, and no process listened when it was sent again */
+void mw_blame_unanswered_start(struct mw_task_placement *placement);
+/* mw_withdraw_blame: the same process responds again. */
+void mw_withdraw_blame(struct mw_flow_endpoint *endpoint);
 /* mw_crash_limit_is_reached: whether a task with this score is given up. */
 bool mw_crash_limit_is_reached(uint32_t score);
 /* mw_is_crash_suspect: whether a task with this score is kept apart. */
 bool mw_is_crash_suspect(uint32_t score);
-/* mw_update_trial: a list shows that the endpoint has survived the start. */
-void mw_update_trial(struct mw_task_placement *placement);
+/* mw_note_survival: a list shows the run at work. */
+void mw_note_survival(struct mw_task_placement *placement, int64_t listed_us);
 /* mw_next_trial_us: when a list may first end a trial; INT64_MAX for never. */
 int64_t mw_next_trial_us(const struct mw_flow_endpoint *endpoint);
 /* mw_trial_excludes: whether a trial keeps the group off the endpoint. */
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -100,22 +100,38 @@
     record->flow_state.id = flow->id;
     record->flow_state.state = MW_FLOW_FAILED;
     flow->end_proposed = propose(flows, record);
-    mw_emit_flow_event(flows, "flow_failed", &flow->id, reason);
+    if (flow->end_proposed) {
+        mw_emit_flow_event(flows, "flow_failed", &flow->id, reason);
+    }
+}
+
+void
+mw_fail_crashing_flow(struct mw_flows *flows, struct mw_flow *flow)
+{
+    if (mw_flow_is_open(flow)) {
+        propose_flow_failure(flows, flow, "endpoints_crashed");
+        flows->counters.crashing_flows += flow->end_proposed;
+    }
 }
 
-/* The record of the failed flow goes first: no leader may see only this one.
+/*
+ * Adds the evidence of a run that is over to the record of its task.  The
+ * record of the failed flow goes first: no leader may see only this one.
  */
 static void
-add_crash_score(struct mw_flows *flows, struct mw_task_record *entry,
-                const struct mw_task_placement *placement)
+record_crash_score(struct mw_flows *flows, struct mw_task_record *entry,
+                   const struct mw_task_placement *placement)
 {
-    struct mw_flow *flow = placement->group->flow;
+    struct mw_task_group *group = placement->group;
+    struct mw_flow_task *task = &group->tasks[placement->index];
 
+    if (placement->has_survived) {
+        entry->crash_score = 0;
+    }
     entry->crash_score += placement->crash_score;
-    if (mw_crash_limit_is_reached(entry->crash_score) &&
-        mw_flow_is_open(flow)) {
-        flows->counters.crashing_flows++;
-        propose_flow_failure(flows, flow, "endpoints_crashed");
+    task->unrecorded_crash_score += placement->crash_score;
+    if (mw_crash_limit_is_reached(entry->crash_score)) {
+        mw_fail_crashing_flow(flows, group->flow);
     }
 }
 
@@ -137,7 +153,7 @@
             record, group, placement->index, MW_TASK_WAITING, placement->run);
 
         set_checkpoint(entry, mw_blob_str(placement->checkpoint));
-        add_crash_score(flows, entry, placement);
+        record_crash_score(flows, entry, placement);
         propose(flows, record);
     }
     mw_free_task_placement(flows, placement);
@@ -188,7 +204,7 @@
         group->newest_checkpoint_index = run->task.index;
     }
     if (placement) {
-        add_crash_score(flows, entry, placement);
+        record_crash_score(flows, entry, placement);
     }
     if (counts_as_failure(group, run)) {
         entry->failures++;
@@ -301,12 +317,13 @@
         endpoint->last_progress_us = now_us;
     }
     placement->last_listed_us = listed_us;
-    mw_update_trial(placement);
     if (run->checkpoint.len > 0 &&
         !mw_str_equal(mw_blob_str(placement->checkpoint), run->checkpoint)) {
         mw_drop_blob(placement->checkpoint);
         placement->checkpoint = mw_new_blob(run->checkpoint);
     }
+    /* it was started before the leader changed */
+    placement->has_survived |= placement->phase == MW_PLACEMENT_UNKNOWN;
     if (placement->phase == MW_PLACEMENT_UNKNOWN ||
         placement->phase == MW_PLACEMENT_STARTING) {
         placement->phase = MW_PLACEMENT_RUNNING;
@@ -318,6 +335,7 @@
             mw_stop_task_placement(flows, now_us, placement);
         }
     }
+    mw_note_survival(placement, listed_us);
 }
 
 static bool
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -7,19 +7,21 @@
 #define STOP_RETRY_US INT64_C(150000)
 /* the delay doubles up to this while the endpoint can't be reached */
 #define STOP_RETRY_MAX_US INT64_C(1200000)
-/* a connection that is not refused at once has reached a process */
-#define OPEN_CONNECTION_MIN_US INT64_C(50000)
 /* the endpoint has seen a higher fencing token: there is another leader */
 #define FENCED_RETRY_US 3200000
 
 static void
 handle_unanswered_start(struct mw_flows *flows, int64_t now_us,
-                        struct mw_task_placement *placement)
+                        struct mw_task_placement *placement,
+                        enum mw_flow_result result)
 {
     bool drained =
         placement->endpoint->heartbeat.draining ||
         mw_flow_zone_is_out(flows, &placement->endpoint->heartbeat.zone);
 
+    if (result == MW_FLOW_NO_PROCESS && placement->start_unanswered) {
+        mw_blame_unanswered_start(placement);
+    }
     placement->start_unanswered = true;
     flows->counters.unanswered++;
     if (placement->start_attempts < START_ATTEMPTS_MAX && !drained &&
@@ -86,7 +88,7 @@
         handle_refused_start(flows, now_us, placement, response->result);
         break;
     default:
-        handle_unanswered_start(flows, now_us, placement);
+        handle_unanswered_start(flows, now_us, placement, response->result);
         break;
     }
 }
@@ -131,24 +133,38 @@
     }
 }
 
-/*
- * A connection that ends while the list is being waited for shows when the
- * process ended.
- */
-static void
-note_process_state(int64_t now_us, struct mw_flow_endpoint *endpoint,
-                   const struct mw_flow_response *response,
+/* A connection that was refused, or broke before the time for a response. */
+static bool
+is_connection_lost(const struct mw_flow_response *response, int64_t now_us,
                    const struct mw_flow_pending_command *renewal)
 {
-    endpoint->no_process = response->result == MW_FLOW_NO_PROCESS;
-    if (endpoint->no_process &&
-        now_us - renewal->sent_us >= OPEN_CONNECTION_MIN_US) {
-        endpoint->alive_us = now_us;
+    int64_t deadline_us =
+        renewal->sent_us + renewal->long_poll_us + MW_COMMAND_TIMEOUT_US;
+
+    return response->result == MW_FLOW_NO_PROCESS ||
+           (response->result == MW_FLOW_NO_ANSWER && now_us < deadline_us);
+}
+
+static void
+handle_failed_renewal(struct mw_flows *flows, int64_t now_us,
+                      struct mw_flow_endpoint *endpoint,
+                      const struct mw_flow_response *response,
+                      const struct mw_flow_pending_command *renewal)
+{
+    if (endpoint->renewal_failures++ == 0) {
+        mw_emit_flow_endpoint_event(flows, "endpoint_silent", endpoint,
+                                    mw_flow_result_str(response->result).ptr,
+                                    now_us - endpoint->last_contact_us);
+        if (is_connection_lost(response, now_us, renewal)) {
+            endpoint->connection_lost_us = now_us;
+        }
     }
-    else if (response->has_list) {
-        endpoint->alive_us =
-            MIN(now_us, renewal->sent_us + renewal->long_poll_us);
+    if (response->result == MW_FLOW_NO_PROCESS &&
+        endpoint->connection_lost_us > 0 && !endpoint->has_crashed) {
+        endpoint->has_crashed = true;
+        mw_blame_crash(flows, endpoint);
     }
+    endpoint->renewal_deadline_us = now_us + MW_RENEWAL_RETRY_US;
 }
 
 static void
@@ -158,15 +174,17 @@
                         const struct mw_flow_pending_command *pending)
 {
     endpoint->renewal_pending = false;
-    note_process_state(now_us, endpoint, response, pending);
     if (response->result == MW_FLOW_DONE && response->has_list) {
         if (endpoint->renewal_failures > 0) {
             mw_emit_flow_endpoint_event(flows, "endpoint_heard", endpoint,
                                         "regained",
                                         now_us - endpoint->last_contact_us);
             resume_stops(now_us, endpoint);
+            mw_withdraw_blame(endpoint);
         }
         endpoint->renewal_failures = 0;
+        endpoint->connection_lost_us = 0;
+        endpoint->has_crashed = false;
         endpoint->last_contact_us = now_us;
         endpoint->renewal_deadline_us = now_us;
         mw_reconcile_list(flows, now_us, endpoint, response, pending);
@@ -179,12 +197,7 @@
         endpoint->renewal_deadline_us = now_us + FENCED_RETRY_US;
         return;
     }
-    if (endpoint->renewal_failures++ == 0) {
-        mw_emit_flow_endpoint_event(flows, "endpoint_silent", endpoint,
-                                    mw_flow_result_str(response->result).ptr,
-                                    now_us - endpoint->last_contact_us);
-    }
-    endpoint->renewal_deadline_us = now_us + MW_RENEWAL_RETRY_US;
+    handle_failed_renewal(flows, now_us, endpoint, response, pending);
 }
 
 static void
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -22,7 +22,6 @@
                 endpoint->placements->pdata[i];
 
             if (!mw_run_is_unsent(placement)) {
-                mw_blame_lapse(placement);
                 mw_lose_run(flows, now_us, placement, "lease_lapsed");
                 lost = true;
                 break;
@@ -268,6 +267,19 @@
     return false;
 }
 
+/* Its flow is to fail, and the record of that is not committed. */
+static bool
+has_crashing_task(const struct mw_task_group *group)
+{
+    for (uint32_t i = 0; group->is_suspect && i < group->step->count; i++) {
+        if (group->tasks[i].state != MW_TASK_DONE &&
+            mw_crash_limit_is_reached(group->tasks[i].crash_score)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 place_task_group(struct mw_flows *flows, int64_t now_us,
                  struct mw_task_group *group, GPtrArray *chosen,
@@ -309,8 +321,12 @@
     for (guint i = 0; i < groups->len; i++) {
         struct mw_task_group *group = groups->pdata[i];
 
-        if (group->rank <= MW_URGENT_RANK_MAX ||
-            mw_may_place_starts(&flows->command_queue, flows->proposed_runs)) {
+        if (has_crashing_task(group)) {
+            mw_fail_crashing_flow(flows, group->flow);
+        }
+        else if (group->rank <= MW_URGENT_RANK_MAX ||
+                 mw_may_place_starts(&flows->command_queue,
+                                     flows->proposed_runs)) {
             place_task_group(flows, now_us, group, chosen, misfits);
         }
     }
@@ -436,6 +452,7 @@
             flow->groups[u].reserved_count = 0;
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
+                flow->groups[u].tasks[i].unrecorded_crash_score = 0;
             }
         }
     }
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -34,7 +34,7 @@
         .state = MW_TASK_WAITING,
         .run = task->run,
         .failures = task->failures,
-        .crash_score = task->crash_score,
+        .crash_score = task->crash_score + task->unrecorded_crash_score,
         .checkpoint = mw_keep_blob(task->checkpoint),
     };
 }
@@ -378,6 +378,7 @@
     task->run = entry->run;
     task->failures = entry->failures;
     task->crash_score = entry->crash_score;
+    task->unrecorded_crash_score = 0;
     group->is_suspect |= mw_is_crash_suspect(entry->crash_score);
     task->endpoint = entry->endpoint;
     task->incarnation = entry->incarnation;
