An endpoint that drains does so for the rest of its life

Cause: a record of an endpoint holds no number of its heartbeat, so after a change of leader any earlier heartbeat of the same life was taken for a newer one; one that said ready undid the drain, and runs were started on an endpoint whose draining had been acknowledged (rule DRAIN).

Change: draining holds until the next incarnation.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -267,6 +267,7 @@
 begin_incarnation(struct mw_flow_endpoint *endpoint, uint64_t incarnation)
 {
     endpoint->incarnation = incarnation;
+    endpoint->heartbeat.draining = false;
     endpoint->awaiting_heartbeat = false;
     endpoint->registered = true;
     endpoint->deregistered = false;
@@ -299,6 +300,8 @@
 
     set_address(flows, endpoint, &heartbeat->address);
     endpoint->heartbeat = *heartbeat;
+    /* an earlier heartbeat may come later: a record does not number it */
+    endpoint->heartbeat.draining |= was_draining;
     endpoint->awaiting_heartbeat = false;
     endpoint->last_contact_us = now_us;
     /* the message that it leaves came from an earlier incarnation */
