A deposed leader drops its placements before the log changes its state

What callers saw: a control process that ended by itself.

Records could be applied, and starts sent, under the old fencing token in the same window.

Change: before the log resets or applies anything, a process that leads looks whether it still does.

--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -26,12 +26,32 @@
     control->setup.output.store(control->setup.output.opaque, item);
 }
 
+/*
+ * The log changes the replicated state while it handles a message; a leader
+ * that this message deposed must not keep what refers to the old state, or act
+ * on the new one.
+ */
+static void
+give_up_lost_leadership(struct mw_flow_control *control)
+{
+    struct mw_log_status status;
+
+    if (!control->is_leader) {
+        return;
+    }
+    mw_log_get_status(control->log, &status);
+    if (status.role != MW_LEADER || status.term != control->leader_term) {
+        mw_update_leadership(NULL, control, control->now_us);
+    }
+}
+
 static void
 log_apply(void *opaque, uint64_t index, struct mw_record *record)
 {
     struct mw_flow_control *control = opaque;
 
     (void)index;
+    give_up_lost_leadership(control);
     mw_flows_apply(control->ctx, control->flows, control->now_us, record);
 }
 
@@ -40,6 +60,7 @@
 {
     struct mw_flow_control *control = opaque;
 
+    give_up_lost_leadership(control);
     mw_flows_reset(control->flows);
 }
 
