Leases of an endpoint that restarted under its identifier are waited for in full

What callers could see: one task at work on two endpoints.

Cause: a deadline that was reckoned on the clock of the incarnation before lies far ahead on the next one's, which starts anew: it grants the longest lease that the endpoint accepts, from the moment of its arrival. The leader gave the run up after the lease that it had meant.

Change: once an identifier has restarted, or its clock has gone back, its runs are given up no sooner than the longest lease after the last contact.

--- a/source/core/flow/flow-capacity.c
+++ b/source/core/flow/flow-capacity.c
@@ -13,6 +13,8 @@
 
 /* a capacity counts for so long after the endpoint has sent it */
 #define CAPACITY_TIMEOUT_US INT64_C(4000000)
+/* a clock that has gone back by more has started anew */
+#define CLOCK_STEP_MIN_US INT64_C(2000000)
 /* one that an earlier leader recorded: heartbeats will replace it soon */
 #define RECALLED_TIMEOUT_US INT64_C(2000000)
 
@@ -73,6 +75,10 @@
                             int64_t clock_us)
 {
     int64_t age_us = MAX(clock_us - endpoint->heartbeat.clock_us, 0);
+    int64_t expected_us = mw_flow_endpoint_clock(endpoint, now_us);
+
+    endpoint->has_restarted |= endpoint->clock_read_us > 0 &&
+                               clock_us < expected_us - CLOCK_STEP_MIN_US;
 
     mw_update_flow_endpoint_clock(endpoint, now_us, clock_us);
     if (!is_recorded(&endpoint->heartbeat)) {
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -55,7 +55,15 @@
 mw_last_lease_expiry(const struct mw_flows *flows,
                      const struct mw_flow_endpoint *endpoint)
 {
-    return MAX(endpoint->lease_expiry_us, flows->earlier_leases_deadline_us);
+    int64_t expiry_us =
+        MAX(endpoint->lease_expiry_us, flows->earlier_leases_deadline_us);
+
+    if (endpoint->has_restarted) {
+        expiry_us =
+            MAX(expiry_us, endpoint->last_contact_us +
+                               mw_lease_duration(flows->limits.lease_max_us));
+    }
+    return expiry_us;
 }
 
 /*
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -140,6 +140,7 @@
 {
     GPtrArray *placements = g_ptr_array_copy(endpoint->placements, NULL, NULL);
 
+    endpoint->has_restarted = true;
     mw_emit_flow_endpoint_event(flows, "endpoint_gone", endpoint,
                                 "started_anew",
                                 now_us - endpoint->last_contact_us);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -273,6 +273,11 @@
     int64_t clock_read_us;
     /* every lease that this leader granted has expired by then */
     int64_t lease_expiry_us;
+    /*
+     * Its clock has started anew: a deadline that was reckoned on the clock of
+     * the incarnation before grants the longest lease there.
+     */
+    bool has_restarted;
     bool renewal_pending;
     /* when the next renewal may be sent */
     int64_t renewal_deadline_us;
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -578,14 +578,16 @@
 {
     response->ref = sent->ref;
     response->has_clock = response->result != MW_FLOW_NO_ANSWER;
-    response->clock_us = st->now_us - START_US;
+    if (response->clock_us == 0) {
+        response->clock_us = st->now_us - START_US;
+    }
     sent->has_response = true;
     mw_flows_handle_response(st->flows, st->now_us, response);
     settle(st);
 }
 
-/* respond N RESULT [repeated=1 incarnation=]: N is the number of a command, or
- * FIRST-LAST */
+/* respond N RESULT [repeated=1 incarnation= clock=]: N is the number of a
+ * command, or FIRST-LAST; clock is in ms */
 static void
 cmd_respond(struct mw_script *s)
 {
@@ -598,8 +600,8 @@
         struct mw_flow_response response = {
             .result = parse_result(mw_script_word(s, 2)),
             .was_repeated = mw_script_option_int(s, "repeated", 0) != 0,
-            .incarnation =
-                (uint64_t)mw_script_option_int(s, "incarnation", 0)};
+            .incarnation = (uint64_t)mw_script_option_int(s, "incarnation", 0),
+            .clock_us = 1000 * mw_script_option_int(s, "clock", 0)};
 
         respond(st, &g_array_index(st->sent, struct sent_command, n - 1),
                 &response);
