An endpoint that has not left after all gets work again

Cause: a leave of an earlier incarnation and one list without a response deregistered an endpoint, whose heartbeats were ignored from then on.

Change: one that says ready with a later number after that is registered again, and lists its runs before it gets work.

Evidence: flow/left-alive left the job queued before.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -171,6 +171,7 @@
 {
     mw_lose_endpoint_runs(flows, now_us, endpoint, reason);
     endpoint->deregistered = true;
+    endpoint->has_left = endpoint->is_leaving;
     endpoint->is_leaving = false;
     endpoint->record_pending = false;
     endpoint->last_contact_us = now_us;
@@ -235,8 +236,10 @@
 }
 
 /*
- * Whether the heartbeat says nothing new: it is older than the last one, or
- * of another incarnation than the one that is at work.
+ * Whether the heartbeat says nothing new: it is older than the last one, of an
+ * endpoint that is gone, or of another incarnation than the one that is at
+ * work.  An endpoint that says ready after it said that it leaves is not gone:
+ * the message came from an earlier incarnation.
  */
 static bool
 is_outdated(const struct mw_flow_endpoint *endpoint,
@@ -246,8 +249,11 @@
         return heartbeat->incarnation < endpoint->incarnation ||
                is_at_work(endpoint);
     }
-    return endpoint->registered && (endpoint->deregistered ||
-                                    heartbeat->seq <= endpoint->heartbeat.seq);
+    if (endpoint->deregistered &&
+        (!endpoint->has_left || heartbeat->draining)) {
+        return true;
+    }
+    return endpoint->registered && heartbeat->seq <= endpoint->heartbeat.seq;
 }
 
 /* The endpoint is the one that was last heard of at its address. */
@@ -269,6 +275,7 @@
 {
     endpoint->incarnation = incarnation;
     endpoint->heartbeat.draining = false;
+    endpoint->has_left = false;
     endpoint->awaiting_heartbeat = false;
     endpoint->registered = true;
     endpoint->deregistered = false;
@@ -338,7 +345,7 @@
         end_incarnation(flows, now_us, endpoint);
         begin_incarnation(endpoint, heartbeat->incarnation);
     }
-    if (!endpoint->registered) {
+    if (!endpoint->registered || endpoint->deregistered) {
         begin_incarnation(endpoint, heartbeat->incarnation);
         mw_emit_flow_endpoint_event(flows, "endpoint_found", endpoint, outcome,
                                     0);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -258,6 +258,8 @@
     bool deregistered;
     /* says that it leaves; deregistered once its process has ended */
     bool is_leaving;
+    /* deregistered for what it said, not for what is at its address */
+    bool has_left;
     struct mw_flow_heartbeat heartbeat;
     struct mw_name rack;
     /* the capacity of the heartbeat counts until then */
