A contradicting heartbeat is confirmed by the endpoint's list, whatever is pending

Cause: left a heartbeat aside only while a list was being waited for. While an end was being recorded, at a new leader before the first list, and while a late leader puts its renewals off, a late heartbeat that looks later still ended runs at work; and an idle endpoint that restarted with an earlier date was never asked.

Change: such a heartbeat asks for the endpoint's list, without lease or long poll, and is left aside until then; an endpoint that does not respond is given up by the next heartbeat as before.

--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -383,8 +383,8 @@
     struct mw_flow_command command = {
         .acknowledged_end = endpoint->committed_end,
     };
-    bool reachable =
-        endpoint->renewal_failures == 0 && endpoint->clock_read_us > 0;
+    bool reachable = endpoint->renewal_failures == 0 &&
+                     endpoint->clock_read_us > 0 && !endpoint->is_contested;
 
     /* a lease that may not arrive would only delay the loss of the runs */
     if (reachable && endpoint->placements->len > 0) {
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -199,20 +199,25 @@
 }
 
 /*
- * Whether runs are at work there as far as the endpoint itself has said, and
- * its next list will show if they are not.
+ * Whether a heartbeat that contradicts what is known of the endpoint is left
+ * aside: it may be late, and incarnations are dated by clocks that jump.  The
+ * endpoint's next list, which is requested now, shows what is there.
  */
 static bool
-is_at_work(const struct mw_flow_endpoint *endpoint)
+await_list(struct mw_flow_endpoint *endpoint, int64_t now_us)
 {
-    return endpoint->placements->len > 0 && endpoint->renewal_pending &&
-           endpoint->list_read && endpoint->renewal_failures == 0;
+    if (endpoint->deregistered || endpoint->renewal_failures > 0) {
+        return false;
+    }
+    endpoint->is_contested = true;
+    endpoint->renewal_deadline_us = MIN(endpoint->renewal_deadline_us, now_us);
+    return true;
 }
 
 /*
  * Whether the heartbeat is ignored for another endpoint at the same address:
- * a later one, or one that is still at work.  Otherwise the other one is
- * deregistered.
+ * a later one, or one with runs whose list must show whether it is there yet.
+ * Otherwise the other one is deregistered.
  */
 static bool
 is_superseded(struct mw_flows *flows, int64_t now_us,
@@ -225,7 +230,8 @@
         mw_name_equal(&other->id, &heartbeat->id)) {
         return false;
     }
-    if (other->incarnation > heartbeat->incarnation || is_at_work(other)) {
+    if (other->incarnation > heartbeat->incarnation ||
+        (other->placements->len > 0 && await_list(other, now_us))) {
         return true;
     }
     if (other->incarnation < heartbeat->incarnation) {
@@ -242,12 +248,15 @@
  * the message came from an earlier incarnation.
  */
 static bool
-is_outdated(const struct mw_flow_endpoint *endpoint,
+is_outdated(struct mw_flow_endpoint *endpoint, int64_t now_us,
             const struct mw_flow_heartbeat *heartbeat)
 {
-    if (heartbeat->incarnation != endpoint->incarnation) {
-        return heartbeat->incarnation < endpoint->incarnation ||
-               is_at_work(endpoint);
+    if (heartbeat->incarnation < endpoint->incarnation) {
+        await_list(endpoint, now_us);
+        return true;
+    }
+    if (heartbeat->incarnation > endpoint->incarnation) {
+        return endpoint->placements->len > 0 && await_list(endpoint, now_us);
     }
     if (endpoint->deregistered &&
         (!endpoint->has_left || heartbeat->draining)) {
@@ -276,6 +285,7 @@
     endpoint->incarnation = incarnation;
     endpoint->heartbeat.draining = false;
     endpoint->has_left = false;
+    endpoint->is_contested = false;
     endpoint->awaiting_heartbeat = false;
     endpoint->registered = true;
     endpoint->deregistered = false;
@@ -331,7 +341,9 @@
     struct mw_flow_endpoint *endpoint =
         mw_find_flow_endpoint(flows, &heartbeat->id);
 
-    if (endpoint && is_outdated(endpoint, heartbeat)) {
+    /* a list may be due now */
+    flows->dirty = true;
+    if (endpoint && is_outdated(endpoint, now_us, heartbeat)) {
         return;
     }
     if (is_superseded(flows, now_us, heartbeat)) {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -281,6 +281,8 @@
      */
     bool has_restarted;
     bool renewal_pending;
+    /* a heartbeat contradicts what is known; its list will show */
+    bool is_contested;
     /* when the next renewal may be sent */
     int64_t renewal_deadline_us;
     /* numbers of the last end that was listed, recorded, acknowledged */
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -174,6 +174,7 @@
                         const struct mw_flow_pending_command *pending)
 {
     endpoint->renewal_pending = false;
+    endpoint->is_contested = false;
     if (response->result == MW_FLOW_DONE && response->has_list) {
         if (endpoint->renewal_failures > 0) {
             mw_emit_flow_endpoint_event(flows, "endpoint_heard", endpoint,
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -105,7 +105,8 @@
               const struct mw_flow_endpoint *endpoint, int64_t now_us)
 {
     if (mw_command_queue_is_late(&flows->command_queue) &&
-        !endpoint->is_leaving && endpoint->list_read &&
+        !endpoint->is_leaving && !endpoint->is_contested &&
+        endpoint->list_read &&
         can_renew_later(endpoint, now_us, MW_LATE_RENEWAL_MARGIN_US)) {
         return false;
     }
@@ -120,7 +121,8 @@
         return true;
     }
     return !endpoint->list_read || endpoint->unknown_runs > 0 ||
-           endpoint->is_leaving || has_started_runs(endpoint) ||
+           endpoint->is_leaving || endpoint->is_contested ||
+           has_started_runs(endpoint) ||
            endpoint->committed_end > endpoint->acknowledged_end;
 }
 
