Ends of an incarnation are not acknowledged by the numbers of the one before

What callers could see: a task that was done ran again.

Cause: an endpoint restarts under its identifier while a start or a renewal is on its way. Until a list or a heartbeat shows the restart, renewals went on to acknowledge ends by the numbers of the first incarnation; the second one, which numbers anew, forgot ends that had never been listed.

Change: a response whose clock has gone back by more than 2 s says that another incarnation may be there. The endpoint's list is requested without acknowledgement, lease or long poll, and it gets no start until the list has come; the same holds where a heartbeat contradicts.

--- a/source/core/flow/flow-capacity.c
+++ b/source/core/flow/flow-capacity.c
@@ -77,8 +77,13 @@
     int64_t age_us = MAX(clock_us - endpoint->heartbeat.clock_us, 0);
     int64_t expected_us = mw_flow_endpoint_clock(endpoint, now_us);
 
-    endpoint->has_restarted |= endpoint->clock_read_us > 0 &&
-                               clock_us < expected_us - CLOCK_STEP_MIN_US;
+    if (endpoint->clock_read_us > 0 &&
+        clock_us < expected_us - CLOCK_STEP_MIN_US) {
+        endpoint->has_restarted = true;
+        endpoint->is_contested = true;
+        endpoint->renewal_deadline_us =
+            MIN(endpoint->renewal_deadline_us, now_us);
+    }
 
     mw_update_flow_endpoint_clock(endpoint, now_us, clock_us);
     if (!is_recorded(&endpoint->heartbeat)) {
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -380,12 +380,15 @@
 {
     struct mw_flow_pending_command *pending =
         new_pending_command(flows, now_us, endpoint, MW_FLOW_COMMAND_RENEW);
-    struct mw_flow_command command = {
-        .acknowledged_end = endpoint->committed_end,
-    };
+    struct mw_flow_command command = {0};
     bool reachable = endpoint->renewal_failures == 0 &&
                      endpoint->clock_read_us > 0 && !endpoint->is_contested;
 
+    /* another incarnation numbers its ends anew */
+    if (!endpoint->is_contested) {
+        endpoint->acknowledged_end = endpoint->committed_end;
+        command.acknowledged_end = endpoint->committed_end;
+    }
     /* a lease that may not arrive would only delay the loss of the runs */
     if (reachable && endpoint->placements->len > 0) {
         command.lease_deadline_us =
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -94,8 +94,9 @@
 {
     return endpoint->registered && !endpoint->deregistered &&
            !endpoint->is_leaving && endpoint->list_read &&
-           !endpoint->awaiting_heartbeat && endpoint->unknown_runs == 0 &&
-           !endpoint->heartbeat.draining && endpoint->renewal_failures == 0 &&
+           !endpoint->awaiting_heartbeat && !endpoint->is_contested &&
+           endpoint->unknown_runs == 0 && !endpoint->heartbeat.draining &&
+           endpoint->renewal_failures == 0 &&
            mw_endpoint_capacity_counts(endpoint, now_us) &&
            now_us - endpoint->last_contact_us < MW_CONTACT_TIMEOUT_US &&
            now_us >= endpoint->quarantine_deadline_us &&
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -281,7 +281,10 @@
      */
     bool has_restarted;
     bool renewal_pending;
-    /* a heartbeat contradicts what is known; its list will show */
+    /*
+     * A heartbeat or the clock of a response contradicts what is known; its
+     * list will show whether another incarnation is there.
+     */
     bool is_contested;
     /* when the next renewal may be sent */
     int64_t renewal_deadline_us;
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -155,7 +155,6 @@
         return;
     }
     flows->renewals_left -= flows->renewals_left > 0;
-    endpoint->acknowledged_end = endpoint->committed_end;
     mw_send_renewal(flows, now_us, endpoint);
 }
 
