--- a/source/core/flow/flow-control-impl.h
+++ b/source/core/flow/flow-control-impl.h
@@ -12,6 +12,7 @@
  * FILES
  *   flow-control.c            log, scheduler, requests and their replies
  *   flow-control-heartbeat.c  heartbeats of endpoints
+ *   flow-control-status.c     status and counters
  */
 
 /* mw_request_origin: where the reply to a request of the scheduler goes. */
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -470,18 +470,6 @@
     mw_flows_handle_response(control->flows, now_us, response);
 }
 
-uint32_t
-mw_flow_control_get_members(const struct mw_flow_control *control,
-                            struct mw_name *members)
-{
-    if (control->log) {
-        return mw_log_get_members(control->log, members);
-    }
-    memcpy(members, control->heartbeat_members,
-           sizeof control->heartbeat_members);
-    return control->heartbeat_member_count;
-}
-
 static void
 send_heartbeats(struct mw_flow_control *control, int64_t now_us)
 {
@@ -591,28 +579,3 @@
     }
     return true;
 }
-
-void
-mw_flow_control_get_status(const struct mw_flow_control *control,
-                           struct mw_log_status *log,
-                           struct mw_flows_status *flows)
-{
-    *log = (struct mw_log_status){0};
-    if (control->log) {
-        mw_log_get_status(control->log, log);
-    }
-    mw_flows_get_status(control->flows, flows);
-}
-
-const struct mw_flow_counters *
-mw_flow_control_get_counters(const struct mw_flow_control *control)
-{
-    return mw_flows_get_counters(control->flows);
-}
-
-const struct mw_flow_histogram *
-mw_flow_control_get_histogram(const struct mw_flow_control *control,
-                              enum mw_flow_latency latency)
-{
-    return mw_flows_get_histogram(control->flows, latency);
-}
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -16,6 +16,7 @@
  *   flow-response.c     responses to commands
  *   flow-reconcile.c    reconciles lists of runs with placements
  *   flow-state.c        applies committed records
+ *   flow-snapshot.c     records of a snapshot
  *   flow-schedule.c     scheduling passes, start of leadership
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
