A job is not refused for an endpoint that has restarted and not reported yet

Cause: an incarnation that is known from a response only has no capacity yet; if all endpoints of a service were in that state, a job was refused for good as too large. Found by a reading of the diff. Evidence: flow/restarted-not-too-small answered 503 impossible before.

--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -109,7 +109,8 @@
     const struct mw_flow_resources *largest = &endpoint->largest_total;
     bool has_capacity = largest->cpu || largest->memory_mb || largest->gpus;
 
-    return (!has_capacity && !mw_endpoint_is_heard(endpoint)) ||
+    return endpoint->awaiting_heartbeat ||
+           (!has_capacity && !mw_endpoint_is_heard(endpoint)) ||
            mw_tasks_that_fit(largest, &nothing, need) > 0;
 }
 
