A contested endpoint is settled by its list, not by any response

Cause: any response to a renewal, also a refusal without a list, cleared the doubt whether another incarnation is there. Found by a reading of the diff.

--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -174,7 +174,6 @@
                         const struct mw_flow_pending_command *pending)
 {
     endpoint->renewal_pending = false;
-    endpoint->is_contested = false;
     if (response->result == MW_FLOW_DONE && response->has_list) {
         if (endpoint->renewal_failures > 0) {
             mw_emit_flow_endpoint_event(flows, "endpoint_heard", endpoint,
@@ -183,6 +182,7 @@
             resume_stops(now_us, endpoint);
             mw_withdraw_blame(endpoint);
         }
+        endpoint->is_contested = false;
         endpoint->renewal_failures = 0;
         endpoint->connection_lost_us = 0;
         endpoint->has_crashed = false;
