--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -279,7 +279,8 @@
     uint32_t capacity;
     /* age of the information behind the decision; -1 for none */
     int64_t age_us;
-    /* of a run that is taken for over: how long its lease still lasts */
+    /* of a run that is taken for over: how long a lease of its endpoint may
+     * still last */
     int64_t lease_left_us;
     /* evidence that the run has crashed its endpoint; 0 for none */
     uint32_t crash_score;
--- a/source/core/flow/flow-capacity.c
+++ b/source/core/flow/flow-capacity.c
@@ -1,5 +1,6 @@
 /*
- * flow-capacity: how long the capacity of a heartbeat counts.
+ * flow-capacity: whether what is known of an endpoint's capacity still allows
+ * a start.
  *
  * LOAD   endpoints whose capacity shrinks while their heartbeats are lost or
  *        arrive late.  Lists of runs, which may arrive all the while, say
@@ -13,10 +14,10 @@
 
 /* a capacity counts for so long after the endpoint has sent it */
 #define CAPACITY_TIMEOUT_US INT64_C(4000000)
-/* a clock that has gone back by more has started anew */
-#define CLOCK_STEP_MIN_US INT64_C(2000000)
 /* one that an earlier leader recorded: heartbeats will replace it soon */
 #define RECALLED_TIMEOUT_US INT64_C(2000000)
+/* a clock that has gone back by more has started anew */
+#define CLOCK_STEP_MIN_US INT64_C(2000000)
 
 /*
  * How long the heartbeat was on its way, at least; the clock may have drifted
--- a/source/core/flow/flow-control-impl.h
+++ b/source/core/flow/flow-control-impl.h
@@ -13,6 +13,8 @@
  *   flow-control.c            log, scheduler, requests and their replies
  *   flow-control-heartbeat.c  heartbeats of endpoints
  *   flow-control-status.c     status and counters
+ *   flow-heartbeat-relay.c    heartbeats that are passed on to the leader
+ *   flow-heartbeat-target.c   which process takes an endpoint's heartbeats
  */
 
 /* mw_request_origin: where the reply to a request of the scheduler goes. */
--- a/source/core/flow/flow-crash.c
+++ b/source/core/flow/flow-crash.c
@@ -5,23 +5,28 @@
  *        end, so its attempts are not used up, and each run takes another
  *        endpoint and what else runs there with it.
  *
- * Evidence against a run is a connection that broke shortly after the endpoint
- * had answered its start, and was refused from then on.  An endpoint that is
- * only out of reach, or crashes while the run has been at work for a while, is
- * no evidence.  It counts once the run is known to be over with its process.
+ * Strong evidence against a run is a connection that broke soon after the
+ * endpoint had answered its start, and was refused from then on; weak evidence
+ * is a start that had no answer before connections were refused.  An endpoint
+ * that is only out of reach, or crashes while the run has been at work for a
+ * while, is no evidence.  It counts once the run is known to be over.
  *
- * A task with evidence is a suspect.  It prefers endpoints without runs, and
- * nothing else is placed beside it until the endpoint has survived the start;
- * a run that does clears its task.  At the limit the flow fails.
+ * A task whose score reaches SCORE_SUSPECT is a suspect.  Its group prefers
+ * endpoints without runs, and no other flow is placed beside it until the
+ * endpoint has survived the start; a run that does clears the score of its
+ * task.  At SCORE_LIMIT the flow fails.
  */
 #include "flow-impl.h"
 
 /* an endpoint that lives so long after a start has survived it */
 #define SURVIVAL_US INT64_C(500000)
-/* evidence of one crash: after an answered start, or one without an answer */
-#define SCORE_AT_START 2
-#define SCORE_START_UNCLEAR 1
+/* score of a crash soon after an answered start */
+#define SCORE_START_ANSWERED 2
+/* score of a crash before the start was answered */
+#define SCORE_START_UNANSWERED 1
+/* a task with this score is kept apart */
 #define SCORE_SUSPECT 2
+/* a task with this score fails its flow */
 #define SCORE_LIMIT 4
 
 bool
@@ -43,11 +48,11 @@
 
     if (placement->phase == MW_PLACEMENT_RUNNING && !placement->has_survived &&
         crash_us - placement->started_us < SURVIVAL_US) {
-        score = SCORE_AT_START;
+        score = SCORE_START_ANSWERED;
     }
     else if (placement->phase == MW_PLACEMENT_STARTING &&
              !mw_run_is_unsent(placement)) {
-        score = SCORE_START_UNCLEAR;
+        score = SCORE_START_UNANSWERED;
     }
     placement->crash_score = MAX(placement->crash_score, score);
 }
@@ -68,7 +73,8 @@
 void
 mw_blame_unanswered_start(struct mw_task_placement *placement)
 {
-    placement->crash_score = MAX(placement->crash_score, SCORE_START_UNCLEAR);
+    placement->crash_score =
+        MAX(placement->crash_score, SCORE_START_UNANSWERED);
 }
 
 void
@@ -84,7 +90,8 @@
 void
 mw_note_survival(struct mw_task_placement *placement, int64_t listed_us)
 {
-    if (listed_us - placement->started_us < SURVIVAL_US) {
+    if (placement->started_us == 0 ||
+        listed_us - placement->started_us < SURVIVAL_US) {
         return;
     }
     placement->has_survived = true;
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -130,10 +130,10 @@
 }
 
 /*
- * All runs of the old incarnation are over.  But a start without a response
- * may have been executed by the new incarnation, since commands identify an
- * endpoint by its identifier only: such a run is stopped there before it
- * counts as over.
+ * All runs of the old incarnation are over.  But a start that no list has
+ * confirmed may have been executed by the new incarnation, since commands
+ * identify an endpoint by its identifier only: such a run is stopped there
+ * before it counts as over.
  */
 static void
 end_incarnation(struct mw_flows *flows, int64_t now_us,
@@ -155,6 +155,7 @@
             placement->phase = MW_PLACEMENT_STOPPING;
             placement->command_pending = false;
             placement->last_listed_us = 0;
+            placement->started_us = 0;
             placement->retry_deadline_us = now_us;
         }
         else {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -51,7 +51,7 @@
 /* a delayed start command may still be executed until this lease expires */
 #define MW_START_LEASE_US INT64_C(5000000)
 #define MW_RENEWAL_LONG_POLL_US INT64_C(2000000)
-/* the shortest, where a run may have stalled */
+/* the shortest, where a list may show a stall or end a trial */
 #define MW_RENEWAL_LONG_POLL_MIN_US INT64_C(250000)
 #define MW_RENEWAL_RETRY_US INT64_C(400000)
 /* runs on an unreachable endpoint are given up when this lease expires */
@@ -176,7 +176,7 @@
     uint32_t step_index;
     struct mw_flow_task *tasks;
     uint32_t done_count;
-    /* a task of it may be what crashed an endpoint */
+    /* a task of it was recorded as a suspect at some time */
     bool is_suspect;
     /* of the leader: */
     /* when the group was first seen to be ready; 0 for not yet */
@@ -259,7 +259,8 @@
     bool deregistered;
     /* says that it leaves; deregistered once its process has ended */
     bool is_leaving;
-    /* deregistered for what it said, not for what is at its address */
+    /* deregistered after it said that it leaves; a later heartbeat that says
+     * ready contradicts this */
     bool has_left;
     struct mw_flow_heartbeat heartbeat;
     struct mw_name rack;
@@ -277,8 +278,9 @@
     /* every lease that this leader granted has expired by then */
     int64_t lease_expiry_us;
     /*
-     * Its clock has started anew: a deadline that was reckoned on the clock of
-     * the incarnation before grants the longest lease there.
+     * It has restarted under this identifier, or its clock has gone back: a
+     * deadline that was reckoned on the clock of the incarnation before grants
+     * the longest lease there.
      */
     bool has_restarted;
     bool renewal_pending;
@@ -308,7 +310,7 @@
     bool has_crashed;
     /* placements on trial */
     uint32_t trials;
-    /* this leader has seen its list of runs */
+    /* its list of runs is known to this leader; false requests it anew */
     bool list_read;
     /* runs of the last list without a placement */
     uint32_t unknown_runs;
@@ -424,8 +426,8 @@
 /* proposes a TASKS record and counts it; false when that is not possible */
 bool mw_propose_tasks(struct mw_flows *flows, struct mw_record *record);
 /*
- * mw_init_task_record: a record of the task as it was last recorded, but
- * waiting and on no endpoint.
+ * mw_init_task_record: a record of the task as it was last recorded, with the
+ * evidence that is not recorded yet; waiting and on no endpoint.
  */
 void mw_init_task_record(const struct mw_task_group *group, uint32_t index,
                          struct mw_task_record *record);
@@ -492,7 +494,8 @@
                                  const char *reason);
 /*
  * mw_settle_leave: after the response to a renewal, deregisters an endpoint
- * that leaves if its process has ended.
+ * that leaves if its process has ended, or if it does not respond and has no
+ * runs.
  */
 void mw_settle_leave(struct mw_flows *flows, int64_t now_us,
                      struct mw_flow_endpoint *endpoint,
@@ -607,7 +610,7 @@
 /*
  * mw_lease_duration: how long a lease may last by this process's clock.
  *
- * The endpoint's clock may be slow, and the reading of it may be old.
+ * The endpoint's clock may be slow.
  */
 int64_t mw_lease_duration(int64_t lease_us);
 /* when all leases have expired there, also those of earlier leaders */
@@ -666,12 +669,12 @@
                              const struct mw_task_group *group,
                              int64_t now_us);
 
+/* flow-health.c */
 /*
  * mw_next_stall_us: when a list may first show that a run of the endpoint has
  * stalled; INT64_MAX for never.
  */
 int64_t mw_next_stall_us(const struct mw_flow_endpoint *endpoint);
-/* flow-health.c */
 void mw_update_flow_endpoint_health(struct mw_flows *flows, int64_t now_us,
                                     struct mw_flow_endpoint *endpoint,
                                     enum mw_run_end end);
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -120,7 +120,7 @@
  */
 static void
 record_crash_score(struct mw_flows *flows, struct mw_task_record *entry,
-                   const struct mw_task_placement *placement)
+                   struct mw_task_placement *placement)
 {
     struct mw_task_group *group = placement->group;
     struct mw_flow_task *task = &group->tasks[placement->index];
@@ -130,6 +130,7 @@
     }
     entry->crash_score += placement->crash_score;
     task->unrecorded_crash_score += placement->crash_score;
+    placement->crash_score = 0;
     if (mw_crash_limit_is_reached(entry->crash_score)) {
         mw_fail_crashing_flow(flows, group->flow);
     }
@@ -189,7 +190,7 @@
 static void
 record_not_done(struct mw_flows *flows, struct mw_record *record,
                 struct mw_task_group *group,
-                const struct mw_task_placement *placement,
+                struct mw_task_placement *placement,
                 const struct mw_listed_run *run)
 {
     struct mw_task_record *entry;
--- a/source/core/flow/flow-snapshot.c
+++ b/source/core/flow/flow-snapshot.c
@@ -23,6 +23,7 @@
             }
             mw_init_task_record(group, t, entry);
             entry->state = task->state;
+            entry->crash_score = task->crash_score;
             entry->endpoint = task->endpoint;
             entry->incarnation = task->incarnation;
             record->tasks.count++;
