A refused pre-vote tells the newer term, so that the newest log can win

What callers would see: a region that accepts nothing any more, though a majority of its members is up and connected.

Cause: a member grants a pre-vote only to a term that is not older than its own, and the term of its refusal was ignored. If of the members that are left the one with the newest log has the older term (here: the leader of the newer one, elected with the vote of the lagging member, lost its disk), it is refused for its term for ever, and the other one for its log.

Change: a pre-candidate that is refused takes the newer term, as a candidate does.

--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -232,6 +232,11 @@
                         ? log->role == MW_PRE_CANDIDATE
                         : log->role == MW_CANDIDATE && msg->term == log->term;
 
+    if (expected && !msg->ok && msg->term > log->term) {
+        /* no election can be won in an older term */
+        mw_log_become_follower(ctx, log, now_us, msg->term);
+        return;
+    }
     if (!expected || !msg->ok || msg->index != log->term) {
         return;
     }
