--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -151,6 +151,10 @@
 {
     bool admitted = mw_log_is_admitted(log);
 
+    if (log->refused_term > log->term) {
+        /* the last pre-vote may have failed for its term */
+        mw_log_become_follower(ctx, log, now_us, log->refused_term);
+    }
     mw_log_reset_election_timer(log, now_us);
     report_admission(ctx, log, admitted);
     if (!admitted || !log->writable || now_us < log->holdoff_deadline_us) {
@@ -232,10 +236,8 @@
                         ? log->role == MW_PRE_CANDIDATE
                         : log->role == MW_CANDIDATE && msg->term == log->term;
 
-    if (expected && !msg->ok && msg->term > log->term) {
-        /* no election can be won in an older term */
-        mw_log_become_follower(ctx, log, now_us, msg->term);
-        return;
+    if (expected && !msg->ok) {
+        log->refused_term = MAX(log->refused_term, msg->term);
     }
     if (!expected || !msg->ok || msg->index != log->term) {
         return;
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -62,6 +62,8 @@
 
     uint64_t term;
     struct mw_name vote;
+    /* highest term of a member that refused a pre-vote of this one */
+    uint64_t refused_term;
     enum mw_log_role role;
     struct mw_name leader;
 
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -74,7 +74,7 @@
 
     /*
      * The term of a vote request is adopted only after the check for a valid
-     * lease, and that of a pre-vote reply only if the pre-vote is refused.
+     * lease, and that of a refused pre-vote with the next one.
      */
     if (!is_request && !is_prevote_reply && msg->term > log->term) {
         mw_log_become_follower(ctx, log, now_us, msg->term);
