--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -311,7 +311,7 @@
     clock starts with each incarnation."""
 
     def __init__(self, cluster, index, zone=None, cpu=16000, gpus=8,
-                 beat_s=1.5):
+                 beat_s=1.5, kind="a"):
         self.cluster = cluster
         self.record = cluster.record
         self.id = f"i-{index:08x}"
@@ -320,6 +320,7 @@
         self.ip = cluster.ip(101 + index)
         self.address = f"{self.ip}:{free_port(self.ip)}"
         self.cpu, self.gpus, self.beat_s = cpu, gpus, beat_s
+        self.kind = kind
         self.lock = threading.Condition()
         self.ended = False
         self.state = "ready"
@@ -387,7 +388,7 @@
                 "state": self.state, "cold-left-ms": 0,
                 "capacity": {"cpu": self.cpu, "mem-mb": 65536,
                              "gpus": self.gpus},
-                "labels": ["a", f"r1-{self.index // 8}"],
+                "labels": [self.kind, f"r1-{self.index // 8}"],
                 "clock-ms": self.clock(), "born": self.born, "seq": self.seq}
 
     def beat(self):
