--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -324,6 +324,9 @@
         self.lock = threading.Condition()
         self.ended = False
         self.state = "ready"
+        self.down = False
+        self.crashes = 0
+        self.channels = set()
         self.beat_to = None
         self.begin()
         cluster.workers.append(self)
@@ -332,6 +335,14 @@
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                worker.channels.add(self.connection)
+
+            def finish(self):
+                worker.channels.discard(self.connection)
+                super().finish()
+
             def do_POST(self):
                 size = int(self.headers.get("Content-Length", "0"))
                 body = json.loads(self.rfile.read(size) or b"{}")
@@ -339,7 +350,7 @@
                     status, answer = 421, {}
                 else:
                     status, answer = worker.order(self.path, body)
-                if status is None:
+                if status is None or worker.down:
                     self.close_connection = True
                     return
                 text = json.dumps(answer).encode()
@@ -359,10 +370,15 @@
             def handle_error(self, *_):
                 pass
 
-        host, port = self.address.rsplit(":", 1)
-        self.server = Server((host, int(port)), Handler)
-        threading.Thread(target=self.server.serve_forever,
-                         kwargs={"poll_interval": 0.05}, daemon=True).start()
+        def listen():
+            host, port = self.address.rsplit(":", 1)
+            self.server = Server((host, int(port)), Handler)
+            threading.Thread(target=self.server.serve_forever,
+                             kwargs={"poll_interval": 0.02},
+                             daemon=True).start()
+
+        self.listen = listen
+        self.listen()
         threading.Thread(target=self.beat, daemon=True).start()
         threading.Thread(target=self.work, daemon=True).start()
 
@@ -394,6 +410,9 @@
     def beat(self):
         at = self.index
         while not self.ended:
+            if self.down:
+                time.sleep(0.05)
+                continue
             with self.lock:
                 text = json.dumps(self.heartbeat())
             for _ in range(3):
@@ -411,6 +430,41 @@
                 at += 1
             time.sleep(self.beat_s)
 
+    def crash(self, back_s, same_id=False):
+        """The worker's process ends without a word, and comes back after
+        back_s: it holds and knows nothing of before."""
+        with self.lock:
+            if self.down or self.ended:
+                return
+            self.down = True
+            self.crashes += 1
+            self.record(f"worker {self.id} ({self.zone}): CRASHES with "
+                        f"{sorted(self.running)}")
+            self.running.clear()
+            self.lock.notify_all()
+        self.server.shutdown()
+        self.server.server_close()
+        for channel in list(self.channels):
+            try:
+                channel.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+        def back():
+            time.sleep(back_s)
+            with self.lock:
+                if self.ended:
+                    return
+                if not same_id:
+                    self.id = f"i-{0x1000 + self.index:04x}{self.crashes:04x}"
+                self.begin()
+                self.listen()
+                self.down = False
+            self.record(f"worker {self.id} ({self.zone}): back, born "
+                        f"{self.born}")
+
+        threading.Thread(target=back, daemon=True).start()
+
     def finish(self, key, how):
         run = self.running.pop(key)
         self.last_end += 1
@@ -446,6 +500,8 @@
 
     def order(self, path, body):
         with self.lock:
+            if self.down:
+                return None, None
             fence = body.get("fencing-token", 0)
             if fence < self.fence:
                 return self.refusal("fence")
@@ -461,7 +517,7 @@
                                                2000) / 1000
                 last = self.last_end
                 while (time.monotonic() < until and last == self.last_end and
-                       not self.ended):
+                       not self.ended and not self.down):
                     self.lock.wait(max(0, until - time.monotonic()))
                 return 200, self.lists()
             task, run = body["task-id"], body["attempt"]
@@ -480,6 +536,9 @@
                 return self.refusal("late")
             self.deadline = max(self.deadline, lease)
             work_ms = int(body["spec"].partition("work-ms=")[2].split()[0])
+            if "deadly-ms=" in body["spec"]:
+                deadly_ms = int(body["spec"].partition("deadly-ms=")[2])
+                threading.Timer(deadly_ms / 1000, self.crash, (4,)).start()
             now = self.clock()
             self.running[key] = {"from": now, "until": now + work_ms}
             self.on_start(task, run)
@@ -494,5 +553,6 @@
     def end(self):
         if not self.ended:
             self.ended = True
-            self.server.shutdown()
-            self.server.server_close()
+            if not self.down:
+                self.server.shutdown()
+                self.server.server_close()
