--- a/review/2/run.py
+++ b/review/2/run.py
@@ -10,15 +10,16 @@
 from standin import (Cluster, PREFIX, Record, Worker, job, job_id)  # noqa
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUNDS = 3
-FREEZE_S = 1.3
+ROUNDS = 6
+# shorter than the followers wait before they elect another leader
+CUT_S = 0.97
 record = Record(os.path.join(HERE, "record.txt"))
 
 
 def play():
     """One round: True if the rule was broken, False if it held, None if the
     order of events did not come about."""
-    cluster = Cluster(record, edges=2)
+    cluster = Cluster(record, edges=2, has_cuts=True)
     try:
         if not cluster.start():
             return None
@@ -29,12 +30,12 @@
         if not leader:
             return None
         return attempt(cluster, cluster.edges[0], cluster.edges[1],
-                       [c for c in cluster.cores if c is not leader])
+                       leader)
     finally:
         cluster.end()
 
 
-def attempt(cluster, entry, other_entry, followers):
+def attempt(cluster, entry, other_entry, leader):
     first, second = job_id(), job_id()
     answers = {}
 
@@ -49,30 +50,28 @@
 
     begin = time.monotonic()
     if TROUBLE:
-        for core in followers:
-            core.stop()
+        cluster.cut.begin(leader)
     a = submit_in_background("A", first)
-    time.sleep(0.08)
+    time.sleep(0.05)
     if TROUBLE:
         entry.kill()
         entry.start()
     else:
         a.join()
     ready = False
-    while not ready and time.monotonic() < begin + 1.0:
+    while not ready and time.monotonic() < begin + 0.8:
         ready = cluster.is_ready(entry)
         time.sleep(0.01)
     record(f"entry process ready: {ready}")
-    time.sleep(max(0, begin + 1.05 - time.monotonic()))
+    time.sleep(max(0, begin + 0.86 - time.monotonic()))
     b = submit_in_background("B", second)
-    time.sleep(max(0, begin + FREEZE_S - time.monotonic()))
+    time.sleep(max(0, begin + CUT_S - time.monotonic()))
     if TROUBLE:
-        for core in followers:
-            core.cont()
+        cluster.cut.end()
     a.join()
     b.join()
     # longer than contact-ms and visible-ms after the last event
-    time.sleep(8)
+    time.sleep(7)
     state_a = cluster.client(other_entry, "GET", PREFIX + first)
     state_b = cluster.client(other_entry, "GET", PREFIX + second)
     record(f"A was answered {answers['A']}, later {state_a}")
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -99,6 +99,9 @@
         self.folder = os.path.join(cluster.folder, self.name)
         self.data = os.path.join(self.folder, "data")
         os.makedirs(self.data)
+        self.link_port = cluster.link_port
+        if cluster.has_cuts:
+            self.link_port += 100 * (index + 1 if kind == "core" else 0)
         self.control = f"{self.ip}:{cluster.control_port}"
         self.frontend = f"{self.ip}:{cluster.frontend_port}"
         self.readiness = f"{self.ip}:{cluster.readiness_port}"
@@ -121,8 +124,8 @@
         else:
             lines += [f'  frontend: "{self.frontend}"',
                       f'  readiness: "{self.readiness}"']
-        lines += ["internal-ports:", f"  - {c.link_port}",
-                  f"  - {c.link_port + 15}", "seeds:"]
+        lines += ["internal-ports:", f"  - {self.link_port}",
+                  f"  - {self.link_port + 15}", "seeds:"]
         lines += [f'  - "{c.ip(1 + i)}:{c.control_port}"' for i in range(3)]
         lines += [f"bootstrap: {'false' if self.started else 'true'}",
                   f"is-counted: {'true' if core else 'false'}",
@@ -173,6 +176,79 @@
             return [line.rstrip() for line in f if word in line]
 
 
+class Cut:
+    """Stands between the core processes, and cuts one off from the others:
+    silent while it lasts, as a partition is, what was sent arrives after it.
+    Each process dials its peers at the first of its own internal ports, so
+    each has another one, and a listener here in the place of each peer."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.cut_off = None
+        for dialler in cluster.cores + cluster.edges[:1]:
+            for peer in cluster.cores:
+                if peer is not dialler:
+                    self.listen(dialler, peer)
+
+    def is_held(self, dialler, peer):
+        return (self.cut_off in (dialler, peer) and
+                dialler.kind == peer.kind == "core")
+
+    def listen(self, dialler, peer):
+        server = socket.socket()
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind((peer.ip, dialler.link_port))
+        server.listen(64)
+
+        def accept():
+            while True:
+                near, _ = server.accept()
+                threading.Thread(target=self.connect,
+                                 args=(near, dialler, peer),
+                                 daemon=True).start()
+
+        threading.Thread(target=accept, daemon=True).start()
+
+    def connect(self, near, dialler, peer):
+        try:
+            far = socket.create_connection((peer.ip, peer.link_port), 2)
+            far.settimeout(None)
+        except OSError:
+            near.close()
+            return
+        for s in (near, far):
+            s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for a, b in ((near, far), (far, near)):
+            threading.Thread(target=self.pump, args=(a, b, dialler, peer),
+                             daemon=True).start()
+
+    def pump(self, a, b, dialler, peer):
+        try:
+            while True:
+                data = a.recv(65536)
+                while self.is_held(dialler, peer):
+                    time.sleep(0.002)
+                if not data:
+                    break
+                b.sendall(data)
+        except OSError:
+            pass
+        for s in (a, b):
+            try:
+                s.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def begin(self, process):
+        self.cluster.record(f"network: {process.name} is cut off from the "
+                            "other core machines")
+        self.cut_off = process
+
+    def end(self):
+        self.cluster.record("network: the cut has healed")
+        self.cut_off = None
+
+
 def free_port(ip):
     with socket.socket() as s:
         s.bind((ip, 0))
@@ -182,8 +258,9 @@
 class Cluster:
     """The platform's part: three core and some edge machines."""
 
-    def __init__(self, record, edges=1, cores=3):
+    def __init__(self, record, edges=1, cores=3, has_cuts=False):
         self.record = record
+        self.has_cuts = has_cuts
         self.folder = tempfile.mkdtemp(prefix="mw-review-")
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.control_port = free_port(self.ip(1))
@@ -203,6 +280,7 @@
         self.cores = [Process(self, "core", i) for i in range(cores)]
         self.edges = [Process(self, "edge", i) for i in range(edges)]
         self.workers = []
+        self.cut = Cut(self) if has_cuts else None
         atexit.register(self.end)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: sys.exit(2))
