A process no longer takes replies to requests of its earlier life

Cause: an answer is addressed by the name of a process and the ref of its request. The next life takes over the name, and refs began at 1 in each life: the HTTP handles of clients, operators and heartbeats in a region, and the refs of submissions, queries, changes, guarantee checks and handovers in a zone.

The simulated region, which has no connections, shows the same as soon as two lives count alike, for a client, an operator and a zone's client.

Change: each life draws its first ref at random; flow-entry, the heartbeat relay, entry and control number their messages from there. The wire stays as it is. An entry process counts late_replies.

--- a/include/mimosawind/control.h
+++ b/include/mimosawind/control.h
@@ -39,6 +39,8 @@
     uint32_t member_count[MW_GROUPS];
     struct mw_member members[MW_GROUPS][MW_MEMBERS_MAX];
     uint32_t compact_after;
+    /* of its requests to other processes; see message.h */
+    uint64_t first_ref;
     uint32_t seed;
     int64_t now_us;
     struct mw_control_output output;
--- a/include/mimosawind/entry.h
+++ b/include/mimosawind/entry.h
@@ -61,6 +61,8 @@
 struct mw_entry_setup {
     struct mw_name name;
     struct mw_name zone;
+    /* of its requests; see message.h */
+    uint64_t first_ref;
     struct mw_entry_output output;
 };
 
--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -78,6 +78,8 @@
     uint32_t compact_after;
     /* of the random generator that spreads election timeouts */
     uint32_t random_seed;
+    /* of its requests to other processes; see message.h */
+    uint64_t first_ref;
     int64_t now_us;
     struct mw_flow_limits limits;
     struct mw_flow_control_output output;
@@ -215,6 +217,8 @@
     uint64_t handed_again;
     /* forwarded, but no reply by the deadline */
     uint64_t timed_out;
+    /* replies to no pending request, which may be of an earlier life */
+    uint64_t late_replies;
     /* changes of leader */
     uint64_t leaders;
 };
@@ -225,14 +229,20 @@
  * mw_new_flow_entry: part of a process that forwards requests to the leader.
  *
  * self is the name of the process.  If the log has a member of that name, it
- * counts as reachable without heartbeats.
+ * counts as reachable without heartbeats.  first_ref is that of its requests
+ * to the leader; see message.h.
  */
 struct mw_flow_entry *
 mw_new_flow_entry(const struct mw_flow_entry_output *output,
-                  const struct mw_name *self);
+                  const struct mw_name *self, uint64_t first_ref);
 void mw_drop_flow_entry(struct mw_flow_entry *entry);
 
-/* mw_flow_entry_request: leads to one reply, at the latest at deadline_us. */
+/*
+ * mw_flow_entry_request: leads to one reply, at the latest at deadline_us.
+ *
+ * The ref of the request comes back in the reply; no other request without a
+ * reply has it.
+ */
 void mw_flow_entry_request(struct mw_flow_entry *entry, int64_t now_us,
                            const struct mw_flow_request *request,
                            int64_t deadline_us);
--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -11,9 +11,16 @@
  * Messages are structs; source/wire encodes them.  A message owns its blobs,
  * documents and arrays and has a reference count.  Deadlines are encoded as
  * the time left, so that a decoded message has times of the receiver's
- * clock.  The sender of a request chooses its ref; the answer repeats it.
+ * clock.
+ *
+ * The sender of a request chooses its ref; the answer repeats it.  An answer
+ * is addressed by the name of a process, which its next life takes over, so
+ * refs must differ in all lives of a process: each life counts from a
+ * first_ref of its own, drawn at random from 1 to MW_FIRST_REF_MAX.
  */
 
+#define MW_FIRST_REF_MAX (UINT64_C(1) << 61)
+
 /* a process without heartbeats for so long is considered unreachable */
 #define MW_PEER_TIMEOUT_US 2000000
 
--- a/source/core/control.c
+++ b/source/core/control.c
@@ -138,7 +138,7 @@
     control->zone_name = setup->zone;
     control->output = setup->output;
     control->now_us = setup->now_us;
-    control->next_ref = 1;
+    control->next_ref = setup->first_ref;
     control->peers = mw_new_peers();
     control->pending_changes = g_ptr_array_new_with_free_func(mw_free_change);
     control->zone = mw_new_zone(&setup->zone, &output);
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -13,7 +13,7 @@
     entry->name = setup->name;
     entry->zone = setup->zone;
     entry->output = setup->output;
-    entry->next_ref = 1;
+    entry->next_ref = setup->first_ref;
     entry->retry_credit = MW_RETRY_BUDGET_BURST * MW_RETRY_COST;
     entry->peers = mw_new_peers();
     entry->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
--- a/source/core/flow/flow-control-heartbeat.c
+++ b/source/core/flow/flow-control-heartbeat.c
@@ -3,6 +3,9 @@
  */
 #include "flow-control-impl.h"
 
+/* added to the refs of heartbeats, to tell them from those of requests */
+#define HEARTBEAT_REFS (2 * MW_FIRST_REF_MAX)
+
 static void
 relay_send(void *opaque, const struct mw_name *to, struct mw_msg *msg)
 {
@@ -30,7 +33,8 @@
     struct mw_heartbeat_relay_output output = {control, relay_send,
                                                relay_reply};
 
-    control->relay = mw_new_heartbeat_relay(&output);
+    control->relay = mw_new_heartbeat_relay(&output, control->setup.first_ref +
+                                                         HEARTBEAT_REFS);
 }
 
 void
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -218,7 +218,7 @@
     control->origins =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     control->flows = mw_new_flows(&setup->limits, &output);
-    control->entry = mw_new_flow_entry(&entry, &setup->name);
+    control->entry = mw_new_flow_entry(&entry, &setup->name, setup->first_ref);
     mw_init_heartbeat_relay(control);
     if (setup->member_count > 0) {
         control->log = new_log(control);
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -15,7 +15,10 @@
 
 /* mw_pending_request: a request without a reply. */
 struct mw_pending_request {
+    /* of the message to the leader */
     uint64_t ref;
+    /* with which the request came */
+    uint64_t request_ref;
     /* what is forwarded */
     struct mw_msg *msg;
     int64_t deadline_us;
@@ -37,7 +40,10 @@
     struct mw_flow_entry_output output;
     /* name of this process, which may be a member of the log itself */
     struct mw_name self;
+    uint64_t next_ref;
+    /* struct mw_pending_request by ref, which owns them, and by request_ref */
     GHashTable *pending;
+    GHashTable *pending_by_request_ref;
     struct mw_name leader;
     /* the leader's term */
     uint64_t epoch;
@@ -60,14 +66,17 @@
 
 struct mw_flow_entry *
 mw_new_flow_entry(const struct mw_flow_entry_output *output,
-                  const struct mw_name *self)
+                  const struct mw_name *self, uint64_t first_ref)
 {
     struct mw_flow_entry *entry = g_new0(struct mw_flow_entry, 1);
 
     entry->output = *output;
     entry->self = *self;
+    entry->next_ref = first_ref;
     entry->pending =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_pending);
+    entry->pending_by_request_ref =
+        g_hash_table_new(g_int64_hash, g_int64_equal);
     return entry;
 }
 
@@ -75,6 +84,7 @@
 mw_drop_flow_entry(struct mw_flow_entry *entry)
 {
     if (entry) {
+        g_hash_table_unref(entry->pending_by_request_ref);
         g_hash_table_unref(entry->pending);
         g_free(entry);
     }
@@ -200,6 +210,36 @@
            majority_reachable(entry, now_us);
 }
 
+static void
+add_pending(struct mw_flow_entry *entry, struct mw_pending_request *pending)
+{
+    g_hash_table_insert(entry->pending, &pending->ref, pending);
+    g_hash_table_insert(entry->pending_by_request_ref, &pending->request_ref,
+                        pending);
+}
+
+static void
+remove_pending(struct mw_flow_entry *entry, struct mw_pending_request *pending)
+{
+    g_hash_table_remove(entry->pending_by_request_ref, &pending->request_ref);
+    g_hash_table_remove(entry->pending, &pending->ref);
+}
+
+/* The message that passes the request on to the leader. */
+static struct mw_msg *
+new_flow_call(const struct mw_flow_request *request, uint64_t ref)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_FLOW_CALL);
+
+    msg->flow_call.ref = ref;
+    msg->flow_call.kind = request->kind;
+    msg->flow_call.host = mw_new_blob(request->host);
+    msg->flow_call.path = mw_new_blob(request->path);
+    msg->flow_call.key = mw_new_blob(request->key);
+    msg->flow_call.body = mw_new_blob(request->body);
+    return msg;
+}
+
 void
 mw_flow_entry_request(struct mw_flow_entry *entry, int64_t now_us,
                       const struct mw_flow_request *request,
@@ -214,18 +254,13 @@
         return;
     }
     pending = g_new0(struct mw_pending_request, 1);
-    pending->ref = request->ref;
+    pending->ref = entry->next_ref++;
+    pending->request_ref = request->ref;
     pending->deadline_us = deadline_us;
     pending->leader_deadline_us = now_us + MW_FLOW_LEADER_WAIT_US;
     pending->received_us = now_us;
-    pending->msg = mw_new_msg(MW_MSG_FLOW_CALL);
-    pending->msg->flow_call.ref = request->ref;
-    pending->msg->flow_call.kind = request->kind;
-    pending->msg->flow_call.host = mw_new_blob(request->host);
-    pending->msg->flow_call.path = mw_new_blob(request->path);
-    pending->msg->flow_call.key = mw_new_blob(request->key);
-    pending->msg->flow_call.body = mw_new_blob(request->body);
-    g_hash_table_insert(entry->pending, &pending->ref, pending);
+    pending->msg = new_flow_call(request, pending->ref);
+    add_pending(entry, pending);
     if (has_leader(entry, now_us)) {
         forward(entry, pending);
     }
@@ -234,7 +269,12 @@
 void
 mw_flow_entry_client_closed(struct mw_flow_entry *entry, uint64_t ref)
 {
-    g_hash_table_remove(entry->pending, &ref);
+    struct mw_pending_request *pending =
+        g_hash_table_lookup(entry->pending_by_request_ref, &ref);
+
+    if (pending) {
+        remove_pending(entry, pending);
+    }
 }
 
 /*
@@ -249,7 +289,6 @@
     struct mw_pending_request *pending =
         g_hash_table_lookup(entry->pending, &msg->ref);
     struct mw_flow_reply reply = {
-        .ref = msg->ref,
         .kind = msg->kind,
         .error = msg->error,
         .state = msg->state,
@@ -270,11 +309,16 @@
         pending->forward_count = 0;
         return;
     }
-    if (!pending || (msg->kind == MW_REPLY_ERROR && undecided)) {
-        /* unknown, or pending until a leader replies or its deadline */
+    if (!pending) {
+        entry->counters.late_replies++;
+        return;
+    }
+    if (msg->kind == MW_REPLY_ERROR && undecided) {
+        /* pending until a leader replies, or until its deadline */
         return;
     }
-    g_hash_table_remove(entry->pending, &reply.ref);
+    reply.ref = pending->request_ref;
+    remove_pending(entry, pending);
     entry->output.reply(entry->output.opaque, &reply);
 }
 
@@ -416,7 +460,7 @@
 expire(struct mw_flow_entry *entry, int64_t now_us,
        struct mw_pending_request *pending)
 {
-    uint64_t ref = pending->ref;
+    uint64_t ref = pending->request_ref;
     struct mw_str path = mw_blob_str(pending->msg->flow_call.path);
 
     if (pending->forward_count == 0) {
@@ -428,7 +472,7 @@
                   now_us - pending->received_us, path);
         refuse(entry, ref, MW_ERR_DEADLINE);
     }
-    g_hash_table_remove(entry->pending, &ref);
+    remove_pending(entry, pending);
 }
 
 void
--- a/source/core/flow/flow-heartbeat-relay.c
+++ b/source/core/flow/flow-heartbeat-relay.c
@@ -13,7 +13,10 @@
 
 /* relayed: a heartbeat without a reply. */
 struct relayed {
+    /* of the message to the leader */
     uint64_t ref;
+    /* with which the heartbeat came */
+    uint64_t heartbeat_ref;
     int64_t deadline_us;
     /* NULL once it has been sent */
     struct mw_flow_heartbeat *heartbeat;
@@ -21,6 +24,7 @@
 
 struct mw_heartbeat_relay {
     struct mw_heartbeat_relay_output output;
+    uint64_t next_ref;
     /* struct relayed by ref, and in the order of their deadlines */
     GHashTable *pending;
     GQueue order;
@@ -39,11 +43,13 @@
 }
 
 struct mw_heartbeat_relay *
-mw_new_heartbeat_relay(const struct mw_heartbeat_relay_output *output)
+mw_new_heartbeat_relay(const struct mw_heartbeat_relay_output *output,
+                       uint64_t first_ref)
 {
     struct mw_heartbeat_relay *relay = g_new0(struct mw_heartbeat_relay, 1);
 
     relay->output = *output;
+    relay->next_ref = first_ref;
     relay->pending =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_relayed);
     relay->batch_deadline_us = INT64_MAX;
@@ -70,7 +76,8 @@
         return MW_ERR_OVERLOADED;
     }
     relayed = g_new0(struct relayed, 1);
-    relayed->ref = ref;
+    relayed->ref = relay->next_ref++;
+    relayed->heartbeat_ref = ref;
     relayed->deadline_us = now_us + REPLY_TIMEOUT_US;
     relayed->heartbeat = g_memdup2(heartbeat, sizeof *heartbeat);
     g_hash_table_insert(relay->pending, &relayed->ref, relayed);
@@ -89,11 +96,11 @@
 static void
 settle(struct mw_heartbeat_relay *relay, struct relayed *relayed, int error)
 {
-    uint64_t ref = relayed->ref;
+    uint64_t ref = relayed->heartbeat_ref;
 
     relay->unsent -= relayed->heartbeat != NULL;
     g_queue_remove(&relay->order, relayed);
-    g_hash_table_remove(relay->pending, &ref);
+    g_hash_table_remove(relay->pending, &relayed->ref);
     relay->output.reply(relay->output.opaque, ref, error);
 }
 
--- a/source/core/flow/flow-heartbeat-relay.h
+++ b/source/core/flow/flow-heartbeat-relay.h
@@ -24,8 +24,10 @@
     void (*reply)(void *opaque, uint64_t ref, int error);
 };
 
+/* mw_new_heartbeat_relay: first_ref is that of its messages; see message.h. */
 struct mw_heartbeat_relay *
-mw_new_heartbeat_relay(const struct mw_heartbeat_relay_output *output);
+mw_new_heartbeat_relay(const struct mw_heartbeat_relay_output *output,
+                       uint64_t first_ref);
 void mw_drop_heartbeat_relay(struct mw_heartbeat_relay *relay);
 
 /*
@@ -37,7 +39,10 @@
                        const struct mw_flow_heartbeat *heartbeat,
                        uint64_t ref);
 
-/* mw_settle_heartbeat: the leader's answer; false if ref is not known here. */
+/*
+ * mw_settle_heartbeat: the leader's answer to the message with this ref; false
+ * if it is not known here.
+ */
 bool mw_settle_heartbeat(struct mw_heartbeat_relay *relay, uint64_t ref,
                          int error);
 
--- a/source/run/control-task.c
+++ b/source/run/control-task.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "disk.h"
+#include "first-ref.h"
 #include "operator-http.h"
 
 #define LEAVE_TIMEOUT_US (MW_DRAIN_TIMEOUT_US + 5000000)
@@ -164,6 +165,7 @@
     t->task = task;
     t->setup.control.output =
         (struct mw_control_output){t, send_to_process, send_to_role, store};
+    t->setup.control.first_ref = mw_draw_first_ref();
     t->setup.control.now_us = mw_now();
     t->control = mw_new_control(&t->setup.control);
     if (t->setup.data_dir.len > 0) {
--- a/source/run/entry-task.c
+++ b/source/run/entry-task.c
@@ -4,6 +4,7 @@
 
 #include "client-http.h"
 #include "endpoint-http.h"
+#include "first-ref.h"
 #include "operator-http.h"
 
 /*
@@ -115,6 +116,7 @@
     struct mw_entry_setup entry = {
         .name = t->setup.name,
         .zone = t->setup.zone,
+        .first_ref = mw_draw_first_ref(),
         .output = {t, send_to_process, send_to_role, reply, execute_command},
     };
     struct mw_link_setup links = {
--- a/source/run/flow-control-task-member.c
+++ b/source/run/flow-control-task-member.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "first-ref.h"
 #include "member-file.h"
 
 #define OPEN_RETRY_INTERVAL_US 1000000
@@ -37,6 +38,7 @@
         .target_member_count = t->setup.target_member_count,
         .compact_after = t->setup.compact_after,
         .random_seed = (uint32_t)incarnation ^ mw_hash_name(&t->setup.name),
+        .first_ref = mw_draw_first_ref(),
         .now_us = mw_now(),
         .limits = t->setup.limits,
         .output = mw_flow_control_task_output(t),
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 
+#include "first-ref.h"
 #include "region-process.h"
 
 #define HEARTBEAT_INTERVAL_US 500000
@@ -78,7 +79,7 @@
     char *message = NULL;
 
     t->task = task;
-    t->entry = mw_new_flow_entry(&output, &t->setup.name);
+    t->entry = mw_new_flow_entry(&output, &t->setup.name, mw_draw_first_ref());
     t->heartbeat_deadline_us = mw_now();
     if (!mw_start_region_process(&t->process, &process, task, &message)) {
         fail_to_start(t, message);
@@ -313,11 +314,12 @@
         out,
         "mimosawind_requests %" PRIu64 "\nmimosawind_refused %" PRIu64
         "\nmimosawind_handed_again %" PRIu64 "\nmimosawind_timed_out %" PRIu64
-        "\nmimosawind_leaders %" PRIu64
+        "\nmimosawind_late_replies %" PRIu64 "\nmimosawind_leaders %" PRIu64
         "\nmimosawind_open %u\nmimosawind_ready %d\n"
         "mimosawind_log_lines_dropped %" PRIu64 "\n",
-        c->requests, c->refused, c->handed_again, c->timed_out, c->leaders,
-        mw_flow_entry_pending_count(t->entry), mw_flow_entry_task_is_ready(t),
+        c->requests, c->refused, c->handed_again, c->timed_out,
+        c->late_replies, c->leaders, mw_flow_entry_pending_count(t->entry),
+        mw_flow_entry_task_is_ready(t),
         mw_event_log_dropped_count(t->process.log));
     return out;
 }
--- a/tests/heartbeat-script.c
+++ b/tests/heartbeat-script.c
@@ -7,6 +7,8 @@
 #include "script.h"
 
 #define START_US INT64_C(1000000000)
+/* of the relay's messages to the leader */
+#define FIRST_REF 101
 
 struct state {
     struct mw_script *script;
@@ -45,7 +47,7 @@
     struct state *st = g_new0(struct state, 1);
     struct mw_heartbeat_relay_output output = {st, print_batch, print_reply};
 
-    st->relay = mw_new_heartbeat_relay(&output);
+    st->relay = mw_new_heartbeat_relay(&output, FIRST_REF);
     st->now_us = START_US;
     return st;
 }
@@ -100,7 +102,7 @@
     mw_heartbeat_relay_tick(st->relay, st->now_us, &leader);
 }
 
-/* settle REF: the leader acknowledges it */
+/* settle REF: the leader acknowledges the message with this ref */
 static void
 cmd_settle(struct mw_script *s)
 {
--- a/tests/input-script.c
+++ b/tests/input-script.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "disk.h"
+#include "first-ref.h"
 #include "script.h"
 #include "settings.h"
 
@@ -474,6 +475,26 @@
     g_free(data_dir);
 }
 
+/* first-refs COUNT: draws them as for so many lives of a process */
+static void
+cmd_first_refs(struct mw_script *s)
+{
+    guint64 count = g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+    GHashTable *drawn =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    bool in_range = true;
+
+    for (guint64 i = 0; i < count; i++) {
+        uint64_t ref = mw_draw_first_ref();
+
+        in_range &= ref >= 1 && ref <= MW_FIRST_REF_MAX;
+        g_hash_table_add(drawn, g_memdup2(&ref, sizeof ref));
+    }
+    mw_script_printf(s, "  %u different ones, %s", g_hash_table_size(drawn),
+                     in_range ? "in range" : "out of range");
+    g_hash_table_unref(drawn);
+}
+
 static const struct mw_script_command commands[] = {
     {"document", 1, cmd_document},
     {"big-document", 1, cmd_big_document},
@@ -488,6 +509,7 @@
     {"errors", 0, cmd_errors},
     {"disk", 1, cmd_disk},
     {"full-disk", 1, cmd_full_disk},
+    {"first-refs", 1, cmd_first_refs},
     {NULL, 0, NULL},
 };
 
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -114,6 +114,14 @@
                       strcmp(mw_script_word(s, 3), "on") == 0);
 }
 
+/* count-from N: the next request gets ref N, as with a process that has been
+ * started again and numbers its clients' requests anew */
+static void
+cmd_count_from(struct mw_script *s)
+{
+    script_region(s)->last_ref = (uint64_t)atoi(mw_script_word(s, 1)) - 1;
+}
+
 /* config PROCESS VERSION */
 static void
 cmd_config(struct mw_script *s)
@@ -254,6 +262,7 @@
     {"wipe", 1, cmd_wipe},
     {"start", 1, cmd_start},
     {"cut", 3, cmd_cut},
+    {"count-from", 1, cmd_count_from},
     {"config", 2, cmd_config},
     {"read-config", 1, cmd_read_config},
     {"submit", 2, cmd_submit},
--- a/tests/region.c
+++ b/tests/region.c
@@ -235,6 +235,12 @@
     }
 }
 
+static uint64_t
+first_ref(const struct mw_region_node *node)
+{
+    return 1 + node->start_number * MW_REGION_REFS_PER_LIFE;
+}
+
 /* Starts the control process's state anew. */
 static void
 replace_control(struct mw_region_node *node)
@@ -250,6 +256,7 @@
         .compact_after = 60,
         .random_seed =
             (uint32_t)(node->index + 1) * 31 + (uint32_t)node->incarnation,
+        .first_ref = first_ref(node),
         .now_us = region->now_us,
         .limits = {10000000, 900000, 240000000},
         .output = {node, node_send, node_send_all, node_store, node_command,
@@ -305,7 +312,7 @@
     node->start_number = ++node->region->start_count;
     node->frozen = false;
     if (!node->is_control) {
-        node->entry = mw_new_flow_entry(&output, &node->name);
+        node->entry = mw_new_flow_entry(&output, &node->name, first_ref(node));
         return;
     }
     node->incarnation = ++node->region->last_incarnation;
--- a/tests/region.h
+++ b/tests/region.h
@@ -20,6 +20,8 @@
 #define MW_REGION_STEP_US 10000
 #define MW_REGION_START_US 1000000000
 #define MW_REGION_REQUEST_TIMEOUT_US 3000000
+/* more refs than a process uses in one life */
+#define MW_REGION_REFS_PER_LIFE UINT64_C(1000000)
 /* a flow of one task */
 #define MW_REGION_PLAN                                                        \
     "{\"spec\":\"s\",\"phases\":[{\"count\":1,\"cpu\":1000,\"gpus\":1}]}"
--- a/tests/world-script.c
+++ b/tests/world-script.c
@@ -21,6 +21,8 @@
 #define ANNOUNCE_US 500000
 #define OUT_OF_SERVICE_BOUND_US 5000000
 #define ENDPOINT_LEASE_US 5000000
+/* more refs than a process uses in one life */
+#define REFS_PER_LIFE UINT64_C(1000000)
 
 enum node_kind {
     CONTROL = 0,
@@ -58,6 +60,8 @@
     struct mw_entry *entry;
     struct mw_context ctx;
     uint64_t incarnation;
+    /* how often it was started */
+    uint64_t life_count;
     /* encoded stored items; a crash keeps the first synced_count of them */
     GPtrArray *stored[MW_GROUPS];
     uint64_t sequence[MW_GROUPS];
@@ -407,6 +411,13 @@
     mw_drop_blob(report.output);
 }
 
+/* That of a new life of the process. */
+static uint64_t
+first_ref(struct node *node)
+{
+    return 1 + ++node->life_count * REFS_PER_LIFE;
+}
+
 static void
 create_control(struct node *node)
 {
@@ -415,6 +426,7 @@
         .name = node->name,
         .zone = node->zone,
         .compact_after = 200,
+        .first_ref = first_ref(node),
         .seed = (uint32_t)(node->index + 1) * 31 + (uint32_t)node->incarnation,
         .now_us = cluster->now_us,
         .output = {node, node_send, node_send_all, node_store},
@@ -494,6 +506,7 @@
     if (node->up) {
         return;
     }
+    setup.first_ref = first_ref(node);
     node->frozen = false;
     if (node->kind == CONTROL) {
         start_control(node);
