Work no longer waits for ever while half of the region is free

Cause: waiting work may enter the urgent pool after 1.2 s only while no more than 45 of 100 accelerators are in use, and the pool grows to all racks. From there to the half, everything that is neither urgent nor checkpointed waits beside a free half, without a bound.

Change: the bound is a half.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -414,8 +414,8 @@
     int64_t maintenance_deadline_us;
     /* decaying peak of the accelerators that urgent work needs */
     uint32_t urgent_peak_milligpus;
-    /* share of accelerators in use is above BUSY_PERCENT */
-    bool busy;
+    /* HALF_FULL_PERCENT of the accelerators, or more, are in use */
+    bool half_full;
     /* it is above NEARLY_FULL_PERCENT */
     bool nearly_full;
     struct mw_flow_counters counters;
--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -10,7 +10,9 @@
  *
  *        The size of the pool follows the urgent demand, up to all racks.
  *        Less urgent work then fills only about half of the region, and its
- *        long objective leaves time for the wait.
+ *        long objective leaves time for the wait.  While less than half of
+ *        the accelerators are in use, no work waits for long beside the free
+ *        half.
  */
 #include <string.h>
 
@@ -20,11 +22,11 @@
 #define POOL_DEMAND_PERCENT 600
 /* and at most this percentage of all accelerators */
 #define POOL_MAX_PERCENT 100
-/* accelerators in use, above which POOL_WAIT_US no longer applies */
-#define BUSY_PERCENT 45
+/* accelerators in use, from which on POOL_WAIT_US no longer applies */
+#define HALF_FULL_PERCENT 50
 /* accelerators in use, above which the pool excludes checkpointed steps */
 #define NEARLY_FULL_PERCENT 70
-/* other work may use the pool after such a wait, while few are in use */
+/* other work may use the pool after such a wait, while fewer are in use */
 #define POOL_WAIT_US 1200000
 /* each scheduling pass lowers the peak by one part in so many */
 #define PEAK_DECAY 400
@@ -109,7 +111,7 @@
             g_ptr_array_add(usable, endpoint);
         }
     }
-    flows->busy = used_gpus > total_gpus * BUSY_PERCENT / 100;
+    flows->half_full = used_gpus * 100 >= total_gpus * HALF_FULL_PERCENT;
     flows->nearly_full = used_gpus > total_gpus * NEARLY_FULL_PERCENT / 100;
     pool_target =
         MIN(flows->urgent_peak_milligpus / 1000 * POOL_DEMAND_PERCENT / 100,
@@ -132,7 +134,7 @@
                         const struct mw_flow_endpoint *endpoint,
                         const struct mw_task_group *group, int64_t now_us)
 {
-    if (!flows->busy && now_us - group->ready_us > POOL_WAIT_US) {
+    if (!flows->half_full && now_us - group->ready_us > POOL_WAIT_US) {
         return false;
     }
     return endpoint->in_urgent_pool && group->rank >= 2 &&
