A waiting gang's reservation no longer keeps a free half idle

Cause: the reservation of a gang that preempts nothing is renewed for as long as the gang waits, without a bound for those beside it.

Evidence: flow/reserved-half-free. With 16 of 48 accelerators in use, four of six endpoints idle, neither a task of 8 accelerators nor a gang of 3 of 1 was started in 3.9 s.

Change: as with the urgent pool, work that has waited for 1.2 s while less than half is in use may use such endpoints. Reservations of urgent work, whose victims are being stopped, stay as they were.

Measured: the script starts all four tasks; build/check 180 scripts, no failure.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -663,6 +663,13 @@
 /* flow-urgent-pool.c */
 /* mw_update_urgent_pool: also finds the usable endpoints of this pass. */
 void mw_update_urgent_pool(struct mw_flows *flows, int64_t now_us);
+/*
+ * mw_has_waited_beside_free_half: no room is kept from the group for other
+ * work that is not urgent, nor by the urgent pool.
+ */
+bool mw_has_waited_beside_free_half(const struct mw_flows *flows,
+                                    const struct mw_task_group *group,
+                                    int64_t now_us);
 /* whether the endpoint is kept free of this group's tasks */
 bool mw_urgent_pool_excludes(const struct mw_flows *flows,
                              const struct mw_flow_endpoint *endpoint,
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -126,6 +126,21 @@
                : group->step->max_per_endpoint - placed;
 }
 
+/* A gang that waits for runs to end does not keep a free half idle. */
+static bool
+reservation_excludes(const struct mw_flows *flows,
+                     const struct mw_flow_endpoint *endpoint,
+                     const struct mw_task_group *group, int64_t now_us)
+{
+    if (!endpoint->reserved_for || endpoint->reserved_for == group ||
+        group->rank < endpoint->reserved_rank ||
+        now_us >= endpoint->reserved_deadline_us) {
+        return false;
+    }
+    return endpoint->reserved_rank <= MW_URGENT_RANK_MAX ||
+           !mw_has_waited_beside_free_half(flows, group, now_us);
+}
+
 bool
 mw_flow_endpoint_is_eligible(const struct mw_flows *flows,
                              const struct mw_flow_endpoint *endpoint,
@@ -143,9 +158,7 @@
         mw_trial_excludes(endpoint, group)) {
         return false;
     }
-    return !endpoint->reserved_for || endpoint->reserved_for == group ||
-           group->rank < endpoint->reserved_rank ||
-           now_us >= endpoint->reserved_deadline_us;
+    return !reservation_excludes(flows, endpoint, group, now_us);
 }
 
 /* candidate: an endpoint with capacity for some tasks of the group. */
--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -27,7 +27,7 @@
 /* accelerators in use, above which the pool excludes checkpointed steps */
 #define NEARLY_FULL_PERCENT 70
 /* other work may use the pool after such a wait, while fewer are in use */
-#define POOL_WAIT_US 1200000
+#define POOL_WAIT_US INT64_C(1200000)
 /* each scheduling pass lowers the peak by one part in so many */
 #define PEAK_DECAY 400
 
@@ -129,12 +129,20 @@
     }
 }
 
+bool
+mw_has_waited_beside_free_half(const struct mw_flows *flows,
+                               const struct mw_task_group *group,
+                               int64_t now_us)
+{
+    return !flows->half_full && now_us - group->ready_us > POOL_WAIT_US;
+}
+
 bool
 mw_urgent_pool_excludes(const struct mw_flows *flows,
                         const struct mw_flow_endpoint *endpoint,
                         const struct mw_task_group *group, int64_t now_us)
 {
-    if (!flows->half_full && now_us - group->ready_us > POOL_WAIT_US) {
+    if (mw_has_waited_beside_free_half(flows, group, now_us)) {
         return false;
     }
     return endpoint->in_urgent_pool && group->rank >= 2 &&
