The urgent pool keeps no work waiting for more than 15 s

Cause: above half the pool excludes such work without a bound on its wait.

Change: POOL_LONGEST_WAIT_US, 15 s.

--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -10,9 +10,9 @@
  *
  *        The size of the pool follows the urgent demand, up to all racks.
  *        Less urgent work then fills only about half of the region, and its
- *        long objective leaves time for the wait.  While less than half of
- *        the accelerators are in use, no work waits for long beside the free
- *        half.
+ *        long objective leaves time for the wait, which is bounded: shortly
+ *        while less than half of the accelerators are in use, and else by
+ *        POOL_LONGEST_WAIT_US.
  */
 #include <string.h>
 
@@ -28,6 +28,8 @@
 #define NEARLY_FULL_PERCENT 70
 /* other work may use the pool after such a wait, while fewer are in use */
 #define POOL_WAIT_US INT64_C(1200000)
+/* and after such a wait in any case */
+#define POOL_LONGEST_WAIT_US INT64_C(15000000)
 /* each scheduling pass lowers the peak by one part in so many */
 #define PEAK_DECAY 400
 
@@ -142,7 +144,8 @@
                         const struct mw_flow_endpoint *endpoint,
                         const struct mw_task_group *group, int64_t now_us)
 {
-    if (mw_has_waited_beside_free_half(flows, group, now_us)) {
+    if (mw_has_waited_beside_free_half(flows, group, now_us) ||
+        now_us - group->ready_us > POOL_LONGEST_WAIT_US) {
         return false;
     }
     return endpoint->in_urgent_pool && group->rank >= 2 &&
