The urgent pool is one of each service

Cause: one pool and one share in use for the whole region. The urgent demand of one service kept the racks of all services, and the share in use was that of all services together.

Change: struct mw_urgent_pool holds demand, racks and shares of one service.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -246,6 +246,26 @@
     bool exceeds_guarantee;
 };
 
+/* mw_urgent_pool: the racks of a service for urgent work; gpus are totals. */
+struct mw_urgent_pool {
+    struct mw_name service;
+    /* decaying peak of the accelerators that urgent work needs */
+    uint32_t peak_milligpus;
+    /* of the current pass: */
+    uint32_t endpoint_count;
+    uint32_t total_gpus;
+    uint32_t used_gpus;
+    uint32_t demand_gpus;
+    /* of the pool, as chosen so far and as wanted */
+    uint32_t gpus;
+    uint32_t target_gpus;
+    const struct mw_name *last_rack;
+    /* HALF_FULL_PERCENT of the accelerators, or more, are in use */
+    bool half_full;
+    /* more than NEARLY_FULL_PERCENT are */
+    bool nearly_full;
+};
+
 /* mw_flow_endpoint: an endpoint as the leader knows it. */
 struct mw_flow_endpoint {
     struct mw_name id;
@@ -320,7 +340,8 @@
     int64_t quarantine_deadline_us;
     /* may get work in this scheduling pass */
     bool usable;
-    /* its rack belongs to the pool for urgent work */
+    /* of its service, set by each pass, and whether its rack belongs to it */
+    struct mw_urgent_pool *urgent_pool;
     bool in_urgent_pool;
     /* a record of its heartbeat is not committed yet, and what it says */
     bool record_pending;
@@ -412,12 +433,8 @@
     int64_t tick_deadline_us;
     int64_t pass_deadline_us;
     int64_t maintenance_deadline_us;
-    /* decaying peak of the accelerators that urgent work needs */
-    uint32_t urgent_peak_milligpus;
-    /* HALF_FULL_PERCENT of the accelerators, or more, are in use */
-    bool half_full;
-    /* it is above NEARLY_FULL_PERCENT */
-    bool nearly_full;
+    /* struct mw_urgent_pool by service */
+    GHashTable *urgent_pools;
     struct mw_flow_counters counters;
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
@@ -563,8 +580,7 @@
  * service, label, urgent pool and reservations allow it.  Free resources are
  * not considered.
  */
-bool mw_flow_endpoint_is_eligible(const struct mw_flows *flows,
-                                  const struct mw_flow_endpoint *endpoint,
+bool mw_flow_endpoint_is_eligible(const struct mw_flow_endpoint *endpoint,
                                   const struct mw_task_group *group,
                                   int64_t now_us);
 /* mw_flow_endpoint_limit_left: tasks that the step's spread still allows. */
@@ -661,18 +677,17 @@
 void mw_fail_crashing_flow(struct mw_flows *flows, struct mw_flow *flow);
 
 /* flow-urgent-pool.c */
-/* mw_update_urgent_pool: also finds the usable endpoints of this pass. */
-void mw_update_urgent_pool(struct mw_flows *flows, int64_t now_us);
+/* mw_update_urgent_pools: also finds the usable endpoints of this pass. */
+void mw_update_urgent_pools(struct mw_flows *flows, int64_t now_us);
 /*
  * mw_has_waited_beside_free_half: no room is kept from the group for other
  * work that is not urgent, nor by the urgent pool.
  */
-bool mw_has_waited_beside_free_half(const struct mw_flows *flows,
+bool mw_has_waited_beside_free_half(const struct mw_flow_endpoint *endpoint,
                                     const struct mw_task_group *group,
                                     int64_t now_us);
 /* whether the endpoint is kept free of this group's tasks */
-bool mw_urgent_pool_excludes(const struct mw_flows *flows,
-                             const struct mw_flow_endpoint *endpoint,
+bool mw_urgent_pool_excludes(const struct mw_flow_endpoint *endpoint,
                              const struct mw_task_group *group,
                              int64_t now_us);
 
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -128,8 +128,7 @@
 
 /* A gang that waits for runs to end does not keep a free half idle. */
 static bool
-reservation_excludes(const struct mw_flows *flows,
-                     const struct mw_flow_endpoint *endpoint,
+reservation_excludes(const struct mw_flow_endpoint *endpoint,
                      const struct mw_task_group *group, int64_t now_us)
 {
     if (!endpoint->reserved_for || endpoint->reserved_for == group ||
@@ -138,12 +137,11 @@
         return false;
     }
     return endpoint->reserved_rank <= MW_URGENT_RANK_MAX ||
-           !mw_has_waited_beside_free_half(flows, group, now_us);
+           !mw_has_waited_beside_free_half(endpoint, group, now_us);
 }
 
 bool
-mw_flow_endpoint_is_eligible(const struct mw_flows *flows,
-                             const struct mw_flow_endpoint *endpoint,
+mw_flow_endpoint_is_eligible(const struct mw_flow_endpoint *endpoint,
                              const struct mw_task_group *group, int64_t now_us)
 {
     if (!endpoint->usable || !mw_name_equal(&endpoint->heartbeat.service,
@@ -154,11 +152,11 @@
         !mw_flow_endpoint_has_label(endpoint, &group->step->label)) {
         return false;
     }
-    if (mw_urgent_pool_excludes(flows, endpoint, group, now_us) ||
+    if (mw_urgent_pool_excludes(endpoint, group, now_us) ||
         mw_trial_excludes(endpoint, group)) {
         return false;
     }
-    return !reservation_excludes(flows, endpoint, group, now_us);
+    return !reservation_excludes(endpoint, group, now_us);
 }
 
 /* candidate: an endpoint with capacity for some tasks of the group. */
@@ -208,7 +206,7 @@
     for (guint i = 0; i < flows->usable->len; i++) {
         struct candidate c = {.endpoint = flows->usable->pdata[i]};
 
-        if (!mw_flow_endpoint_is_eligible(flows, c.endpoint, group, now_us)) {
+        if (!mw_flow_endpoint_is_eligible(c.endpoint, group, now_us)) {
             continue;
         }
         c.capacity = mw_tasks_that_fit(&c.endpoint->heartbeat.total,
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -237,7 +237,7 @@
         struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
 
         if ((!rack || mw_name_equal(&endpoint->rack, rack)) &&
-            mw_flow_endpoint_is_eligible(flows, endpoint, group, now_us)) {
+            mw_flow_endpoint_is_eligible(endpoint, group, now_us)) {
             g_ptr_array_add(endpoints, endpoint);
         }
     }
--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -1,15 +1,15 @@
 /*
- * flow-urgent-pool: the urgent pool, a set of racks for urgent work.
+ * flow-urgent-pool: the urgent pool of each service, racks for urgent work.
  *
  * LOAD   urgent gangs that arrive every half second and need one rack at
  *        once, beside long work that would fill every rack.  A preemption
  *        takes most of the time that an urgent gang may wait.  The racks of
- *        the pool therefore take only urgent work and, until the region is
+ *        the pool therefore take only urgent work and, until the service is
  *        nearly full, steps with checkpoints, which lose little when they are
  *        preempted.
  *
  *        The size of the pool follows the urgent demand, up to all racks.
- *        Less urgent work then fills only about half of the region, and its
+ *        Less urgent work then fills only about half of the service, and its
  *        long objective leaves time for the wait, which is bounded: shortly
  *        while less than half of the accelerators are in use, and else by
  *        POOL_LONGEST_WAIT_US.
@@ -33,27 +33,6 @@
 /* each scheduling pass lowers the peak by one part in so many */
 #define PEAK_DECAY 400
 
-static uint32_t
-urgent_demand(const struct mw_flows *flows)
-{
-    uint32_t gpus = 0;
-
-    for (guint f = 0; f < flows->active->len; f++) {
-        const struct mw_flow *flow = flows->active->pdata[f];
-
-        for (uint32_t u = 0;
-             flow->route.priority == 0 && u < flow->group_count; u++) {
-            const struct mw_task_group *group = &flow->groups[u];
-
-            if (group->rank < 2) {
-                gpus += (group->step->count - group->done_count) *
-                        group->step->need.gpus;
-            }
-        }
-    }
-    return gpus;
-}
-
 static gint
 by_rack(gconstpointer a, gconstpointer b)
 {
@@ -84,72 +63,158 @@
     flows->is_rack_order_stale = false;
 }
 
-void
-mw_update_urgent_pool(struct mw_flows *flows, int64_t now_us)
+/* The pool of a service, which is added if it has none. */
+static struct mw_urgent_pool *
+pool_of(struct mw_flows *flows, const struct mw_name *service)
+{
+    struct mw_urgent_pool *pool =
+        g_hash_table_lookup(flows->urgent_pools, service);
+
+    if (!pool) {
+        pool = g_new0(struct mw_urgent_pool, 1);
+        pool->service = *service;
+        g_hash_table_insert(flows->urgent_pools, &pool->service, pool);
+    }
+    return pool;
+}
+
+/*
+ * Whether the pool is of no use any more, as no endpoint refers to it;
+ * otherwise begins a pass with it.
+ */
+static gboolean
+begin_pass(gpointer service, gpointer value, gpointer data)
+{
+    struct mw_urgent_pool *pool = value;
+    bool is_unused = pool->endpoint_count == 0 && pool->peak_milligpus == 0;
+
+    (void)service;
+    (void)data;
+    pool->peak_milligpus -= pool->peak_milligpus / PEAK_DECAY;
+    pool->endpoint_count = 0;
+    pool->total_gpus = 0;
+    pool->used_gpus = 0;
+    pool->demand_gpus = 0;
+    pool->gpus = 0;
+    pool->last_rack = NULL;
+    return is_unused;
+}
+
+static void
+add_demand(struct mw_flows *flows)
+{
+    for (guint f = 0; f < flows->active->len; f++) {
+        const struct mw_flow *flow = flows->active->pdata[f];
+
+        for (uint32_t u = 0;
+             flow->route.priority == 0 && u < flow->group_count; u++) {
+            const struct mw_task_group *group = &flow->groups[u];
+
+            if (group->rank <= MW_URGENT_RANK_MAX) {
+                pool_of(flows, &flow->route.service)->demand_gpus +=
+                    (group->step->count - group->done_count) *
+                    group->step->need.gpus;
+            }
+        }
+    }
+}
+
+/* Counts what there is and what is in use, and finds the usable endpoints. */
+static void
+add_endpoints(struct mw_flows *flows, int64_t now_us)
 {
-    GPtrArray *usable = flows->usable;
-    uint32_t demand = urgent_demand(flows);
-    uint32_t total_gpus = 0;
-    uint32_t used_gpus = 0;
-    uint32_t pool_gpus = 0;
-    uint32_t pool_target;
-    const struct mw_name *rack = NULL;
-
-    flows->urgent_peak_milligpus -= flows->urgent_peak_milligpus / PEAK_DECAY;
-    flows->urgent_peak_milligpus =
-        MAX(flows->urgent_peak_milligpus, demand * 1000);
-    g_ptr_array_set_size(usable, 0);
+    g_ptr_array_set_size(flows->usable, 0);
     sort_by_rack(flows);
     for (guint i = 0; i < flows->by_rack->len; i++) {
         struct mw_flow_endpoint *endpoint = flows->by_rack->pdata[i];
+        struct mw_urgent_pool *pool = endpoint->urgent_pool;
 
+        if (!pool ||
+            !mw_name_equal(&pool->service, &endpoint->heartbeat.service)) {
+            pool = pool_of(flows, &endpoint->heartbeat.service);
+            endpoint->urgent_pool = pool;
+        }
         endpoint->in_urgent_pool = false;
         endpoint->usable = mw_flow_endpoint_is_usable(flows, endpoint, now_us);
+        pool->endpoint_count++;
         if (endpoint->registered && !endpoint->deregistered) {
-            total_gpus += endpoint->heartbeat.total.gpus;
-            used_gpus += endpoint->used.gpus;
+            pool->total_gpus += endpoint->heartbeat.total.gpus;
+            pool->used_gpus += endpoint->used.gpus;
         }
         if (endpoint->usable) {
-            g_ptr_array_add(usable, endpoint);
+            g_ptr_array_add(flows->usable, endpoint);
         }
     }
-    flows->half_full = used_gpus * 100 >= total_gpus * HALF_FULL_PERCENT;
-    flows->nearly_full = used_gpus > total_gpus * NEARLY_FULL_PERCENT / 100;
-    pool_target =
-        MIN(flows->urgent_peak_milligpus / 1000 * POOL_DEMAND_PERCENT / 100,
-            total_gpus * POOL_MAX_PERCENT / 100);
-    for (guint i = 0; i < usable->len; i++) {
-        struct mw_flow_endpoint *endpoint = usable->pdata[i];
-
-        if (pool_gpus >= pool_target &&
-            !(rack && mw_name_equal(rack, &endpoint->rack))) {
-            break;
+}
+
+static void
+set_target(struct mw_urgent_pool *pool)
+{
+    pool->peak_milligpus = MAX(pool->peak_milligpus, pool->demand_gpus * 1000);
+    pool->half_full =
+        pool->used_gpus * 100 >= pool->total_gpus * HALF_FULL_PERCENT;
+    pool->nearly_full =
+        pool->used_gpus * 100 > pool->total_gpus * NEARLY_FULL_PERCENT;
+    pool->target_gpus =
+        MIN(pool->peak_milligpus / 1000 * POOL_DEMAND_PERCENT / 100,
+            pool->total_gpus * POOL_MAX_PERCENT / 100);
+}
+
+/* Takes whole racks, in their order, until the pool is large enough. */
+static void
+choose_racks(struct mw_flows *flows)
+{
+    for (guint i = 0; i < flows->usable->len; i++) {
+        struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
+        struct mw_urgent_pool *pool = endpoint->urgent_pool;
+
+        if (pool->gpus >= pool->target_gpus &&
+            !(pool->last_rack &&
+              mw_name_equal(pool->last_rack, &endpoint->rack))) {
+            continue;
         }
-        rack = &endpoint->rack;
+        pool->last_rack = &endpoint->rack;
         endpoint->in_urgent_pool = true;
-        pool_gpus += endpoint->heartbeat.total.gpus;
+        pool->gpus += endpoint->heartbeat.total.gpus;
+    }
+}
+
+void
+mw_update_urgent_pools(struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_foreach_remove(flows->urgent_pools, begin_pass, NULL);
+    add_demand(flows);
+    add_endpoints(flows, now_us);
+    g_hash_table_iter_init(&iter, flows->urgent_pools);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        set_target(value);
     }
+    choose_racks(flows);
 }
 
 bool
-mw_has_waited_beside_free_half(const struct mw_flows *flows,
+mw_has_waited_beside_free_half(const struct mw_flow_endpoint *endpoint,
                                const struct mw_task_group *group,
                                int64_t now_us)
 {
-    return !flows->half_full && now_us - group->ready_us > POOL_WAIT_US;
+    return !endpoint->urgent_pool->half_full &&
+           now_us - group->ready_us > POOL_WAIT_US;
 }
 
 bool
-mw_urgent_pool_excludes(const struct mw_flows *flows,
-                        const struct mw_flow_endpoint *endpoint,
+mw_urgent_pool_excludes(const struct mw_flow_endpoint *endpoint,
                         const struct mw_task_group *group, int64_t now_us)
 {
-    if (mw_has_waited_beside_free_half(flows, group, now_us) ||
+    if (mw_has_waited_beside_free_half(endpoint, group, now_us) ||
         now_us - group->ready_us > POOL_LONGEST_WAIT_US) {
         return false;
     }
-    return endpoint->in_urgent_pool && group->rank >= 2 &&
-           (flows->nearly_full || !group->step->checkpointing) &&
+    return endpoint->in_urgent_pool && group->rank > MW_URGENT_RANK_MAX &&
+           (endpoint->urgent_pool->nearly_full ||
+            !group->step->checkpointing) &&
            !(group->step->data_rack.len > 0 &&
              mw_name_equal(&group->step->data_rack, &endpoint->rack));
 }
