--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -170,6 +170,9 @@
                     void (*add)(void *out, struct mw_record *record));
 };
 
+/* compact_bytes of the product: what a member keeps and reads at a start */
+#define MW_LOG_COMPACT_BYTES (UINT64_C(8) * 1024 * 1024)
+
 struct mw_log_setup {
     struct mw_name group;
     struct mw_name self;
@@ -182,6 +185,8 @@
     uint64_t incarnation;
     /* applied entries after which a snapshot replaces them; 0 for never */
     uint32_t compact_after;
+    /* and bytes of them, beyond those of the last snapshot; 0 for never */
+    uint64_t compact_bytes;
     uint32_t seed;
     int64_t now_us;
     struct mw_log_output output;
--- a/include/mimosawind/record.h
+++ b/include/mimosawind/record.h
@@ -117,6 +117,9 @@
 /* mw_new_record: new zeroed record of a kind with one reference. */
 struct mw_record *mw_new_record(enum mw_record_kind kind);
 
+/* mw_record_size: bytes of memory that the record takes, roughly. */
+size_t mw_record_size(const struct mw_record *record);
+
 /* mw_keep_record, mw_drop_record: take or release a reference. */
 struct mw_record *mw_keep_record(struct mw_record *record);
 void mw_drop_record(struct mw_record *record);
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -189,6 +189,7 @@
         .target_member_count = setup->target_member_count,
         .incarnation = setup->incarnation,
         .compact_after = setup->compact_after,
+        .compact_bytes = MW_LOG_COMPACT_BYTES,
         .seed = setup->random_seed,
         .now_us = setup->now_us,
         .output = {control, log_send, log_store, log_apply, log_reset,
--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -11,6 +11,16 @@
     g_ptr_array_add(out, mw_keep_record(record));
 }
 
+static void
+note_snapshot_size(struct mw_log *log)
+{
+    log->snapshot_bytes = 0;
+    log->applied_bytes = 0;
+    for (guint i = 0; i < log->snapshot_records->len; i++) {
+        log->snapshot_bytes += mw_record_size(log->snapshot_records->pdata[i]);
+    }
+}
+
 void
 mw_log_compact(struct mw_log *log)
 {
@@ -27,6 +37,7 @@
     log->snapshot_term = term;
     g_ptr_array_unref(log->snapshot_records);
     log->snapshot_records = records;
+    note_snapshot_size(log);
     log->counters.snapshots_taken++;
     mw_log_store_snapshot(log);
     mw_log_store_meta(log);
@@ -40,6 +51,7 @@
 mw_log_apply_snapshot(struct mw_log *log)
 {
     log->output.reset(log->output.opaque);
+    note_snapshot_size(log);
     for (guint i = 0; i < log->snapshot_records->len; i++) {
         struct mw_record *record = log->snapshot_records->pdata[i];
 
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -51,6 +51,7 @@
     struct mw_name group;
     struct mw_log_output output;
     uint32_t compact_after;
+    uint64_t compact_bytes;
     GRand *rand;
     /* slot of this member */
     unsigned self;
@@ -75,6 +76,9 @@
     GPtrArray *snapshot_records;
     uint64_t commit_index;
     uint64_t applied_index;
+    /* of the snapshot's records, and of the entries applied since */
+    uint64_t snapshot_bytes;
+    uint64_t applied_bytes;
     /* first entry of this leader's own term */
     uint64_t term_start_index;
 
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -149,6 +149,20 @@
     return best;
 }
 
+/*
+ * Few large records take as much memory, and time at a start, as many small
+ * ones.  A state that is large itself is not written again for each few bytes.
+ */
+static bool
+is_compaction_due(const struct mw_log *log)
+{
+    uint64_t applied = log->applied_index - log->snapshot_index;
+
+    return (log->compact_after > 0 && applied > log->compact_after) ||
+           (log->compact_bytes > 0 &&
+            log->applied_bytes > log->compact_bytes + log->snapshot_bytes);
+}
+
 void
 mw_log_commit_to(struct mw_log *log, uint64_t commit)
 {
@@ -169,12 +183,11 @@
             mw_log_entry_at(log, ++log->applied_index);
 
         log->counters.committed++;
+        log->applied_bytes += mw_record_size(entry->record);
         log->output.apply(log->output.opaque, log->applied_index,
                           entry->record);
     }
-    if (!log->restoring && log->compact_after > 0 &&
-        log->entries->len > log->compact_after &&
-        log->applied_index - log->snapshot_index > log->compact_after) {
+    if (!log->restoring && is_compaction_due(log)) {
         mw_log_compact(log);
     }
 }
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -34,6 +34,7 @@
     log->group = setup->group;
     log->output = setup->output;
     log->compact_after = setup->compact_after;
+    log->compact_bytes = setup->compact_bytes;
     log->writable = true;
     log->rand = g_rand_new_with_seed(setup->seed);
     log->incarnation = setup->incarnation;
--- a/source/core/record.c
+++ b/source/core/record.c
@@ -21,6 +21,43 @@
     return record;
 }
 
+static size_t
+tasks_size(const struct mw_record_tasks *tasks)
+{
+    size_t size = tasks->count * sizeof *tasks->entries;
+
+    for (uint32_t i = 0; i < tasks->count; i++) {
+        size += mw_blob_str(tasks->entries[i].checkpoint).len;
+    }
+    return size;
+}
+
+size_t
+mw_record_size(const struct mw_record *record)
+{
+    switch (record->kind) {
+    case MW_RECORD_DOCUMENT:
+        return sizeof *record + mw_blob_str(record->document.document->text).len;
+    case MW_RECORD_ACCEPT:
+        return sizeof *record + mw_blob_str(record->accept.body).len;
+    case MW_RECORD_INTENT:
+        return sizeof *record +
+               record->intent.part_count * sizeof *record->intent.parts;
+    case MW_RECORD_RESULT:
+        return sizeof *record + mw_blob_str(record->result.output).len;
+    case MW_RECORD_CONFIG:
+        return sizeof *record + mw_blob_str(record->config.text).len;
+    case MW_RECORD_FLOW:
+        return sizeof *record + mw_blob_str(record->flow.plan).len;
+    case MW_RECORD_TASKS:
+        return sizeof *record + tasks_size(&record->tasks);
+    case MW_RECORD_ENDPOINT:
+        return sizeof *record + sizeof *record->endpoint.heartbeat;
+    default:
+        return sizeof *record;
+    }
+}
+
 static void
 drop_tasks(struct mw_record_tasks *tasks)
 {
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -67,6 +67,7 @@
     /* disks fill up and get room again, at random */
     bool fill_disks;
     uint32_t compact_after;
+    uint64_t compact_bytes;
     /* members of the first configuration; 0 if all members are in it */
     int founding_member_count;
     uint32_t target_member_count;
@@ -210,6 +211,7 @@
         .target_member_count = cluster->target_member_count,
         .incarnation = m->incarnation,
         .compact_after = cluster->compact_after,
+        .compact_bytes = cluster->compact_bytes,
         .seed = (uint32_t)(m->index * 7919 + (int)m->incarnation),
         .now_us = cluster->now_us,
         .output = {m, member_send, member_store, member_apply, member_reset,
@@ -541,6 +543,8 @@
     struct cluster *cluster = s->state;
 
     cluster->compact_after = (uint32_t)mw_script_option_int(s, "compact", 0);
+    cluster->compact_bytes =
+        (uint64_t)mw_script_option_int(s, "compact-bytes", 0);
     for (int i = 1; i < s->word_count; i++) {
         if (!strchr(s->words[i], '=')) {
             add_member(cluster, s->words[i]);
@@ -626,6 +630,27 @@
     }
 }
 
+/* change-config COUNT BYTES: so many configurations of this size */
+static void
+cmd_change_config(struct mw_script *s)
+{
+    struct cluster *cluster = s->state;
+    gsize len = (gsize)atoi(mw_script_word(s, 2));
+    char *text = g_strnfill(len, 'x');
+    struct member *m = find_leader(cluster);
+
+    for (int i = 0; m && i < atoi(mw_script_word(s, 1)); i++) {
+        struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
+
+        record->config.version = (uint64_t)i + 1;
+        record->config.text = mw_new_blob((struct mw_str){text, len});
+        mw_log_propose(&cluster->ctx, m->log, cluster->now_us, record, NULL);
+        mw_drop_record(record);
+        mw_log_flush(m->log, cluster->now_us);
+    }
+    g_free(text);
+}
+
 static void
 cmd_crash(struct mw_script *s)
 {
@@ -900,6 +925,7 @@
     {"members", 1, cmd_members},
     {"run", 1, cmd_run},
     {"propose", 0, cmd_propose},
+    {"change-config", 2, cmd_change_config},
     {"crash", 1, cmd_crash},
     {"lose-disk", 1, cmd_lose_disk},
     {"start", 1, cmd_start},
