A run that works for long is not stopped as stalled

Cause: a whole percent that stands still for 4.3 s counted as a stall, however long the task works; a new checkpoint did not count as progress.

Evidence: flow/long-task and flow/long-task-unknown; before this change run 1 of the first was stopped after 4.3 s, and run 2 of the second as well.

Change: a run may show one percent for three times as long as a percent takes by its estimate and by its own pace; a new checkpoint is progress. As estimates may be far off, each stall of a task doubles the time of its next run, and only its first is blamed on an endpoint.

--- a/source/core/flow/flow-health.c
+++ b/source/core/flow/flow-health.c
@@ -6,9 +6,21 @@
  *        tasks.  The first failure puts an endpoint into a short quarantine,
  *        further failures in a row into a longer one.  After that it gets
  *        work again, and the next run shows whether it has recovered.
+ *
+ *        Tasks that work for hours, and whole percents that last for minutes.
+ *        A run has the time of some percents, by its estimate and by its own
+ *        pace.  Estimates may be far off, so each stall of a task doubles the
+ *        time of its next run, and only the first is blamed on the endpoint.
  */
 #include "flow-impl.h"
 
+/* a run without progress has stalled after the time of so many percents */
+#define STALL_PERCENTS 3
+/* and after this at the latest */
+#define STALL_TIMEOUT_MAX_US (INT64_C(24) * 3600 * 1000000)
+/* stalls that double the time of the next run */
+#define STALL_DOUBLINGS_MAX 16
+
 static uint32_t
 count_quarantined(const struct mw_flows *flows, int64_t now_us)
 {
@@ -61,6 +73,37 @@
                "failed");
 }
 
+static struct mw_flow_task *
+placed_task(const struct mw_task_placement *placement)
+{
+    return &placement->group->tasks[placement->index];
+}
+
+static int64_t
+last_progress(const struct mw_task_placement *placement)
+{
+    return MAX(placement->last_progress_us, placement->started_us);
+}
+
+/* How long a sound run may show the same percent. */
+static int64_t
+stall_timeout(const struct mw_task_placement *placement)
+{
+    uint32_t doublings =
+        MIN(placed_task(placement)->stalls, STALL_DOUBLINGS_MAX);
+    int64_t percent_us = placement->group->step->estimate_us / 100;
+    int64_t timeout_us;
+
+    if (placement->percent > 0) {
+        percent_us = MAX(percent_us,
+                         (last_progress(placement) - placement->started_us) /
+                             placement->percent);
+    }
+    percent_us = MIN(percent_us, STALL_TIMEOUT_MAX_US / STALL_PERCENTS);
+    timeout_us = MAX(MW_STALL_TIMEOUT_US, STALL_PERCENTS * percent_us);
+    return MIN(timeout_us << doublings, STALL_TIMEOUT_MAX_US);
+}
+
 /*
  * Whether lists have shown the run without progress for too long.  A run that
  * was not listed meanwhile, because lists are late, may well make progress.
@@ -68,10 +111,9 @@
 static bool
 makes_no_progress(const struct mw_task_placement *placement)
 {
-    int64_t since_us = MAX(placement->last_progress_us, placement->started_us);
-
     return placement->phase == MW_PLACEMENT_RUNNING &&
-           placement->last_listed_us - since_us >= MW_STALL_TIMEOUT_US;
+           placement->last_listed_us - last_progress(placement) >=
+               stall_timeout(placement);
 }
 
 /* A gang is stalled when all its runs are running and none makes progress. */
@@ -101,11 +143,10 @@
     for (guint i = 0; i < endpoint->placements->len; i++) {
         const struct mw_task_placement *placement =
             endpoint->placements->pdata[i];
-        int64_t since_us =
-            MAX(placement->last_progress_us, placement->started_us);
 
         if (placement->phase == MW_PLACEMENT_RUNNING) {
-            next_us = MIN(next_us, since_us + MW_STALL_TIMEOUT_US);
+            next_us = MIN(next_us,
+                          last_progress(placement) + stall_timeout(placement));
         }
     }
     return next_us;
@@ -113,10 +154,13 @@
 
 static void
 blame_endpoint(struct mw_flows *flows, int64_t now_us,
-               struct mw_flow_endpoint *endpoint)
+               const struct mw_task_placement *placement)
 {
-    /* other runs there make progress, so the endpoint is not the cause */
-    if (now_us - endpoint->last_progress_us < MW_STALL_TIMEOUT_US) {
+    struct mw_flow_endpoint *endpoint = placement->endpoint;
+
+    /* not the cause if other runs there make progress, or the task is slow */
+    if (now_us - endpoint->last_progress_us < MW_STALL_TIMEOUT_US ||
+        placed_task(placement)->stalls > 0) {
         return;
     }
     endpoint->consecutive_failures++;
@@ -132,12 +176,14 @@
     mw_emit_task_event(flows, "stalled", placement, "stopped",
                        now_us - placement->last_progress_us);
     if (!group->step->gang) {
-        blame_endpoint(flows, now_us, placement->endpoint);
+        blame_endpoint(flows, now_us, placement);
+        placed_task(placement)->stalls++;
         mw_stop_task_placement(flows, now_us, placement);
         return;
     }
     for (uint32_t i = 0; i < group->step->count; i++) {
-        blame_endpoint(flows, now_us, group->tasks[i].placement->endpoint);
+        blame_endpoint(flows, now_us, group->tasks[i].placement);
+        group->tasks[i].stalls++;
     }
     mw_stop_task_group(flows, now_us, group);
 }
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -73,7 +73,7 @@
 #define MW_REPEATED_QUARANTINE_US INT64_C(12000000)
 /* at most one in so many endpoints is in quarantine for failures */
 #define MW_QUARANTINE_ONE_IN 4
-/* a run without progress for so long is stopped */
+/* a run without progress for so long is stopped, if it is a short one */
 #define MW_STALL_TIMEOUT_US INT64_C(4300000)
 /* a reservation outlasts the stop of the victims by this */
 #define MW_RESERVATION_MARGIN_US INT64_C(800000)
@@ -136,7 +136,7 @@
     int64_t retry_deadline_us;
     int64_t started_us;
     uint32_t percent;
-    /* when percent last changed, and when it was last listed */
+    /* when percent or checkpoint last changed, and when it was last listed */
     int64_t last_progress_us;
     int64_t last_listed_us;
     /* the newest that was listed */
@@ -161,6 +161,8 @@
     /* of the leader */
     /* evidence of a run that is over, not recorded yet */
     uint32_t unrecorded_crash_score;
+    /* how many of its runs were stopped as stalled */
+    uint32_t stalls;
     struct mw_task_placement *placement;
     /* records of the task that are proposed and not yet committed */
     uint32_t uncommitted_records;
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -322,6 +322,8 @@
         !mw_str_equal(mw_blob_str(placement->checkpoint), run->checkpoint)) {
         mw_drop_blob(placement->checkpoint);
         placement->checkpoint = mw_new_blob(run->checkpoint);
+        placement->last_progress_us = now_us;
+        endpoint->last_progress_us = now_us;
     }
     /* it was started before the leader changed */
     placement->has_survived |= placement->phase == MW_PLACEMENT_UNKNOWN;
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -454,6 +454,7 @@
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
                 flow->groups[u].tasks[i].unrecorded_crash_score = 0;
+                flow->groups[u].tasks[i].stalls = 0;
             }
         }
     }
