Starts without an answer are stopped in the endpoint's next process

Its first start had no answer, the stop of that run was accepted, run 2 was at work on another endpoint, and the first endpoint, which had started again meanwhile, executed the old start.

Cause: a stop protects only the process that accepted it, and nothing kept the start once its run counted as over.

A process that is new under an identifier gets a stop for each, and no work before these are accepted.

Remains: a start executed before the new process is first heard of, and one sent by an earlier leader.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -11,6 +11,7 @@
     struct mw_flow_endpoint *endpoint = data;
 
     g_ptr_array_unref(endpoint->placements);
+    mw_drop_late_starts(endpoint);
     g_free(endpoint);
 }
 
@@ -95,8 +96,9 @@
     return endpoint->registered && !endpoint->deregistered &&
            !endpoint->is_leaving && endpoint->list_read &&
            !endpoint->awaiting_heartbeat && !endpoint->is_contested &&
-           endpoint->unknown_runs == 0 && !endpoint->heartbeat.draining &&
-           endpoint->renewal_failures == 0 &&
+           endpoint->unknown_runs == 0 &&
+           !mw_may_execute_late_start(endpoint) &&
+           !endpoint->heartbeat.draining && endpoint->renewal_failures == 0 &&
            mw_endpoint_capacity_counts(endpoint, now_us) &&
            now_us - endpoint->last_contact_us < MW_CONTACT_TIMEOUT_US &&
            now_us >= endpoint->quarantine_deadline_us &&
@@ -163,6 +165,7 @@
         }
     }
     g_ptr_array_unref(placements);
+    mw_expect_late_starts(endpoint, now_us);
     flows->dirty = true;
 }
 
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -14,6 +14,7 @@
  *   flow-endpoint.c     heartbeats and incarnations
  *   flow-registry.c     records of endpoints
  *   flow-response.c     responses to commands
+ *   flow-late-start.c   starts that endpoints may still execute
  *   flow-reconcile.c    reconciles lists of runs with placements
  *   flow-state.c        applies committed records
  *   flow-snapshot.c     records of a snapshot
@@ -336,6 +337,8 @@
     bool list_read;
     /* runs of the last list without a placement */
     uint32_t unknown_runs;
+    /* struct late_start; NULL for none */
+    GArray *late_starts;
     uint32_t consecutive_failures;
     /* when a run last made progress or was done */
     int64_t last_progress_us;
@@ -678,6 +681,22 @@
 /* mw_fail_crashing_flow: a task of it has reached the limit of crashes. */
 void mw_fail_crashing_flow(struct mw_flows *flows, struct mw_flow *flow);
 
+/* flow-late-start.c */
+/* mw_note_late_start: the run is over; nothing if its start had a response. */
+void mw_note_late_start(const struct mw_task_placement *placement);
+/* mw_expect_late_starts: the endpoint's process has started again. */
+void mw_expect_late_starts(struct mw_flow_endpoint *endpoint, int64_t now_us);
+/* whether the endpoint has not accepted a stop for each */
+bool mw_may_execute_late_start(const struct mw_flow_endpoint *endpoint);
+/* mw_stop_late_starts: sends the stops that are due. */
+void mw_stop_late_starts(struct mw_flows *flows, int64_t now_us,
+                         struct mw_flow_endpoint *endpoint);
+/* mw_late_start_responded: the result of a stop for a stray run. */
+void mw_late_start_responded(struct mw_flow_endpoint *endpoint, int64_t now_us,
+                             const struct mw_task_id *task, uint32_t run,
+                             enum mw_flow_result result);
+void mw_drop_late_starts(struct mw_flow_endpoint *endpoint);
+
 /* flow-urgent-pool.c */
 /* mw_update_urgent_pools: also finds the usable endpoints of this pass. */
 void mw_update_urgent_pools(struct mw_flows *flows, int64_t now_us);
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -232,6 +232,11 @@
         mw_settle_leave(flows, now_us, endpoint, response->result);
         return;
     }
+    if (pending->is_stray) {
+        mw_late_start_responded(endpoint, now_us, &pending->task, pending->run,
+                                response->result);
+        return;
+    }
     placement = mw_find_task_placement(endpoint, &pending->task, pending->run);
     if (!placement) {
         return;
@@ -267,6 +272,11 @@
         endpoint->renewal_deadline_us = now_us;
         return;
     }
+    if (pending->is_stray) {
+        mw_late_start_responded(endpoint, now_us, &pending->task, pending->run,
+                                MW_FLOW_NO_ANSWER);
+        return;
+    }
     placement = mw_find_task_placement(endpoint, &pending->task, pending->run);
     if (placement) {
         placement->command_pending = false;
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -170,6 +170,7 @@
         return;
     }
     resend_commands(flows, now_us, endpoint);
+    mw_stop_late_starts(flows, now_us, endpoint);
     mw_stop_stalled_runs(flows, now_us, endpoint);
     if (needs_renewal(flows, endpoint, now_us)) {
         send_renewal_in_turn(flows, now_us, endpoint);
