Accepted jobs stay known when a route gets another name

Cause: a job was compared with the present route by the route's name alone, which no client knows. The queue's length was counted the same way.

Evidence: flow/route-renamed; 410 for the state and the cancel, and pending 0, before.

Change: a job belongs to the route of its name, and to the one at its host and prefix.

--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -250,6 +250,18 @@
     propose_and_await(flows, request, record, &flow->id, 0);
 }
 
+/*
+ * Whether the flow was accepted under this route, or at its host and prefix:
+ * clients know a queue by these, and a configuration may name it anew.
+ */
+static bool
+is_of_route(const struct mw_flow *flow, const struct mw_flow_route *route)
+{
+    return mw_name_equal(&flow->route.name, &route->name) ||
+           (mw_name_equal(&flow->route.host, &route->host) &&
+            mw_name_equal(&flow->route.prefix, &route->prefix));
+}
+
 static void
 send_queue_length(struct mw_flows *flows,
                   const struct mw_flow_request *request,
@@ -261,8 +273,7 @@
     for (guint i = 0; i < flows->active->len; i++) {
         const struct mw_flow *flow = flows->active->pdata[i];
 
-        reply.queue_length +=
-            !flow->started && mw_name_equal(&flow->route.name, &route->name);
+        reply.queue_length += !flow->started && is_of_route(flow, route);
     }
     send_reply(flows, &reply);
 }
@@ -292,7 +303,7 @@
         }
         return;
     }
-    if (!flow || !mw_name_equal(&flow->route.name, &route->name)) {
+    if (!flow || !is_of_route(flow, route)) {
         send_error(flows, request->ref, MW_ERR_NOT_FOUND,
                    MW_STR("no such job"));
         return;
