A task that crashes its endpoints while at work is given up

Cause: a crash counted only within 0.5 s of the start, and a list that showed the run later than that cleared the task's score.

Evidence: flow/crash-at-work starts a fifth run before.

Tests: flow/crash-neighbours and crash-at-work-before print the score of 1 for the runs that were at work; what they guard (those go on, and the run at work does not count as just started, which scores 2) holds as before.

--- a/source/core/flow/flow-crash.c
+++ b/source/core/flow/flow-crash.c
@@ -7,23 +7,28 @@
  *
  * Strong evidence against a run is a connection that broke soon after the
  * endpoint had answered its start, and was refused from then on; weak evidence
- * is a start that had no answer before connections were refused.  An endpoint
- * that is only out of reach, or crashes while the run has been at work for a
- * while, is no evidence.  It counts once the run is known to be over.
+ * is a start that had no answer before connections were refused, or a crash
+ * later than that, up to AT_WORK_US after the start.  An endpoint that is only
+ * out of reach, or crashes while the run has been at work for longer, is no
+ * evidence.  It counts once the run is known to be over.
  *
  * A task whose score reaches SCORE_SUSPECT is a suspect.  Its group prefers
  * endpoints without runs, and no other flow is placed beside it until the
- * endpoint has survived the start; a run that does clears the score of its
- * task.  At SCORE_LIMIT the flow fails.
+ * endpoint has survived the start; a run that does, and ends without such
+ * evidence, clears the score of its task.  At SCORE_LIMIT the flow fails.
  */
 #include "flow-impl.h"
 
 /* an endpoint that lives so long after a start has survived it */
 #define SURVIVAL_US INT64_C(500000)
+/* a crash later after the start says nothing about the task */
+#define AT_WORK_US INT64_C(60000000)
 /* score of a crash soon after an answered start */
 #define SCORE_START_ANSWERED 2
 /* score of a crash before the start was answered */
 #define SCORE_START_UNANSWERED 1
+/* score of a crash while the run was at work */
+#define SCORE_AT_WORK 1
 /* a task with this score is kept apart */
 #define SCORE_SUSPECT 2
 /* a task with this score fails its flow */
@@ -44,12 +49,17 @@
 static void
 blame(struct mw_task_placement *placement, int64_t crash_us)
 {
+    int64_t worked_us = crash_us - placement->started_us;
     uint32_t score = 0;
 
     if (placement->phase == MW_PLACEMENT_RUNNING && !placement->has_survived &&
-        crash_us - placement->started_us < SURVIVAL_US) {
+        worked_us < SURVIVAL_US) {
         score = SCORE_START_ANSWERED;
     }
+    else if (placement->phase == MW_PLACEMENT_RUNNING &&
+             worked_us < AT_WORK_US) {
+        score = SCORE_AT_WORK;
+    }
     else if (placement->phase == MW_PLACEMENT_STARTING &&
              !mw_run_is_unsent(placement)) {
         score = SCORE_START_UNANSWERED;
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -125,7 +125,7 @@
     struct mw_task_group *group = placement->group;
     struct mw_flow_task *task = &group->tasks[placement->index];
 
-    if (placement->has_survived) {
+    if (placement->has_survived && placement->crash_score == 0) {
         entry->crash_score = 0;
     }
     entry->crash_score += placement->crash_score;
