An order for a zone is refused by a process that has stood still

A control process had stood still for 1.3 s, read an order that its operator had given up, and passed it on after the evacuation that was confirmed since.

Cause: such an order has no number, and nothing noticed that it was old.

Change: a control process whose ticks show that it stood still for 0.9 s or more refuses orders for zones, its own and forwarded ones, for 0.2 s; operators wait for a second, and send them again.

Remains: an order that a network holds back for over a second between two control processes.

--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -6,6 +6,11 @@
 
 #include "flow-control-impl.h"
 
+/* ticks are due more often; operators wait no longer for a response */
+#define PAUSE_MIN_US INT64_C(900000)
+/* time after a pause to read all that has arrived meanwhile */
+#define PAUSE_BACKLOG_US INT64_C(200000)
+
 static void
 log_send(void *opaque, const struct mw_name *to, const struct mw_log_msg *msg)
 {
@@ -216,6 +221,7 @@
     control->setup = *setup;
     control->next_ref = 1;
     control->now_us = setup->now_us;
+    control->last_tick_us = setup->now_us;
     control->origins =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     control->flows = mw_new_flows(&setup->limits, &output);
@@ -315,13 +321,45 @@
     return origin->ref;
 }
 
+/*
+ * Whether the process may have stood still since the request was sent: its
+ * operator has given up by now, and may have sent a later order elsewhere.
+ * An order for a zone has no number by which that would show.
+ */
+static bool
+may_be_outdated(const struct mw_flow_control *control, int64_t now_us,
+                enum mw_flow_request_kind kind)
+{
+    bool is_zone_order = kind == MW_FLOW_ZONE_OUT || kind == MW_FLOW_ZONE_IN;
+
+    return is_zone_order && (now_us < control->pause_deadline_us ||
+                             now_us - control->last_tick_us > PAUSE_MIN_US);
+}
+
+/* Nothing was done; the order may be sent again. */
+static const struct mw_flow_reply outdated_reply = {
+    .kind = MW_REPLY_ERROR,
+    .error = MW_ERR_NOT_LEADER,
+    .retry_after_us = MW_FLOW_RETRY_AFTER_US,
+};
+
+static void
+note_tick(struct mw_flow_control *control, int64_t now_us)
+{
+    if (now_us - control->last_tick_us > PAUSE_MIN_US) {
+        control->pause_deadline_us = now_us + PAUSE_BACKLOG_US;
+    }
+    control->last_tick_us = now_us;
+}
+
 static void
 receive_forwarded(struct mw_context *ctx, struct mw_flow_control *control,
                   int64_t now_us, int64_t wall_us, const struct mw_name *from,
                   const struct mw_msg_flow_call *msg)
 {
+    struct mw_request_origin origin = {.process = *from,
+                                       .process_ref = msg->ref};
     struct mw_flow_request request = {
-        .ref = mw_add_request_origin(control, from, msg->ref),
         .kind = msg->kind,
         .host = mw_blob_str(msg->host),
         .path = mw_blob_str(msg->path),
@@ -329,6 +367,11 @@
         .body = mw_blob_str(msg->body),
     };
 
+    if (may_be_outdated(control, now_us, msg->kind)) {
+        send_reply(control, &origin, &outdated_reply);
+        return;
+    }
+    request.ref = mw_add_request_origin(control, from, msg->ref);
     mw_flows_handle_request(ctx, control->flows, now_us, wall_us, &request);
 }
 
@@ -451,7 +494,13 @@
 {
     static const struct mw_name no_process = {0};
     struct mw_flow_request scheduled = *request;
+    struct mw_flow_reply refusal = outdated_reply;
 
+    if (may_be_outdated(control, now_us, request->kind)) {
+        refusal.ref = request->ref;
+        control->setup.output.reply(control->setup.output.opaque, &refusal);
+        return;
+    }
     mw_update_leadership(ctx, control, now_us);
     if (!control->is_leader || control->suspended) {
         mw_flow_entry_request(control->entry, now_us, request,
@@ -507,6 +556,7 @@
 mw_flow_control_tick(struct mw_context *ctx, struct mw_flow_control *control,
                      int64_t now_us, int64_t wall_us)
 {
+    note_tick(control, now_us);
     mw_update_leadership(ctx, control, now_us);
     mw_flows_tick(ctx, control->flows, now_us, wall_us);
     mw_flow_entry_tick(control->entry, now_us);
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -132,6 +132,17 @@
     g_free(text);
 }
 
+/* zone PROCESS out|in: takes zone za out of service, or back */
+static void
+cmd_zone(struct mw_script *s)
+{
+    mw_send_region_request(node_word(s, 1),
+                           strcmp(mw_script_word(s, 2), "out") == 0
+                               ? MW_FLOW_ZONE_OUT
+                               : MW_FLOW_ZONE_IN,
+                           "za", "", NULL);
+}
+
 static void
 cmd_read_config(struct mw_script *s)
 {
@@ -264,6 +275,7 @@
     {"cut", 3, cmd_cut},
     {"count-from", 1, cmd_count_from},
     {"config", 2, cmd_config},
+    {"zone", 2, cmd_zone},
     {"read-config", 1, cmd_read_config},
     {"submit", 2, cmd_submit},
     {"state", 2, cmd_state},
