--- a/source/core/flow/flow-control-impl.h
+++ b/source/core/flow/flow-control-impl.h
@@ -46,7 +46,8 @@
     int64_t heartbeat_deadline_us;
     /* last call of mw_flow_control_tick */
     int64_t last_tick_us;
-    /* until then, what is read may have waited while the process stood still */
+    /* until then, what is read may have waited while the process stood still
+     */
     int64_t pause_deadline_us;
     /* forwards requests while another process is the leader */
     struct mw_flow_entry *entry;
--- a/source/core/record.c
+++ b/source/core/record.c
@@ -37,7 +37,8 @@
 {
     switch (record->kind) {
     case MW_RECORD_DOCUMENT:
-        return sizeof *record + mw_blob_str(record->document.document->text).len;
+        return sizeof *record +
+               mw_blob_str(record->document.document->text).len;
     case MW_RECORD_ACCEPT:
         return sizeof *record + mw_blob_str(record->accept.body).len;
     case MW_RECORD_INTENT:
