The capacity of an endpoint that is not heard of is not recalled

Cause: the leader itself counts on a capacity for 4 s, but the log kept it, and the next leader counted on the record for 2 s more.

Evidence: flow/capacity-unheard-recorded; a task of 4 accelerators was started on an endpoint that had 2.

Change: once a capacity no longer counts, the endpoint is recorded as having nothing, with a line endpoint_capacity unheard; the next heartbeat records it anew.

Tests: eleven scripts of silent endpoints print that line (and "grown" in place of "shrunk" where the capacity is recorded anew); no start, stop or answer of theirs changed, one lease is read 15 ms later.

Remains: a shrinking within 4 s before the leader ends.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -535,6 +535,11 @@
 void mw_propose_flow_endpoint_removal(struct mw_flows *flows,
                                       const struct mw_flow_endpoint *endpoint);
 void mw_remove_stale_endpoint_records(struct mw_flows *flows, int64_t now_us);
+/*
+ * mw_record_unheard_capacities: endpoints not heard of for too long are
+ * recorded as having nothing, until their next heartbeat.
+ */
+void mw_record_unheard_capacities(struct mw_flows *flows, int64_t now_us);
 void mw_apply_flow_endpoint(struct mw_flows *flows, struct mw_record *record);
 /* mw_restore_flow_endpoints: registers all recorded ones at a new leader. */
 void mw_restore_flow_endpoints(struct mw_flows *flows, int64_t now_us);
--- a/source/core/flow/flow-registry.c
+++ b/source/core/flow/flow-registry.c
@@ -15,6 +15,8 @@
  *        that has shrunk is recorded at once, one that has grown only once in
  *        a while.  If it shrinks again soon it is recorded as nothing, which
  *        needs no further records: the next leader waits for a heartbeat.
+ *        So is the capacity of an endpoint that has not been heard of for too
+ *        long: it may have shrunk since.
  */
 #include <string.h>
 
@@ -120,7 +122,8 @@
 {
     struct mw_flow_heartbeat heartbeat = endpoint->heartbeat;
 
-    if (now_us < endpoint->capacity_record_deadline_us) {
+    if (now_us < endpoint->capacity_record_deadline_us ||
+        !mw_endpoint_capacity_counts(endpoint, now_us)) {
         heartbeat.total = (struct mw_flow_resources){0};
     }
     if (!propose_endpoint_record(flows, &heartbeat, false)) {
@@ -153,6 +156,41 @@
     return true;
 }
 
+/* Whether the log holds a capacity that this leader no longer counts on. */
+static bool
+has_outdated_record(const struct mw_flows *flows, int64_t now_us,
+                    const struct mw_flow_endpoint *endpoint)
+{
+    static const struct mw_flow_resources nothing;
+    const struct mw_flow_heartbeat *recorded =
+        recorded_heartbeat(flows, &endpoint->id);
+
+    return endpoint->registered && !endpoint->deregistered &&
+           !endpoint->record_pending &&
+           same_endpoint_state(recorded, &endpoint->heartbeat) &&
+           !is_within(&recorded->total, &nothing) &&
+           !mw_endpoint_capacity_counts(endpoint, now_us);
+}
+
+void
+mw_record_unheard_capacities(struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_endpoint *endpoint = value;
+
+        if (has_outdated_record(flows, now_us, endpoint)) {
+            mw_emit_flow_endpoint_event(flows, "endpoint_capacity", endpoint,
+                                        "unheard",
+                                        now_us - endpoint->last_contact_us);
+            propose_state(flows, now_us, endpoint);
+        }
+    }
+}
+
 void
 mw_propose_flow_endpoint_removal(struct mw_flows *flows,
                                  const struct mw_flow_endpoint *endpoint)
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -541,6 +541,7 @@
         release_orphaned_tasks(flows);
         remove_ended_flows(flows, now_us);
         mw_remove_stale_endpoint_records(flows, now_us);
+        mw_record_unheard_capacities(flows, now_us);
     }
     if (now_us >= flows->pass_deadline_us) {
         flows->pass_deadline_us = now_us + MW_FLOW_PASS_US;
