--- a/source/core/flow/flow-control-impl.h
+++ b/source/core/flow/flow-control-impl.h
@@ -4,17 +4,20 @@
 #include "flow-heartbeat-relay.h"
 #include "flow-heartbeat-target.h"
 #include "flow-impl.h"
+#include "flow-pause.h"
 #include "mimosawind/flow-process.h"
 
 /*
  * flow-control-impl: the state of a control process.
  *
  * FILES
- *   flow-control.c            log, scheduler, requests and their replies
+ *   flow-control.c            scheduler, requests and their replies
+ *   flow-control-log.c        the member of the region's log
  *   flow-control-heartbeat.c  heartbeats of endpoints
  *   flow-control-status.c     status and counters
  *   flow-heartbeat-relay.c    heartbeats that are passed on to the leader
  *   flow-heartbeat-target.c   which process takes an endpoint's heartbeats
+ *   flow-pause.c              whether the process has stood still
  */
 
 /* mw_request_origin: where the reply to a request of the scheduler goes. */
@@ -44,11 +47,7 @@
     uint64_t leader_term;
     bool leaving;
     int64_t heartbeat_deadline_us;
-    /* last call of mw_flow_control_tick */
-    int64_t last_tick_us;
-    /* until then, what is read may have waited while the process stood still
-     */
-    int64_t pause_deadline_us;
+    struct mw_pause_watch pauses;
     /* forwards requests while another process is the leader */
     struct mw_flow_entry *entry;
     /* the same for heartbeats of endpoints */
@@ -76,6 +75,9 @@
                                const struct mw_name *process,
                                uint64_t process_ref);
 
+/* flow-control-log.c */
+struct mw_log *mw_new_flow_control_log(struct mw_flow_control *control);
+
 /* flow-control-heartbeat.c */
 /* mw_init_heartbeat_relay, mw_tick_heartbeat_relay: of control->relay. */
 void mw_init_heartbeat_relay(struct mw_flow_control *control);
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -6,78 +6,6 @@
 
 #include "flow-control-impl.h"
 
-/* ticks are due more often; operators wait no longer for a response */
-#define PAUSE_MIN_US INT64_C(900000)
-/* time after a pause to read all that has arrived meanwhile */
-#define PAUSE_BACKLOG_US INT64_C(200000)
-
-static void
-log_send(void *opaque, const struct mw_name *to, const struct mw_log_msg *msg)
-{
-    struct mw_flow_control *control = opaque;
-    struct mw_msg *out = mw_new_msg(MW_MSG_LOG);
-
-    out->log.group = MW_GROUP_REGION;
-    mw_log_msg_copy(&out->log.msg, msg);
-    control->setup.output.send(control->setup.output.opaque, to, out);
-    mw_drop_msg(out);
-}
-
-static void
-log_store(void *opaque, const struct mw_stored_item *item)
-{
-    struct mw_flow_control *control = opaque;
-
-    control->setup.output.store(control->setup.output.opaque, item);
-}
-
-/*
- * The log changes the replicated state while it handles a message; a leader
- * that this message deposed must not keep what refers to the old state, or act
- * on the new one.
- */
-static void
-give_up_lost_leadership(struct mw_flow_control *control)
-{
-    struct mw_log_status status;
-
-    if (!control->is_leader) {
-        return;
-    }
-    mw_log_get_status(control->log, &status);
-    if (status.role != MW_LEADER || status.term != control->leader_term) {
-        mw_update_leadership(NULL, control, control->now_us);
-    }
-}
-
-static void
-log_apply(void *opaque, uint64_t index, struct mw_record *record)
-{
-    struct mw_flow_control *control = opaque;
-
-    (void)index;
-    give_up_lost_leadership(control);
-    mw_flows_apply(control->ctx, control->flows, control->now_us, record);
-}
-
-static void
-log_reset(void *opaque)
-{
-    struct mw_flow_control *control = opaque;
-
-    give_up_lost_leadership(control);
-    mw_flows_reset(control->flows);
-}
-
-static void
-log_collect(void *opaque, void *out,
-            void (*add)(void *out, struct mw_record *record))
-{
-    struct mw_flow_control *control = opaque;
-
-    mw_flows_snapshot(control->flows, out, add);
-}
-
 static int
 flows_propose(void *opaque, struct mw_record *record)
 {
@@ -182,32 +110,6 @@
                                              text, error);
 }
 
-static struct mw_log *
-new_log(struct mw_flow_control *control)
-{
-    const struct mw_flow_control_setup *setup = &control->setup;
-    struct mw_log_setup log = {
-        .group = mw_name_of(MW_STR("region")),
-        .self = setup->name,
-        .member_count = setup->member_count,
-        .founding_count = setup->founding_count,
-        .target_member_count = setup->target_member_count,
-        .incarnation = setup->incarnation,
-        .compact_after = setup->compact_after,
-        .compact_bytes = MW_LOG_COMPACT_BYTES,
-        .seed = setup->random_seed,
-        .now_us = setup->now_us,
-        .output = {control, log_send, log_store, log_apply, log_reset,
-                   log_collect},
-    };
-
-    for (uint32_t i = 0; i < setup->member_count; i++) {
-        log.members[i].name = setup->members[i];
-        log.members[i].disk = true;
-    }
-    return mw_new_log(&log);
-}
-
 struct mw_flow_control *
 mw_new_flow_control(const struct mw_flow_control_setup *setup)
 {
@@ -221,14 +123,14 @@
     control->setup = *setup;
     control->next_ref = 1;
     control->now_us = setup->now_us;
-    control->last_tick_us = setup->now_us;
+    control->pauses.last_tick_us = setup->now_us;
     control->origins =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     control->flows = mw_new_flows(&setup->limits, &output);
     control->entry = mw_new_flow_entry(&entry, &setup->name, setup->first_ref);
     mw_init_heartbeat_relay(control);
     if (setup->member_count > 0) {
-        control->log = new_log(control);
+        control->log = mw_new_flow_control_log(control);
     }
     return control;
 }
@@ -322,9 +224,8 @@
 }
 
 /*
- * Whether the process may have stood still since the request was sent: its
- * operator has given up by now, and may have sent a later order elsewhere.
- * An order for a zone has no number by which that would show.
+ * Whether the operator may have given up and sent a later order elsewhere: an
+ * order for a zone has no number by which that would show.
  */
 static bool
 may_be_outdated(const struct mw_flow_control *control, int64_t now_us,
@@ -332,8 +233,7 @@
 {
     bool is_zone_order = kind == MW_FLOW_ZONE_OUT || kind == MW_FLOW_ZONE_IN;
 
-    return is_zone_order && (now_us < control->pause_deadline_us ||
-                             now_us - control->last_tick_us > PAUSE_MIN_US);
+    return is_zone_order && mw_may_have_paused(&control->pauses, now_us);
 }
 
 /* Nothing was done; the order may be sent again. */
@@ -343,15 +243,6 @@
     .retry_after_us = MW_FLOW_RETRY_AFTER_US,
 };
 
-static void
-note_tick(struct mw_flow_control *control, int64_t now_us)
-{
-    if (now_us - control->last_tick_us > PAUSE_MIN_US) {
-        control->pause_deadline_us = now_us + PAUSE_BACKLOG_US;
-    }
-    control->last_tick_us = now_us;
-}
-
 static void
 receive_forwarded(struct mw_context *ctx, struct mw_flow_control *control,
                   int64_t now_us, int64_t wall_us, const struct mw_name *from,
@@ -556,7 +447,7 @@
 mw_flow_control_tick(struct mw_context *ctx, struct mw_flow_control *control,
                      int64_t now_us, int64_t wall_us)
 {
-    note_tick(control, now_us);
+    mw_watch_tick(&control->pauses, now_us);
     mw_update_leadership(ctx, control, now_us);
     mw_flows_tick(ctx, control->flows, now_us, wall_us);
     mw_flow_entry_tick(control->entry, now_us);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -23,7 +23,8 @@
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
  *   flow-place.c        chooses endpoints
- *   flow-preempt.c      preemption and reservations
+ *   flow-preempt.c      preemption, and room for waiting gangs
+ *   flow-reserve.c      endpoints reserved for a group
  *   flow-urgent-pool.c  the pool of racks for urgent work
  *   flow-health.c       quarantine of failing endpoints
  *   flow-crash.c        tasks that crash endpoints
@@ -623,9 +624,31 @@
 void mw_preempt_for_task_group(struct mw_flows *flows,
                                struct mw_task_group *group, uint32_t tasks,
                                int64_t now_us);
+
+/* flow-reserve.c */
+/* mw_reserve_endpoints: struct mw_flow_endpoint, for the group alone. */
+void mw_reserve_endpoints(GPtrArray *selected, struct mw_task_group *group,
+                          int64_t deadline_us);
 /* the endpoints that are reserved for the group are free for others again */
 void mw_release_reservation(struct mw_flows *flows,
                             struct mw_task_group *group);
+/* whether the group may not use the endpoint, as it is reserved for another */
+bool mw_reservation_excludes(const struct mw_flow_endpoint *endpoint,
+                             const struct mw_task_group *group,
+                             int64_t now_us);
+/*
+ * mw_is_reservation_broken: whether an endpoint that is reserved for the group
+ * can't be used any more, or was reserved for a more urgent group since.
+ */
+bool mw_is_reservation_broken(const struct mw_flows *flows,
+                              const struct mw_task_group *group,
+                              int64_t now_us);
+/* the group was not placed while endpoints were reserved for it */
+void mw_report_lost_reservation(struct mw_flows *flows,
+                                struct mw_task_group *group, uint32_t tasks,
+                                int64_t now_us);
+/* endpoints that are reserved now */
+uint32_t mw_count_reserved(const struct mw_flows *flows, int64_t now_us);
 
 /* flow-measure.c */
 /* measures how long a guaranteed group waited, once all tasks have started */
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -127,20 +127,6 @@
                : group->step->max_per_endpoint - placed;
 }
 
-/* A gang that waits for runs to end does not keep a free half idle. */
-static bool
-reservation_excludes(const struct mw_flow_endpoint *endpoint,
-                     const struct mw_task_group *group, int64_t now_us)
-{
-    if (!endpoint->reserved_for || endpoint->reserved_for == group ||
-        group->rank < endpoint->reserved_rank ||
-        now_us >= endpoint->reserved_deadline_us) {
-        return false;
-    }
-    return endpoint->reserved_rank <= MW_URGENT_RANK_MAX ||
-           !mw_has_waited_beside_free_half(endpoint, group, now_us);
-}
-
 bool
 mw_flow_endpoint_is_eligible(const struct mw_flow_endpoint *endpoint,
                              const struct mw_task_group *group, int64_t now_us)
@@ -157,7 +143,7 @@
         mw_trial_excludes(endpoint, group)) {
         return false;
     }
-    return !reservation_excludes(endpoint, group, now_us);
+    return !mw_reservation_excludes(endpoint, group, now_us);
 }
 
 /* candidate: an endpoint with capacity for some tasks of the group. */
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -1,5 +1,5 @@
 /*
- * flow-preempt: preemption for urgent work, reservations for waiting gangs.
+ * flow-preempt: preemption for urgent work, and room for waiting gangs.
  *
  * LOAD   urgent gangs that arrive while less urgent work fills the
  *        endpoints.  Just enough runs of less urgent queues are stopped on
@@ -348,106 +348,6 @@
     g_ptr_array_unref(endpoints);
 }
 
-static void
-reserve_endpoints(GPtrArray *selected, struct mw_task_group *group,
-                  int64_t deadline_us)
-{
-    for (guint i = 0; i < selected->len; i++) {
-        struct mw_flow_endpoint *endpoint = selected->pdata[i];
-
-        endpoint->reserved_for = group;
-        endpoint->reserved_rank = group->rank;
-        endpoint->reserved_deadline_us = deadline_us;
-    }
-    group->reserved_count = selected->len;
-}
-
-void
-mw_release_reservation(struct mw_flows *flows, struct mw_task_group *group)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    if (group->reserved_count == 0) {
-        return;
-    }
-    g_hash_table_iter_init(&iter, flows->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_flow_endpoint *endpoint = value;
-
-        if (endpoint->reserved_for == group) {
-            endpoint->reserved_for = NULL;
-        }
-    }
-    group->reserved_count = 0;
-}
-
-/*
- * Whether an endpoint that is reserved for the group can't be used any more,
- * or was reserved for a more urgent group since.
- */
-static bool
-is_reservation_broken(const struct mw_flows *flows,
-                      const struct mw_task_group *group, int64_t now_us)
-{
-    uint32_t reserved = 0;
-
-    if (group->reserved_count == 0 ||
-        now_us < group->reserved_us + MW_PREEMPTION_RETRY_US) {
-        return false;
-    }
-    for (guint i = 0; i < flows->usable->len; i++) {
-        const struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
-
-        reserved += endpoint->reserved_for == group;
-    }
-    return reserved < group->reserved_count;
-}
-
-/* Tasks of the group that fit now on the endpoints reserved for it. */
-static uint32_t
-reserved_capacity(const struct mw_flows *flows,
-                  const struct mw_task_group *group)
-{
-    uint32_t capacity = 0;
-
-    for (guint i = 0; i < flows->usable->len; i++) {
-        const struct mw_flow_endpoint *endpoint = flows->usable->pdata[i];
-
-        if (endpoint->reserved_for == group) {
-            capacity += mw_tasks_that_fit(&endpoint->heartbeat.total,
-                                          &endpoint->used, &group->step->need);
-        }
-    }
-    return capacity;
-}
-
-static const char *
-lost_reservation_outcome(const struct mw_flows *flows,
-                         const struct mw_task_group *group, uint32_t tasks,
-                         uint32_t capacity, int64_t now_us)
-{
-    if (is_reservation_broken(flows, group, now_us)) {
-        return "endpoint_lost";
-    }
-    return capacity >= tasks ? "not_used" : "not_free";
-}
-
-/* The group was not placed while endpoints were reserved for it. */
-static void
-report_lost_reservation(struct mw_flows *flows, struct mw_task_group *group,
-                        uint32_t tasks, int64_t now_us)
-{
-    uint32_t capacity = reserved_capacity(flows, group);
-
-    flows->counters.reservations_lost++;
-    mw_emit_task_group_event(
-        flows, "reservation_lost", group,
-        lost_reservation_outcome(flows, group, tasks, capacity, now_us), tasks,
-        capacity, now_us - group->ready_us);
-    mw_release_reservation(flows, group);
-}
-
 static void
 report_impossible_preemption(struct mw_flows *flows,
                              const struct mw_task_group *group,
@@ -479,7 +379,7 @@
         group->reserved_us = now_us;
         group->preemption_deadline_us =
             now_us + flows->limits.stop_timeout_us + MW_RESERVATION_MARGIN_US;
-        reserve_endpoints(selected, group, group->preemption_deadline_us);
+        mw_reserve_endpoints(selected, group, group->preemption_deadline_us);
         preempt(flows, group, victims, now_us);
     }
     g_ptr_array_unref(victims);
@@ -530,12 +430,13 @@
 mw_preempt_for_task_group(struct mw_flows *flows, struct mw_task_group *group,
                           uint32_t tasks, int64_t now_us)
 {
-    if (group->rank >= 2 || (now_us < group->preemption_deadline_us &&
-                             !is_reservation_broken(flows, group, now_us))) {
+    if (group->rank >= 2 ||
+        (now_us < group->preemption_deadline_us &&
+         !mw_is_reservation_broken(flows, group, now_us))) {
         return;
     }
     if (group->reserved_count > 0) {
-        report_lost_reservation(flows, group, tasks, now_us);
+        mw_report_lost_reservation(flows, group, tasks, now_us);
     }
     group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
     if (group->step->prefer_one_rack &&
@@ -551,23 +452,6 @@
     }
 }
 
-static uint32_t
-count_reserved(const struct mw_flows *flows, int64_t now_us)
-{
-    GHashTableIter iter;
-    gpointer value;
-    uint32_t reserved = 0;
-
-    g_hash_table_iter_init(&iter, flows->endpoints);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct mw_flow_endpoint *endpoint = value;
-
-        reserved +=
-            endpoint->reserved_for && endpoint->reserved_deadline_us > now_us;
-    }
-    return reserved;
-}
-
 void
 mw_reserve_for_task_group(struct mw_flows *flows, struct mw_task_group *group,
                           uint32_t tasks, int64_t now_us)
@@ -578,7 +462,7 @@
 
     if (!group->step->gang || group->lateness == MW_TOO_LATE ||
         now_us < group->preemption_deadline_us ||
-        count_reserved(flows, now_us) >=
+        mw_count_reserved(flows, now_us) >=
             g_hash_table_size(flows->endpoints) / GANG_RESERVED_ONE_IN) {
         return;
     }
@@ -596,7 +480,8 @@
                         ignored, selected)
             .capacity >= tasks) {
         group->preemption_deadline_us = now_us + GANG_RESERVATION_US;
-        reserve_endpoints(selected, group, now_us + 2 * GANG_RESERVATION_US);
+        mw_reserve_endpoints(selected, group,
+                             now_us + 2 * GANG_RESERVATION_US);
     }
     g_ptr_array_unref(ignored);
     g_ptr_array_unref(selected);
