A service without accelerators does not count as half full

Cause: 0 of 0 accelerators in use counted as a half or more.

Change: where a service has no accelerators the share of its cores counts. The urgent demand is added up in 64 bits, and a pool whose peak has decayed is dropped.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -250,7 +250,8 @@
     bool exceeds_guarantee;
 };
 
-/* mw_urgent_pool: the racks of a service for urgent work; gpus are totals. */
+/* mw_urgent_pool: the racks of a service for urgent work; cpu in thousandths.
+ */
 struct mw_urgent_pool {
     struct mw_name service;
     /* decaying peak of the accelerators that urgent work needs */
@@ -259,14 +260,16 @@
     uint32_t endpoint_count;
     uint32_t total_gpus;
     uint32_t used_gpus;
-    uint32_t demand_gpus;
+    uint64_t total_cpu;
+    uint64_t used_cpu;
+    uint64_t demand_gpus;
     /* of the pool, as chosen so far and as wanted */
     uint32_t gpus;
     uint32_t target_gpus;
     const struct mw_name *last_rack;
-    /* HALF_FULL_PERCENT of the accelerators, or more, are in use */
+    /* HALF_FULL_PERCENT of the service, or more, is in use */
     bool half_full;
-    /* more than NEARLY_FULL_PERCENT are */
+    /* more than NEARLY_FULL_PERCENT of its accelerators are */
     bool nearly_full;
 };
 
--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -22,7 +22,8 @@
 #define POOL_DEMAND_PERCENT 600
 /* and at most this percentage of all accelerators */
 #define POOL_MAX_PERCENT 100
-/* accelerators in use, from which on POOL_WAIT_US no longer applies */
+/* accelerators in use, or cores where a service has none, from which on
+ * POOL_WAIT_US no longer applies */
 #define HALF_FULL_PERCENT 50
 /* accelerators in use, above which the pool excludes checkpointed steps */
 #define NEARLY_FULL_PERCENT 70
@@ -30,6 +31,8 @@
 #define POOL_WAIT_US INT64_C(1200000)
 /* and after such a wait in any case */
 #define POOL_LONGEST_WAIT_US INT64_C(15000000)
+/* demand that is counted at most, so that it can be taken in thousandths */
+#define DEMAND_MAX_GPUS (UINT32_MAX / 1000)
 /* each scheduling pass lowers the peak by one part in so many */
 #define PEAK_DECAY 400
 
@@ -86,7 +89,7 @@
 begin_pass(gpointer service, gpointer value, gpointer data)
 {
     struct mw_urgent_pool *pool = value;
-    bool is_unused = pool->endpoint_count == 0 && pool->peak_milligpus == 0;
+    bool is_unused = pool->endpoint_count == 0 && pool->peak_milligpus < 1000;
 
     (void)service;
     (void)data;
@@ -94,6 +97,8 @@
     pool->endpoint_count = 0;
     pool->total_gpus = 0;
     pool->used_gpus = 0;
+    pool->total_cpu = 0;
+    pool->used_cpu = 0;
     pool->demand_gpus = 0;
     pool->gpus = 0;
     pool->last_rack = NULL;
@@ -112,7 +117,7 @@
 
             if (group->rank <= MW_URGENT_RANK_MAX) {
                 pool_of(flows, &flow->route.service)->demand_gpus +=
-                    (group->step->count - group->done_count) *
+                    (uint64_t)(group->step->count - group->done_count) *
                     group->step->need.gpus;
             }
         }
@@ -140,6 +145,8 @@
         if (endpoint->registered && !endpoint->deregistered) {
             pool->total_gpus += endpoint->heartbeat.total.gpus;
             pool->used_gpus += endpoint->used.gpus;
+            pool->total_cpu += endpoint->heartbeat.total.cpu;
+            pool->used_cpu += endpoint->used.cpu;
         }
         if (endpoint->usable) {
             g_ptr_array_add(flows->usable, endpoint);
@@ -147,12 +154,22 @@
     }
 }
 
+static bool
+is_half_full(const struct mw_urgent_pool *pool)
+{
+    if (pool->total_gpus > 0) {
+        return pool->used_gpus * 100 >= pool->total_gpus * HALF_FULL_PERCENT;
+    }
+    return pool->used_cpu * 100 >= pool->total_cpu * HALF_FULL_PERCENT;
+}
+
 static void
 set_target(struct mw_urgent_pool *pool)
 {
-    pool->peak_milligpus = MAX(pool->peak_milligpus, pool->demand_gpus * 1000);
-    pool->half_full =
-        pool->used_gpus * 100 >= pool->total_gpus * HALF_FULL_PERCENT;
+    uint32_t demand_gpus = (uint32_t)MIN(pool->demand_gpus, DEMAND_MAX_GPUS);
+
+    pool->peak_milligpus = MAX(pool->peak_milligpus, demand_gpus * 1000);
+    pool->half_full = is_half_full(pool);
     pool->nearly_full =
         pool->used_gpus * 100 > pool->total_gpus * NEARLY_FULL_PERCENT;
     pool->target_gpus =
