--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -30,7 +30,7 @@
 /* other work may use the pool after such a wait, while fewer are in use */
 #define POOL_WAIT_US INT64_C(1200000)
 /* and after such a wait in any case */
-#define POOL_LONGEST_WAIT_US INT64_C(15000000)
+#define POOL_LONGEST_WAIT_US INT64_C(60000000)
 /* demand that is counted at most, so that it can be taken in thousandths */
 #define DEMAND_MAX_GPUS (UINT32_MAX / 1000)
 /* each scheduling pass lowers the peak by one part in so many */
