--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -190,6 +190,9 @@
 uint32_t mw_flow_control_get_members(const struct mw_flow_control *control,
                                      struct mw_name *members);
 
+/* mw_flow_control_get_log_status: all 0 for a standby, which has no log. */
+void mw_flow_control_get_log_status(const struct mw_flow_control *control,
+                                    struct mw_log_status *log);
 /* mw_flow_control_get_status: state of the log and the scheduler. */
 void mw_flow_control_get_status(const struct mw_flow_control *control,
                                 struct mw_log_status *log,
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -444,6 +444,7 @@
 uint64_t mw_flows_config_version(const struct mw_flows *flows);
 
 struct mw_flows_status {
+    uint64_t config_version;
     uint32_t flows;
     uint32_t active;
     uint32_t endpoints;
--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -214,6 +214,8 @@
     uint64_t commit_index;
     uint64_t last_index;
     uint64_t snapshot_index;
+    /* of the records of the snapshot, and of those applied since */
+    uint64_t bytes;
     uint64_t incarnation;
     /* admitted members, and those of them with a disk */
     uint32_t voter_count;
--- a/source/core/flow/flow-control-status.c
+++ b/source/core/flow/flow-control-status.c
@@ -18,14 +18,21 @@
 }
 
 void
-mw_flow_control_get_status(const struct mw_flow_control *control,
-                           struct mw_log_status *log,
-                           struct mw_flows_status *flows)
+mw_flow_control_get_log_status(const struct mw_flow_control *control,
+                               struct mw_log_status *log)
 {
     *log = (struct mw_log_status){0};
     if (control->log) {
         mw_log_get_status(control->log, log);
     }
+}
+
+void
+mw_flow_control_get_status(const struct mw_flow_control *control,
+                           struct mw_log_status *log,
+                           struct mw_flows_status *flows)
+{
+    mw_flow_control_get_log_status(control, log);
     mw_flows_get_status(control->flows, flows);
 }
 
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -516,6 +516,7 @@
     gpointer value;
 
     *status = (struct mw_flows_status){
+        .config_version = mw_flows_config_version(flows),
         .flows = g_hash_table_size(flows->flows),
         .active = flows->active->len,
         .endpoints = g_hash_table_size(flows->endpoints),
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -391,6 +391,7 @@
         .commit_index = log->commit_index,
         .last_index = mw_log_last_index(log),
         .snapshot_index = log->snapshot_index,
+        .bytes = log->snapshot_bytes + log->applied_bytes,
         .incarnation = log->incarnation,
         .admitted = mw_log_is_admitted(log),
         .leader = log->leader,
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -193,6 +193,39 @@
     add_line(log, line);
 }
 
+static void
+set_count(json_t *line, const char *key, uint64_t value)
+{
+    json_object_set_new(line, key, json_integer((json_int_t)value));
+}
+
+void
+mw_event_log_write_store(struct mw_event_log *log, int64_t now_us,
+                         const struct mw_store_event *event)
+{
+    const struct mw_log_status *held = event->log;
+    json_t *line;
+
+    if (!may_write(log, now_us, false)) {
+        return;
+    }
+    report_dropped(log);
+    line = new_json_line(log, "store", event->outcome);
+    set_count(line, "file_bytes", event->file_bytes);
+    if (event->duration_us >= 0) {
+        set_count(line, "duration_us", (uint64_t)event->duration_us);
+    }
+    if (held) {
+        set_count(line, "held_bytes", held->bytes);
+        set_count(line, "snapshot", held->snapshot_index);
+        set_count(line, "commit", held->commit_index);
+        set_count(line, "last", held->last_index);
+        set_count(line, "config", event->config_version);
+        set_count(line, "term", held->term);
+    }
+    add_line(log, line);
+}
+
 void
 mw_flush_event_log(struct mw_event_log *log, int64_t now_us)
 {
--- a/source/run/event-log.h
+++ b/source/run/event-log.h
@@ -2,6 +2,7 @@
 #define MW_RUN_EVENT_LOG_H
 
 #include "mimosawind/flow.h"
+#include "mimosawind/log.h"
 
 /*
  * event-log: structured log on standard output, one JSON object per line.
@@ -42,6 +43,25 @@
                                const char *name, struct mw_str subject,
                                const char *outcome);
 
+/*
+ * mw_store_event: the data directory of a member of the log.
+ *
+ * file_bytes is the size of the log's file.  The other figures say what the
+ * member holds once it has read it, and are left out if log is NULL.
+ * duration_us is negative if nothing was timed.
+ */
+struct mw_store_event {
+    const char *outcome;
+    uint64_t file_bytes;
+    int64_t duration_us;
+    const struct mw_log_status *log;
+    uint64_t config_version;
+};
+
+/* mw_event_log_write_store: log what was read from or written to the disk. */
+void mw_event_log_write_store(struct mw_event_log *log, int64_t now_us,
+                              const struct mw_store_event *event);
+
 /* mw_flush_event_log: write as much as is possible without blocking. */
 void mw_flush_event_log(struct mw_event_log *log, int64_t now_us);
 
--- a/source/run/flow-control-task-impl.h
+++ b/source/run/flow-control-task-impl.h
@@ -13,6 +13,7 @@
  *                               from the server
  *   flow-control-task-member.c  whether the process is a member of the log,
  *                               and its data directory
+ *   flow-control-task-store.c   lines about the data directory
  *   flow-control-task-links.c   connections to other processes
  *   flow-control-task-output.c  effects of the control process
  */
@@ -31,6 +32,8 @@
     bool started;
     /* when to open the data directory again; 0 if that did not fail */
     int64_t open_deadline_us;
+    /* snapshots, taken or received, that a line has named */
+    uint64_t snapshots_reported;
     bool leaving;
     int64_t leave_deadline_us;
 };
@@ -57,6 +60,17 @@
 void mw_report_disk(struct mw_flow_control_task *t, int error,
                     struct mw_str detail);
 
+/* flow-control-task-store.c */
+/*
+ * mw_report_store_reading: before the data directory is read; the line is
+ * written at once, as reading may take long or use up the memory.
+ */
+void mw_report_store_reading(struct mw_flow_control_task *t);
+/* mw_report_store_read: what was read, and how long it took. */
+void mw_report_store_read(struct mw_flow_control_task *t, int64_t begun_us);
+/* mw_report_snapshots: a line if the log has been replaced by a snapshot. */
+void mw_report_snapshots(struct mw_flow_control_task *t);
+
 /* flow-control-task-links.c */
 /*
  * mw_dial_process: connects to a process.  Of two members, the one whose name
--- a/source/run/flow-control-task-member.c
+++ b/source/run/flow-control-task-member.c
@@ -66,10 +66,13 @@
     struct mw_disk_setup setup = {
         .data_dir = t->setup.data_dir, .member = t->setup.name, .ctx = t->ctx};
     struct mw_disk_loader loader = {t, restore_stored};
+    int64_t begun_us = mw_now();
     int err = 0;
 
+    mw_report_store_reading(t);
     t->disk = mw_open_disk(&t->ctx, &setup, &incarnation, &loader, &err);
     if (t->disk) {
+        mw_report_store_read(t, begun_us);
         t->disk_task = mw_start_disk(t->disk, t->task);
     }
     return err;
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -162,6 +162,7 @@
     mw_reopen_member_state(t, now_us);
     mw_flow_control_tick(&t->ctx, t->control, now_us, g_get_real_time());
     mw_flush_stored(t);
+    mw_report_snapshots(t);
     check_leave(t, now_us);
     mw_flush_event_log(t->process.log, now_us);
 }
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -27,6 +27,26 @@
     g_string_append_printf(out, "mimosawind_" #name " %" PRIu64 "\n",         \
                            counters->name)
 
+/* What the member of the log holds, and how often it was made smaller. */
+static void
+add_log_status(GString *out, const struct mw_log_status *log)
+{
+    static const struct mw_log_counters none;
+    const struct mw_log_counters *counters =
+        log->counters ? log->counters : &none;
+
+    g_string_append_printf(
+        out,
+        "mimosawind_leads %d\nmimosawind_term %" PRIu64
+        "\nmimosawind_commit %" PRIu64 "\nmimosawind_log_entries %" PRIu64
+        "\nmimosawind_log_bytes %" PRIu64 "\n",
+        log->role == MW_LEADER, log->term, log->commit_index,
+        log->last_index - log->snapshot_index, log->bytes);
+    COUNTER(snapshots_taken);
+    COUNTER(snapshots_sent);
+    COUNTER(snapshots_received);
+}
+
 GString *
 mw_format_flow_metrics(const struct mw_flow_control *control,
                        uint64_t lines_dropped)
@@ -38,6 +58,7 @@
     struct mw_flows_status flows;
 
     mw_flow_control_get_status(control, &log, &flows);
+    add_log_status(out, &log);
     COUNTER(accepted);
     COUNTER(refused);
     COUNTER(resent);
@@ -61,14 +82,12 @@
     COUNTER(crashing_flows);
     g_string_append_printf(
         out,
-        "mimosawind_leads %d\nmimosawind_term %" PRIu64
-        "\nmimosawind_commit %" PRIu64 "\nmimosawind_flows %u\n"
+        "mimosawind_flows %u\n"
         "mimosawind_flows_active %u\nmimosawind_endpoints %u\n"
         "mimosawind_places %u\nmimosawind_commands_waiting %u\n"
         "mimosawind_commands_in_flight %u\nmimosawind_command_window %u\n"
         "mimosawind_log_lines_dropped %" PRIu64 "\n",
-        log.role == MW_LEADER, log.term, log.commit_index, flows.flows,
-        flows.active, flows.endpoints, flows.placements,
+        flows.flows, flows.active, flows.endpoints, flows.placements,
         flows.commands_waiting, flows.commands_in_flight, flows.command_window,
         lines_dropped);
     for (int time = 0; time < MW_FLOW_LATENCIES; time++) {
--- a/tests/platform-script.c
+++ b/tests/platform-script.c
@@ -321,6 +321,47 @@
     g_free(open);
 }
 
+/*
+ * log-store OUTCOME: the line of a member that reads 700 entries, and of one
+ * that is about to
+ */
+static void
+cmd_log_store(struct mw_script *s)
+{
+    struct mw_log_status held = {.bytes = 9000000,
+                                 .snapshot_index = 640,
+                                 .commit_index = 699,
+                                 .last_index = 700,
+                                 .term = 3};
+    struct mw_store_event event = {.outcome = mw_script_word(s, 1),
+                                   .file_bytes = 123000000,
+                                   .duration_us = -1};
+    struct mw_event_log *log;
+    char text[512] = "";
+    const char *fields;
+    int fds[2];
+
+    if (pipe(fds) != 0) {
+        mw_script_printf(s, "log-store: pipe failed");
+        return;
+    }
+    if (strcmp(event.outcome, "reading") != 0) {
+        event.log = &held;
+        event.config_version = 1584;
+        event.duration_us = 2500000;
+    }
+    log = mw_new_event_log(fds[1], MW_STR("10.0.0.1"));
+    mw_event_log_write_store(log, G_USEC_PER_SEC, &event);
+    mw_flush_event_log(log, G_USEC_PER_SEC);
+    close(fds[1]);
+    if (read(fds[0], text, sizeof text - 1) > 0) {
+        fields = strstr(text, "\"event\"");
+        mw_script_printf(s, "%s", g_strchomp((char *)(fields ? fields : "")));
+    }
+    close(fds[0]);
+    mw_drop_event_log(log);
+}
+
 static const struct mw_script_command commands[] = {
     {"config", 0, cmd_config},
     {"route", 0, cmd_route},
@@ -332,6 +373,7 @@
     {"command", 1, cmd_command},
     {"log-lines", 2, cmd_log_lines},
     {"log-mix", 2, cmd_log_mix},
+    {"log-store", 1, cmd_log_store},
     {NULL, 0, NULL}};
 
 const struct mw_script_kind mw_platform_scripts = {"platform", commands, begin,
