--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -21,6 +21,18 @@
     }
 }
 
+void
+mw_log_store_all(struct mw_log *log)
+{
+    log->snapshot_unstored = false;
+    mw_log_store_snapshot(log);
+    mw_log_store_meta(log);
+    /* the stored snapshot replaces these too */
+    for (guint i = 0; i < log->entries->len; i++) {
+        mw_log_store_entry(log, log->snapshot_index + 1 + i);
+    }
+}
+
 void
 mw_log_compact(struct mw_log *log)
 {
@@ -39,12 +51,11 @@
     log->snapshot_records = records;
     note_snapshot_size(log);
     log->counters.snapshots_taken++;
-    mw_log_store_snapshot(log);
-    mw_log_store_meta(log);
-    /* the stored snapshot replaces these too */
-    for (guint i = 0; i < log->entries->len; i++) {
-        mw_log_store_entry(log, log->snapshot_index + 1 + i);
+    if (log->restoring) {
+        log->snapshot_unstored = true;
+        return;
     }
+    mw_log_store_all(log);
 }
 
 void
@@ -141,8 +152,7 @@
     mw_log_mark_unsynced(log, 0);
     log->counters.snapshots_received++;
     mw_log_apply_snapshot(log);
-    mw_log_store_snapshot(log);
-    mw_log_store_meta(log);
+    mw_log_store_all(log);
 }
 
 void
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -117,6 +117,8 @@
     /* leadership transfer: started by this leader, or requested of it */
     bool transferring;
     bool restoring;
+    /* the snapshot was taken while restoring and is not stored yet */
+    bool snapshot_unstored;
     bool flush_due;
     /* see mw_log_set_writable */
     bool writable;
@@ -253,9 +255,18 @@
 /* mw_log_is_lease_valid: whether an election quorum grants the lease. */
 bool mw_log_is_lease_valid(const struct mw_log *log, int64_t now_us);
 
-/* mw_log_compact: replace the applied entries by a new snapshot. */
+/*
+ * mw_log_compact: replace the applied entries by a new snapshot.
+ *
+ * Stores it, except while restoring: then the stored items are still being
+ * read, and the next tick stores it.
+ */
 void mw_log_compact(struct mw_log *log);
 
+/* mw_log_store_all: store the snapshot, the term, the vote and the entries,
+ * which replaces everything stored before. */
+void mw_log_store_all(struct mw_log *log);
+
 /* mw_log_send_snapshot: send a peer the next chunk of the snapshot. */
 void mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned peer);
 void mw_log_on_snapshot(struct mw_context *ctx, struct mw_log *log,
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -187,7 +187,7 @@
         log->output.apply(log->output.opaque, log->applied_index,
                           entry->record);
     }
-    if (!log->restoring && is_compaction_due(log)) {
+    if (is_compaction_due(log)) {
         mw_log_compact(log);
     }
 }
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -139,6 +139,9 @@
 void
 mw_log_tick(struct mw_context *ctx, struct mw_log *log, int64_t now_us)
 {
+    if (log->snapshot_unstored) {
+        mw_log_store_all(log);
+    }
     if (log->role == MW_LEADER) {
         tick_leader(ctx, log, now_us);
         return;
@@ -167,6 +170,9 @@
 int64_t
 mw_log_deadline(const struct mw_log *log)
 {
+    if (log->snapshot_unstored) {
+        return 0;
+    }
     if (log->role == MW_LEADER) {
         return log->flush_due ? 0 : log->heartbeat_deadline_us;
     }
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -41,6 +41,8 @@
     GPtrArray *stored;
     uint64_t sequence;
     guint synced_count;
+    /* most entries in memory at once while the items were read */
+    uint64_t most_restored;
     int64_t clock_us;
     GArray *values;
     uint64_t applied_index;
@@ -226,11 +228,22 @@
     m->log = mw_new_log(&setup);
 }
 
+static void
+note_restored(struct member *m)
+{
+    struct mw_log_status status;
+
+    mw_log_get_status(m->log, &status);
+    m->most_restored =
+        MAX(m->most_restored, status.last_index - status.snapshot_index);
+}
+
 static void
 replay_stored(struct member *m)
 {
     struct cluster *cluster = m->cluster;
 
+    m->most_restored = 0;
     for (guint i = 0; i < m->stored->len; i++) {
         struct mw_stored_item item;
         struct mw_blob *blob = m->stored->pdata[i];
@@ -242,6 +255,7 @@
                 m->index);
         }
         mw_clear_stored(&item);
+        note_restored(m);
     }
     g_ptr_array_set_size(m->stored, (gint)m->stored->len);
     m->synced_count = m->stored->len;
@@ -304,11 +318,30 @@
     m->synced_count = 0;
 }
 
+/* As on a disk, a synced snapshot replaces everything before it. */
+static void
+drop_replaced(struct member *m)
+{
+    for (guint i = m->stored->len; i > MAX(m->synced_count, 1); i--) {
+        struct mw_stored_item item;
+        struct mw_blob *blob = m->stored->pdata[i - 1];
+        int err = mw_decode_stored(&m->cluster->ctx, mw_blob_str(blob), &item);
+        bool is_snapshot = !err && item.kind == MW_STORED_SNAPSHOT;
+
+        mw_clear_stored(&item);
+        if (is_snapshot) {
+            g_ptr_array_remove_range(m->stored, 0, i - 1);
+            return;
+        }
+    }
+}
+
 static void
 sync_member(struct member *m)
 {
     if (m->up && !m->frozen && !m->disk_full &&
         m->synced_count < m->stored->len) {
+        drop_replaced(m);
         m->synced_count = m->stored->len;
         mw_log_synced(&m->cluster->ctx, m->log, m->cluster->now_us,
                       m->sequence);
@@ -630,7 +663,8 @@
     }
 }
 
-/* change-config COUNT BYTES: so many configurations of this size */
+/* change-config COUNT BYTES [pause=MS]: so many configurations of this size,
+ * with a pause after each */
 static void
 cmd_change_config(struct mw_script *s)
 {
@@ -638,6 +672,7 @@
     gsize len = (gsize)atoi(mw_script_word(s, 2));
     char *text = g_strnfill(len, 'x');
     struct member *m = find_leader(cluster);
+    int64_t pause_us = mw_script_option_int(s, "pause", 0) * 1000;
 
     for (int i = 0; m && i < atoi(mw_script_word(s, 1)); i++) {
         struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
@@ -647,6 +682,9 @@
         mw_log_propose(&cluster->ctx, m->log, cluster->now_us, record, NULL);
         mw_drop_record(record);
         mw_log_flush(m->log, cluster->now_us);
+        for (int64_t n = 0; n < pause_us / STEP_US; n++) {
+            step(cluster);
+        }
     }
     g_free(text);
 }
@@ -703,6 +741,43 @@
     set_disk_full(member_at_word(s, 1), false);
 }
 
+/* upgrade COMPACT COMPACT_BYTES: what a member takes a snapshot after, from
+ * its next start on */
+static void
+cmd_upgrade(struct mw_script *s)
+{
+    struct cluster *cluster = s->state;
+
+    cluster->compact_after = (uint32_t)atoi(mw_script_word(s, 1));
+    cluster->compact_bytes = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+}
+
+/* restored NAME BOUND: whether its last start had at most BOUND entries in
+ * memory at once */
+static void
+cmd_restored(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    guint64 bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->most_restored <= bound
+                         ? "few entries were in memory"
+                         : "the whole log was in memory");
+}
+
+/* stored NAME BOUND: whether its disk holds at most BOUND items */
+static void
+cmd_stored(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    guint64 bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->stored->len <= bound ? "few items are stored"
+                                             : "many items are stored");
+}
+
 /* unsynced NAME BOUND: whether at most BOUND items wait for the disk */
 static void
 cmd_unsynced(struct mw_script *s)
@@ -934,6 +1009,9 @@
     {"disk-full", 1, cmd_disk_full},
     {"disk-free", 1, cmd_disk_free},
     {"unsynced", 2, cmd_unsynced},
+    {"upgrade", 2, cmd_upgrade},
+    {"restored", 2, cmd_restored},
+    {"stored", 2, cmd_stored},
     {"cut", 2, cmd_cut},
     {"isolate", 1, cmd_isolate},
     {"heal", 0, cmd_heal},
