A data file is read item by item, not whole

Callers saw no leader after a restart of all core machines: a store of an earlier landing takes up to the whole disk (128 MB), and a start read it into memory at once, with half of the machine's memory, before a single entry of it was dropped.

Change: items are read one at a time into one buffer, and the search for a sync marker behind damage reads parts of 64 KB that overlap by a marker. A read that fails is an error of its own; it is never taken for damage and cut off.

--- a/source/run/disk-impl.h
+++ b/source/run/disk-impl.h
@@ -7,8 +7,9 @@
  * disk-impl: the data files of a member.
  *
  * FILES
- *   disk.c       creates files, writes and syncs items
- *   disk-load.c  reads the files at the start
+ *   disk.c          creates files, writes and syncs items
+ *   disk-load.c     reads the files at the start
+ *   disk-io.c       the operations that change files
  */
 
 #define HEADER_MAGIC "MWLOG\n"
@@ -39,6 +40,7 @@
     struct mw_task *task;
     struct mw_task *owner;
     struct mw_context ctx;
+    const struct mw_disk_io *io;
     struct data_file files[MW_GROUPS];
     /* files whose damaged end was cut off while loading */
     uint64_t truncated_tails;
--- a/source/run/disk-load.c
+++ b/source/run/disk-load.c
@@ -1,30 +1,69 @@
 /*
  * disk-load: reads the data files of a member at the start.
+ *
+ * Memory is bounded by the largest item: a file is never in memory whole.
  */
+#include <errno.h>
 #include <fcntl.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <zlib.h>
 
 #include "disk-impl.h"
 
+/* bytes searched for a sync marker at once */
+#define SEARCH_BYTES (64 * 1024)
+
 /*
- * Returns whether a valid sync marker follows the damage at an offset: then
- * the damaged data had been synced and must not be truncated.
+ * file_reader: a data file that is being read item by item, so that memory is
+ * bounded by the largest item instead of the file.
  */
+struct file_reader {
+    int fd;
+    uint64_t length;
+    /* payload of the present item */
+    GByteArray *payload;
+    /* a read failed, which says nothing about what the file holds */
+    bool failed;
+};
+
+/* Reads exactly len bytes; returns false, with failed set, if it can't. */
 static bool
-marker_follows(const uint8_t *data, size_t len, size_t from)
+read_at(struct file_reader *reader, uint64_t at, uint8_t *data, size_t len)
 {
-    for (size_t at = from; at + MARKER_LEN <= len; at++) {
-        uint64_t offset;
+    while (len > 0) {
+        ssize_t n = pread(reader->fd, data, len, (off_t)at);
+
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            errno = n == 0 ? EIO : errno;
+            reader->failed = true;
+            return false;
+        }
+        data += n;
+        at += (uint64_t)n;
+        len -= (size_t)n;
+    }
+    return true;
+}
+
+/* Whether the data holds a valid sync marker for more than offset bytes. */
+static bool
+contains_marker(const uint8_t *data, size_t len, uint64_t offset)
+{
+    for (size_t at = 0; at + MARKER_LEN <= len; at++) {
+        uint64_t synced;
 
         if (memcmp(data + at + 4, MARKER_MAGIC, 8) != 0 ||
             mw_get_le32(data + at) != MARKER_LENGTH_FIELD ||
             mw_get_le32(data + at + 20) != (uint32_t)crc32(0, data + at, 20)) {
             continue;
         }
-        memcpy(&offset, data + at + 12, sizeof offset);
-        if (GUINT64_FROM_LE(offset) > from) {
+        memcpy(&synced, data + at + 12, sizeof synced);
+        if (GUINT64_FROM_LE(synced) > offset) {
             return true;
         }
     }
@@ -32,28 +71,68 @@
 }
 
 /*
- * Length of the item or sync marker at an offset, 0 if it is damaged.  No item
- * is empty; eight zeros would be an empty one with a valid checksum.
+ * Returns whether a valid sync marker follows the damage at an offset: then
+ * the damaged data had been synced and must not be truncated.
+ */
+static bool
+marker_follows(struct file_reader *reader, uint64_t from)
+{
+    uint8_t *data = g_malloc(SEARCH_BYTES);
+    bool found = false;
+
+    /* a marker that ends beyond one part is whole in the next */
+    for (uint64_t at = from; !found && at + MARKER_LEN <= reader->length;
+         at += SEARCH_BYTES - MARKER_LEN + 1) {
+        size_t len = (size_t)MIN(reader->length - at, SEARCH_BYTES);
+
+        if (!read_at(reader, at, data, len)) {
+            break;
+        }
+        found = contains_marker(data, len, from);
+    }
+    g_free(data);
+    return found;
+}
+
+/* Whether the sync marker at an offset is valid. */
+static bool
+is_marker_valid(struct file_reader *reader, uint64_t at)
+{
+    uint8_t marker[MARKER_LEN];
+
+    return reader->length - at >= MARKER_LEN &&
+           read_at(reader, at, marker, sizeof marker) &&
+           mw_get_le32(marker + 20) == (uint32_t)crc32(0, marker, 20);
+}
+
+/*
+ * Reads the item or sync marker at an offset; returns its length, 0 if it is
+ * damaged.  A marker has no payload.  No item is empty; eight zeros would be
+ * an empty one with a valid checksum.
  */
 static size_t
-item_length(const uint8_t *data, size_t len, size_t at)
+read_item(struct file_reader *reader, uint64_t at)
 {
-    if (len - at < ITEM_HEADER_LEN) {
+    uint8_t head[ITEM_HEADER_LEN];
+
+    g_byte_array_set_size(reader->payload, 0);
+    if (reader->length - at < sizeof head ||
+        !read_at(reader, at, head, sizeof head)) {
         return 0;
     }
-    uint32_t size = mw_get_le32(data + at);
+    uint32_t size = mw_get_le32(head);
 
     if (size == MARKER_LENGTH_FIELD) {
-        if (len - at < MARKER_LEN ||
-            mw_get_le32(data + at + 20) != (uint32_t)crc32(0, data + at, 20)) {
-            return 0;
-        }
-        return MARKER_LEN;
+        return is_marker_valid(reader, at) ? MARKER_LEN : 0;
     }
     if (size == 0 || size > ITEM_BYTES_MAX ||
-        size > len - at - ITEM_HEADER_LEN ||
-        mw_get_le32(data + at + 4) !=
-            (uint32_t)crc32(0, data + at + ITEM_HEADER_LEN, size)) {
+        size > reader->length - at - ITEM_HEADER_LEN) {
+        return 0;
+    }
+    g_byte_array_set_size(reader->payload, size);
+    if (!read_at(reader, at + ITEM_HEADER_LEN, reader->payload->data, size) ||
+        mw_get_le32(head + 4) !=
+            (uint32_t)crc32(0, reader->payload->data, size)) {
         return 0;
     }
     return ITEM_HEADER_LEN + size;
@@ -79,13 +158,15 @@
 
 static int
 check_header(struct mw_context *ctx, const struct mw_disk *disk,
-             enum mw_group group, const uint8_t *data, size_t len,
-             const char *path)
+             enum mw_group group, struct file_reader *reader, const char *path)
 {
     uint8_t header[HEADER_LEN];
+    uint8_t data[HEADER_LEN];
 
     mw_encode_disk_header(disk, group, header);
-    if (len < HEADER_LEN || memcmp(data, HEADER_MAGIC, 6) != 0) {
+    if (reader->length < HEADER_LEN ||
+        !read_at(reader, 0, data, sizeof data) ||
+        memcmp(data, HEADER_MAGIC, 6) != 0) {
         return mw_fail(ctx, MW_ERR_DAMAGED, "%s: missing or invalid header",
                        path);
     }
@@ -101,34 +182,51 @@
     return 0;
 }
 
+/* What follows an offset can't be read: cuts it off if it was not synced. */
+static int
+cut_tail(struct mw_context *ctx, struct mw_disk *disk,
+         struct file_reader *reader, uint64_t at, const char *path)
+{
+    if (!reader->failed && marker_follows(reader, at)) {
+        return mw_fail(ctx, MW_ERR_DAMAGED,
+                       "%s: invalid item at byte %" G_GUINT64_FORMAT, path,
+                       at);
+    }
+    if (reader->failed) {
+        return mw_disk_error(ctx, path);
+    }
+    disk->truncated_tails++;
+    mw_emit_event(&disk->ctx, MW_SEVERITY_WARNING,
+                  "event=tail_cut file=%s at=%" G_GUINT64_FORMAT
+                  " bytes=%" G_GUINT64_FORMAT,
+                  path, at, reader->length - at);
+    return 0;
+}
+
 static int
 load_items(struct mw_context *ctx, struct mw_disk *disk, enum mw_group group,
-           const uint8_t *data, size_t len, const char *path,
+           struct file_reader *reader, const char *path,
            const struct mw_disk_loader *loader, uint64_t *incarnation)
 {
-    size_t at = HEADER_LEN;
+    uint64_t at = HEADER_LEN;
+    int err = 0;
 
-    while (at < len) {
-        size_t size = item_length(data, len, at);
+    while (at < reader->length) {
+        size_t size = read_item(reader, at);
 
         if (size == 0) {
-            if (marker_follows(data, len, at)) {
-                return mw_fail(ctx, MW_ERR_DAMAGED,
-                               "%s: invalid item at byte %zu", path, at);
-            }
-            disk->truncated_tails++;
-            mw_emit_event(&disk->ctx, MW_SEVERITY_WARNING,
-                          "event=tail_cut file=%s at=%zu bytes=%zu", path, at,
-                          len - at);
+            err = cut_tail(ctx, disk, reader, at, path);
             break;
         }
-        if (mw_get_le32(data + at) != MARKER_LENGTH_FIELD) {
-            struct mw_str payload = {(const char *)data + at + ITEM_HEADER_LEN,
-                                     size - ITEM_HEADER_LEN};
-            int err = load_item(ctx, group, payload, loader, incarnation);
+        if (reader->payload->len > 0) {
+            struct mw_str payload = {(const char *)reader->payload->data,
+                                     reader->payload->len};
 
+            err = load_item(ctx, group, payload, loader, incarnation);
             if (err) {
-                return mw_fail(ctx, err, "%s: can't load the item at byte %zu",
+                return mw_fail(ctx, err,
+                               "%s: can't load the item at byte "
+                               "%" G_GUINT64_FORMAT,
                                path, at);
             }
         }
@@ -136,6 +234,18 @@
     }
     disk->files[group].length = at;
     disk->files[group].synced_length = at;
+    return err;
+}
+
+/* Cuts off the damaged end, and syncs what an earlier process wrote. */
+static int
+prepare_file(struct mw_context *ctx, const struct data_file *file,
+             const char *path)
+{
+    if (ftruncate(file->fd, (off_t)file->length) != 0 ||
+        lseek(file->fd, 0, SEEK_END) < 0 || fsync(file->fd) != 0) {
+        return mw_disk_error(ctx, path);
+    }
     return 0;
 }
 
@@ -145,31 +255,27 @@
                   uint64_t *incarnation)
 {
     char *path = mw_disk_path(disk, group, "");
-    char *data = NULL;
-    gsize len = 0;
+    struct file_reader reader = {.fd = open(path, O_RDWR | O_CLOEXEC)};
+    struct stat status;
     int err = 0;
 
-    if (!g_file_get_contents(path, &data, &len, NULL)) {
+    reader.payload = g_byte_array_new();
+    disk->files[group].fd = reader.fd;
+    if (reader.fd < 0 || fstat(reader.fd, &status) != 0) {
         err = mw_fail(ctx, MW_ERR_DAMAGED, "%s is missing or can't be read",
                       path);
     }
     if (!err) {
-        err = check_header(ctx, disk, group, (uint8_t *)data, len, path);
+        reader.length = (uint64_t)status.st_size;
+        err = check_header(ctx, disk, group, &reader, path);
     }
     if (!err) {
-        err = load_items(ctx, disk, group, (uint8_t *)data, len, path, loader,
-                         incarnation);
+        err = load_items(ctx, disk, group, &reader, path, loader, incarnation);
     }
     if (!err) {
-        int fd = open(path, O_RDWR | O_CLOEXEC);
-
-        disk->files[group].fd = fd;
-        if (fd < 0 || ftruncate(fd, (off_t)disk->files[group].length) ||
-            lseek(fd, 0, SEEK_END) < 0 || fsync(fd) != 0) {
-            err = mw_disk_error(ctx, path);
-        }
+        err = prepare_file(ctx, &disk->files[group], path);
     }
-    g_free(data);
+    g_byte_array_unref(reader.payload);
     g_free(path);
     return err;
 }
--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -22,10 +22,10 @@
 }
 
 static int
-write_all(int fd, const uint8_t *data, size_t len)
+write_all(const struct mw_disk *disk, int fd, const uint8_t *data, size_t len)
 {
     while (len > 0) {
-        ssize_t n = write(fd, data, len);
+        ssize_t n = disk->io->write(disk->io->opaque, fd, data, len);
 
         if (n < 0 && errno == EINTR) {
             continue;
@@ -40,17 +40,17 @@
 }
 
 static int
-sync_dir(const char *path)
+sync_file_data(const struct mw_disk *disk, int fd)
 {
-    int fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-
-    if (fd < 0) {
-        return MW_ERR_DISK;
-    }
-    int err = fsync(fd) == 0 ? 0 : MW_ERR_DISK;
+    return disk->io->sync(disk->io->opaque, fd);
+}
 
-    close(fd);
-    return err;
+static int
+sync_dir(const struct mw_disk *disk)
+{
+    return disk->io->sync_dir(disk->io->opaque, disk->data_dir) == 0
+               ? 0
+               : MW_ERR_DISK;
 }
 
 static void
@@ -129,7 +129,7 @@
     mw_encode_disk_header(disk, group, header);
     g_byte_array_append(out, header, sizeof header);
     append_item(out, payload);
-    if (fd < 0 || write_all(fd, out->data, out->len) || fsync(fd) != 0) {
+    if (fd < 0 || write_all(disk, fd, out->data, out->len) || fsync(fd) != 0) {
         err = mw_disk_error(ctx, path);
     }
     if (fd >= 0) {
@@ -168,7 +168,7 @@
             return err;
         }
     }
-    return sync_dir(disk->data_dir);
+    return sync_dir(disk);
 }
 
 static bool
@@ -207,6 +207,7 @@
     disk->member = setup->member;
     disk->owner = setup->owner;
     disk->ctx = setup->ctx;
+    disk->io = setup->io ? setup->io : &mw_system_disk_io;
     disk->lock_fd = -1;
     for (int group = 0; group < MW_GROUPS; group++) {
         disk->files[group].fd = -1;
@@ -352,6 +353,27 @@
     }
 }
 
+/* Writes the new file; returns its descriptor, or -1 with errno set. */
+static int
+write_new_file(struct mw_disk *disk, const struct data_file *file,
+               const char *path)
+{
+    int fd = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+
+    if (fd >= 0 &&
+        (write_all(disk, fd, file->unsynced->data, file->unsynced->len) ||
+         sync_file_data(disk, fd) != 0)) {
+        int cause = errno;
+
+        /* leaves the room that the incomplete file takes */
+        disk->io->remove(disk->io->opaque, path);
+        close(fd);
+        errno = cause;
+        return -1;
+    }
+    return fd;
+}
+
 /* Writes the new file beside the present one, then replaces that. */
 static int
 write_snapshot(struct mw_disk *disk, enum mw_group group)
@@ -359,30 +381,26 @@
     struct data_file *file = &disk->files[group];
     char *from = mw_disk_path(disk, group, ".new");
     char *to = mw_disk_path(disk, group, "");
-    int fd = open(from, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    int fd = write_new_file(disk, file, from);
     int err = 0;
 
-    if (fd < 0 || write_all(fd, file->unsynced->data, file->unsynced->len) ||
-        fdatasync(fd) != 0 || rename(from, to) != 0 ||
-        sync_dir(disk->data_dir)) {
+    if (fd < 0 || disk->io->rename(disk->io->opaque, from, to) != 0 ||
+        sync_dir(disk)) {
         err = MW_ERR_DISK;
     }
-    if (err) {
-        int cause = errno;
-
-        /* leaves the room that the incomplete file takes */
-        unlink(from);
-        if (fd >= 0) {
-            close(fd);
-        }
-        errno = cause;
-    }
-    else {
+    if (!err) {
         close(file->fd);
         file->fd = fd;
         file->length = file->unsynced->len;
         file->is_snapshot = false;
     }
+    else if (fd >= 0) {
+        int cause = errno;
+
+        disk->io->remove(disk->io->opaque, from);
+        close(fd);
+        errno = cause;
+    }
     g_free(from);
     g_free(to);
     return err;
@@ -404,10 +422,10 @@
 }
 
 static int
-append_unsynced(struct data_file *file)
+append_unsynced(const struct mw_disk *disk, struct data_file *file)
 {
-    if (write_all(file->fd, file->unsynced->data, file->unsynced->len) ||
-        fdatasync(file->fd) != 0) {
+    if (write_all(disk, file->fd, file->unsynced->data, file->unsynced->len) ||
+        sync_file_data(disk, file->fd) != 0) {
         int cause = errno;
 
         undo_unsynced_writes(file);
@@ -420,12 +438,12 @@
 
 /* The marker itself is not synced here, but by the next sync of the file. */
 static void
-write_marker(struct data_file *file)
+write_marker(const struct mw_disk *disk, struct data_file *file)
 {
     uint8_t marker[MARKER_LEN];
 
     encode_marker(marker, file->length);
-    if (write_all(file->fd, marker, sizeof marker) == 0) {
+    if (write_all(disk, file->fd, marker, sizeof marker) == 0) {
         file->length += sizeof marker;
     }
     else {
@@ -443,13 +461,13 @@
         return;
     }
     if (file->is_snapshot ? write_snapshot(disk, group)
-                          : append_unsynced(file)) {
+                          : append_unsynced(disk, file)) {
         note_refusal(disk, group_files[group]);
         return;
     }
     file->synced_length = file->length;
     note_success(disk);
-    write_marker(file);
+    write_marker(disk, file);
     g_byte_array_set_size(file->unsynced, 0);
     task_msg = mw_new_task_msg(MW_TASK_MSG_SYNCED);
     task_msg->group = group;
--- a/source/run/disk.h
+++ b/source/run/disk.h
@@ -25,10 +25,38 @@
 
 #define MW_DISK_VERSION 1
 
+/* mw_disk_space: bytes of a file system. */
+struct mw_disk_space {
+    uint64_t total;
+    uint64_t available;
+};
+
+/*
+ * mw_disk_io: the operations that change files.
+ *
+ * Results and errno are those of write, fdatasync, rename and unlink; sync_dir
+ * makes the names in a directory persist.
+ */
+struct mw_disk_io {
+    void *opaque;
+    ssize_t (*write)(void *opaque, int fd, const void *data, size_t len);
+    int (*sync)(void *opaque, int fd);
+    int (*rename)(void *opaque, const char *from, const char *to);
+    int (*remove)(void *opaque, const char *path);
+    int (*sync_dir)(void *opaque, const char *path);
+    int (*get_space)(void *opaque, const char *path,
+                     struct mw_disk_space *space);
+};
+
+/* mw_system_disk_io: those of the operating system. */
+extern const struct mw_disk_io mw_system_disk_io;
+
+/* mw_disk_setup: io NULL stands for mw_system_disk_io. */
 struct mw_disk_setup {
     struct mw_str data_dir;
     struct mw_name member;
     struct mw_task *owner;
+    const struct mw_disk_io *io;
     struct mw_context ctx;
 };
 
