--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -245,6 +245,16 @@
     return err;
 }
 
+/* Removes a new file that an earlier process could not complete. */
+static void
+remove_new_file(const struct mw_disk *disk, enum mw_group group)
+{
+    char *path = mw_disk_path(disk, group, ".new");
+
+    unlink(path);
+    g_free(path);
+}
+
 static int
 load_files(struct mw_context *ctx, struct mw_disk *disk, uint64_t *incarnation,
            const struct mw_disk_loader *loader)
@@ -257,6 +267,7 @@
         err = create_files(ctx, disk, *incarnation);
     }
     for (int group = 0; group < MW_GROUPS && !err; group++) {
+        remove_new_file(disk, (enum mw_group)group);
         err = mw_load_data_file(ctx, disk, (enum mw_group)group, loader,
                                 incarnation);
     }
