--- a/source/run/disk-impl.h
+++ b/source/run/disk-impl.h
@@ -9,6 +9,7 @@
  * FILES
  *   disk.c          creates files, writes and syncs items
  *   disk-load.c     reads the files at the start
+ *   disk-reserve.c  keeps room for a snapshot
  *   disk-io.c       the operations that change files
  */
 
@@ -31,6 +32,16 @@
     uint64_t unsynced_sequence;
     /* unsynced begins with a snapshot and replaces the whole file */
     bool is_snapshot;
+    /* length of the file when it had just been replaced; 0 if unknown */
+    uint64_t snapshot_length;
+};
+
+struct disk_reserve {
+    /* -1 if it is not open */
+    int fd;
+    uint64_t length;
+    /* when the next part is written */
+    int64_t deadline_us;
 };
 
 struct mw_disk {
@@ -42,6 +53,7 @@
     struct mw_context ctx;
     const struct mw_disk_io *io;
     struct data_file files[MW_GROUPS];
+    struct disk_reserve reserve;
     /* files whose damaged end was cut off while loading */
     uint64_t truncated_tails;
     /* the last write was refused */
@@ -66,4 +78,16 @@
                       enum mw_group group, const struct mw_disk_loader *loader,
                       uint64_t *incarnation);
 
+/* disk-reserve.c */
+/* mw_open_disk_reserve: open the file, and fill it from the next tick on. */
+void mw_open_disk_reserve(struct mw_disk *disk);
+void mw_close_disk_reserve(struct mw_disk *disk);
+
+/* mw_release_disk_reserve: remove the file; returns whether it took room. */
+bool mw_release_disk_reserve(struct mw_disk *disk);
+
+/* mw_tick_disk_reserve: write the next part if one is due and fits. */
+void mw_tick_disk_reserve(struct mw_disk *disk, int64_t now_us);
+int64_t mw_disk_reserve_deadline(const struct mw_disk *disk);
+
 #endif
--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -209,6 +209,7 @@
     disk->ctx = setup->ctx;
     disk->io = setup->io ? setup->io : &mw_system_disk_io;
     disk->lock_fd = -1;
+    disk->reserve.fd = -1;
     for (int group = 0; group < MW_GROUPS; group++) {
         disk->files[group].fd = -1;
         disk->files[group].unsynced = g_byte_array_new();
@@ -385,6 +386,12 @@
     return fd;
 }
 
+static bool
+is_disk_full(int cause)
+{
+    return cause == ENOSPC || cause == EDQUOT || cause == EFBIG;
+}
+
 /* Writes the new file beside the present one, then replaces that. */
 static int
 write_snapshot(struct mw_disk *disk, enum mw_group group)
@@ -395,6 +402,9 @@
     int fd = write_new_file(disk, file, from);
     int err = 0;
 
+    if (fd < 0 && is_disk_full(errno) && mw_release_disk_reserve(disk)) {
+        fd = write_new_file(disk, file, from);
+    }
     if (fd < 0 || disk->io->rename(disk->io->opaque, from, to) != 0 ||
         sync_dir(disk)) {
         err = MW_ERR_DISK;
@@ -403,6 +413,7 @@
         close(file->fd);
         file->fd = fd;
         file->length = file->unsynced->len;
+        file->snapshot_length = file->length;
         file->is_snapshot = false;
     }
     else if (fd >= 0) {
@@ -504,14 +515,15 @@
 {
     const struct mw_disk *disk = opaque;
 
-    return disk->refusing ? disk->retry_deadline_us : INT64_MAX;
+    return disk->refusing ? disk->retry_deadline_us
+                          : mw_disk_reserve_deadline(disk);
 }
 
 static void
 disk_tick(void *opaque, int64_t now_us)
 {
-    (void)now_us;
     disk_batch(opaque);
+    mw_tick_disk_reserve(opaque, now_us);
 }
 
 struct mw_task *
@@ -526,6 +538,7 @@
     };
 
     disk->owner = owner;
+    mw_open_disk_reserve(disk);
     disk->task = mw_new_task("disk", &work);
     return disk->task;
 }
@@ -545,6 +558,7 @@
         }
         g_byte_array_unref(file->unsynced);
     }
+    mw_close_disk_reserve(disk);
     if (disk->lock_fd >= 0) {
         close(disk->lock_fd);
     }
--- a/source/run/disk.h
+++ b/source/run/disk.h
@@ -7,7 +7,8 @@
  * disk: the task that owns the data directory.
  *
  * FILES   LOCK, region.log and zone.log; a new snapshot is written to
- *         NAME.log.new and renamed once it is synced
+ *         NAME.log.new and renamed once it is synced; RESERVE keeps room for
+ *         it, and is removed when the disk has none left
  * FORMAT  header: "MWLOG", version, group, member, CRC-32; then items, each
  *         with its length, CRC-32 and payload; and sync markers, each of
  *         which states that everything before it has been synced
--- a/tests/input-script.c
+++ b/tests/input-script.c
@@ -317,7 +317,8 @@
 static void
 remove_data_dir(const char *data_dir)
 {
-    static const char *const names[] = {"LOCK", "zone.log", "region.log"};
+    static const char *const names[] = {"LOCK", "RESERVE", "zone.log",
+                                        "region.log"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         char *path = g_build_filename(data_dir, names[i], NULL);
--- a/tests/store-disk.c
+++ b/tests/store-disk.c
@@ -249,7 +249,8 @@
     struct stat status;
 
     g_file_get_contents(source, &data, &len, NULL);
-    g_file_set_contents(path, data, (gssize)len, NULL);
+    g_file_set_contents_full(path, data, (gssize)len, G_FILE_SET_CONTENTS_NONE,
+                             0600, NULL);
     if (stat(path, &status) == 0) {
         note_synced(disk, &status);
     }
--- a/tests/store-script.c
+++ b/tests/store-script.c
@@ -293,7 +293,8 @@
     gsize len = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
     char *data = g_strnfill(len, 'x');
 
-    g_file_set_contents(path, data, (gssize)len, NULL);
+    g_file_set_contents_full(path, data, (gssize)len, G_FILE_SET_CONTENTS_NONE,
+                             0600, NULL);
     g_free(data);
     g_free(path);
 }
