--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -321,7 +321,8 @@
  * A member whose disk refuses them grants no vote, stands for no election and
  * takes no entries, so that little has to be kept for the disk.  A leader
  * refuses new records, asks another member to take over, and keeps its lease
- * until one can.
+ * until one can.  When writes are first refused, a snapshot is stored if it is
+ * smaller than what it replaces: the disk may be full of this very log.
  */
 void mw_log_set_writable(struct mw_context *ctx, struct mw_log *log,
                          int64_t now_us, bool writable);
--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -11,14 +11,22 @@
     g_ptr_array_add(out, mw_keep_record(record));
 }
 
+static uint64_t
+total_size(const GPtrArray *records)
+{
+    uint64_t size = 0;
+
+    for (guint i = 0; i < records->len; i++) {
+        size += mw_record_size(records->pdata[i]);
+    }
+    return size;
+}
+
 static void
 note_snapshot_size(struct mw_log *log)
 {
-    log->snapshot_bytes = 0;
+    log->snapshot_bytes = total_size(log->snapshot_records);
     log->applied_bytes = 0;
-    for (guint i = 0; i < log->snapshot_records->len; i++) {
-        log->snapshot_bytes += mw_record_size(log->snapshot_records->pdata[i]);
-    }
 }
 
 void
@@ -33,15 +41,24 @@
     }
 }
 
-void
-mw_log_compact(struct mw_log *log)
+/* The records of a snapshot of what is applied now. */
+static GPtrArray *
+collect_records(struct mw_log *log)
 {
     GPtrArray *records =
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
-    uint64_t term = mw_log_term_at(log, log->applied_index);
 
     mw_log_collect_slots(log, records);
     log->output.collect(log->output.opaque, records, add_record);
+    return records;
+}
+
+/* Replaces the applied entries by records, which it takes. */
+static void
+replace_applied(struct mw_log *log, GPtrArray *records)
+{
+    uint64_t term = mw_log_term_at(log, log->applied_index);
+
     memcpy(log->snapshot_config, log->config, sizeof log->snapshot_config);
     g_array_remove_range(log->entries, 0,
                          (guint)(log->applied_index - log->snapshot_index));
@@ -58,6 +75,29 @@
     mw_log_store_all(log);
 }
 
+void
+mw_log_compact(struct mw_log *log)
+{
+    replace_applied(log, collect_records(log));
+}
+
+void
+mw_log_shrink(struct mw_log *log)
+{
+    GPtrArray *records;
+
+    if (log->applied_index == log->snapshot_index) {
+        return;
+    }
+    records = collect_records(log);
+    if (total_size(records) < log->snapshot_bytes + log->applied_bytes) {
+        replace_applied(log, records);
+    }
+    else {
+        g_ptr_array_unref(records);
+    }
+}
+
 void
 mw_log_apply_snapshot(struct mw_log *log)
 {
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -263,6 +263,9 @@
  */
 void mw_log_compact(struct mw_log *log);
 
+/* mw_log_shrink: compact if the snapshot is smaller than what it replaces. */
+void mw_log_shrink(struct mw_log *log);
+
 /* mw_log_store_all: store the snapshot, the term, the vote and the entries,
  * which replaces everything stored before. */
 void mw_log_store_all(struct mw_log *log);
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -159,6 +159,9 @@
         return;
     }
     log->writable = writable;
+    if (!writable) {
+        mw_log_shrink(log);
+    }
     if (!writable && log->role == MW_LEADER) {
         mw_log_transfer_leadership(log, now_us);
     }
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -68,6 +68,8 @@
     bool keep_disks;
     /* disks fill up and get room again, at random */
     bool fill_disks;
+    /* what each disk has room for, of what no snapshot replaces; 0 for all */
+    uint64_t disk_bytes;
     uint32_t compact_after;
     uint64_t compact_bytes;
     /* members of the first configuration; 0 if all members are in it */
@@ -318,9 +320,12 @@
     m->synced_count = 0;
 }
 
-/* As on a disk, a synced snapshot replaces everything before it. */
-static void
-drop_replaced(struct member *m)
+/*
+ * Index of the first item that a sync keeps: as on a disk, a snapshot replaces
+ * everything before it.
+ */
+static guint
+first_kept(struct member *m)
 {
     for (guint i = m->stored->len; i > MAX(m->synced_count, 1); i--) {
         struct mw_stored_item item;
@@ -330,18 +335,44 @@
 
         mw_clear_stored(&item);
         if (is_snapshot) {
-            g_ptr_array_remove_range(m->stored, 0, i - 1);
-            return;
+            return i - 1;
         }
     }
+    return 0;
+}
+
+static void
+set_disk_full(struct member *m, bool full)
+{
+    m->disk_full = full;
+    if (m->up) {
+        mw_log_set_writable(&m->cluster->ctx, m->log, m->cluster->now_us,
+                            !full);
+    }
+}
+
+/* Where disks have a size, they refuse what they have no room for. */
+static void
+check_disk_room(struct member *m)
+{
+    uint64_t bytes = 0;
+
+    if (m->cluster->disk_bytes == 0 || !m->up || m->frozen) {
+        return;
+    }
+    for (guint i = first_kept(m); i < m->stored->len; i++) {
+        bytes += mw_blob_str(m->stored->pdata[i]).len;
+    }
+    set_disk_full(m, bytes > m->cluster->disk_bytes);
 }
 
 static void
 sync_member(struct member *m)
 {
+    check_disk_room(m);
     if (m->up && !m->frozen && !m->disk_full &&
         m->synced_count < m->stored->len) {
-        drop_replaced(m);
+        g_ptr_array_remove_range(m->stored, 0, first_kept(m));
         m->synced_count = m->stored->len;
         mw_log_synced(&m->cluster->ctx, m->log, m->cluster->now_us,
                       m->sequence);
@@ -578,6 +609,7 @@
     cluster->compact_after = (uint32_t)mw_script_option_int(s, "compact", 0);
     cluster->compact_bytes =
         (uint64_t)mw_script_option_int(s, "compact-bytes", 0);
+    cluster->disk_bytes = (uint64_t)mw_script_option_int(s, "disk-bytes", 0);
     for (int i = 1; i < s->word_count; i++) {
         if (!strchr(s->words[i], '=')) {
             add_member(cluster, s->words[i]);
@@ -719,16 +751,6 @@
     member_at_word(s, 1)->frozen = false;
 }
 
-static void
-set_disk_full(struct member *m, bool full)
-{
-    m->disk_full = full;
-    if (m->up) {
-        mw_log_set_writable(&m->cluster->ctx, m->log, m->cluster->now_us,
-                            !full);
-    }
-}
-
 static void
 cmd_disk_full(struct mw_script *s)
 {
