--- a/source/run/disk-impl.h
+++ b/source/run/disk-impl.h
@@ -20,7 +20,8 @@
 #define MARKER_MAGIC "MWSYNCED"
 #define ITEM_HEADER_LEN 8
 #define MARKER_LEN 24
-#define ITEM_BYTES_MAX MW_FRAME_BYTES_MAX
+/* far more than a process has memory for: what is written can be read */
+#define ITEM_BYTES_MAX 0x7fffffffu
 
 struct data_file {
     int fd;
--- a/source/run/disk-load.c
+++ b/source/run/disk-load.c
@@ -12,8 +12,8 @@
 
 #include "disk-impl.h"
 
-/* bytes searched for a sync marker at once */
-#define SEARCH_BYTES (64 * 1024)
+/* bytes that are searched for a sync marker, or checked, at once */
+#define PART_BYTES (64 * 1024)
 
 /*
  * file_reader: a data file that is being read item by item, so that memory is
@@ -77,13 +77,13 @@
 static bool
 marker_follows(struct file_reader *reader, uint64_t from)
 {
-    uint8_t *data = g_malloc(SEARCH_BYTES);
+    uint8_t *data = g_malloc(PART_BYTES);
     bool found = false;
 
     /* a marker that ends beyond one part is whole in the next */
     for (uint64_t at = from; !found && at + MARKER_LEN <= reader->length;
-         at += SEARCH_BYTES - MARKER_LEN + 1) {
-        size_t len = (size_t)MIN(reader->length - at, SEARCH_BYTES);
+         at += PART_BYTES - MARKER_LEN + 1) {
+        size_t len = (size_t)MIN(reader->length - at, PART_BYTES);
 
         if (!read_at(reader, at, data, len)) {
             break;
@@ -105,6 +105,31 @@
            mw_get_le32(marker + 20) == (uint32_t)crc32(0, marker, 20);
 }
 
+/*
+ * Whether the bytes have this checksum.  They are not kept: the length of a
+ * damaged item may be that of the whole file.
+ */
+static bool
+has_checksum(struct file_reader *reader, uint64_t at, size_t len,
+             uint32_t expected)
+{
+    uint8_t *data = g_malloc(PART_BYTES);
+    uLong checksum = crc32(0, NULL, 0);
+
+    while (len > 0) {
+        size_t part = MIN(len, PART_BYTES);
+
+        if (!read_at(reader, at, data, part)) {
+            break;
+        }
+        checksum = crc32(checksum, data, (uInt)part);
+        at += part;
+        len -= part;
+    }
+    g_free(data);
+    return len == 0 && (uint32_t)checksum == expected;
+}
+
 /*
  * Reads the item or sync marker at an offset; returns its length, 0 if it is
  * damaged.  A marker has no payload.  No item is empty; eight zeros would be
@@ -129,10 +154,13 @@
         size > reader->length - at - ITEM_HEADER_LEN) {
         return 0;
     }
+    at += ITEM_HEADER_LEN;
+    if (!has_checksum(reader, at, size, mw_get_le32(head + 4))) {
+        return 0;
+    }
     g_byte_array_set_size(reader->payload, size);
-    if (!read_at(reader, at + ITEM_HEADER_LEN, reader->payload->data, size) ||
-        mw_get_le32(head + 4) !=
-            (uint32_t)crc32(0, reader->payload->data, size)) {
+    if (!read_at(reader, at, reader->payload->data, size)) {
+        g_byte_array_set_size(reader->payload, 0);
         return 0;
     }
     return ITEM_HEADER_LEN + size;
