--- a/source/run/disk-impl.h
+++ b/source/run/disk-impl.h
@@ -35,6 +35,7 @@
     bool is_snapshot;
     /* length of the file when it had just been replaced; 0 if unknown */
     uint64_t snapshot_length;
+    struct mw_disk_summary summary;
 };
 
 struct disk_reserve {
--- a/source/run/disk-load.c
+++ b/source/run/disk-load.c
@@ -166,9 +166,24 @@
     return ITEM_HEADER_LEN + size;
 }
 
+static void
+summarise_item(struct mw_disk_summary *summary,
+               const struct mw_stored_item *item)
+{
+    summary->entries += item->kind == MW_STORED_ENTRY;
+    summary->snapshots += item->kind == MW_STORED_SNAPSHOT;
+    summary->term = MAX(summary->term, item->term);
+    summary->last_index = MAX(summary->last_index, item->index);
+    summary->commit = MAX(summary->commit, item->commit);
+    if (item->kind == MW_STORED_SNAPSHOT) {
+        summary->commit = MAX(summary->commit, item->index);
+    }
+}
+
 static int
-load_item(struct mw_context *ctx, enum mw_group group, struct mw_str payload,
-          const struct mw_disk_loader *loader, uint64_t *incarnation)
+load_item(struct mw_context *ctx, struct mw_disk *disk, enum mw_group group,
+          struct mw_str payload, const struct mw_disk_loader *loader,
+          uint64_t *incarnation)
 {
     struct mw_stored_item item;
     int err = mw_decode_stored(ctx, payload, &item);
@@ -179,6 +194,7 @@
     if (item.kind == MW_STORED_META) {
         *incarnation = item.incarnation;
     }
+    summarise_item(&disk->files[group].summary, &item);
     err = loader->load(loader->opaque, ctx, group, &item);
     mw_clear_stored(&item);
     return err;
@@ -250,7 +266,7 @@
             struct mw_str payload = {(const char *)reader->payload->data,
                                      reader->payload->len};
 
-            err = load_item(ctx, group, payload, loader, incarnation);
+            err = load_item(ctx, disk, group, payload, loader, incarnation);
             if (err) {
                 return mw_fail(ctx, err,
                                "%s: can't load the item at byte "
@@ -277,6 +293,21 @@
     return 0;
 }
 
+static void
+report_file(struct mw_disk *disk, enum mw_group group, const char *path)
+{
+    const struct mw_disk_summary *summary = &disk->files[group].summary;
+
+    mw_emit_event(&disk->ctx, MW_SEVERITY_NOTICE,
+                  "event=store outcome=read file=%s bytes=%" G_GUINT64_FORMAT
+                  " entries=%" G_GUINT64_FORMAT " snapshots=%" G_GUINT64_FORMAT
+                  " term=%" G_GUINT64_FORMAT " commit=%" G_GUINT64_FORMAT
+                  " last=%" G_GUINT64_FORMAT " duration_us=%" G_GINT64_FORMAT,
+                  path, summary->bytes, summary->entries, summary->snapshots,
+                  summary->term, summary->commit, summary->last_index,
+                  summary->end_us - summary->begin_us);
+}
+
 int
 mw_load_data_file(struct mw_context *ctx, struct mw_disk *disk,
                   enum mw_group group, const struct mw_disk_loader *loader,
@@ -287,6 +318,7 @@
     struct stat status;
     int err = 0;
 
+    disk->files[group].summary.begin_us = mw_now();
     reader.payload = g_byte_array_new();
     disk->files[group].fd = reader.fd;
     if (reader.fd < 0 || fstat(reader.fd, &status) != 0) {
@@ -303,6 +335,11 @@
     if (!err) {
         err = prepare_file(ctx, &disk->files[group], path);
     }
+    if (!err) {
+        disk->files[group].summary.bytes = disk->files[group].length;
+        disk->files[group].summary.end_us = mw_now();
+        report_file(disk, group, path);
+    }
     g_byte_array_unref(reader.payload);
     g_free(path);
     return err;
--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -571,3 +571,9 @@
 {
     return disk->truncated_tails;
 }
+
+const struct mw_disk_summary *
+mw_disk_get_summary(const struct mw_disk *disk, enum mw_group group)
+{
+    return &disk->files[group].summary;
+}
--- a/source/run/disk.h
+++ b/source/run/disk.h
@@ -69,6 +69,23 @@
                 const struct mw_stored_item *item);
 };
 
+/*
+ * mw_disk_summary: what a start has read of a group's file.
+ *
+ * bytes does not count a damaged end.  term, commit and last_index are the
+ * highest that any item states.
+ */
+struct mw_disk_summary {
+    uint64_t bytes;
+    uint64_t entries;
+    uint64_t snapshots;
+    uint64_t term;
+    uint64_t commit;
+    uint64_t last_index;
+    int64_t begin_us;
+    int64_t end_us;
+};
+
 struct mw_disk;
 
 /*
@@ -100,6 +117,10 @@
 struct mw_task *mw_start_disk(struct mw_disk *disk, struct mw_task *owner);
 void mw_drop_disk(struct mw_disk *disk);
 
+/* mw_disk_get_summary: what the start has read of a group's file; lent. */
+const struct mw_disk_summary *mw_disk_get_summary(const struct mw_disk *disk,
+                                                  enum mw_group group);
+
 /* mw_disk_truncated_tail_count: number of files whose damaged tail was
  * truncated on load. */
 uint64_t mw_disk_truncated_tail_count(const struct mw_disk *disk);
--- a/tests/store-script.c
+++ b/tests/store-script.c
@@ -314,6 +314,22 @@
                      (int)(size / 1024));
 }
 
+/* summary: what the last start says that it has read */
+static void
+cmd_summary(struct mw_script *s)
+{
+    struct state *st = s->state;
+    const struct mw_disk_summary *summary =
+        mw_disk_get_summary(st->disk, MW_GROUP_REGION);
+
+    mw_script_printf(s,
+                     "  %d bytes, %d entries, %d snapshots, term %d, commit "
+                     "%d, last entry %d",
+                     (int)summary->bytes, (int)summary->entries,
+                     (int)summary->snapshots, (int)summary->term,
+                     (int)summary->commit, (int)summary->last_index);
+}
+
 /* wait-for NAME KB: until the file has this size, for 20 s at most */
 static void
 cmd_wait_for(struct mw_script *s)
@@ -478,6 +494,7 @@
     {"capacity", 1, cmd_capacity},
     {"file", 2, cmd_file},
     {"size", 1, cmd_size},
+    {"summary", 0, cmd_summary},
     {"wait-for", 2, cmd_wait_for},
     {"read-memory", 1, cmd_read_memory},
     {"power-losses", 1, cmd_power_losses},
