--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -78,6 +78,30 @@
     log->counters.snapshots_sent++;
 }
 
+/*
+ * Sets the records of the next message, bounded in number and in bytes;
+ * returns their number, at least one if any are left.
+ */
+static uint32_t
+fill_chunk(const struct mw_log_peer *peer, struct mw_log_entry *chunk)
+{
+    const GPtrArray *records = peer->snapshot_records;
+    size_t bytes = 0;
+    uint32_t n = 0;
+
+    while (peer->snapshot_offset + n < records->len &&
+           n < MW_LOG_MSG_RECORDS_MAX) {
+        struct mw_record *record = records->pdata[peer->snapshot_offset + n];
+
+        bytes += mw_record_size(record);
+        if (n > 0 && bytes > MW_LOG_MSG_BYTES_MAX) {
+            break;
+        }
+        chunk[n++] = (struct mw_log_entry){peer->snapshot_term, record};
+    }
+    return n;
+}
+
 void
 mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned i)
 {
@@ -90,7 +114,6 @@
         start_snapshot_transfer(log, peer);
     }
     struct mw_log_entry chunk[MW_LOG_MSG_RECORDS_MAX];
-    uint64_t remaining = peer->snapshot_records->len - peer->snapshot_offset;
     struct mw_log_msg msg = {
         .kind = MW_LOG_SNAPSHOT,
         .index = peer->snapshot_index,
@@ -99,16 +122,11 @@
         .offset = peer->snapshot_offset,
         .total = peer->snapshot_records->len,
         .sent_us = now_us,
-        .entry_count = (uint32_t)MIN(remaining, MW_LOG_MSG_RECORDS_MAX),
+        .entry_count = fill_chunk(peer, chunk),
         .entries = chunk,
     };
 
     memcpy(msg.config, peer->snapshot_config, sizeof msg.config);
-    for (uint32_t n = 0; n < msg.entry_count; n++) {
-        chunk[n].term = peer->snapshot_term;
-        chunk[n].record =
-            peer->snapshot_records->pdata[peer->snapshot_offset + n];
-    }
     mw_log_send(log, &peer->name, &msg);
 }
 
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -8,32 +8,6 @@
 /* entries sent to a peer beyond those it has acknowledged */
 #define INFLIGHT_ENTRIES_MAX 1024
 
-/* Approximate size of a record in a message. */
-static size_t
-record_size(const struct mw_record *record)
-{
-    size_t bytes = sizeof *record;
-
-    switch (record->kind) {
-    case MW_RECORD_ACCEPT:
-        return bytes + mw_blob_str(record->accept.body).len;
-    case MW_RECORD_RESULT:
-        return bytes + mw_blob_str(record->result.output).len;
-    case MW_RECORD_INTENT:
-        return bytes + record->intent.part_count * sizeof(struct mw_part);
-    case MW_RECORD_DOCUMENT:
-        return bytes + mw_blob_str(record->document.document->text).len;
-    case MW_RECORD_CONFIG:
-        return bytes + mw_blob_str(record->config.text).len;
-    case MW_RECORD_FLOW:
-        return bytes + mw_blob_str(record->flow.plan).len;
-    case MW_RECORD_TASKS:
-        return bytes + record->tasks.count * sizeof(struct mw_task_record);
-    default:
-        return bytes;
-    }
-}
-
 /*
  * Sets the entries of one message, bounded in number and in bytes; returns
  * their number, at least one.
@@ -46,7 +20,7 @@
 
     msg->entries = mw_log_entry_at(log, from);
     while (from + n <= mw_log_last_index(log) && n < MW_LOG_MSG_RECORDS_MAX) {
-        bytes += record_size(msg->entries[n].record);
+        bytes += mw_record_size(msg->entries[n].record);
         if (n > 0 && bytes > MW_LOG_MSG_BYTES_MAX) {
             break;
         }
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -9,11 +9,15 @@
  */
 #include <string.h>
 
+#include "mimosawind/link-choice.h"
 #include "script.h"
 
 #define MEMBERS_MAX 5
 #define STEP_US 10000
 #define LATENCY_US 1000
+#define US_PER_S 1000000
+/* bytes of a message without entries */
+#define EMPTY_MSG_BYTES 100
 
 /* simulated time at which the founding members start */
 #define START_US 10000000
@@ -23,6 +27,7 @@
     int from;
     int to;
     int64_t arrival_us;
+    uint64_t bytes;
     struct mw_log_msg msg;
 };
 
@@ -42,6 +47,17 @@
     uint64_t sequence;
     guint synced_count;
     int64_t clock_us;
+    /* bytes per second of the link to it; 0 for no limit */
+    uint64_t link_rate;
+    /* when everything sent to it so far has arrived */
+    int64_t link_free_us;
+    /* bytes on their way to it, and the most there were */
+    uint64_t waiting_bytes;
+    uint64_t most_waiting_bytes;
+    /* the largest message that it has sent */
+    uint64_t largest_msg_bytes;
+    /* the latest configuration, NULL before the first */
+    struct mw_record *config;
     GArray *values;
     uint64_t applied_index;
 };
@@ -94,17 +110,51 @@
     return -1;
 }
 
+static uint64_t
+msg_bytes(const struct mw_log_msg *msg)
+{
+    uint64_t bytes = EMPTY_MSG_BYTES;
+
+    for (uint32_t i = 0; i < msg->entry_count; i++) {
+        bytes += mw_record_size(msg->entries[i].record);
+    }
+    return bytes;
+}
+
+/* Time until a link of limited rate has carried so many more bytes. */
+static int64_t
+transmission_us(struct cluster *cluster, struct member *to, uint64_t bytes)
+{
+    if (to->link_rate == 0) {
+        return 0;
+    }
+    to->link_free_us = MAX(to->link_free_us, cluster->now_us) +
+                       (int64_t)(bytes * US_PER_S / to->link_rate);
+    return to->link_free_us - cluster->now_us;
+}
+
+/* As the product's links do, drops messages once too many bytes wait. */
 static void
 schedule_packet(struct cluster *cluster, int from, int to,
                 const struct mw_log_msg *msg, int64_t delay_us)
 {
-    struct packet *packet = g_new0(struct packet, 1);
+    struct member *target = &cluster->members[to];
+    struct packet *packet;
 
+    if (!mw_may_queue_msg(MW_MSG_LOG, target->waiting_bytes)) {
+        return;
+    }
+    packet = g_new0(struct packet, 1);
     packet->from = from;
     packet->to = to;
-    packet->arrival_us = cluster->now_us + delay_us;
+    packet->bytes = msg_bytes(msg);
+    packet->arrival_us = cluster->now_us + delay_us +
+                         transmission_us(cluster, target, packet->bytes);
     mw_log_msg_copy(&packet->msg, msg);
     g_ptr_array_add(cluster->packets, packet);
+    target->waiting_bytes += packet->bytes;
+    target->most_waiting_bytes =
+        MAX(target->most_waiting_bytes, target->waiting_bytes);
 }
 
 static void
@@ -116,6 +166,7 @@
     int target = find_member_index(cluster, to);
     int64_t delay = LATENCY_US;
 
+    m->largest_msg_bytes = MAX(m->largest_msg_bytes, msg_bytes(msg));
     if (target < 0 || cluster->cut[m->index][target]) {
         return;
     }
@@ -144,6 +195,10 @@
 member_apply(void *opaque, uint64_t index, struct mw_record *record)
 {
     struct member *m = opaque;
+    if (record->kind == MW_RECORD_CONFIG) {
+        mw_drop_record(m->config);
+        m->config = mw_keep_record(record);
+    }
     if (record->kind != MW_RECORD_FORGET) {
         return;
     }
@@ -159,6 +214,7 @@
     struct member *m = opaque;
 
     g_array_set_size(m->values, 0);
+    g_clear_pointer(&m->config, mw_drop_record);
 }
 
 static void
@@ -167,6 +223,9 @@
 {
     struct member *m = opaque;
 
+    if (m->config) {
+        add(out, m->config);
+    }
     for (guint i = 0; i < m->values->len; i++) {
         struct mw_record *record = mw_new_record(MW_RECORD_FORGET);
 
@@ -222,7 +281,7 @@
         setup.members[i].name = cluster->members[i].name;
         setup.members[i].disk = cluster->members[i].disk;
     }
-    g_array_set_size(m->values, 0);
+    member_reset(m);
     m->log = mw_new_log(&setup);
 }
 
@@ -327,6 +386,7 @@
             continue;
         }
         g_ptr_array_steal_index(cluster->packets, i);
+        to->waiting_bytes -= packet->bytes;
         if (to->up && !cluster->cut[packet->from][packet->to]) {
             mw_log_receive(&cluster->ctx, to->log, cluster->now_us,
                            &cluster->members[packet->from].name, &packet->msg);
@@ -504,6 +564,7 @@
 
     for (int i = 0; i < cluster->count; i++) {
         mw_drop_log(cluster->members[i].log);
+        g_clear_pointer(&cluster->members[i].config, mw_drop_record);
         g_ptr_array_unref(cluster->members[i].stored);
         g_array_unref(cluster->members[i].values);
     }
@@ -630,27 +691,87 @@
     }
 }
 
-/* change-config COUNT BYTES: so many configurations of this size */
+/* Returns whether the leader has taken the configuration. */
+static bool
+propose_config(struct cluster *cluster, uint64_t version, struct mw_str text)
+{
+    struct member *m = find_leader(cluster);
+    struct mw_record *record;
+    int err;
+
+    if (!m) {
+        return false;
+    }
+    record = mw_new_record(MW_RECORD_CONFIG);
+    record->config.version = version;
+    record->config.text = mw_new_blob(text);
+    err = mw_log_propose(&cluster->ctx, m->log, cluster->now_us, record, NULL);
+    mw_drop_record(record);
+    mw_log_flush(m->log, cluster->now_us);
+    return err == 0;
+}
+
+/*
+ * change-config COUNT BYTES [every=MS]: so many configurations of this size,
+ * at once or one after the other; says how many of them are refused
+ */
 static void
 cmd_change_config(struct mw_script *s)
 {
     struct cluster *cluster = s->state;
     gsize len = (gsize)atoi(mw_script_word(s, 2));
     char *text = g_strnfill(len, 'x');
-    struct member *m = find_leader(cluster);
-
-    for (int i = 0; m && i < atoi(mw_script_word(s, 1)); i++) {
-        struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
-
-        record->config.version = (uint64_t)i + 1;
-        record->config.text = mw_new_blob((struct mw_str){text, len});
-        mw_log_propose(&cluster->ctx, m->log, cluster->now_us, record, NULL);
-        mw_drop_record(record);
-        mw_log_flush(m->log, cluster->now_us);
+    int64_t steps = mw_script_option_int(s, "every", 0) * 1000 / STEP_US;
+    int refused = 0;
+
+    for (int i = 0; i < atoi(mw_script_word(s, 1)); i++) {
+        refused += !propose_config(cluster, (uint64_t)i + 1,
+                                   (struct mw_str){text, len});
+        for (int64_t n = 0; n < steps; n++) {
+            step(cluster);
+        }
     }
+    if (refused > 0) {
+        mw_script_printf(s, "%d refused", refused);
+    }
+    say_fault(s);
     g_free(text);
 }
 
+/* slow-link NAME BYTES: bytes per second of the link to a member */
+static void
+cmd_slow_link(struct mw_script *s)
+{
+    member_at_word(s, 1)->link_rate =
+        g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+}
+
+/* most-waiting NAME BOUND: whether at most BOUND bytes were on their way */
+static void
+cmd_most_waiting(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    uint64_t bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->most_waiting_bytes <= bound
+                         ? "few bytes were on their way"
+                         : "many bytes were on their way");
+    m->most_waiting_bytes = 0;
+}
+
+/* largest-message NAME BOUND: whether none that it sent was larger */
+static void
+cmd_largest_message(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    uint64_t bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->largest_msg_bytes <= bound ? "messages are small"
+                                                   : "messages are large");
+}
+
 static void
 cmd_crash(struct mw_script *s)
 {
@@ -926,6 +1047,9 @@
     {"run", 1, cmd_run},
     {"propose", 0, cmd_propose},
     {"change-config", 2, cmd_change_config},
+    {"slow-link", 2, cmd_slow_link},
+    {"most-waiting", 2, cmd_most_waiting},
+    {"largest-message", 2, cmd_largest_message},
     {"crash", 1, cmd_crash},
     {"lose-disk", 1, cmd_lose_disk},
     {"start", 1, cmd_start},
