--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -75,6 +75,7 @@
     memcpy(peer->snapshot_config, log->snapshot_config,
            sizeof peer->snapshot_config);
     peer->snapshot_offset = 0;
+    peer->is_chunk_in_flight = false;
     log->counters.snapshots_sent++;
 }
 
@@ -102,6 +103,48 @@
     return n;
 }
 
+static void
+send_part(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer,
+          struct mw_log_msg *msg)
+{
+    msg->kind = MW_LOG_SNAPSHOT;
+    msg->index = peer->snapshot_index;
+    msg->log_term = peer->snapshot_term;
+    msg->commit = log->commit_index;
+    msg->total = peer->snapshot_records->len;
+    msg->sent_us = now_us;
+    memcpy(msg->config, peer->snapshot_config, sizeof msg->config);
+    mw_log_send(log, &peer->name, msg);
+    peer->probe_deadline_us = now_us + MW_HEARTBEAT_INTERVAL_US;
+}
+
+static void
+send_chunk(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer)
+{
+    struct mw_log_entry chunk[MW_LOG_MSG_RECORDS_MAX];
+    struct mw_log_msg msg = {
+        .offset = peer->snapshot_offset,
+        .entry_count = fill_chunk(peer, chunk),
+        .entries = chunk,
+    };
+
+    send_part(log, now_us, peer, &msg);
+    peer->is_chunk_in_flight = true;
+    peer->chunk_sent_us = now_us;
+}
+
+/*
+ * Serves as a heartbeat while a chunk is in flight: without records, so that
+ * a slow link is not filled with copies.  The reply says what was received.
+ */
+static void
+send_probe(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer)
+{
+    struct mw_log_msg msg = {.offset = peer->snapshot_records->len};
+
+    send_part(log, now_us, peer, &msg);
+}
+
 void
 mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned i)
 {
@@ -113,21 +156,12 @@
     if (!peer->snapshot_records) {
         start_snapshot_transfer(log, peer);
     }
-    struct mw_log_entry chunk[MW_LOG_MSG_RECORDS_MAX];
-    struct mw_log_msg msg = {
-        .kind = MW_LOG_SNAPSHOT,
-        .index = peer->snapshot_index,
-        .log_term = peer->snapshot_term,
-        .commit = log->commit_index,
-        .offset = peer->snapshot_offset,
-        .total = peer->snapshot_records->len,
-        .sent_us = now_us,
-        .entry_count = fill_chunk(peer, chunk),
-        .entries = chunk,
-    };
-
-    memcpy(msg.config, peer->snapshot_config, sizeof msg.config);
-    mw_log_send(log, &peer->name, &msg);
+    if (!peer->is_chunk_in_flight) {
+        send_chunk(log, now_us, peer);
+    }
+    else if (now_us >= peer->probe_deadline_us) {
+        send_probe(log, now_us, peer);
+    }
 }
 
 /* offset is the number of records received so far. */
@@ -185,11 +219,12 @@
         reply_snapshot(log, peer, msg, msg->total, true);
         return;
     }
-    if (msg->offset == 0 || log->incoming_index != msg->index) {
+    if (log->incoming_index != msg->index || log->incoming_term != msg->term) {
         g_clear_pointer(&log->incoming_records, g_ptr_array_unref);
         log->incoming_records =
             g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
         log->incoming_index = msg->index;
+        log->incoming_term = msg->term;
     }
     if (!log->incoming_records || msg->offset != log->incoming_records->len) {
         reply_snapshot(log, peer, msg,
@@ -211,6 +246,22 @@
     reply_snapshot(log, peer, msg, received, false);
 }
 
+/*
+ * A chunk is sent again once a later message has been answered and the chunk
+ * has not been received, however long it takes.
+ */
+static void
+note_received(struct mw_log_peer *peer, const struct mw_log_msg *msg)
+{
+    uint64_t received = MIN(msg->offset, peer->snapshot_records->len);
+
+    if (received > peer->snapshot_offset ||
+        msg->sent_us >= peer->chunk_sent_us) {
+        peer->snapshot_offset = received;
+        peer->is_chunk_in_flight = false;
+    }
+}
+
 void
 mw_log_on_snapshot_reply(struct mw_context *ctx, struct mw_log *log,
                          int64_t now_us, struct mw_log_peer *peer,
@@ -228,7 +279,7 @@
         mw_log_advance_commit(ctx, log, now_us);
     }
     else if (peer->snapshot_records && msg->index == peer->snapshot_index) {
-        peer->snapshot_offset = MIN(msg->offset, peer->snapshot_records->len);
+        note_received(peer, msg);
     }
     mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
 }
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -27,7 +27,13 @@
     bool vote_granted;
     uint64_t match_index;
     uint64_t next_index;
+    /* records of the snapshot that it has received */
     uint64_t snapshot_offset;
+    /* the records after those have been sent, at this time */
+    bool is_chunk_in_flight;
+    int64_t chunk_sent_us;
+    /* next message while no reply comes */
+    int64_t probe_deadline_us;
     /* records of the snapshot being sent; NULL when none is */
     GPtrArray *snapshot_records;
     uint64_t snapshot_index;
@@ -94,9 +100,10 @@
     GQueue deferred;
     GQueue pending_writes;
 
-    /* snapshot being received */
+    /* snapshot being received, and the term of the leader that sends it */
     GPtrArray *incoming_records;
     uint64_t incoming_index;
+    uint64_t incoming_term;
 
     int64_t election_deadline_us;
     int64_t heartbeat_deadline_us;
@@ -256,7 +263,12 @@
 /* mw_log_compact: replace the applied entries by a new snapshot. */
 void mw_log_compact(struct mw_log *log);
 
-/* mw_log_send_snapshot: send a peer the next chunk of the snapshot. */
+/*
+ * mw_log_send_snapshot: send a peer the next chunk of the snapshot.
+ *
+ * One chunk is in flight at a time; until it is answered, a message without
+ * records follows each MW_HEARTBEAT_INTERVAL_US.
+ */
 void mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned peer);
 void mw_log_on_snapshot(struct mw_context *ctx, struct mw_log *log,
                         int64_t now_us, struct mw_log_peer *peer,
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -54,10 +54,9 @@
 {
     struct mw_log_peer *peer = &log->peers[i];
 
-    if (now_us >= peer->resend_deadline_us) {
+    if (!peer->snapshot_records && now_us >= peer->resend_deadline_us) {
         peer->next_index = MAX(peer->match_index + 1, 1);
         peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
-        peer->snapshot_offset = 0;
     }
     if (peer->next_index <= log->snapshot_index || peer->snapshot_records) {
         mw_log_send_snapshot(log, now_us, i);
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -676,19 +676,26 @@
     say_fault(s);
 }
 
+/* propose [count=N] [every=MS]: values, at once or one after the other */
 static void
 cmd_propose(struct mw_script *s)
 {
     struct cluster *cluster = s->state;
     int64_t count = mw_script_option_int(s, "count", 1);
+    int64_t steps = mw_script_option_int(s, "every", 0) * 1000 / STEP_US;
     struct member *m = find_leader(cluster);
 
     for (int64_t i = 0; m && i < count; i++) {
         propose(cluster, m, ++cluster->next_value);
+        for (int64_t n = 0; n < steps; n++) {
+            step(cluster);
+        }
+        m = find_leader(cluster);
     }
     if (!m) {
         mw_script_printf(s, "propose: no leader");
     }
+    say_fault(s);
 }
 
 /* Returns whether the leader has taken the configuration. */
@@ -738,12 +745,17 @@
     g_free(text);
 }
 
-/* slow-link NAME BYTES: bytes per second of the link to a member */
+/*
+ * slow-link NAME BYTES: bytes per second of the link to a member; the bytes
+ * on their way are counted from then on
+ */
 static void
 cmd_slow_link(struct mw_script *s)
 {
-    member_at_word(s, 1)->link_rate =
-        g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+    struct member *m = member_at_word(s, 1);
+
+    m->link_rate = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+    m->most_waiting_bytes = m->waiting_bytes;
 }
 
 /* most-waiting NAME BOUND: whether at most BOUND bytes were on their way */
