--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -66,9 +66,21 @@
     mw_log_rebuild_config(log);
 }
 
+/*
+ * A transfer goes on to its end, so that it comes to one however often a
+ * newer snapshot is taken.
+ */
+static bool
+is_transfer_outdated(const struct mw_log *log, const struct mw_log_peer *peer)
+{
+    return peer->snapshot_index < log->snapshot_index &&
+           peer->snapshot_offset == 0 && !peer->is_chunk_in_flight;
+}
+
 static void
 start_snapshot_transfer(struct mw_log *log, struct mw_log_peer *peer)
 {
+    g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
     peer->snapshot_records = g_ptr_array_ref(log->snapshot_records);
     peer->snapshot_index = log->snapshot_index;
     peer->snapshot_term = log->snapshot_term;
@@ -150,10 +162,7 @@
 {
     struct mw_log_peer *peer = &log->peers[i];
 
-    if (peer->snapshot_records && peer->snapshot_index < log->snapshot_index) {
-        g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
-    }
-    if (!peer->snapshot_records) {
+    if (!peer->snapshot_records || is_transfer_outdated(log, peer)) {
         start_snapshot_transfer(log, peer);
     }
     if (!peer->is_chunk_in_flight) {
@@ -273,7 +282,9 @@
     peer->acked_sent_us = MAX(peer->acked_sent_us, msg->sent_us);
     peer->resend_deadline_us = now_us + MW_LEASE_DURATION_US;
     if (msg->ok) {
-        g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
+        if (msg->index >= peer->snapshot_index) {
+            g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
+        }
         peer->match_index = MAX(peer->match_index, msg->index);
         peer->next_index = MAX(peer->next_index, peer->match_index + 1);
         mw_log_advance_commit(ctx, log, now_us);
