--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -194,6 +194,7 @@
 install_snapshot(struct mw_log *log, const struct mw_log_msg *msg)
 {
     g_array_set_size(log->entries, 0);
+    mw_log_clear_retained(log);
     log->snapshot_index = msg->index;
     log->snapshot_term = msg->log_term;
     memcpy(log->snapshot_config, msg->config, sizeof log->snapshot_config);
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -80,6 +80,9 @@
     uint64_t snapshot_term;
     uint64_t snapshot_config[MW_MEMBERS_MAX];
     GPtrArray *snapshot_records;
+    /* retained[i] has index mw_log_first_index + i; see log-retain */
+    GArray *retained;
+    uint64_t retained_bytes;
     uint64_t commit_index;
     uint64_t applied_index;
     /* of the snapshot's records, and of the entries applied since */
@@ -135,12 +138,42 @@
 /* mw_log_last_index: index of the last entry. */
 uint64_t mw_log_last_index(const struct mw_log *log);
 
-/* mw_log_term_at: term of an entry or of the snapshot; 0 if unknown. */
+/* mw_log_term_at: term of an entry, also a retained one; 0 if unknown. */
 uint64_t mw_log_term_at(const struct mw_log *log, uint64_t index);
 
-/* mw_log_entry_at: entry by index; the log must contain it. */
+/*
+ * mw_log_entry_at: entry by index; the log must contain or retain it.
+ *
+ * Those up to snapshot_index do not stand before the others in memory.
+ */
 struct mw_log_entry *mw_log_entry_at(const struct mw_log *log, uint64_t index);
 
+/*
+ * mw_log_first_index: the first entry that is retained.
+ *
+ * Entries that a snapshot has replaced are retained as long as they take no
+ * more bytes than the snapshot, so that a member that has received an older
+ * snapshot, or is a little late, can be sent those that it lacks.  Where they
+ * take more, the snapshot is less to send.  They are not stored.
+ */
+uint64_t mw_log_first_index(const struct mw_log *log);
+
+/* mw_log_has_entries_from: whether all entries from index on can be sent. */
+bool mw_log_has_entries_from(const struct mw_log *log, uint64_t index);
+
+/*
+ * mw_log_retain_applied: retain what a snapshot is about to replace.
+ *
+ * To be followed at once by mw_log_compact and mw_log_trim_retained.
+ */
+void mw_log_retain_applied(struct mw_log *log);
+
+/* mw_log_trim_retained: drop the oldest down to the size of the snapshot. */
+void mw_log_trim_retained(struct mw_log *log);
+
+/* mw_log_clear_retained: drop them all. */
+void mw_log_clear_retained(struct mw_log *log);
+
 /* mw_log_find_peer: member by name, NULL if it has no slot. */
 struct mw_log_peer *mw_log_find_peer(struct mw_log *log,
                                      const struct mw_name *name);
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -8,6 +8,14 @@
 /* entries sent to a peer beyond those it has acknowledged */
 #define INFLIGHT_ENTRIES_MAX 1024
 
+/* The last of the entries that stand in memory one after the other. */
+static uint64_t
+last_adjacent(const struct mw_log *log, uint64_t from)
+{
+    return from <= log->snapshot_index ? log->snapshot_index
+                                       : mw_log_last_index(log);
+}
+
 /*
  * Sets the entries of one message, bounded in number and in bytes; returns
  * their number, at least one.
@@ -15,11 +23,12 @@
 static uint32_t
 batch_entries(struct mw_log *log, uint64_t from, struct mw_log_msg *msg)
 {
+    uint64_t last = last_adjacent(log, from);
     size_t bytes = 0;
     uint32_t n = 0;
 
     msg->entries = mw_log_entry_at(log, from);
-    while (from + n <= mw_log_last_index(log) && n < MW_LOG_MSG_RECORDS_MAX) {
+    while (from + n <= last && n < MW_LOG_MSG_RECORDS_MAX) {
         bytes += mw_record_size(msg->entries[n].record);
         if (n > 0 && bytes > MW_LOG_MSG_BYTES_MAX) {
             break;
@@ -58,7 +67,8 @@
         peer->next_index = MAX(peer->match_index + 1, 1);
         peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
     }
-    if (peer->next_index <= log->snapshot_index || peer->snapshot_records) {
+    if (!mw_log_has_entries_from(log, peer->next_index) ||
+        peer->snapshot_records) {
         mw_log_send_snapshot(log, now_us, i);
         return;
     }
@@ -161,7 +171,9 @@
                           entry->record);
     }
     if (!log->restoring && is_compaction_due(log)) {
+        mw_log_retain_applied(log);
         mw_log_compact(log);
+        mw_log_trim_retained(log);
     }
 }
 
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -52,6 +52,8 @@
     }
     log->entries = g_array_new(FALSE, TRUE, sizeof(struct mw_log_entry));
     g_array_set_clear_func(log->entries, clear_entry);
+    log->retained = g_array_new(FALSE, TRUE, sizeof(struct mw_log_entry));
+    g_array_set_clear_func(log->retained, clear_entry);
     log->snapshot_records =
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
     g_queue_init(&log->deferred);
@@ -88,6 +90,7 @@
     g_clear_pointer(&log->incoming_records, g_ptr_array_unref);
     g_ptr_array_unref(log->snapshot_records);
     g_array_unref(log->entries);
+    g_array_unref(log->retained);
     g_rand_free(log->rand);
     g_free(log);
 }
@@ -101,6 +104,10 @@
 struct mw_log_entry *
 mw_log_entry_at(const struct mw_log *log, uint64_t index)
 {
+    if (index <= log->snapshot_index) {
+        return &g_array_index(log->retained, struct mw_log_entry,
+                              index - mw_log_first_index(log));
+    }
     return &g_array_index(log->entries, struct mw_log_entry,
                           index - log->snapshot_index - 1);
 }
@@ -111,7 +118,8 @@
     if (index == log->snapshot_index) {
         return log->snapshot_term;
     }
-    if (index < log->snapshot_index || index > mw_log_last_index(log)) {
+    if (index > mw_log_last_index(log) ||
+        (index < log->snapshot_index && index < mw_log_first_index(log))) {
         return 0;
     }
     return mw_log_entry_at(log, index)->term;
