Entries in flight to a member are bounded by their bytes, and sent once

Callers would see a core process ended for its memory while a member's disk or link stalled, and a returning member on a slow link come up late.

Cause: up to 1024 entries were in flight to a member, some 180 MB with configurations of 175 KB. And after 500 ms without a reply all of them were sent again, on a slow link behind the first copies, until the link's queue was full (8 MB) and heartbeats were dropped with the rest.

Change: no further entries are sent while 1 MB is in flight; at least one message always may be. Meanwhile heartbeats go out each 100 ms, not with each flush. Entries are sent again when a reply says that they are missing: a link keeps the order, so the next heartbeat finds a gap if they were lost. Replies to what was on its way when they were sent again are passed over, and the same entries go out at most each 500 ms to a member that takes none, as its disk is full. The two faults are one change: without the second part, copies go beyond the bound.

--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -281,13 +281,11 @@
         return;
     }
     peer->acked_sent_us = MAX(peer->acked_sent_us, msg->sent_us);
-    peer->resend_deadline_us = now_us + MW_LEASE_DURATION_US;
     if (msg->ok) {
         if (msg->index >= peer->snapshot_index) {
             g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
         }
-        peer->match_index = MAX(peer->match_index, msg->index);
-        peer->next_index = MAX(peer->next_index, peer->match_index + 1);
+        mw_log_note_match(log, peer, msg->index);
         mw_log_advance_commit(ctx, log, now_us);
     }
     else if (peer->snapshot_records && msg->index == peer->snapshot_index) {
--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -104,7 +104,9 @@
         peer->acked_sent_us = peer->vote_granted
                                   ? log->vote_requested_us
                                   : now_us - MW_LEASE_DURATION_US;
-        peer->resend_deadline_us = now_us;
+        peer->inflight_bytes = 0;
+        peer->resent_index = 0;
+        peer->resent_us = 0;
         g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
     }
     log->term_start_index = mw_log_append_entry(log, log->term, record);
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -27,6 +27,8 @@
     bool vote_granted;
     uint64_t match_index;
     uint64_t next_index;
+    /* bytes of the entries sent since match_index, or more */
+    uint64_t inflight_bytes;
     /* records of the snapshot that it has received */
     uint64_t snapshot_offset;
     /* the records after those have been sent, at this time */
@@ -42,6 +44,10 @@
     int64_t acked_sent_us;
     /* when this leader gave it the slot */
     int64_t learner_since_us;
+    /* entries from this index on were last sent again, at this time */
+    uint64_t resent_index;
+    int64_t resent_us;
+    /* no entries from the same index again before this time */
     int64_t resend_deadline_us;
 };
 
@@ -273,6 +279,7 @@
 /*
  * mw_log_replicate: send a peer the entries that it lacks, or a heartbeat.
  *
+ * While too much is in flight, a heartbeat each MW_HEARTBEAT_INTERVAL_US.
  * Sends the next chunk of the snapshot if the first of them is covered by it.
  */
 void mw_log_replicate(struct mw_log *log, int64_t now_us, unsigned peer);
@@ -283,6 +290,10 @@
                             int64_t now_us, struct mw_log_peer *peer,
                             const struct mw_log_msg *msg);
 
+/* mw_log_note_match: the peer has synced all entries up to index. */
+void mw_log_note_match(struct mw_log *log, struct mw_log_peer *peer,
+                       uint64_t index);
+
 /* mw_log_advance_commit: commit and apply what a quorum has synced. */
 void mw_log_advance_commit(struct mw_context *ctx, struct mw_log *log,
                            int64_t now_us);
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -3,10 +3,12 @@
  */
 #include "log-impl.h"
 
-/* time without an acknowledgement after which entries are sent again */
+/* time after which entries that were sent again may be sent once more */
 #define RESEND_TIMEOUT_US 500000
 /* entries sent to a peer beyond those it has acknowledged */
 #define INFLIGHT_ENTRIES_MAX 1024
+/* and bytes of them, beyond which no further message is sent */
+#define INFLIGHT_BYTES_MAX (1024 * 1024)
 
 /* The last of the entries that stand in memory one after the other. */
 static uint64_t
@@ -38,6 +40,15 @@
     return n;
 }
 
+/* Whether there are entries to send, and few are in flight. */
+static bool
+may_send_entries(const struct mw_log *log, const struct mw_log_peer *peer)
+{
+    return peer->next_index <= mw_log_last_index(log) &&
+           peer->next_index <= peer->match_index + INFLIGHT_ENTRIES_MAX &&
+           peer->inflight_bytes < INFLIGHT_BYTES_MAX;
+}
+
 /* Sends the next entries, or none as a heartbeat. */
 static void
 send_append(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer)
@@ -50,12 +61,15 @@
         .sent_us = now_us,
     };
 
-    if (peer->next_index <= mw_log_last_index(log) &&
-        peer->next_index <= peer->match_index + INFLIGHT_ENTRIES_MAX) {
+    if (may_send_entries(log, peer)) {
         msg.entry_count = batch_entries(log, peer->next_index, &msg);
     }
+    for (uint32_t n = 0; n < msg.entry_count; n++) {
+        peer->inflight_bytes += mw_record_size(msg.entries[n].record);
+    }
     mw_log_send(log, &peer->name, &msg);
     peer->next_index += msg.entry_count;
+    peer->probe_deadline_us = now_us + MW_HEARTBEAT_INTERVAL_US;
 }
 
 void
@@ -63,20 +77,20 @@
 {
     struct mw_log_peer *peer = &log->peers[i];
 
-    if (!peer->snapshot_records && now_us >= peer->resend_deadline_us) {
-        peer->next_index = MAX(peer->match_index + 1, 1);
-        peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
-    }
     if (!mw_log_has_entries_from(log, peer->next_index) ||
         peer->snapshot_records) {
         mw_log_send_snapshot(log, now_us, i);
         return;
     }
-    send_append(log, now_us, peer);
-    while (peer->next_index <= mw_log_last_index(log) &&
-           peer->next_index <= peer->match_index + INFLIGHT_ENTRIES_MAX) {
-        send_append(log, now_us, peer);
+    bool is_waiting = peer->next_index <= mw_log_last_index(log) &&
+                      !may_send_entries(log, peer);
+
+    if (is_waiting && now_us < peer->probe_deadline_us) {
+        return;
     }
+    do {
+        send_append(log, now_us, peer);
+    } while (may_send_entries(log, peer));
 }
 
 void
@@ -325,6 +339,47 @@
     reply_append(log, peer, msg, true, match);
 }
 
+void
+mw_log_note_match(struct mw_log *log, struct mw_log_peer *peer, uint64_t index)
+{
+    uint64_t from = MAX(peer->match_index + 1, mw_log_first_index(log));
+
+    for (uint64_t i = from; i <= MIN(index, mw_log_last_index(log)); i++) {
+        uint64_t bytes = mw_record_size(mw_log_entry_at(log, i)->record);
+
+        peer->inflight_bytes -= MIN(bytes, peer->inflight_bytes);
+    }
+    peer->match_index = MAX(peer->match_index, index);
+    if (peer->next_index <= peer->match_index + 1) {
+        peer->next_index = peer->match_index + 1;
+        peer->inflight_bytes = 0;
+    }
+}
+
+/*
+ * The peer lacks entries before the one that was sent: they were lost, or it
+ * has others.  A link keeps the order, so that messages which were on their
+ * way at the last time say nothing new.  A peer that takes no entries, as its
+ * disk is full, is not sent the same ones each time.
+ */
+static void
+send_again(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer,
+           const struct mw_log_msg *msg)
+{
+    uint64_t next = MIN(peer->next_index, msg->index + 1);
+
+    if (msg->sent_us < peer->resent_us ||
+        (next == peer->resent_index && now_us < peer->resend_deadline_us)) {
+        return;
+    }
+    peer->next_index = next;
+    peer->inflight_bytes = 0;
+    peer->resent_index = next;
+    peer->resent_us = now_us;
+    peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
+    mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
+}
+
 void
 mw_log_on_append_reply(struct mw_context *ctx, struct mw_log *log,
                        int64_t now_us, struct mw_log_peer *peer,
@@ -335,17 +390,14 @@
     }
     peer->acked_sent_us = MAX(peer->acked_sent_us, msg->sent_us);
     if (!msg->ok) {
-        peer->next_index = MIN(peer->next_index, msg->index + 1);
-        mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
+        send_again(log, now_us, peer, msg);
         return;
     }
-    peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
     if (msg->index > peer->match_index) {
-        peer->match_index = msg->index;
-        peer->next_index = MAX(peer->next_index, peer->match_index + 1);
+        mw_log_note_match(log, peer, msg->index);
         mw_log_advance_commit(ctx, log, now_us);
     }
-    if (peer->next_index <= mw_log_last_index(log)) {
+    if (may_send_entries(log, peer)) {
         mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
     }
     mw_log_admit_caught_up(ctx, log, now_us);
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -20,6 +20,8 @@
         peer->vote_granted = false;
         peer->match_index = 0;
         peer->next_index = 1;
+        peer->inflight_bytes = 0;
+        peer->resent_index = 0;
         peer->acked_sent_us = 0;
         g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
     }
