A leader takes no more than 16 MB of records that are not committed

Callers would see the leader ended for its memory while its majority is silent for less than the lease, or slow: changes in large numbers were taken and none was committed.

Cause: MW_LOG_UNCOMMITTED_MAX, 4096 records, is a number; with configurations of 175 KB it is 700 MB, and core machines have 256 MB.

Change: MW_LOG_UNCOMMITTED_BYTES_MAX besides, with the same refusal, MW_ERR_OVERLOADED. A record of any size is taken if nothing waits.

Test: log/uncommitted-bytes, 100 changes of 350 KB while both followers are paused. Before: all were taken ("has a leader" came without a refusal); now "52 refused". A record of 20 MB is taken afterwards.

--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -94,6 +94,7 @@
     set_role(ctx, log, MW_LEADER);
     log->leader = log->peers[log->self].name;
     log->leader_since_us = now_us;
+    mw_log_count_uncommitted(log);
     log->lease_valid = true;
     for (unsigned i = 0; i < log->peer_count; i++) {
         struct mw_log_peer *peer = &log->peers[i];
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -94,6 +94,8 @@
     /* of the snapshot's records, and of the entries applied since */
     uint64_t snapshot_bytes;
     uint64_t applied_bytes;
+    /* of the entries after commit_index; kept by a leader */
+    uint64_t uncommitted_bytes;
     /* first entry of this leader's own term */
     uint64_t term_start_index;
 
@@ -290,6 +292,9 @@
                             int64_t now_us, struct mw_log_peer *peer,
                             const struct mw_log_msg *msg);
 
+/* mw_log_count_uncommitted: set uncommitted_bytes, as leadership begins. */
+void mw_log_count_uncommitted(struct mw_log *log);
+
 /* mw_log_note_match: the peer has synced all entries up to index. */
 void mw_log_note_match(struct mw_log *log, struct mw_log_peer *peer,
                        uint64_t index);
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -1,6 +1,8 @@
 /*
  * log-replicate: replication of entries, commit and the leader lease.
  */
+#include <inttypes.h>
+
 #include "log-impl.h"
 
 /* time after which entries that were sent again may be sent once more */
@@ -178,9 +180,11 @@
     while (log->applied_index < log->commit_index) {
         struct mw_log_entry *entry =
             mw_log_entry_at(log, ++log->applied_index);
+        uint64_t bytes = mw_record_size(entry->record);
 
         log->counters.committed++;
-        log->applied_bytes += mw_record_size(entry->record);
+        log->applied_bytes += bytes;
+        log->uncommitted_bytes -= MIN(bytes, log->uncommitted_bytes);
         log->output.apply(log->output.opaque, log->applied_index,
                           entry->record);
     }
@@ -240,6 +244,34 @@
     return mw_log_is_lease_valid(log, now_us);
 }
 
+void
+mw_log_count_uncommitted(struct mw_log *log)
+{
+    log->uncommitted_bytes = 0;
+    for (uint64_t i = log->commit_index + 1; i <= mw_log_last_index(log);
+         i++) {
+        log->uncommitted_bytes +=
+            mw_record_size(mw_log_entry_at(log, i)->record);
+    }
+}
+
+/* Returns an error while too much waits for its commit. */
+static int
+check_uncommitted(struct mw_context *ctx, const struct mw_log *log)
+{
+    if (mw_log_last_index(log) - log->commit_index >= MW_LOG_UNCOMMITTED_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED,
+                       "%d records are not committed yet",
+                       MW_LOG_UNCOMMITTED_MAX);
+    }
+    if (log->uncommitted_bytes >= MW_LOG_UNCOMMITTED_BYTES_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED,
+                       "%" PRIu64 " bytes of records are not committed yet",
+                       log->uncommitted_bytes);
+    }
+    return 0;
+}
+
 int
 mw_log_propose(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
                struct mw_record *record, uint64_t *index)
@@ -254,11 +286,11 @@
         log->counters.refused++;
         return mw_fail(ctx, MW_ERR_DISK, "the leader's disk refuses writes");
     }
-    if (mw_log_last_index(log) - log->commit_index >= MW_LOG_UNCOMMITTED_MAX) {
+    int err = check_uncommitted(ctx, log);
+
+    if (err) {
         log->counters.refused++;
-        return mw_fail(ctx, MW_ERR_OVERLOADED,
-                       "%d records are not committed yet",
-                       MW_LOG_UNCOMMITTED_MAX);
+        return err;
     }
     uint64_t at = mw_log_append_entry(log, log->term, record);
 
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -205,6 +205,7 @@
     struct mw_log_entry entry = {term, mw_keep_record(record)};
 
     g_array_append_val(log->entries, entry);
+    log->uncommitted_bytes += mw_record_size(record);
     mw_log_store_entry(log, mw_log_last_index(log));
     if (record->kind == MW_RECORD_ADMIT || record->kind == MW_RECORD_MEMBER) {
         mw_log_rebuild_config(log);
