A leader whose disk stalls takes no more than 16 MB of records for it

Callers would see the leader ended for its memory: its followers commit while its own disk syncs nothing, so that the bound on what is not committed holds nothing back, and every record waits for the disk task.

Cause: what a leader has stored and its disk has not synced was not bounded at all. A follower's is bounded by what the leader has in flight to it.

Change: MW_LOG_UNSYNCED_BYTES_MAX, 16 MB of entries; beyond it a proposal is refused with MW_ERR_OVERLOADED.

The simulated cluster has disk-stall and disk-resume for it.

--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -61,6 +61,8 @@
 /* records, and bytes of them, beyond which a leader takes no more */
 #define MW_LOG_UNCOMMITTED_MAX 4096
 #define MW_LOG_UNCOMMITTED_BYTES_MAX (UINT64_C(16) * 1024 * 1024)
+/* bytes of entries that wait for the leader's own disk, likewise */
+#define MW_LOG_UNSYNCED_BYTES_MAX (UINT64_C(16) * 1024 * 1024)
 #define MW_LOG_MSG_RECORDS_MAX 512
 #define MW_LOG_MSG_BYTES_MAX (256 * 1024)
 /* incarnation of the founding members, admitted from the start */
@@ -260,7 +262,8 @@
  * mw_log_propose: append a record if this member is the leader.
  *
  * MW_ERR_OVERLOADED while too many records, or bytes of them, are not
- * committed yet; a record of any size is taken if there are none.
+ * committed yet, or too many bytes wait for this member's disk; a record of
+ * any size is taken if there are none.
  * Takes its own reference.  On success *index is the index with which apply
  * will be called, unless leadership is lost before the commit.  index may be
  * NULL.  The entry is sent by mw_log_flush or mw_log_tick.
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -110,6 +110,8 @@
     uint64_t synced_index;
     GQueue deferred;
     GQueue pending_writes;
+    /* of the entries among pending_writes */
+    uint64_t unsynced_bytes;
 
     /* snapshot being received, and the term of the leader that sends it */
     GPtrArray *incoming_records;
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -255,9 +255,9 @@
     }
 }
 
-/* Returns an error while too much waits for its commit. */
+/* Returns an error while too much waits for its commit, or for the disk. */
 static int
-check_uncommitted(struct mw_context *ctx, const struct mw_log *log)
+check_waiting(struct mw_context *ctx, const struct mw_log *log)
 {
     if (mw_log_last_index(log) - log->commit_index >= MW_LOG_UNCOMMITTED_MAX) {
         return mw_fail(ctx, MW_ERR_OVERLOADED,
@@ -269,6 +269,11 @@
                        "%" PRIu64 " bytes of records are not committed yet",
                        log->uncommitted_bytes);
     }
+    if (log->unsynced_bytes >= MW_LOG_UNSYNCED_BYTES_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED,
+                       "%" PRIu64 " bytes wait for the leader's disk",
+                       log->unsynced_bytes);
+    }
     return 0;
 }
 
@@ -286,7 +291,7 @@
         log->counters.refused++;
         return mw_fail(ctx, MW_ERR_DISK, "the leader's disk refuses writes");
     }
-    int err = check_uncommitted(ctx, log);
+    int err = check_waiting(ctx, log);
 
     if (err) {
         log->counters.refused++;
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -136,10 +136,14 @@
     return NULL;
 }
 
-/* pending_write: an unsynced item, and its last entry; 0 for none. */
+/*
+ * pending_write: an unsynced item, its last entry, 0 for none, and the size
+ * of the record if it is an entry.
+ */
 struct pending_write {
     uint64_t sequence;
     uint64_t index;
+    uint64_t bytes;
 };
 
 static void
@@ -148,7 +152,12 @@
     struct pending_write *write = g_new(struct pending_write, 1);
 
     item->sequence = ++log->store_sequence;
-    *write = (struct pending_write){item->sequence, index};
+    *write =
+        (struct pending_write){.sequence = item->sequence, .index = index};
+    if (item->kind == MW_STORED_ENTRY) {
+        write->bytes = mw_record_size(item->records[0]);
+    }
+    log->unsynced_bytes += write->bytes;
     g_queue_push_tail(&log->pending_writes, write);
     log->output.store(log->output.opaque, item);
 }
@@ -360,6 +369,7 @@
     log->synced_sequence = MAX(log->synced_sequence, sequence);
     while (write && write->sequence <= log->synced_sequence) {
         log->synced_index = MAX(log->synced_index, write->index);
+        log->unsynced_bytes -= write->bytes;
         g_free(g_queue_pop_head(&log->pending_writes));
         write = g_queue_peek_head(&log->pending_writes);
     }
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -40,6 +40,8 @@
     bool frozen;
     /* its disk refuses writes */
     bool disk_full;
+    /* its disk takes writes, and syncs none */
+    bool disk_stalled;
     struct mw_log *log;
     uint64_t incarnation;
     /* encoded stored items; a crash keeps the first synced_count of them */
@@ -366,7 +368,7 @@
 static void
 sync_member(struct member *m)
 {
-    if (m->up && !m->frozen && !m->disk_full &&
+    if (m->up && !m->frozen && !m->disk_full && !m->disk_stalled &&
         m->synced_count < m->stored->len) {
         m->synced_count = m->stored->len;
         mw_log_synced(&m->cluster->ctx, m->log, m->cluster->now_us,
@@ -836,6 +838,18 @@
     set_disk_full(member_at_word(s, 1), false);
 }
 
+static void
+cmd_disk_stall(struct mw_script *s)
+{
+    member_at_word(s, 1)->disk_stalled = true;
+}
+
+static void
+cmd_disk_resume(struct mw_script *s)
+{
+    member_at_word(s, 1)->disk_stalled = false;
+}
+
 /* unsynced NAME BOUND: whether at most BOUND items wait for the disk */
 static void
 cmd_unsynced(struct mw_script *s)
@@ -1069,6 +1083,8 @@
     {"thaw", 1, cmd_thaw},
     {"disk-full", 1, cmd_disk_full},
     {"disk-free", 1, cmd_disk_free},
+    {"disk-stall", 1, cmd_disk_stall},
+    {"disk-resume", 1, cmd_disk_resume},
     {"unsynced", 2, cmd_unsynced},
     {"cut", 2, cmd_cut},
     {"isolate", 1, cmd_isolate},
