Replies to heartbeats do not add up while a disk syncs nothing

Nothing was seen by callers; by reading: a reply waits for everything stored before it, so a member whose disk stalls kept one for each heartbeat, ten or more each second, and sent them all once the disk went on.

Change: a reply takes the place of the one before it to the same member if it says the same and waits for the same item. What else waits is bounded by what the leader has in flight.

Test: log/stalled-disk-replies, a disk that stalls for 60 s. Before: "many bytes were on their way" to the leader (over 5,000); now few.

--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -325,6 +325,33 @@
     log->output.send(log->output.opaque, to, msg);
 }
 
+/*
+ * Whether a waiting message says the same as a later one that waits for the
+ * same item: a reply to an earlier heartbeat.
+ */
+static bool
+is_repeated(const struct mw_log *log, const struct mw_log_deferred *waiting,
+            const struct mw_name *to, const struct mw_log_msg *msg)
+{
+    return waiting->sequence == log->store_sequence &&
+           waiting->msg.term == log->term && waiting->msg.kind == msg->kind &&
+           waiting->msg.index == msg->index &&
+           waiting->msg.offset == msg->offset && waiting->msg.ok == msg->ok &&
+           mw_name_equal(&waiting->to, to);
+}
+
+/* Replies to heartbeats do not add up while the disk syncs nothing. */
+static void
+drop_repeated(struct mw_log *log, const struct mw_name *to,
+              const struct mw_log_msg *msg)
+{
+    struct mw_log_deferred *last = g_queue_peek_tail(&log->deferred);
+
+    if (last && is_repeated(log, last, to, msg)) {
+        free_deferred(g_queue_pop_tail(&log->deferred));
+    }
+}
+
 void
 mw_log_send_after_sync(struct mw_log *log, const struct mw_name *to,
                        const struct mw_log_msg *msg)
@@ -341,6 +368,7 @@
         free_deferred(deferred);
         return;
     }
+    drop_repeated(log, to, msg);
     g_queue_push_tail(&log->deferred, deferred);
 }
 
