--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -27,7 +27,15 @@
     bool vote_granted;
     uint64_t match_index;
     uint64_t next_index;
+    /* bytes of the entries sent since match_index, or more */
+    uint64_t inflight_bytes;
+    /* records of the snapshot that it has received */
     uint64_t snapshot_offset;
+    /* the records after those have been sent, at this time */
+    bool is_chunk_in_flight;
+    int64_t chunk_sent_us;
+    /* next message while no reply comes */
+    int64_t probe_deadline_us;
     /* records of the snapshot being sent; NULL when none is */
     GPtrArray *snapshot_records;
     uint64_t snapshot_index;
@@ -36,6 +44,10 @@
     int64_t acked_sent_us;
     /* when this leader gave it the slot */
     int64_t learner_since_us;
+    /* entries from this index on were last sent again, at this time */
+    uint64_t resent_index;
+    int64_t resent_us;
+    /* no entries from the same index again before this time */
     int64_t resend_deadline_us;
 };
 
@@ -74,11 +86,16 @@
     uint64_t snapshot_term;
     uint64_t snapshot_config[MW_MEMBERS_MAX];
     GPtrArray *snapshot_records;
+    /* retained[i] has index mw_log_first_index + i; see log-retain */
+    GArray *retained;
+    uint64_t retained_bytes;
     uint64_t commit_index;
     uint64_t applied_index;
     /* of the snapshot's records, and of the entries applied since */
     uint64_t snapshot_bytes;
     uint64_t applied_bytes;
+    /* of the entries after commit_index; kept by a leader */
+    uint64_t uncommitted_bytes;
     /* first entry of this leader's own term */
     uint64_t term_start_index;
 
@@ -93,10 +110,13 @@
     uint64_t synced_index;
     GQueue deferred;
     GQueue pending_writes;
+    /* of the entries among pending_writes */
+    uint64_t unsynced_bytes;
 
-    /* snapshot being received */
+    /* snapshot being received, and the term of the leader that sends it */
     GPtrArray *incoming_records;
     uint64_t incoming_index;
+    uint64_t incoming_term;
 
     int64_t election_deadline_us;
     int64_t heartbeat_deadline_us;
@@ -130,12 +150,42 @@
 /* mw_log_last_index: index of the last entry. */
 uint64_t mw_log_last_index(const struct mw_log *log);
 
-/* mw_log_term_at: term of an entry or of the snapshot; 0 if unknown. */
+/* mw_log_term_at: term of an entry, also a retained one; 0 if unknown. */
 uint64_t mw_log_term_at(const struct mw_log *log, uint64_t index);
 
-/* mw_log_entry_at: entry by index; the log must contain it. */
+/*
+ * mw_log_entry_at: entry by index; the log must contain or retain it.
+ *
+ * Those up to snapshot_index do not stand before the others in memory.
+ */
 struct mw_log_entry *mw_log_entry_at(const struct mw_log *log, uint64_t index);
 
+/*
+ * mw_log_first_index: the first entry that is retained.
+ *
+ * Entries that a snapshot has replaced are retained as long as they take no
+ * more bytes than the snapshot, so that a member that has received an older
+ * snapshot, or is a little late, can be sent those that it lacks.  Where they
+ * take more, the snapshot is less to send.  They are not stored.
+ */
+uint64_t mw_log_first_index(const struct mw_log *log);
+
+/* mw_log_has_entries_from: whether all entries from index on can be sent. */
+bool mw_log_has_entries_from(const struct mw_log *log, uint64_t index);
+
+/*
+ * mw_log_retain_applied: retain what a snapshot is about to replace.
+ *
+ * To be followed by mw_log_trim_retained once the snapshot has been taken.
+ */
+void mw_log_retain_applied(struct mw_log *log);
+
+/* mw_log_trim_retained: drop the oldest down to the size of the snapshot. */
+void mw_log_trim_retained(struct mw_log *log);
+
+/* mw_log_clear_retained: drop them all. */
+void mw_log_clear_retained(struct mw_log *log);
+
 /* mw_log_find_peer: member by name, NULL if it has no slot. */
 struct mw_log_peer *mw_log_find_peer(struct mw_log *log,
                                      const struct mw_name *name);
@@ -235,6 +285,7 @@
 /*
  * mw_log_replicate: send a peer the entries that it lacks, or a heartbeat.
  *
+ * While too much is in flight, a heartbeat each MW_HEARTBEAT_INTERVAL_US.
  * Sends the next chunk of the snapshot if the first of them is covered by it.
  */
 void mw_log_replicate(struct mw_log *log, int64_t now_us, unsigned peer);
@@ -245,6 +296,13 @@
                             int64_t now_us, struct mw_log_peer *peer,
                             const struct mw_log_msg *msg);
 
+/* mw_log_count_uncommitted: set uncommitted_bytes, as leadership begins. */
+void mw_log_count_uncommitted(struct mw_log *log);
+
+/* mw_log_note_match: the peer has synced all entries up to index. */
+void mw_log_note_match(struct mw_log *log, struct mw_log_peer *peer,
+                       uint64_t index);
+
 /* mw_log_advance_commit: commit and apply what a quorum has synced. */
 void mw_log_advance_commit(struct mw_context *ctx, struct mw_log *log,
                            int64_t now_us);
@@ -270,7 +328,12 @@
  * which replaces everything stored before. */
 void mw_log_store_all(struct mw_log *log);
 
-/* mw_log_send_snapshot: send a peer the next chunk of the snapshot. */
+/*
+ * mw_log_send_snapshot: send a peer the next chunk of the snapshot.
+ *
+ * One chunk is in flight at a time; until it is answered, a message without
+ * records follows each MW_HEARTBEAT_INTERVAL_US.
+ */
 void mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned peer);
 void mw_log_on_snapshot(struct mw_context *ctx, struct mw_log *log,
                         int64_t now_us, struct mw_log_peer *peer,
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -1,37 +1,23 @@
 /*
  * log-replicate: replication of entries, commit and the leader lease.
  */
+#include <inttypes.h>
+
 #include "log-impl.h"
 
-/* time without an acknowledgement after which entries are sent again */
+/* time after which entries that were sent again may be sent once more */
 #define RESEND_TIMEOUT_US 500000
 /* entries sent to a peer beyond those it has acknowledged */
 #define INFLIGHT_ENTRIES_MAX 1024
+/* and bytes of them, beyond which no further message is sent */
+#define INFLIGHT_BYTES_MAX (1024 * 1024)
 
-/* Approximate size of a record in a message. */
-static size_t
-record_size(const struct mw_record *record)
+/* The last of the entries that stand in memory one after the other. */
+static uint64_t
+last_adjacent(const struct mw_log *log, uint64_t from)
 {
-    size_t bytes = sizeof *record;
-
-    switch (record->kind) {
-    case MW_RECORD_ACCEPT:
-        return bytes + mw_blob_str(record->accept.body).len;
-    case MW_RECORD_RESULT:
-        return bytes + mw_blob_str(record->result.output).len;
-    case MW_RECORD_INTENT:
-        return bytes + record->intent.part_count * sizeof(struct mw_part);
-    case MW_RECORD_DOCUMENT:
-        return bytes + mw_blob_str(record->document.document->text).len;
-    case MW_RECORD_CONFIG:
-        return bytes + mw_blob_str(record->config.text).len;
-    case MW_RECORD_FLOW:
-        return bytes + mw_blob_str(record->flow.plan).len;
-    case MW_RECORD_TASKS:
-        return bytes + record->tasks.count * sizeof(struct mw_task_record);
-    default:
-        return bytes;
-    }
+    return from <= log->snapshot_index ? log->snapshot_index
+                                       : mw_log_last_index(log);
 }
 
 /*
@@ -41,12 +27,13 @@
 static uint32_t
 batch_entries(struct mw_log *log, uint64_t from, struct mw_log_msg *msg)
 {
+    uint64_t last = last_adjacent(log, from);
     size_t bytes = 0;
     uint32_t n = 0;
 
     msg->entries = mw_log_entry_at(log, from);
-    while (from + n <= mw_log_last_index(log) && n < MW_LOG_MSG_RECORDS_MAX) {
-        bytes += record_size(msg->entries[n].record);
+    while (from + n <= last && n < MW_LOG_MSG_RECORDS_MAX) {
+        bytes += mw_record_size(msg->entries[n].record);
         if (n > 0 && bytes > MW_LOG_MSG_BYTES_MAX) {
             break;
         }
@@ -55,6 +42,15 @@
     return n;
 }
 
+/* Whether there are entries to send, and few are in flight. */
+static bool
+may_send_entries(const struct mw_log *log, const struct mw_log_peer *peer)
+{
+    return peer->next_index <= mw_log_last_index(log) &&
+           peer->next_index <= peer->match_index + INFLIGHT_ENTRIES_MAX &&
+           peer->inflight_bytes < INFLIGHT_BYTES_MAX;
+}
+
 /* Sends the next entries, or none as a heartbeat. */
 static void
 send_append(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer)
@@ -67,12 +63,15 @@
         .sent_us = now_us,
     };
 
-    if (peer->next_index <= mw_log_last_index(log) &&
-        peer->next_index <= peer->match_index + INFLIGHT_ENTRIES_MAX) {
+    if (may_send_entries(log, peer)) {
         msg.entry_count = batch_entries(log, peer->next_index, &msg);
     }
+    for (uint32_t n = 0; n < msg.entry_count; n++) {
+        peer->inflight_bytes += mw_record_size(msg.entries[n].record);
+    }
     mw_log_send(log, &peer->name, &msg);
     peer->next_index += msg.entry_count;
+    peer->probe_deadline_us = now_us + MW_HEARTBEAT_INTERVAL_US;
 }
 
 void
@@ -80,20 +79,20 @@
 {
     struct mw_log_peer *peer = &log->peers[i];
 
-    if (now_us >= peer->resend_deadline_us) {
-        peer->next_index = MAX(peer->match_index + 1, 1);
-        peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
-        peer->snapshot_offset = 0;
-    }
-    if (peer->next_index <= log->snapshot_index || peer->snapshot_records) {
+    if (!mw_log_has_entries_from(log, peer->next_index) ||
+        peer->snapshot_records) {
         mw_log_send_snapshot(log, now_us, i);
         return;
     }
-    send_append(log, now_us, peer);
-    while (peer->next_index <= mw_log_last_index(log) &&
-           peer->next_index <= peer->match_index + INFLIGHT_ENTRIES_MAX) {
-        send_append(log, now_us, peer);
+    bool is_waiting = peer->next_index <= mw_log_last_index(log) &&
+                      !may_send_entries(log, peer);
+
+    if (is_waiting && now_us < peer->probe_deadline_us) {
+        return;
     }
+    do {
+        send_append(log, now_us, peer);
+    } while (may_send_entries(log, peer));
 }
 
 void
@@ -181,9 +180,11 @@
     while (log->applied_index < log->commit_index) {
         struct mw_log_entry *entry =
             mw_log_entry_at(log, ++log->applied_index);
+        uint64_t bytes = mw_record_size(entry->record);
 
         log->counters.committed++;
-        log->applied_bytes += mw_record_size(entry->record);
+        log->applied_bytes += bytes;
+        log->uncommitted_bytes -= MIN(bytes, log->uncommitted_bytes);
         log->output.apply(log->output.opaque, log->applied_index,
                           entry->record);
     }
@@ -241,6 +242,39 @@
     return mw_log_is_lease_valid(log, now_us);
 }
 
+void
+mw_log_count_uncommitted(struct mw_log *log)
+{
+    log->uncommitted_bytes = 0;
+    for (uint64_t i = log->commit_index + 1; i <= mw_log_last_index(log);
+         i++) {
+        log->uncommitted_bytes +=
+            mw_record_size(mw_log_entry_at(log, i)->record);
+    }
+}
+
+/* Returns an error while too much waits for its commit, or for the disk. */
+static int
+check_waiting(struct mw_context *ctx, const struct mw_log *log)
+{
+    if (mw_log_last_index(log) - log->commit_index >= MW_LOG_UNCOMMITTED_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED,
+                       "%d records are not committed yet",
+                       MW_LOG_UNCOMMITTED_MAX);
+    }
+    if (log->uncommitted_bytes >= MW_LOG_UNCOMMITTED_BYTES_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED,
+                       "%" PRIu64 " bytes of records are not committed yet",
+                       log->uncommitted_bytes);
+    }
+    if (log->unsynced_bytes >= MW_LOG_UNSYNCED_BYTES_MAX) {
+        return mw_fail(ctx, MW_ERR_OVERLOADED,
+                       "%" PRIu64 " bytes wait for the leader's disk",
+                       log->unsynced_bytes);
+    }
+    return 0;
+}
+
 int
 mw_log_propose(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
                struct mw_record *record, uint64_t *index)
@@ -255,11 +289,11 @@
         log->counters.refused++;
         return mw_fail(ctx, MW_ERR_DISK, "the leader's disk refuses writes");
     }
-    if (mw_log_last_index(log) - log->commit_index >= MW_LOG_UNCOMMITTED_MAX) {
+    int err = check_waiting(ctx, log);
+
+    if (err) {
         log->counters.refused++;
-        return mw_fail(ctx, MW_ERR_OVERLOADED,
-                       "%d records are not committed yet",
-                       MW_LOG_UNCOMMITTED_MAX);
+        return err;
     }
     uint64_t at = mw_log_append_entry(log, log->term, record);
 
@@ -340,6 +374,47 @@
     reply_append(log, peer, msg, true, match);
 }
 
+void
+mw_log_note_match(struct mw_log *log, struct mw_log_peer *peer, uint64_t index)
+{
+    uint64_t from = MAX(peer->match_index + 1, mw_log_first_index(log));
+
+    for (uint64_t i = from; i <= MIN(index, mw_log_last_index(log)); i++) {
+        uint64_t bytes = mw_record_size(mw_log_entry_at(log, i)->record);
+
+        peer->inflight_bytes -= MIN(bytes, peer->inflight_bytes);
+    }
+    peer->match_index = MAX(peer->match_index, index);
+    if (peer->next_index <= peer->match_index + 1) {
+        peer->next_index = peer->match_index + 1;
+        peer->inflight_bytes = 0;
+    }
+}
+
+/*
+ * The peer lacks entries before the one that was sent: they were lost, or it
+ * has others.  A link keeps the order, so that messages which were on their
+ * way at the last time say nothing new.  A peer that takes no entries, as its
+ * disk is full, is not sent the same ones each time.
+ */
+static void
+send_again(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer,
+           const struct mw_log_msg *msg)
+{
+    uint64_t next = MIN(peer->next_index, msg->index + 1);
+
+    if (msg->sent_us < peer->resent_us ||
+        (next == peer->resent_index && now_us < peer->resend_deadline_us)) {
+        return;
+    }
+    peer->next_index = next;
+    peer->inflight_bytes = 0;
+    peer->resent_index = next;
+    peer->resent_us = now_us;
+    peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
+    mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
+}
+
 void
 mw_log_on_append_reply(struct mw_context *ctx, struct mw_log *log,
                        int64_t now_us, struct mw_log_peer *peer,
@@ -350,17 +425,14 @@
     }
     peer->acked_sent_us = MAX(peer->acked_sent_us, msg->sent_us);
     if (!msg->ok) {
-        peer->next_index = MIN(peer->next_index, msg->index + 1);
-        mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
+        send_again(log, now_us, peer, msg);
         return;
     }
-    peer->resend_deadline_us = now_us + RESEND_TIMEOUT_US;
     if (msg->index > peer->match_index) {
-        peer->match_index = msg->index;
-        peer->next_index = MAX(peer->next_index, peer->match_index + 1);
+        mw_log_note_match(log, peer, msg->index);
         mw_log_advance_commit(ctx, log, now_us);
     }
-    if (peer->next_index <= mw_log_last_index(log)) {
+    if (may_send_entries(log, peer)) {
         mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
     }
     mw_log_admit_caught_up(ctx, log, now_us);
