--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -159,7 +159,7 @@
 struct mw_log_entry *mw_log_entry_at(const struct mw_log *log, uint64_t index);
 
 /*
- * mw_log_first_index: the first entry that is retained.
+ * mw_log_first_index: the first retained entry; snapshot_index + 1 if none is.
  *
  * Entries that a snapshot has replaced are retained as long as they take no
  * more bytes than the snapshot, so that a member that has received an older
