--- a/source/run/disk-impl.h
+++ b/source/run/disk-impl.h
@@ -8,7 +8,9 @@
  *
  * FILES
  *   disk.c          creates files, writes and syncs items
+ *   disk-format.c   encodes the header, items and sync markers
  *   disk-load.c     reads the files at the start
+ *   disk-compress.c compresses the items of a snapshot
  *   disk-reserve.c  keeps room for a snapshot
  *   disk-io.c       the operations that change files
  */
@@ -21,7 +23,9 @@
 #define ITEM_HEADER_LEN 8
 #define MARKER_LEN 24
 /* far more than a process has memory for: what is written can be read */
-#define ITEM_BYTES_MAX 0x7fffffffu
+#define ITEM_BYTES_MAX 0x3fffffffu
+/* set in the length of an item whose payload is compressed */
+#define COMPRESSED_FLAG 0x80000000u
 
 struct data_file {
     int fd;
@@ -69,10 +73,23 @@
                    const char *suffix);
 /* mw_disk_error: fails with MW_ERR_DISK, the path and the text of errno. */
 int mw_disk_error(struct mw_context *ctx, const char *path);
+
+/* disk-format.c */
+void mw_put_le32(uint8_t *at, uint32_t value);
+uint32_t mw_get_le32(const uint8_t *at);
+
 /* mw_encode_disk_header: into HEADER_LEN bytes. */
 void mw_encode_disk_header(const struct mw_disk *disk, enum mw_group group,
-                           uint8_t *header);
-uint32_t mw_get_le32(const uint8_t *at);
+                           uint8_t version, uint8_t *header);
+
+/* mw_encode_disk_marker: into MARKER_LEN bytes; offset is how far was synced.
+ */
+void mw_encode_disk_marker(uint8_t *marker, uint64_t offset);
+
+/* mw_append_disk_item: flags is 0 or COMPRESSED_FLAG. */
+void mw_append_disk_item(GByteArray *out, uint32_t flags,
+                         const uint8_t *payload, size_t len);
+void mw_append_disk_blob(GByteArray *out, const struct mw_blob *payload);
 
 /* disk-load.c */
 /* mw_load_data_file: passes each stored item on and opens the file. */
@@ -80,6 +97,18 @@
                       enum mw_group group, const struct mw_disk_loader *loader,
                       uint64_t *incarnation);
 
+/* disk-compress.c */
+/*
+ * mw_compress_data_file: a new file with the same items, which are a header
+ * and items without sync markers in data.
+ */
+GByteArray *mw_compress_data_file(const struct mw_disk *disk,
+                                  enum mw_group group, const GByteArray *data);
+
+/* mw_uncompress_item: in place; returns false, and no payload, if it is not
+ * valid. */
+bool mw_uncompress_item(GByteArray *payload);
+
 /* disk-reserve.c */
 /* mw_open_disk_reserve: open the file, and fill it from the next tick on. */
 void mw_open_disk_reserve(struct mw_disk *disk);
--- a/source/run/disk-load.c
+++ b/source/run/disk-load.c
@@ -145,9 +145,10 @@
         !read_at(reader, at, head, sizeof head)) {
         return 0;
     }
-    uint32_t size = mw_get_le32(head);
+    uint32_t field = mw_get_le32(head);
+    uint32_t size = field & ~COMPRESSED_FLAG;
 
-    if (size == MARKER_LENGTH_FIELD) {
+    if (field == MARKER_LENGTH_FIELD) {
         return is_marker_valid(reader, at) ? MARKER_LEN : 0;
     }
     if (size == 0 || size > ITEM_BYTES_MAX ||
@@ -159,7 +160,8 @@
         return 0;
     }
     g_byte_array_set_size(reader->payload, size);
-    if (!read_at(reader, at, reader->payload->data, size)) {
+    if (!read_at(reader, at, reader->payload->data, size) ||
+        ((field & COMPRESSED_FLAG) && !mw_uncompress_item(reader->payload))) {
         g_byte_array_set_size(reader->payload, 0);
         return 0;
     }
@@ -207,18 +209,18 @@
     uint8_t header[HEADER_LEN];
     uint8_t data[HEADER_LEN];
 
-    mw_encode_disk_header(disk, group, header);
     if (reader->length < HEADER_LEN ||
         !read_at(reader, 0, data, sizeof data) ||
         memcmp(data, HEADER_MAGIC, 6) != 0) {
         return mw_fail(ctx, MW_ERR_DAMAGED, "%s: missing or invalid header",
                        path);
     }
-    if (data[6] != MW_DISK_VERSION) {
+    if (data[6] != MW_DISK_VERSION && data[6] != MW_DISK_VERSION_COMPRESSED) {
         return mw_fail(ctx, MW_ERR_VERSION,
                        "%s: format version %d, expected %d", path, data[6],
                        MW_DISK_VERSION);
     }
+    mw_encode_disk_header(disk, group, data[6], header);
     if (memcmp(data, header, HEADER_LEN) != 0) {
         return mw_fail(ctx, MW_ERR_INVALID,
                        "%s: belongs to another member or group", path);
--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <sys/file.h>
 #include <unistd.h>
-#include <zlib.h>
 
 /* interval at which a write that was refused is tried again */
 #define RETRY_INTERVAL_US 500000
@@ -53,60 +52,6 @@
                : MW_ERR_DISK;
 }
 
-static void
-put_le32(uint8_t *at, uint32_t value)
-{
-    value = GUINT32_TO_LE(value);
-    memcpy(at, &value, sizeof value);
-}
-
-uint32_t
-mw_get_le32(const uint8_t *at)
-{
-    uint32_t value;
-
-    memcpy(&value, at, sizeof value);
-    return GUINT32_FROM_LE(value);
-}
-
-static void
-append_item(GByteArray *out, const struct mw_blob *payload)
-{
-    uint8_t head[ITEM_HEADER_LEN];
-
-    put_le32(head, (uint32_t)payload->len);
-    put_le32(head + 4, (uint32_t)crc32(0, (const Bytef *)payload->ptr,
-                                       (uInt)payload->len));
-    g_byte_array_append(out, head, sizeof head);
-    g_byte_array_append(out, (const guint8 *)payload->ptr,
-                        (guint)payload->len);
-}
-
-static void
-encode_marker(uint8_t *marker, uint64_t offset)
-{
-    uint64_t le = GUINT64_TO_LE(offset);
-
-    put_le32(marker, MARKER_LENGTH_FIELD);
-    memcpy(marker + 4, MARKER_MAGIC, 8);
-    memcpy(marker + 12, &le, sizeof le);
-    put_le32(marker + 20, (uint32_t)crc32(0, marker, 20));
-}
-
-void
-mw_encode_disk_header(const struct mw_disk *disk, enum mw_group group,
-                      uint8_t *header)
-{
-    memset(header, 0, HEADER_LEN);
-    memcpy(header, HEADER_MAGIC, 6);
-    header[6] = MW_DISK_VERSION;
-    header[7] = (uint8_t)group;
-    header[8] = disk->member.len;
-    memcpy(header + 9, disk->member.ptr, disk->member.len);
-    put_le32(header + HEADER_LEN - 4,
-             (uint32_t)crc32(0, header, HEADER_LEN - 4));
-}
-
 int
 mw_disk_error(struct mw_context *ctx, const char *path)
 {
@@ -126,9 +71,9 @@
     int err = 0;
     int fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
 
-    mw_encode_disk_header(disk, group, header);
+    mw_encode_disk_header(disk, group, MW_DISK_VERSION, header);
     g_byte_array_append(out, header, sizeof header);
-    append_item(out, payload);
+    mw_append_disk_blob(out, payload);
     if (fd < 0 || write_all(disk, fd, out->data, out->len) || fsync(fd) != 0) {
         err = mw_disk_error(ctx, path);
     }
@@ -334,7 +279,7 @@
     uint8_t header[HEADER_LEN];
 
     file->is_snapshot = true;
-    mw_encode_disk_header(disk, group, header);
+    mw_encode_disk_header(disk, group, MW_DISK_VERSION, header);
     g_byte_array_set_size(file->unsynced, 0);
     g_byte_array_append(file->unsynced, header, sizeof header);
 }
@@ -347,7 +292,7 @@
     if (stored->kind == MW_STORED_SNAPSHOT) {
         begin_snapshot(disk, stored->group);
     }
-    append_item(file->unsynced, stored->blob);
+    mw_append_disk_blob(file->unsynced, stored->blob);
     file->unsynced_sequence = stored->sequence;
 }
 
@@ -367,14 +312,12 @@
 
 /* Writes the new file; returns its descriptor, or -1 with errno set. */
 static int
-write_new_file(struct mw_disk *disk, const struct data_file *file,
-               const char *path)
+write_new_file(struct mw_disk *disk, const GByteArray *data, const char *path)
 {
     int fd = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
 
-    if (fd >= 0 &&
-        (write_all(disk, fd, file->unsynced->data, file->unsynced->len) ||
-         sync_file_data(disk, fd) != 0)) {
+    if (fd >= 0 && (write_all(disk, fd, data->data, data->len) ||
+                    sync_file_data(disk, fd) != 0)) {
         int cause = errno;
 
         /* leaves the room that the incomplete file takes */
@@ -392,6 +335,30 @@
     return cause == ENOSPC || cause == EDQUOT || cause == EFBIG;
 }
 
+/*
+ * Writes a snapshot that a full disk has refused: in the room of the reserve,
+ * or compressed; *length is what was written.
+ */
+static int
+write_without_room(struct mw_disk *disk, enum mw_group group, const char *path,
+                   uint64_t *length)
+{
+    const GByteArray *data = disk->files[group].unsynced;
+    int fd = -1;
+
+    if (mw_release_disk_reserve(disk)) {
+        fd = write_new_file(disk, data, path);
+    }
+    if (fd < 0) {
+        GByteArray *less = mw_compress_data_file(disk, group, data);
+
+        fd = write_new_file(disk, less, path);
+        *length = less->len;
+        g_byte_array_unref(less);
+    }
+    return fd;
+}
+
 /* Writes the new file beside the present one, then replaces that. */
 static int
 write_snapshot(struct mw_disk *disk, enum mw_group group)
@@ -399,11 +366,12 @@
     struct data_file *file = &disk->files[group];
     char *from = mw_disk_path(disk, group, ".new");
     char *to = mw_disk_path(disk, group, "");
-    int fd = write_new_file(disk, file, from);
+    uint64_t length = file->unsynced->len;
+    int fd = write_new_file(disk, file->unsynced, from);
     int err = 0;
 
-    if (fd < 0 && is_disk_full(errno) && mw_release_disk_reserve(disk)) {
-        fd = write_new_file(disk, file, from);
+    if (fd < 0 && is_disk_full(errno)) {
+        fd = write_without_room(disk, group, from, &length);
     }
     if (fd < 0 || disk->io->rename(disk->io->opaque, from, to) != 0 ||
         sync_dir(disk)) {
@@ -412,8 +380,8 @@
     if (!err) {
         close(file->fd);
         file->fd = fd;
-        file->length = file->unsynced->len;
-        file->snapshot_length = file->length;
+        file->length = length;
+        file->snapshot_length = file->unsynced->len;
         file->is_snapshot = false;
     }
     else if (fd >= 0) {
@@ -464,7 +432,7 @@
 {
     uint8_t marker[MARKER_LEN];
 
-    encode_marker(marker, file->length);
+    mw_encode_disk_marker(marker, file->length);
     if (write_all(disk, file->fd, marker, sizeof marker) == 0) {
         file->length += sizeof marker;
     }
--- a/source/run/disk.h
+++ b/source/run/disk.h
@@ -13,6 +13,9 @@
  *         with its length, CRC-32 and payload; and sync markers, each of
  *         which states that everything before it has been synced
  *
+ * A snapshot that a full disk refuses is written once more with compressed
+ * items.
+ *
  * All items in one batch of messages share one sync.  Damage after the last
  * sync marker is the tail of an interrupted write: it is truncated and
  * counted.  Damage before a sync marker has lost synced data and fails with
@@ -25,6 +28,8 @@
  */
 
 #define MW_DISK_VERSION 1
+/* of a file that may hold compressed items */
+#define MW_DISK_VERSION_COMPRESSED 2
 
 /* mw_disk_space: bytes of a file system. */
 struct mw_disk_space {
--- a/tests/store-script.c
+++ b/tests/store-script.c
@@ -2,6 +2,7 @@
  * store-script: the data files of a member on a disk that fills up or loses
  * its power; see store-disk.h.
  */
+#include <glib/gstdio.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -167,11 +168,30 @@
     g_array_append_val(list, stored);
 }
 
+/* Routes of a configuration, which differ as those of a deployment do. */
+static char *
+config_text(uint64_t version, gsize len)
+{
+    GString *text = g_string_sized_new(len + 128);
+
+    for (unsigned i = 0; text->len < len; i++) {
+        uint32_t mixed = (uint32_t)(version + i) * 2654435761u;
+
+        g_string_append_printf(text,
+                               "{\"route\": \"r-%u\", \"endpoint\": "
+                               "\"10.3.%u.%u:%u\", \"weight\": %u},\n",
+                               i, mixed >> 24, mixed >> 16 & 255,
+                               8000 + (mixed >> 8 & 255), mixed & 63);
+    }
+    g_string_truncate(text, len);
+    return g_string_free(text, FALSE);
+}
+
 static void
 add_config(GArray *list, enum mw_stored_kind kind, uint64_t index, gsize len)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
-    char *text = g_strnfill(len, 'x');
+    char *text = config_text(index, len);
     struct mw_stored_item item = {.kind = kind,
                                   .index = index,
                                   .term = 1,
@@ -293,6 +313,7 @@
     gsize len = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
     char *data = g_strnfill(len, 'x');
 
+    g_unlink(path);
     g_file_set_contents_full(path, data, (gssize)len, G_FILE_SET_CONTENTS_NONE,
                              0600, NULL);
     g_free(data);
@@ -467,6 +488,7 @@
     struct store_disk *copy = store_new_disk();
     int faults = 0;
 
+    /* a later command must start again */
     stop(st);
     st->fault_shown = false;
     copy->capacity = st->store->capacity;
