--- a/tests/store-disk.c
+++ b/tests/store-disk.c
@@ -165,6 +165,10 @@
     uint64_t used = store_disk_used(disk);
 
     (void)path;
+    if (!disk->tells_room) {
+        errno = ENOSYS;
+        return -1;
+    }
     space->total = disk->capacity;
     space->available = disk->capacity - MIN(used, disk->capacity);
     return 0;
--- a/tests/store-disk.h
+++ b/tests/store-disk.h
@@ -17,6 +17,8 @@
     GMutex mutex;
     /* bytes that all files may take */
     uint64_t capacity;
+    /* whether it tells its room, without which no reserve is filled */
+    bool tells_room;
     /* operations until the power is lost, and done so far; -1 for never */
     int operations_left;
     int operations;
--- a/tests/store-script.c
+++ b/tests/store-script.c
@@ -304,6 +304,15 @@
     st->store->capacity = g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
 }
 
+/* reserve on|off: whether the reserve is filled, in the background */
+static void
+cmd_reserve(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    st->store->tells_room = strcmp(mw_script_word(s, 1), "on") == 0;
+}
+
 /* file NAME BYTES: makes a file of other data, or one that was left */
 static void
 cmd_file(struct mw_script *s)
@@ -514,6 +523,7 @@
     {"snapshot", 1, cmd_snapshot},
     {"room", 1, cmd_room},
     {"capacity", 1, cmd_capacity},
+    {"reserve", 1, cmd_reserve},
     {"file", 2, cmd_file},
     {"size", 1, cmd_size},
     {"summary", 0, cmd_summary},
