Submissions beyond a share of the machine's memory are refused

Seen: one job of 1,024 occurrences of 4,096 tasks was accepted, and any number of jobs with plans of 262,000 bytes.

Cause: a plan was bounded by its numbers of steps, tasks and occurrences, whose product is 268 million tasks, and the accepted flows by nothing.

Change: flow-admission adds up the bytes of plan texts and of the state of flows and tasks, those included that are proposed and not committed. A flow that could never be held is refused as impossible (too_large_to_be_held), one that has no room now as overloaded with Retry-After (too_much_is_held); in both cases nothing was recorded. Records that are in the log are applied whatever their size, so a member that starts reads what was accepted before.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -28,6 +28,8 @@
     int64_t stop_timeout_us;
     /* how long the state of an ended flow stays readable */
     int64_t state_retention_us;
+    /* of the machine; flows beyond a share of it are refused */
+    int64_t memory_bytes;
 };
 
 /* mw_flow_org: an organisation. */
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -11,6 +11,7 @@
  *
  * FILES
  *   flow-request.c      requests of clients and operators
+ *   flow-admission.c    whether another flow can be held
  *   flow-endpoint.c     heartbeats and incarnations
  *   flow-registry.c     records of endpoints
  *   flow-response.c     responses to commands
@@ -213,6 +214,14 @@
     int64_t reserved_us;
 };
 
+/* mw_flow_size: the memory that flows take. */
+struct mw_flow_size {
+    /* text of the plans, which snapshots contain, too */
+    int64_t plan_bytes;
+    /* decoded plans, and the state of the tasks */
+    int64_t state_bytes;
+};
+
 /* mw_flow: a flow, with the groups of each occurrence in a row. */
 struct mw_flow {
     struct mw_name id;
@@ -222,6 +231,7 @@
     enum mw_flow_state state;
     struct mw_blob *plan_text;
     struct mw_flow_plan *plan;
+    struct mw_flow_size size;
     uint32_t group_count;
     struct mw_task_group *groups;
     uint32_t groups_done;
@@ -394,6 +404,8 @@
     /* of the configuration */
     uint64_t version;
     int64_t received_us;
+    /* of a submitted flow; nothing if another request has proposed it */
+    struct mw_flow_size size;
 };
 
 /* mw_flows: replicated state, then the state of the leader. */
@@ -402,6 +414,8 @@
     struct mw_flow_output output;
     struct mw_flow_config *config;
     GHashTable *flows;
+    /* of all of them */
+    struct mw_flow_size held;
     /* flows that have not ended, oldest first */
     GPtrArray *active;
     GHashTable *zones_out;
@@ -448,6 +462,22 @@
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
 
+/* flow-admission.c */
+struct mw_flow_size mw_flow_plan_size(const struct mw_flow_plan *plan,
+                                      struct mw_str text);
+void mw_add_flow_size(struct mw_flow_size *sum,
+                      const struct mw_flow_size *size);
+void mw_subtract_flow_size(struct mw_flow_size *sum,
+                           const struct mw_flow_size *size);
+/*
+ * mw_check_flow_size: whether the leader may accept a flow of this size.
+ *
+ * Returns MW_ERR_IMPOSSIBLE for one that could never be held, and
+ * MW_ERR_OVERLOADED for one that could be held once others have gone.
+ */
+int mw_check_flow_size(const struct mw_flows *flows,
+                       const struct mw_flow_size *size);
+
 /* flow-state.c */
 /* proposes a TASKS record and counts it; false when that is not possible */
 bool mw_propose_tasks(struct mw_flows *flows, struct mw_record *record);
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -39,18 +39,26 @@
     send_reply(flows, &reply);
 }
 
-static void
+static struct mw_flow_pending_request *
 await_commit(struct mw_flows *flows, const struct mw_flow_request *request,
              const struct mw_name *name, uint64_t version)
 {
-    struct mw_flow_pending_request pending = {request->ref, request->kind,
-                                              *name, version, flows->now_us};
-
-    g_array_append_val(flows->pending_requests, pending);
+    struct mw_flow_pending_request pending = {.ref = request->ref,
+                                              .kind = request->kind,
+                                              .name = *name,
+                                              .version = version,
+                                              .received_us = flows->now_us};
+    GArray *all = flows->pending_requests;
+
+    g_array_append_val(all, pending);
+    return &g_array_index(all, struct mw_flow_pending_request, all->len - 1);
 }
 
-/* Proposes the record, takes over its reference and awaits the commit. */
-static bool
+/*
+ * Proposes the record, takes over its reference and awaits the commit; NULL if
+ * it could not be proposed.
+ */
+static struct mw_flow_pending_request *
 propose_and_await(struct mw_flows *flows,
                   const struct mw_flow_request *request,
                   struct mw_record *record, const struct mw_name *name,
@@ -61,10 +69,9 @@
     mw_drop_record(record);
     if (err) {
         send_error(flows, request->ref, err, MW_STR(""));
-        return false;
+        return NULL;
     }
-    await_commit(flows, request, name, version);
-    return true;
+    return await_commit(flows, request, name, version);
 }
 
 static bool
@@ -154,9 +161,10 @@
 propose_flow(struct mw_flows *flows, int64_t wall_us,
              const struct mw_flow_request *request,
              const struct mw_flow_route *route, const struct mw_flow_org *org,
-             const struct mw_name *id)
+             const struct mw_name *id, const struct mw_flow_size *size)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_FLOW);
+    struct mw_flow_pending_request *pending;
 
     record->flow.id = *id;
     record->flow.route = *route;
@@ -165,7 +173,9 @@
     }
     record->flow.accepted_wall_us = wall_us;
     record->flow.plan = mw_new_blob(request->body);
-    if (propose_and_await(flows, request, record, id, 0)) {
+    pending = propose_and_await(flows, request, record, id, 0);
+    if (pending) {
+        pending->size = *size;
         flows->counters.accepted++;
     }
 }
@@ -180,6 +190,34 @@
     send_error(flows, request->ref, error, mw_str_from(reason));
 }
 
+/* Proposes the flow, unless it can't be run or held. */
+static void
+admit(struct mw_flows *flows, int64_t wall_us,
+      const struct mw_flow_request *request, const struct mw_flow_route *route,
+      const struct mw_flow_org *org, const struct mw_name *id,
+      const struct mw_flow_plan *plan)
+{
+    struct mw_flow_size size = mw_flow_plan_size(plan, request->body);
+    int err = mw_check_flow_size(flows, &size);
+
+    if (plan->unsupported) {
+        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
+                          plan->unsupported);
+    }
+    else if (!can_ever_run(flows, route, plan)) {
+        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
+                          "no_endpoint_is_large_enough");
+    }
+    else if (err) {
+        refuse_submission(flows, request, id, err,
+                          err == MW_ERR_IMPOSSIBLE ? "too_large_to_be_held"
+                                                   : "too_much_is_held");
+    }
+    else {
+        propose_flow(flows, wall_us, request, route, org, id, &size);
+    }
+}
+
 static void
 submit(struct mw_context *ctx, struct mw_flows *flows, int64_t wall_us,
        const struct mw_flow_request *request,
@@ -206,17 +244,7 @@
         refuse_submission(flows, request, id, err, "unreadable");
         return;
     }
-    if (plan->unsupported) {
-        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
-                          plan->unsupported);
-    }
-    else if (!can_ever_run(flows, route, plan)) {
-        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
-                          "no_endpoint_is_large_enough");
-    }
-    else {
-        propose_flow(flows, wall_us, request, route, org, id);
-    }
+    admit(flows, wall_us, request, route, org, id, plan);
     mw_drop_flow_plan(plan);
 }
 
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -250,6 +250,8 @@
     flow->accepted_us = flows->now_us;
     flow->plan_text = mw_keep_blob(record->plan);
     flow->plan = plan;
+    flow->size = mw_flow_plan_size(plan, mw_blob_str(record->plan));
+    mw_add_flow_size(&flows->held, &flow->size);
     add_task_groups(flow);
     g_hash_table_insert(flows->flows, &flow->id, flow);
     if (flow->state == MW_FLOW_ACTIVE) {
@@ -291,6 +293,7 @@
         }
     }
     end_flow(flows, flow, MW_FLOW_CANCELLED);
+    mw_subtract_flow_size(&flows->held, &flow->size);
     g_hash_table_remove(flows->flows, &flow->id);
 }
 
@@ -491,6 +494,7 @@
 {
     g_ptr_array_set_size(flows->active, 0);
     g_hash_table_remove_all(flows->flows);
+    flows->held = (struct mw_flow_size){0};
     g_hash_table_remove_all(flows->zones_out);
     g_hash_table_remove_all(flows->endpoint_records);
     g_clear_pointer(&flows->config, mw_drop_flow_config);
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -51,6 +51,7 @@
     GArray *first_refs;
     bool manual_lists;
     bool quiet_events;
+    bool quiet_replies;
     /* endpoint to the latest deadline of a lease that it was granted */
     GHashTable *leases;
     /* API key of the next requests */
@@ -139,9 +140,14 @@
 print_reply(void *opaque, const struct mw_flow_reply *reply)
 {
     struct state *st = opaque;
-    struct mw_blob *text = mw_encode_flow_reply(reply);
-    struct mw_str body = mw_blob_str(text);
+    struct mw_blob *text;
+    struct mw_str body;
 
+    if (st->quiet_replies) {
+        return;
+    }
+    text = mw_encode_flow_reply(reply);
+    body = mw_blob_str(text);
     mw_script_printf(st->script, "  reply %d %d %.*s%s", (int)reply->ref,
                      mw_flow_reply_http_status(reply), (int)MIN(body.len, 80),
                      body.ptr, reply->retry_after_us ? " retry-after" : "");
@@ -185,6 +191,7 @@
         .lease_max_us = 10000000,
         .stop_timeout_us = 900000,
         .state_retention_us = 240000000,
+        .memory_bytes = INT64_C(256) * 1024 * 1024,
     };
     struct mw_flow_output output = {st,
                                     propose,
@@ -533,6 +540,44 @@
     send_request(s, MW_FLOW_SUBMIT, mw_script_word(s, 1), line_from(s, 2));
 }
 
+/* submit-many COUNT BYTES PLAN: so many flows, with blanks up to that size;
+ * each is committed before the next one is sent */
+static void
+cmd_submit_many(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    struct mw_flow_counters before = *mw_flows_get_counters(st->flows);
+    const struct mw_flow_counters *after = mw_flows_get_counters(st->flows);
+    char *blanks = g_strnfill((gsize)atoi(mw_script_word(s, 2)), ' ');
+    char *body = g_strconcat(line_from(s, 3), blanks, NULL);
+    struct mw_flow_request request = {
+        .kind = MW_FLOW_SUBMIT,
+        .host = mw_str_from("h.example"),
+        .key = mw_name_str(&st->key),
+        .body = mw_str_from(body),
+    };
+
+    st->quiet_events = true;
+    st->quiet_replies = true;
+    for (int i = 0; i < atoi(mw_script_word(s, 1)); i++) {
+        char path[32];
+
+        request.ref = ++st->request_count;
+        g_snprintf(path, sizeof path, "/b/%016x", (unsigned)request.ref);
+        request.path = mw_str_from(path);
+        mw_flows_handle_request(&st->ctx, st->flows, st->now_us, wall_us(st),
+                                &request);
+        commit_records(st, G_MAXUINT);
+    }
+    st->quiet_events = false;
+    st->quiet_replies = false;
+    mw_script_printf(s, "  %d accepted, %d refused",
+                     (int)(after->accepted - before.accepted),
+                     (int)(after->refused - before.refused));
+    g_free(body);
+    g_free(blanks);
+}
+
 static void
 cmd_state(struct mw_script *s)
 {
@@ -746,6 +791,7 @@
     {"read-config", 0, cmd_read_config},
     {"zone", 2, cmd_zone},
     {"submit", 1, cmd_submit},
+    {"submit-many", 3, cmd_submit_many},
     {"state", 1, cmd_state},
     {"cancel", 1, cmd_cancel},
     {"run", 1, cmd_run},
--- a/tests/guarantee-script.c
+++ b/tests/guarantee-script.c
@@ -510,7 +510,8 @@
     struct simulation *sim = g_new0(struct simulation, 1);
     struct mw_flow_limits limits = {.lease_max_us = 6000000,
                                     .stop_timeout_us = STOP_TIMEOUT_US,
-                                    .state_retention_us = 240000000};
+                                    .state_retention_us = 240000000,
+                                    .memory_bytes = INT64_C(256) << 20};
     struct mw_flow_output output = {sim,
                                     propose,
                                     send_command,
--- a/tests/platform-script.c
+++ b/tests/platform-script.c
@@ -165,10 +165,12 @@
 
     if (!print_error(s, "settings", err)) {
         mw_script_printf(
-            s, "settings: %.*s, link port %u, %u seeds%s, data-dir '%s'",
+            s,
+            "settings: %.*s, link port %u, %u seeds%s, data-dir '%s', %d MB",
             MW_FMT(mw_name_str(&settings.ip)), settings.link_port,
             settings.seed_count, settings.founding ? ", founding" : "",
-            settings.data_dir);
+            settings.data_dir,
+            (int)(settings.limits.memory_bytes / (1024 * 1024)));
     }
     g_free(text);
 }
