The HTTP server bounds the bytes of all bodies that it holds

Seen (http/half-read-bodies, before): the server took every body that a client announced, and only requests that were complete and had no reply were counted (16,384 of them). On an entry machine of 160 MB, 160 slow clients with bodies of 1 MB fill the memory, and the process is killed. So did clients that send further requests ahead (64 KB each, 4,000 connections).

Cause: bounds for one connection, and a number for all.

Change: the length that a request announces is added to a sum of the server before its body is read, until its reply; beyond 32 MB the request is refused unread, 429 with Retry-After, so nothing of it ran. Requests without a body go on. The body of a refused or answered request is freed at once, not when the client has closed. Bytes sent ahead are bounded to 16 MB in all.

--- a/source/run/http-connection.c
+++ b/source/run/http-connection.c
@@ -8,6 +8,8 @@
 
 /* a larger buffer is freed once the reply is sent */
 #define KEPT_BUFFER_BYTES_MAX (16 * 1024)
+/* header of a reply to a request that there was no room for */
+#define RETRY_AFTER "Retry-After: 1\r\n"
 
 static void
 arm_receive_timer(struct mw_http *http)
@@ -47,6 +49,8 @@
     struct mw_http_connection *connection = data;
 
     mw_end_receiving(connection);
+    connection->http->body_bytes -= connection->body_bytes;
+    connection->http->pipelined_bytes -= connection->pipelined->len;
     mw_conn_close(connection->conn);
     g_string_free(connection->text, TRUE);
     g_string_free(connection->reply_headers, TRUE);
@@ -55,6 +59,19 @@
     g_free(connection);
 }
 
+/* The body is not needed any more. */
+static void
+clear_body(struct mw_http_connection *connection)
+{
+    connection->http->body_bytes -= connection->body_bytes;
+    connection->body_bytes = 0;
+    if (connection->body->len > KEPT_BUFFER_BYTES_MAX) {
+        g_byte_array_unref(connection->body);
+        connection->body = g_byte_array_new();
+    }
+    g_byte_array_set_size(connection->body, 0);
+}
+
 void
 mw_reset_http_request(struct mw_http_connection *connection)
 {
@@ -65,11 +82,7 @@
     connection->in_value = false;
     g_string_truncate(connection->text, 0);
     g_string_truncate(connection->reply_headers, 0);
-    if (connection->body->len > KEPT_BUFFER_BYTES_MAX) {
-        g_byte_array_unref(connection->body);
-        connection->body = g_byte_array_new();
-    }
-    g_byte_array_set_size(connection->body, 0);
+    clear_body(connection);
 }
 
 void
@@ -125,6 +138,7 @@
 mw_linger(struct mw_http_connection *connection)
 {
     connection->phase = MW_HTTP_LINGERING;
+    clear_body(connection);
     mw_conn_end(connection->conn);
     mw_end_receiving(connection);
     mw_begin_receiving(connection);
@@ -137,6 +151,9 @@
     struct mw_blob *text = mw_http_error_text(error, detail);
 
     connection->keep_alive = false;
+    if (error == MW_ERR_OVERLOADED) {
+        g_string_append(connection->reply_headers, RETRY_AFTER);
+    }
     mw_write_http_reply(connection, mw_error_http_status(error),
                         mw_blob_str(text));
     mw_drop_blob(text);
--- a/source/run/http-impl.h
+++ b/source/run/http-impl.h
@@ -27,6 +27,10 @@
     /* those whose request has no reply, by its handle */
     GHashTable *pending;
     uint64_t next_handle;
+    /* of the bodies that are received or whose request has no reply */
+    size_t body_bytes;
+    /* of the bytes that are kept for later */
+    size_t pipelined_bytes;
     /* connections in the order of their receive deadlines */
     GQueue receiving;
     struct mw_timer *timer;
@@ -65,6 +69,8 @@
     uint32_t header_count;
     bool in_value;
     GByteArray *body;
+    /* length of the body that is accepted; part of the server's sum */
+    size_t body_bytes;
     /* further header lines of the reply */
     GString *reply_headers;
     bool keep_alive;
--- a/source/run/http-parse.c
+++ b/source/run/http-parse.c
@@ -92,6 +92,11 @@
                    parser->content_length, http->setup.body_max);
         return MW_ERR_TOO_LARGE;
     }
+    if (has_length &&
+        parser->content_length > http->setup.bodies_max - http->body_bytes) {
+        g_strlcpy(detail, "too many bodies of pending requests", detail_size);
+        return MW_ERR_OVERLOADED;
+    }
     return 0;
 }
 
@@ -107,6 +112,10 @@
         mw_refuse_unread(connection, err, mw_str_from(detail));
         return -1;
     }
+    if (parser->content_length != UINT64_MAX) {
+        connection->body_bytes = (size_t)parser->content_length;
+        connection->http->body_bytes += connection->body_bytes;
+    }
     if (mw_find_http_header(connection, "Expect").len > 0) {
         mw_conn_send(connection->conn,
                      MW_STR("HTTP/1.1 100 Continue\r\n\r\n"));
--- a/source/run/http.c
+++ b/source/run/http.c
@@ -7,6 +7,8 @@
 #define HEADER_BYTES_MAX (32 * 1024)
 /* bytes of further requests that are kept while one has no reply yet */
 #define PIPELINED_BYTES_MAX (64 * 1024)
+/* of all connections */
+#define PIPELINED_TOTAL_BYTES_MAX (16 * 1024 * 1024)
 /* a client that has left more of its replies unread gets no further one */
 #define UNREAD_BYTES_MAX (1024 * 1024)
 
@@ -61,10 +63,14 @@
 static void
 keep_pipelined(struct mw_http_connection *connection, struct mw_str bytes)
 {
-    if (connection->pipelined->len + bytes.len > PIPELINED_BYTES_MAX) {
+    struct mw_http *http = connection->http;
+
+    if (connection->pipelined->len + bytes.len > PIPELINED_BYTES_MAX ||
+        http->pipelined_bytes + bytes.len > PIPELINED_TOTAL_BYTES_MAX) {
         mw_drop_http_connection(connection);
         return;
     }
+    http->pipelined_bytes += bytes.len;
     g_byte_array_append(connection->pipelined, (const guint8 *)bytes.ptr,
                         (guint)bytes.len);
 }
@@ -105,6 +111,7 @@
         return;
     }
     connection->pipelined = g_byte_array_new();
+    connection->http->pipelined_bytes -= bytes->len;
     read_bytes(connection,
                (struct mw_str){(const char *)bytes->data, bytes->len});
     g_byte_array_unref(bytes);
@@ -154,6 +161,10 @@
 
     http_parser_set_max_header_size(HEADER_BYTES_MAX);
     http->setup = *setup;
+    if (setup->bodies_max == 0) {
+        http->setup.bodies_max =
+            MAX(MW_HTTP_BODIES_BYTES_MAX, setup->body_max);
+    }
     http->next_handle = MW_SOURCE_COUNT + setup->source;
     http->connections =
         g_hash_table_new_full(NULL, NULL, mw_free_http_connection, NULL);
--- a/tests/http-script.c
+++ b/tests/http-script.c
@@ -4,6 +4,7 @@
  */
 #include <arpa/inet.h>
 #include <poll.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,6 +16,8 @@
 #define PORT_FIRST 20000
 #define PORT_COUNT 20000
 #define BODY_MAX 1000
+#define BODIES_MAX 2500
+#define HELD_SOCKETS_MAX 64
 /* what has not arrived after so long does not come */
 #define QUIET_MS 300
 #define RESPONSE_WAIT_US 5000000
@@ -33,6 +36,9 @@
     bool tells_repeats;
     /* listens for the client */
     int listen_fd;
+    /* of clients that have not sent all of their request */
+    int held_fds[HELD_SOCKETS_MAX];
+    int held_count;
 };
 
 static uint16_t
@@ -67,6 +73,7 @@
         .address = st->address,
         .setting_name = "address",
         .body_max = BODY_MAX,
+        .bodies_max = BODIES_MAX,
         .opaque = st,
         .request = on_request,
     };
@@ -159,6 +166,9 @@
 
     mw_drop_task(st->server_task);
     mw_drop_task(st->client_task);
+    while (st->held_count > 0) {
+        close(st->held_fds[--st->held_count]);
+    }
     if (st->listen_fd >= 0) {
         close(st->listen_fd);
     }
@@ -273,6 +283,63 @@
     g_free(text);
 }
 
+/* hold TEXT: as raw, but the client's connection stays open */
+static void
+cmd_hold(struct mw_script *s)
+{
+    struct state *st = s->state;
+    char *text = g_strcompress(s->rest);
+    int fd = st->held_count < HELD_SOCKETS_MAX ? open_socket(st) : -1;
+    bool closed;
+    GString *replies;
+
+    if (fd < 0 || send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
+        mw_script_printf(s, "  can't send");
+    }
+    else {
+        st->held_fds[st->held_count++] = fd;
+        replies = read_all(fd, &closed);
+        print_replies(s, replies, closed);
+        g_string_free(replies, TRUE);
+    }
+    g_free(text);
+}
+
+/* send N COUNT: the Nth client that is held sends COUNT times "a" */
+static void
+cmd_send(struct mw_script *s)
+{
+    struct state *st = s->state;
+    int index = atoi(mw_script_word(s, 1)) - 1;
+    gsize count = (gsize)g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+    char *text = g_strnfill(MIN(count, TEXT_MAX), 'a');
+    bool closed;
+    GString *replies;
+
+    if (index < 0 || index >= st->held_count ||
+        send(st->held_fds[index], text, strlen(text), MSG_NOSIGNAL) < 0) {
+        mw_script_printf(s, "  can't send");
+    }
+    else {
+        replies = read_all(st->held_fds[index], &closed);
+        print_replies(s, replies, closed);
+        g_string_free(replies, TRUE);
+    }
+    g_free(text);
+}
+
+/* release: the clients that are held close their connections */
+static void
+cmd_release(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    while (st->held_count > 0) {
+        close(st->held_fds[--st->held_count]);
+    }
+    g_usleep(QUIET_MS * 1000);
+}
+
 /* fill BEFORE COUNT AFTER: sends COUNT times "a" between the two texts */
 static void
 cmd_fill(struct mw_script *s)
@@ -445,7 +512,9 @@
     {"fill", 3, cmd_fill},     {"client", 0, cmd_client},
     {"answer", 1, cmd_answer}, {"stale", 1, cmd_stale},
     {"silent", 0, cmd_silent}, {"call", 1, cmd_call},
-    {"unread", 1, cmd_unread}, {NULL, 0, NULL},
+    {"unread", 1, cmd_unread}, {"hold", 1, cmd_hold},
+    {"send", 2, cmd_send},     {"release", 0, cmd_release},
+    {NULL, 0, NULL},
 };
 
 const struct mw_script_kind mw_http_scripts = {"http", commands, begin, end};
