The HTTP server bounds the bytes of all headers that it holds

Seen (http/half-read-headers, before): headers that clients had sent in part were kept, 32 KB a connection, and a connection kept its buffer when it was idle; 4,000 connections take 128 MB and more of an entry machine's 160 MB.

Change: URLs and headers count towards a sum of the server, 16 MB; a header beyond it is refused with 429 and Retry-After before anything of it is used. An idle connection frees a large buffer.

--- a/source/run/http-connection.c
+++ b/source/run/http-connection.c
@@ -50,6 +50,7 @@
 
     mw_end_receiving(connection);
     connection->http->body_bytes -= connection->body_bytes;
+    connection->http->header_bytes -= connection->text->len;
     connection->http->pipelined_bytes -= connection->pipelined->len;
     mw_conn_close(connection->conn);
     g_string_free(connection->text, TRUE);
@@ -59,6 +60,18 @@
     g_free(connection);
 }
 
+/* URL and headers are not needed any more. */
+static void
+clear_text(struct mw_http_connection *connection)
+{
+    connection->http->header_bytes -= connection->text->len;
+    if (connection->text->allocated_len > KEPT_BUFFER_BYTES_MAX) {
+        g_string_free(connection->text, TRUE);
+        connection->text = g_string_new(NULL);
+    }
+    g_string_truncate(connection->text, 0);
+}
+
 /* The body is not needed any more. */
 static void
 clear_body(struct mw_http_connection *connection)
@@ -80,7 +93,7 @@
     connection->url_len = 0;
     connection->header_count = 0;
     connection->in_value = false;
-    g_string_truncate(connection->text, 0);
+    clear_text(connection);
     g_string_truncate(connection->reply_headers, 0);
     clear_body(connection);
 }
@@ -139,6 +152,7 @@
 {
     connection->phase = MW_HTTP_LINGERING;
     clear_body(connection);
+    clear_text(connection);
     mw_conn_end(connection->conn);
     mw_end_receiving(connection);
     mw_begin_receiving(connection);
--- a/source/run/http-impl.h
+++ b/source/run/http-impl.h
@@ -29,6 +29,8 @@
     uint64_t next_handle;
     /* of the bodies that are received or whose request has no reply */
     size_t body_bytes;
+    /* of URLs and headers of these and of requests that are received */
+    size_t header_bytes;
     /* of the bytes that are kept for later */
     size_t pipelined_bytes;
     /* connections in the order of their receive deadlines */
@@ -74,6 +76,8 @@
     /* further header lines of the reply */
     GString *reply_headers;
     bool keep_alive;
+    /* why the parser stopped, if not for a syntax error */
+    int parse_error;
     /* the owner is looking at the request, and has replied to it */
     bool in_callback;
     bool has_replied;
--- a/source/run/http-parse.c
+++ b/source/run/http-parse.c
@@ -13,14 +13,28 @@
     return 0;
 }
 
+/* Returns an error, which ends the parsing, if there is no room for it. */
+static int
+append_text(struct mw_http_connection *connection, const char *at, size_t len)
+{
+    struct mw_http *http = connection->http;
+
+    if (http->header_bytes + len > http->setup.headers_max) {
+        connection->parse_error = MW_ERR_OVERLOADED;
+        return -1;
+    }
+    http->header_bytes += len;
+    g_string_append_len(connection->text, at, (gssize)len);
+    return 0;
+}
+
 static int
 on_url(http_parser *parser, const char *at, size_t len)
 {
     struct mw_http_connection *connection = parser->data;
 
-    g_string_append_len(connection->text, at, (gssize)len);
     connection->url_len += len;
-    return 0;
+    return append_text(connection, at, len);
 }
 
 /* Values end with a zero byte. */
@@ -29,6 +43,7 @@
 {
     if (connection->in_value) {
         g_string_append_c(connection->text, 0);
+        connection->http->header_bytes++;
     }
 }
 
@@ -47,8 +62,7 @@
         connection->in_value = false;
     }
     connection->headers[connection->header_count - 1].name_len += len;
-    g_string_append_len(connection->text, at, (gssize)len);
-    return 0;
+    return append_text(connection, at, len);
 }
 
 static int
@@ -63,8 +77,7 @@
         header->value = connection->text->len;
     }
     header->value_len += len;
-    g_string_append_len(connection->text, at, (gssize)len);
-    return 0;
+    return append_text(connection, at, len);
 }
 
 /* Returns an error for a request that is refused before its body is read. */
@@ -169,6 +182,11 @@
     if (connection->phase == MW_HTTP_LINGERING) {
         return -1;
     }
+    if (connection->parse_error) {
+        mw_refuse_unread(connection, connection->parse_error,
+                         MW_STR("too many headers of pending requests"));
+        return -1;
+    }
     if (error != HPE_OK || connection->parser.upgrade) {
         mw_refuse_unread(connection, MW_ERR_INVALID,
                          mw_str_from(http_errno_description(error)));
--- a/source/run/http.c
+++ b/source/run/http.c
@@ -165,6 +165,9 @@
         http->setup.bodies_max =
             MAX(MW_HTTP_BODIES_BYTES_MAX, setup->body_max);
     }
+    if (setup->headers_max == 0) {
+        http->setup.headers_max = MW_HTTP_HEADERS_BYTES_MAX;
+    }
     http->next_handle = MW_SOURCE_COUNT + setup->source;
     http->connections =
         g_hash_table_new_full(NULL, NULL, mw_free_http_connection, NULL);
--- a/source/run/http.h
+++ b/source/run/http.h
@@ -13,14 +13,15 @@
  * Before reading a body it refuses chunked bodies, bodies above the size
  * limit, those for which there is no room beside the bodies of other
  * requests, and all requests beyond MW_HTTP_PENDING_MAX pending ones.  A
- * request that has not been received completely within
- * MW_HTTP_RECEIVE_TIMEOUT_US gets an error reply and its connection is closed;
- * other requests are not affected.
+ * header for which there is no room is refused, too.  A request that has not
+ * been received completely within MW_HTTP_RECEIVE_TIMEOUT_US gets an error
+ * reply and its connection is closed; other requests are not affected.
  */
 
 #define MW_HTTP_RECEIVE_TIMEOUT_US 10000000
 #define MW_HTTP_PENDING_MAX 16384
 #define MW_HTTP_BODIES_BYTES_MAX (32u * 1024 * 1024)
+#define MW_HTTP_HEADERS_BYTES_MAX (16u * 1024 * 1024)
 
 /* mw_http_request: borrowed; valid during the callback only. */
 struct mw_http_request {
@@ -42,6 +43,8 @@
     /* bytes of all bodies; 0 for MW_HTTP_BODIES_BYTES_MAX, or body_max if
      * that is more */
     size_t bodies_max;
+    /* bytes of all headers; 0 for MW_HTTP_HEADERS_BYTES_MAX */
+    size_t headers_max;
     void *opaque;
     /* called for each request, which needs exactly one reply */
     void (*request)(void *opaque, const struct mw_http_request *request);
--- a/tests/http-script.c
+++ b/tests/http-script.c
@@ -17,6 +17,7 @@
 #define PORT_COUNT 20000
 #define BODY_MAX 1000
 #define BODIES_MAX 2500
+#define HEADERS_MAX 100000
 #define HELD_SOCKETS_MAX 64
 /* what has not arrived after so long does not come */
 #define QUIET_MS 300
@@ -74,6 +75,7 @@
         .setting_name = "address",
         .body_max = BODY_MAX,
         .bodies_max = BODIES_MAX,
+        .headers_max = HEADERS_MAX,
         .opaque = st,
         .request = on_request,
     };
@@ -283,12 +285,10 @@
     g_free(text);
 }
 
-/* hold TEXT: as raw, but the client's connection stays open */
+/* Sends the text from a client whose connection stays open. */
 static void
-cmd_hold(struct mw_script *s)
+hold(struct mw_script *s, struct state *st, const char *text)
 {
-    struct state *st = s->state;
-    char *text = g_strcompress(s->rest);
     int fd = st->held_count < HELD_SOCKETS_MAX ? open_socket(st) : -1;
     bool closed;
     GString *replies;
@@ -302,7 +302,30 @@
         print_replies(s, replies, closed);
         g_string_free(replies, TRUE);
     }
+}
+
+/* hold TEXT: as raw, but the client's connection stays open */
+static void
+cmd_hold(struct mw_script *s)
+{
+    char *text = g_strcompress(s->rest);
+
+    hold(s, s->state, text);
+    g_free(text);
+}
+
+/* hold-header COUNT: a header of COUNT bytes that does not end */
+static void
+cmd_hold_header(struct mw_script *s)
+{
+    struct state *st = s->state;
+    gsize count = (gsize)g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+    char *fill = g_strnfill(MIN(count, TEXT_MAX), 'a');
+    char *text = g_strconcat("GET / HTTP/1.1\r\nX-Test: ", fill, NULL);
+
+    hold(s, st, text);
     g_free(text);
+    g_free(fill);
 }
 
 /* send N COUNT: the Nth client that is held sends COUNT times "a" */
@@ -508,12 +531,19 @@
 }
 
 static const struct mw_script_command commands[] = {
-    {"server", 0, cmd_server}, {"raw", 1, cmd_raw},
-    {"fill", 3, cmd_fill},     {"client", 0, cmd_client},
-    {"answer", 1, cmd_answer}, {"stale", 1, cmd_stale},
-    {"silent", 0, cmd_silent}, {"call", 1, cmd_call},
-    {"unread", 1, cmd_unread}, {"hold", 1, cmd_hold},
-    {"send", 2, cmd_send},     {"release", 0, cmd_release},
+    {"server", 0, cmd_server},
+    {"raw", 1, cmd_raw},
+    {"fill", 3, cmd_fill},
+    {"client", 0, cmd_client},
+    {"answer", 1, cmd_answer},
+    {"stale", 1, cmd_stale},
+    {"silent", 0, cmd_silent},
+    {"call", 1, cmd_call},
+    {"unread", 1, cmd_unread},
+    {"hold", 1, cmd_hold},
+    {"hold-header", 1, cmd_hold_header},
+    {"send", 2, cmd_send},
+    {"release", 0, cmd_release},
     {NULL, 0, NULL},
 };
 
