Entry processes bound the bytes of requests without a reply

Seen (region/large-pending, before): with a leader that stands still an entry process kept every request that came, 4,096 at most whatever their bytes: with bodies of 262,144 bytes a gigabyte, on a machine of 160 MB.

Cause: MW_FLOW_PENDING_MAX is a number of requests.

Change: their bytes are added up, too, and one that does not fit into 16 MB is refused before it is passed on: overloaded, 503 with Retry-After, 'refused too_much_is_pending' in the event log. That line replaces 'no_leader' where the number was reached, which was not true.

Before: '80 wait for a reply', then 81 and 82; now 63, the next large one is refused, a small one has room, and after the timeouts there is room again.

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -35,6 +35,8 @@
 #define MW_FLOW_LEADER_WAIT_US 1000000
 /* requests without a reply that a process keeps at one time */
 #define MW_FLOW_PENDING_MAX 4096
+/* and their bytes */
+#define MW_FLOW_PENDING_BYTES_MAX (16u * 1024 * 1024)
 /* below 1 s, after which operators without a reply try another process */
 #define MW_FLOW_FORWARD_TIMEOUT_US 900000
 
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -7,6 +7,7 @@
  *        Without a majority, as in a zone that is partitioned from the
  *        others, no leader can be reached and the request is refused at
  *        once.
+ *        So is one for which there is no room beside those that wait.
  */
 #include <string.h>
 
@@ -21,6 +22,7 @@
     uint64_t request_ref;
     /* what is forwarded */
     struct mw_msg *msg;
+    size_t bytes;
     int64_t deadline_us;
     /* when a request that was never forwarded is refused */
     int64_t leader_deadline_us;
@@ -44,6 +46,8 @@
     /* struct mw_pending_request by ref, which owns them, and by request_ref */
     GHashTable *pending;
     GHashTable *pending_by_request_ref;
+    /* of all pending requests */
+    size_t pending_bytes;
     struct mw_name leader;
     /* the leader's term */
     uint64_t epoch;
@@ -178,15 +182,16 @@
  */
 static void
 refuse_unforwarded(struct mw_flow_entry *entry, int64_t now_us, uint64_t ref,
-                   struct mw_str path)
+                   struct mw_str path, int error)
 {
     entry->counters.refused++;
-    log_event(entry, "refused", "no_leader",
+    log_event(entry, "refused",
+              error == MW_ERR_OVERLOADED ? "too_much_is_pending" : "no_leader",
               entry->leader_heartbeat_us > 0
                   ? now_us - entry->leader_heartbeat_us
                   : -1,
               path);
-    refuse(entry, ref, MW_ERR_NOT_LEADER);
+    refuse(entry, ref, error);
 }
 
 static void
@@ -216,15 +221,34 @@
     g_hash_table_insert(entry->pending, &pending->ref, pending);
     g_hash_table_insert(entry->pending_by_request_ref, &pending->request_ref,
                         pending);
+    entry->pending_bytes += pending->bytes;
 }
 
 static void
 remove_pending(struct mw_flow_entry *entry, struct mw_pending_request *pending)
 {
+    entry->pending_bytes -= pending->bytes;
     g_hash_table_remove(entry->pending_by_request_ref, &pending->request_ref);
     g_hash_table_remove(entry->pending, &pending->ref);
 }
 
+static size_t
+request_size(const struct mw_flow_request *request)
+{
+    return sizeof(struct mw_pending_request) + sizeof(struct mw_msg) +
+           request->host.len + request->path.len + request->key.len +
+           request->body.len;
+}
+
+static bool
+has_room(const struct mw_flow_entry *entry,
+         const struct mw_flow_request *request)
+{
+    return g_hash_table_size(entry->pending) < MW_FLOW_PENDING_MAX &&
+           entry->pending_bytes + request_size(request) <=
+               MW_FLOW_PENDING_BYTES_MAX;
+}
+
 /* The message that passes the request on to the leader. */
 static struct mw_msg *
 new_flow_call(const struct mw_flow_request *request, uint64_t ref)
@@ -248,9 +272,14 @@
     struct mw_pending_request *pending;
 
     entry->counters.requests++;
-    if (!mw_flow_entry_can_serve(entry, now_us) ||
-        g_hash_table_size(entry->pending) >= MW_FLOW_PENDING_MAX) {
-        refuse_unforwarded(entry, now_us, request->ref, request->path);
+    if (!mw_flow_entry_can_serve(entry, now_us)) {
+        refuse_unforwarded(entry, now_us, request->ref, request->path,
+                           MW_ERR_NOT_LEADER);
+        return;
+    }
+    if (!has_room(entry, request)) {
+        refuse_unforwarded(entry, now_us, request->ref, request->path,
+                           MW_ERR_OVERLOADED);
         return;
     }
     pending = g_new0(struct mw_pending_request, 1);
@@ -260,6 +289,7 @@
     pending->leader_deadline_us = now_us + MW_FLOW_LEADER_WAIT_US;
     pending->received_us = now_us;
     pending->msg = new_flow_call(request, pending->ref);
+    pending->bytes = request_size(request);
     add_pending(entry, pending);
     if (has_leader(entry, now_us)) {
         forward(entry, pending);
@@ -464,7 +494,7 @@
     struct mw_str path = mw_blob_str(pending->msg->flow_call.path);
 
     if (pending->forward_count == 0) {
-        refuse_unforwarded(entry, now_us, ref, path);
+        refuse_unforwarded(entry, now_us, ref, path, MW_ERR_NOT_LEADER);
     }
     else {
         entry->counters.timed_out++;
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -160,6 +160,29 @@
     g_free(path);
 }
 
+/* submit-many PROCESS COUNT BYTES: so many flows with bodies of that size;
+ * how many of them then wait for a reply */
+static void
+cmd_submit_many(struct mw_script *s)
+{
+    struct mw_region_node *node = node_word(s, 1);
+    bool was_quiet = node->region->quiet;
+    gsize bytes = (gsize)g_ascii_strtoull(mw_script_word(s, 3), NULL, 10);
+    char *body = g_strdup_printf("%-*s", (int)bytes, MW_REGION_PLAN);
+
+    node->region->quiet = atoi(mw_script_word(s, 2)) > 1;
+    for (int i = 0; i < atoi(mw_script_word(s, 2)); i++) {
+        char path[32];
+
+        g_snprintf(path, sizeof path, "/b/%016x", i);
+        mw_send_region_request(node, MW_FLOW_SUBMIT, path, body, NULL);
+    }
+    node->region->quiet = was_quiet;
+    mw_script_printf(s, "  %u wait for a reply",
+                     mw_flow_entry_pending_count(node->entry));
+    g_free(body);
+}
+
 static void
 cmd_state(struct mw_script *s)
 {
@@ -278,6 +301,7 @@
     {"zone", 2, cmd_zone},
     {"read-config", 1, cmd_read_config},
     {"submit", 2, cmd_submit},
+    {"submit-many", 3, cmd_submit_many},
     {"state", 2, cmd_state},
     {"violations", 0, cmd_violations},
     {"seeds", 3, cmd_seeds},
