--- a/tests/platform-script.c
+++ b/tests/platform-script.c
@@ -5,6 +5,7 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "decode.h"
@@ -323,11 +324,71 @@
     g_free(open);
 }
 
+/* Peak of the memory of this process so far. */
+static int64_t
+peak_bytes(void)
+{
+    struct rusage usage;
+
+    getrusage(RUSAGE_SELF, &usage);
+    return (int64_t)usage.ru_maxrss * 1024;
+}
+
+/*
+ * wide KIND COUNT VALUE LIMIT: a config, plan, heartbeat or response with so
+ * many equal values in a field that is not known, and whether decoding it
+ * takes more than LIMIT MB
+ */
+static void
+cmd_wide(struct mw_script *s)
+{
+    struct state *st = s->state;
+    const char *kind = mw_script_word(s, 1);
+    GString *text = g_string_new("{\"x\":[");
+    struct mw_flow_heartbeat heartbeat = {0};
+    struct mw_decoded_response decoded = {0};
+    int64_t limit_bytes = atoi(mw_script_word(s, 4)) * INT64_C(1024) * 1024;
+    int64_t before_bytes;
+    int err = 0;
+
+    for (int i = 0; i < atoi(mw_script_word(s, 2)); i++) {
+        g_string_append_printf(text, "%s%s", i > 0 ? "," : "",
+                               mw_script_word(s, 3));
+    }
+    g_string_append(text, "]}");
+    before_bytes = peak_bytes();
+    if (strcmp(kind, "config") == 0) {
+        mw_drop_flow_config(mw_decode_flow_config(
+            NULL, &st->ctx, (struct mw_str){text->str, text->len}, &err));
+    }
+    else if (strcmp(kind, "plan") == 0) {
+        mw_drop_flow_plan(mw_decode_flow_plan(
+            NULL, &st->ctx, (struct mw_str){text->str, text->len}, &err));
+    }
+    else if (strcmp(kind, "heartbeat") == 0) {
+        err = mw_decode_flow_heartbeat(
+            &st->ctx, (struct mw_str){text->str, text->len}, &heartbeat);
+    }
+    else {
+        err = mw_decode_response(
+            &st->ctx, (struct mw_str){text->str, text->len}, &decoded);
+        mw_clear_decoded_response(&decoded);
+    }
+    if (!print_error(s, kind, err)) {
+        mw_script_printf(s, "%s: decoded", kind);
+    }
+    mw_script_printf(s, "  %s memory",
+                     peak_bytes() - before_bytes > limit_bytes ? "too much"
+                                                               : "little");
+    g_string_free(text, TRUE);
+}
+
 static const struct mw_script_command commands[] = {
     {"config", 0, cmd_config},
     {"route", 0, cmd_route},
     {"plan", 0, cmd_plan},
     {"nested-heartbeat", 1, cmd_nested_heartbeat},
+    {"wide", 4, cmd_wide},
     {"heartbeat", 0, cmd_heartbeat},
     {"response", 0, cmd_response},
     {"settings", 0, cmd_settings},
