Times and estimates of a flow can't overflow

Cause: first time + occurrence * interval wraps round 64 bits, so that the due time lies in the past; the sum was written twice. The latency objective, estimates * slack + target, could wrap as well, which ranks the flow wrongly.

Change: mw_occurrence_due_us, used by both, ends at INT64_MAX / 4 us, the year 75,000; the objective ends at INT64_MAX / 8 us, so that three times it can be added to any such time. The flows are accepted as before: their records may be in a log already.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -87,6 +87,9 @@
 /* wait for capacity in the rack that holds the data (delay scheduling) */
 #define MW_DATA_LOCALITY_WAIT_US INT64_C(2000000)
 
+/* later times never come; two such times can be added up */
+#define MW_WALL_TIME_MAX_US (INT64_MAX / 4)
+
 /* see struct mw_task_group: groups up to this rank are urgent */
 #define MW_URGENT_RANK_MAX 1
 
@@ -496,6 +499,10 @@
 /* whether a task waits for a placement and no record of it is pending */
 bool mw_task_is_waiting(const struct mw_flow_task *task);
 uint32_t mw_count_waiting_tasks(const struct mw_task_group *group);
+/* when an occurrence of a scheduled flow is due; MW_WALL_TIME_MAX_US at most
+ */
+int64_t mw_occurrence_due_us(const struct mw_flow_plan *plan,
+                             uint32_t occurrence);
 /* whether its start time has come and the steps it depends on are done */
 bool mw_task_group_is_ready(const struct mw_task_group *group,
                             int64_t wall_us);
--- a/source/core/flow/flow-queue.c
+++ b/source/core/flow/flow-queue.c
@@ -15,18 +15,33 @@
 #define TOO_LATE_FACTOR 3
 /* rank of urgent work that is late: that of priority 1 */
 #define LATE_RANK 2
+/* TOO_LATE_FACTOR times as much can be added to any time */
+#define OBJECTIVE_MAX_US ((guint64)INT64_MAX / 8)
 
-/* The latency objective of a flow, or of each of its occurrences. */
+static guint64
+add_bounded(guint64 a, int64_t b)
+{
+    return MIN(a + MIN((guint64)b, OBJECTIVE_MAX_US), OBJECTIVE_MAX_US);
+}
+
+/*
+ * The latency objective of a flow, or of each of its occurrences;
+ * OBJECTIVE_MAX_US at most.
+ */
 static int64_t
 latency_objective_us(const struct mw_flow *flow)
 {
-    int64_t chain_us = 0;
+    guint64 chain_us = 0;
+    guint64 scaled;
 
     for (uint32_t i = 0; i < flow->plan->step_count; i++) {
-        chain_us += flow->plan->steps[i].estimate_us;
+        chain_us = add_bounded(chain_us, flow->plan->steps[i].estimate_us);
+    }
+    if (!g_uint64_checked_mul(&scaled, chain_us, flow->route.slack_permille)) {
+        return (int64_t)OBJECTIVE_MAX_US;
     }
-    return chain_us * flow->route.slack_permille / 1000 +
-           flow->route.target_us;
+    return (int64_t)add_bounded(MIN(scaled / 1000, OBJECTIVE_MAX_US),
+                                flow->route.target_us);
 }
 
 static bool
@@ -68,8 +83,7 @@
     int64_t from_us = flow->accepted_wall_us;
 
     if (flow->plan->scheduled) {
-        from_us = flow->plan->first_wall_us +
-                  group->occurrence * flow->plan->interval_us;
+        from_us = mw_occurrence_due_us(flow->plan, group->occurrence);
     }
     if (group->ready_us == 0) {
         group->ready_us = now_us;
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -168,6 +168,18 @@
     return waiting;
 }
 
+int64_t
+mw_occurrence_due_us(const struct mw_flow_plan *plan, uint32_t occurrence)
+{
+    int64_t first_us = MIN(plan->first_wall_us, MW_WALL_TIME_MAX_US);
+
+    if (occurrence > 0 &&
+        plan->interval_us > (MW_WALL_TIME_MAX_US - first_us) / occurrence) {
+        return MW_WALL_TIME_MAX_US;
+    }
+    return first_us + occurrence * plan->interval_us;
+}
+
 bool
 mw_task_group_is_ready(const struct mw_task_group *group, int64_t wall_us)
 {
@@ -176,8 +188,7 @@
     uint32_t first = group->occurrence * plan->step_count;
 
     if (plan->scheduled &&
-        wall_us <
-            plan->first_wall_us + group->occurrence * plan->interval_us) {
+        wall_us < mw_occurrence_due_us(plan, group->occurrence)) {
         return false;
     }
     for (uint32_t i = 0; i < group->step->dependency_count; i++) {
