The HTTP client bounds the bytes of all responses that it receives

Seen (http/large-responses, before): responses were bounded one by one, 16 MB each, on up to 2,600 connections of a leader with 256 MB; a few workers with such answers, or one with three connections and a slow leader beside it, end the process.

Change: the bytes of responses that are received are added up; one that does not fit into 32 MB counts as no response, which is true: the command may have been executed.

Before: both answers of 120,000 bytes were taken at a bound of 150,000, now the first gets 'no response' and its connection is closed.

--- a/source/run/http-client.c
+++ b/source/run/http-client.c
@@ -1,80 +1,20 @@
-#include "http-client.h"
+#include "http-client-impl.h"
 
-#include <http_parser.h>
 #include <string.h>
 #include <strings.h>
 
-#include "conn.h"
 #include "loop.h"
 
-#define BODY_BYTES_MAX (16 * 1024 * 1024)
-#define HEADER_BYTES_MAX (32 * 1024)
-/* a larger buffer is freed once the response is handled */
-#define KEPT_BUFFER_BYTES_MAX (16 * 1024)
 /*
  * A deadline that passes is put off by this once, so that a response that has
  * arrived is read first: the loop looks at timers before it reads sockets.
  */
 #define DEADLINE_GRACE_US 2000
 
-struct mw_http_client {
-    struct mw_http_client_setup setup;
-    GHashTable *hosts;
-    /* idle connections, the longest idle first */
-    GQueue idle;
-    uint32_t connection_count;
-    struct mw_http_client_counters counters;
-};
-
-/* host: the connections to an address, and the requests that wait for one. */
-struct host {
-    struct mw_name address;
-    struct mw_http_client *client;
-    /* struct connection */
-    GPtrArray *connections;
-    /* struct request */
-    GQueue waiting;
-};
-
-struct request {
-    struct host *host;
-    void *opaque;
-    /* as it is sent */
-    GString *text;
-    struct mw_timer *timer;
-    bool grace_used;
-    /* the address is invalid: it can't be sent */
-    bool is_invalid;
-    /* it has been sent on a connection that failed at once */
-    bool was_repeated;
-    /* NULL while it waits */
-    struct connection *connection;
-};
-
-struct connection {
-    struct host *host;
-    struct mw_conn *conn;
-    http_parser parser;
-    /* NULL while idle */
-    struct request *request;
-    /* it has carried a response before this request */
-    bool is_reused;
-    /* a byte of the response has arrived */
-    bool has_response;
-    bool may_be_kept;
-    /* the response is complete */
-    bool is_complete;
-    /* link in client->idle, or NULL */
-    GList *idle;
-    GByteArray *body;
-    GString *headers;
-    bool in_value;
-};
-
-static void send_waiting(struct host *host);
+static void send_waiting(struct mw_client_host *host);
 
 static void
-free_request(struct request *request)
+free_request(struct mw_client_request *request)
 {
     mw_drop_timer(request->timer);
     g_string_free(request->text, TRUE);
@@ -82,7 +22,7 @@
 }
 
 static void
-leave_idle(struct connection *connection)
+leave_idle(struct mw_client_connection *connection)
 {
     if (connection->idle) {
         g_queue_delete_link(&connection->host->client->idle, connection->idle);
@@ -91,11 +31,12 @@
 }
 
 static void
-close_connection(struct connection *connection)
+close_connection(struct mw_client_connection *connection)
 {
-    struct host *host = connection->host;
+    struct mw_client_host *host = connection->host;
 
     leave_idle(connection);
+    mw_uncount_client_response(connection);
     g_ptr_array_remove_fast(host->connections, connection);
     host->client->connection_count--;
     mw_conn_close(connection->conn);
@@ -105,10 +46,11 @@
 }
 
 static void
-close_idle_connections(struct host *host)
+close_idle_connections(struct mw_client_host *host)
 {
     for (guint i = host->connections->len; i > 0; i--) {
-        struct connection *connection = host->connections->pdata[i - 1];
+        struct mw_client_connection *connection =
+            host->connections->pdata[i - 1];
 
         if (!connection->request) {
             close_connection(connection);
@@ -117,7 +59,7 @@
 }
 
 static void
-drop_unused_host(struct host *host)
+drop_unused_host(struct mw_client_host *host)
 {
     if (host->connections->len == 0 && host->waiting.length == 0) {
         g_hash_table_remove(host->client->hosts, &host->address);
@@ -126,9 +68,10 @@
 
 /* Reports the outcome and frees the request; then the next one is sent. */
 static void
-finish_request(struct request *request, struct mw_http_response *response)
+finish_request(struct mw_client_request *request,
+               struct mw_http_response *response)
 {
-    struct host *host = request->host;
+    struct mw_client_host *host = request->host;
     struct mw_http_client *client = host->client;
     void *opaque = request->opaque;
 
@@ -141,10 +84,10 @@
 
 /* Takes the request off its connection, which is closed. */
 static void
-fail_request(struct request *request, enum mw_http_outcome outcome)
+fail_request(struct mw_client_request *request, enum mw_http_outcome outcome)
 {
     struct mw_http_response response = {.outcome = outcome};
-    struct host *host = request->host;
+    struct mw_client_host *host = request->host;
 
     if (request->connection) {
         request->connection->request = NULL;
@@ -159,8 +102,8 @@
 static void
 on_deadline(void *opaque)
 {
-    struct request *request = opaque;
-    struct host *host = request->host;
+    struct mw_client_request *request = opaque;
+    struct mw_client_host *host = request->host;
 
     if (request->is_invalid) {
         fail_request(request, MW_HTTP_REFUSED);
@@ -176,97 +119,8 @@
     fail_request(request, MW_HTTP_NO_RESPONSE);
 }
 
-static int
-on_header_name(http_parser *parser, const char *at, size_t len)
-{
-    struct connection *connection = parser->data;
-
-    if (connection->in_value) {
-        g_string_append(connection->headers, "\r\n");
-        connection->in_value = false;
-    }
-    g_string_append_len(connection->headers, at, (gssize)len);
-    return 0;
-}
-
-static int
-on_header_value(http_parser *parser, const char *at, size_t len)
-{
-    struct connection *connection = parser->data;
-
-    if (!connection->in_value) {
-        g_string_append(connection->headers, ": ");
-        connection->in_value = true;
-    }
-    g_string_append_len(connection->headers, at, (gssize)len);
-    return connection->headers->len > HEADER_BYTES_MAX ? -1 : 0;
-}
-
-static int
-on_headers_complete(http_parser *parser)
-{
-    struct connection *connection = parser->data;
-
-    if (connection->in_value) {
-        g_string_append(connection->headers, "\r\n");
-    }
-    return 0;
-}
-
-static int
-on_body(http_parser *parser, const char *at, size_t len)
-{
-    struct connection *connection = parser->data;
-
-    if (connection->body->len + len > BODY_BYTES_MAX) {
-        return -1;
-    }
-    g_byte_array_append(connection->body, (const guint8 *)at, (guint)len);
-    return 0;
-}
-
-static int
-on_message_complete(http_parser *parser)
-{
-    struct connection *connection = parser->data;
-
-    if (parser->status_code == HTTP_STATUS_CONTINUE) {
-        g_string_truncate(connection->headers, 0);
-        connection->in_value = false;
-        return 0;
-    }
-    connection->may_be_kept = http_should_keep_alive(parser);
-    connection->is_complete = true;
-    http_parser_pause(parser, 1);
-    return 0;
-}
-
-static const http_parser_settings parser_settings = {
-    .on_header_field = on_header_name,
-    .on_header_value = on_header_value,
-    .on_headers_complete = on_headers_complete,
-    .on_body = on_body,
-    .on_message_complete = on_message_complete,
-};
-
-static void
-begin_response(struct connection *connection)
-{
-    http_parser_init(&connection->parser, HTTP_RESPONSE);
-    connection->parser.data = connection;
-    connection->has_response = false;
-    connection->is_complete = false;
-    connection->in_value = false;
-    g_string_truncate(connection->headers, 0);
-    if (connection->body->len > KEPT_BUFFER_BYTES_MAX) {
-        g_byte_array_unref(connection->body);
-        connection->body = g_byte_array_new();
-    }
-    g_byte_array_set_size(connection->body, 0);
-}
-
 static void
-become_idle(struct connection *connection)
+become_idle(struct mw_client_connection *connection)
 {
     struct mw_http_client *client = connection->host->client;
 
@@ -277,9 +131,9 @@
 
 /* The response is complete: passes it on and frees the connection for more. */
 static void
-end_response(struct connection *connection)
+end_response(struct mw_client_connection *connection)
 {
-    struct request *request = connection->request;
+    struct mw_client_request *request = connection->request;
     GByteArray *body = g_byte_array_ref(connection->body);
     GString *headers = g_string_new_len(connection->headers->str,
                                         (gssize)connection->headers->len);
@@ -291,6 +145,7 @@
     };
 
     connection->request = NULL;
+    mw_uncount_client_response(connection);
     /* the response keeps the body while the connection is used again */
     g_byte_array_unref(connection->body);
     connection->body = g_byte_array_new();
@@ -308,7 +163,7 @@
 static void
 on_received(void *opaque, struct mw_str bytes)
 {
-    struct connection *connection = opaque;
+    struct mw_client_connection *connection = opaque;
     enum http_errno error;
 
     if (!connection->request) {
@@ -317,8 +172,7 @@
         return;
     }
     connection->has_response = true;
-    http_parser_execute(&connection->parser, &parser_settings, bytes.ptr,
-                        bytes.len);
+    mw_parse_client_response(connection, bytes);
     error = HTTP_PARSER_ERRNO(&connection->parser);
     if (connection->is_complete) {
         end_response(connection);
@@ -330,9 +184,9 @@
 
 /* Sends the request again on a new connection. */
 static void
-repeat_request(struct request *request)
+repeat_request(struct mw_client_request *request)
 {
-    struct connection *failed = request->connection;
+    struct mw_client_connection *failed = request->connection;
 
     request->was_repeated = true;
     request->connection = NULL;
@@ -347,9 +201,9 @@
 static void
 on_closed(void *opaque, bool refused)
 {
-    struct connection *connection = opaque;
-    struct request *request = connection->request;
-    struct host *host = connection->host;
+    struct mw_client_connection *connection = opaque;
+    struct mw_client_request *request = connection->request;
+    struct mw_client_host *host = connection->host;
 
     if (!request) {
         close_connection(connection);
@@ -357,7 +211,7 @@
         return;
     }
     /* a body without a length ends with the connection */
-    http_parser_execute(&connection->parser, &parser_settings, NULL, 0);
+    mw_parse_client_response(connection, MW_STR(""));
     if (connection->is_complete) {
         connection->may_be_kept = false;
         end_response(connection);
@@ -371,10 +225,11 @@
     }
 }
 
-static struct connection *
-open_connection(struct host *host)
+static struct mw_client_connection *
+open_connection(struct mw_client_host *host)
 {
-    struct connection *connection = g_new0(struct connection, 1);
+    struct mw_client_connection *connection =
+        g_new0(struct mw_client_connection, 1);
     struct mw_conn_callbacks callbacks = {
         .opaque = connection, .received = on_received, .closed = on_closed};
 
@@ -392,11 +247,11 @@
     return connection;
 }
 
-static struct connection *
-find_idle(const struct host *host)
+static struct mw_client_connection *
+find_idle(const struct mw_client_host *host)
 {
     for (guint i = 0; i < host->connections->len; i++) {
-        struct connection *connection = host->connections->pdata[i];
+        struct mw_client_connection *connection = host->connections->pdata[i];
 
         if (!connection->request) {
             return connection;
@@ -409,7 +264,7 @@
 static void
 make_room(struct mw_http_client *client)
 {
-    struct connection *oldest = g_queue_peek_head(&client->idle);
+    struct mw_client_connection *oldest = g_queue_peek_head(&client->idle);
 
     if (client->connection_count >= client->setup.connections_max && oldest) {
         close_connection(oldest);
@@ -417,10 +272,10 @@
 }
 
 /* A connection for the next request; NULL if it must wait. */
-static struct connection *
-get_connection(struct host *host)
+static struct mw_client_connection *
+get_connection(struct mw_client_host *host)
 {
-    struct connection *connection = find_idle(host);
+    struct mw_client_connection *connection = find_idle(host);
 
     if (connection) {
         leave_idle(connection);
@@ -435,11 +290,11 @@
 }
 
 static void
-send_waiting(struct host *host)
+send_waiting(struct mw_client_host *host)
 {
     while (host->waiting.length > 0) {
-        struct connection *connection = get_connection(host);
-        struct request *request;
+        struct mw_client_connection *connection = get_connection(host);
+        struct mw_client_request *request;
 
         if (!connection) {
             return;
@@ -447,7 +302,7 @@
         request = g_queue_pop_head(&host->waiting);
         request->connection = connection;
         connection->request = request;
-        begin_response(connection);
+        mw_begin_client_response(connection);
         mw_conn_send(connection->conn,
                      (struct mw_str){request->text->str, request->text->len});
     }
@@ -456,13 +311,13 @@
 static void
 free_host(void *data)
 {
-    struct host *host = data;
+    struct mw_client_host *host = data;
 
     while (host->waiting.length > 0) {
         free_request(g_queue_pop_head(&host->waiting));
     }
     while (host->connections->len > 0) {
-        struct connection *connection = host->connections->pdata[0];
+        struct mw_client_connection *connection = host->connections->pdata[0];
 
         if (connection->request) {
             free_request(connection->request);
@@ -479,6 +334,9 @@
     struct mw_http_client *client = g_new0(struct mw_http_client, 1);
 
     client->setup = *setup;
+    if (setup->responses_max == 0) {
+        client->setup.responses_max = MW_HTTP_RESPONSES_BYTES_MAX;
+    }
     client->hosts =
         g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, free_host);
     g_queue_init(&client->idle);
@@ -494,13 +352,13 @@
     }
 }
 
-static struct host *
+static struct mw_client_host *
 get_host(struct mw_http_client *client, const struct mw_name *address)
 {
-    struct host *host = g_hash_table_lookup(client->hosts, address);
+    struct mw_client_host *host = g_hash_table_lookup(client->hosts, address);
 
     if (!host) {
-        host = g_new0(struct host, 1);
+        host = g_new0(struct mw_client_host, 1);
         host->address = *address;
         host->client = client;
         host->connections = g_ptr_array_new();
@@ -527,8 +385,8 @@
 void
 mw_http_send(struct mw_http_client *client, const struct mw_http_call *call)
 {
-    struct host *host = get_host(client, &call->address);
-    struct request *request = g_new0(struct request, 1);
+    struct mw_client_host *host = get_host(client, &call->address);
+    struct mw_client_request *request = g_new0(struct mw_client_request, 1);
     struct sockaddr_storage address;
 
     request->host = host;
--- a/source/run/http-client.h
+++ b/source/run/http-client.h
@@ -11,8 +11,13 @@
  * new one, so requests must be idempotent.  A connection without a response by
  * the deadline is closed, and the other connections to the address as well:
  * established connections can stop carrying data while new ones still work.
+ *
+ * A response that is too long, or for which there is no room beside others
+ * that are received, counts as none, and its connection is closed.
  */
 
+#define MW_HTTP_RESPONSES_BYTES_MAX (32u * 1024 * 1024)
+
 struct mw_http_client;
 
 enum mw_http_outcome {
@@ -59,6 +64,9 @@
     uint32_t connections_per_address_max;
     /* of all addresses; idle ones are closed for new ones */
     uint32_t connections_max;
+    /* bytes of all responses that are received; 0 for
+     * MW_HTTP_RESPONSES_BYTES_MAX */
+    size_t responses_max;
 };
 
 struct mw_http_client_counters {
--- a/tests/http-script.c
+++ b/tests/http-script.c
@@ -18,6 +18,8 @@
 #define BODY_MAX 1000
 #define BODIES_MAX 2500
 #define HEADERS_MAX 100000
+#define RESPONSES_MAX 150000
+#define PRINTED_BYTES_MAX 40
 #define HELD_SOCKETS_MAX 64
 /* what has not arrived after so long does not come */
 #define QUIET_MS 300
@@ -106,7 +108,9 @@
         response->outcome == MW_HTTP_RESPONSE
             ? g_strdup_printf(
                   "%s %d type=%.*s body=%.*s%s", words[response->outcome],
-                  response->status, MW_FMT(type), MW_FMT(response->body),
+                  response->status, MW_FMT(type),
+                  (int)MIN(response->body.len, PRINTED_BYTES_MAX),
+                  response->body.ptr,
                   st->tells_repeats && response->was_repeated ? " repeated"
                                                               : "")
             : g_strdup(words[response->outcome]));
@@ -121,6 +125,7 @@
         .response = on_response,
         .connections_per_address_max = 2,
         .connections_max = 10,
+        .responses_max = RESPONSES_MAX,
     };
 
     (void)task;
@@ -480,6 +485,47 @@
     print_outcome(s);
 }
 
+/* Answers one request on an accepted socket with the text as it is. */
+static void
+answer_raw(int fd, const char *text)
+{
+    char buffer[1024];
+
+    if (recv(fd, buffer, sizeof buffer, 0) > 0) {
+        send(fd, text, strlen(text), MSG_NOSIGNAL);
+    }
+}
+
+/*
+ * halves COUNT: two calls at one time; both get half of a body of twice COUNT
+ * bytes, and later the other half
+ */
+static void
+cmd_halves(struct mw_script *s)
+{
+    struct state *st = s->state;
+    gsize count = (gsize)g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+    char *half = g_strnfill(MIN(count, TEXT_MAX), 'a');
+    char *begin_text =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        2 * strlen(half), half);
+    int fds[2];
+
+    for (int i = 0; i < 2; i++) {
+        send_call(s, mw_name_str(&st->address), 4000000);
+        fds[i] = accept(st->listen_fd, NULL, NULL);
+        answer_raw(fds[i], begin_text);
+        g_usleep(QUIET_MS * 1000);
+    }
+    for (int i = 0; i < 2; i++) {
+        send(fds[i], half, strlen(half), MSG_NOSIGNAL);
+        print_outcome(s);
+        close(fds[i]);
+    }
+    g_free(begin_text);
+    g_free(half);
+}
+
 /*
  * stale TEXT: a call, then a second one on the same connection, which ends
  * instead of a response; a third connection gets the text.
@@ -531,19 +577,13 @@
 }
 
 static const struct mw_script_command commands[] = {
-    {"server", 0, cmd_server},
-    {"raw", 1, cmd_raw},
-    {"fill", 3, cmd_fill},
-    {"client", 0, cmd_client},
-    {"answer", 1, cmd_answer},
-    {"stale", 1, cmd_stale},
-    {"silent", 0, cmd_silent},
-    {"call", 1, cmd_call},
-    {"unread", 1, cmd_unread},
-    {"hold", 1, cmd_hold},
-    {"hold-header", 1, cmd_hold_header},
-    {"send", 2, cmd_send},
-    {"release", 0, cmd_release},
+    {"server", 0, cmd_server}, {"raw", 1, cmd_raw},
+    {"fill", 3, cmd_fill},     {"client", 0, cmd_client},
+    {"answer", 1, cmd_answer}, {"stale", 1, cmd_stale},
+    {"halves", 1, cmd_halves}, {"silent", 0, cmd_silent},
+    {"call", 1, cmd_call},     {"unread", 1, cmd_unread},
+    {"hold", 1, cmd_hold},     {"hold-header", 1, cmd_hold_header},
+    {"send", 2, cmd_send},     {"release", 0, cmd_release},
     {NULL, 0, NULL},
 };
 
