Processes of a region queue at most 32 MB on a connection

Seen (links/unread-requests, before): requests for a process that reads slowly were queued up to 96 MB, 'kept' after 48 MB. An entry machine has 160 MB, and the buffers double while they grow. Most of such requests have no caller any more: they are forwarded as long as heartbeats come.

Cause: MW_LINK_QUEUE_BYTES_MAX has to hold frames of 32 MB and more, which the processes of a region do not send.

Change: the bound is a setting of the links, 32 MB for processes of a region. Beyond it the connection is closed, as before, and dialed again; an entry process then forwards those requests that still wait, 16 MB at most.

Before 'kept', now 'lost'.

--- a/source/run/link-connection.c
+++ b/source/run/link-connection.c
@@ -57,7 +57,8 @@
     if (!link->open) {
         return;
     }
-    if (mw_link_queued_bytes(link) + payload->len > MW_LINK_QUEUE_BYTES_MAX) {
+    if (mw_link_queued_bytes(link) + payload->len >
+        link->links->setup.queue_max) {
         counters->queue_full++;
         mw_close_link(link);
         return;
--- a/source/run/link.c
+++ b/source/run/link.c
@@ -205,6 +205,9 @@
     };
 
     links->setup = *setup;
+    if (setup->queue_max == 0) {
+        links->setup.queue_max = MW_LINK_QUEUE_BYTES_MAX;
+    }
     links->ctx = setup->ctx;
     links->rand = g_rand_new();
     links->connections = g_ptr_array_new();
--- a/source/run/link.h
+++ b/source/run/link.h
@@ -30,6 +30,8 @@
     struct mw_blob *key;
     /* address to listen on, empty for none */
     struct mw_name listen;
+    /* bytes to send on one connection; 0 for MW_LINK_QUEUE_BYTES_MAX */
+    size_t queue_max;
     uint32_t dial_count;
     struct mw_dial_target dials[2 * MW_MEMBERS_MAX + MW_ZONES_MAX];
     /* receives messages and changes of connection state */
--- a/source/run/region-process.c
+++ b/source/run/region-process.c
@@ -2,6 +2,9 @@
 
 #include <unistd.h>
 
+/* more than the pending requests, or the largest messages of the log */
+#define LINK_QUEUE_BYTES_MAX (32u * 1024 * 1024)
+
 static bool
 start_links(struct mw_region_process *process, struct mw_task *owner,
             char **message)
@@ -13,6 +16,7 @@
         .role = setup->role,
         .incarnation = (uint64_t)g_get_real_time(),
         .key = process->key,
+        .queue_max = LINK_QUEUE_BYTES_MAX,
         .owner = owner,
         .ctx = setup->ctx,
     };
--- a/tests/links-script.c
+++ b/tests/links-script.c
@@ -4,6 +4,7 @@
  */
 #include <arpa/inet.h>
 #include <poll.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,9 @@
 /* what has not arrived after so long does not come */
 #define QUIET_MS 200
 #define START_WAIT_US 5000000
+#define UNREAD_WAIT_US 400000
+/* that the process keeps to send on a connection */
+#define QUEUE_MAX (16u * 1024 * 1024)
 
 struct state {
     struct mw_name address;
@@ -44,6 +48,7 @@
         .role = MW_ROLE_CONTROL,
         .key = st->key,
         .listen = st->address,
+        .queue_max = QUEUE_MAX,
         .owner = task,
     };
 
@@ -315,6 +320,57 @@
     }
 }
 
+/* Something that the process hears, so that the connection is not idle. */
+static void
+send_heartbeat(struct state *st, const struct mw_name *from)
+{
+    struct mw_msg *msg = mw_new_msg(MW_MSG_HEARTBEAT);
+    struct mw_blob *payload = mw_encode_msg(msg, from, mw_now());
+
+    mw_append_frame(&st->frames, payload);
+    send_queued(st);
+    mw_drop_blob(payload);
+    mw_drop_msg(msg);
+}
+
+/* Waits until the process loses the peer; other lines are dropped. */
+static bool
+is_lost(struct state *st)
+{
+    bool lost = false;
+    char *line;
+
+    while (!lost &&
+           (line = g_async_queue_timeout_pop(st->heard, UNREAD_WAIT_US))) {
+        lost = g_str_has_suffix(line, "lost");
+        g_free(line);
+    }
+    return lost;
+}
+
+/*
+ * unread NAME COUNT BYTES: the process sends so many requests with bodies of
+ * that size, and the peer reads none of them
+ */
+static void
+cmd_unread(struct mw_script *s)
+{
+    struct state *st = s->state;
+    struct mw_name to = mw_name_from(mw_script_word(s, 1));
+    char *body = g_strnfill((gsize)atoi(mw_script_word(s, 3)), 'a');
+
+    send_heartbeat(st, &to);
+    for (int i = 0; i < atoi(mw_script_word(s, 2)); i++) {
+        struct mw_msg *msg = mw_new_msg(MW_MSG_FLOW_CALL);
+
+        msg->flow_call.body = mw_new_blob(mw_str_from(body));
+        mw_post_peer_msg(mw_links_task(st->links), &to, msg);
+        mw_drop_msg(msg);
+    }
+    mw_script_printf(s, "  %s", is_lost(st) ? "lost" : "kept");
+    g_free(body);
+}
+
 /* close: the peer closes the connection */
 static void
 cmd_close(struct mw_script *s)
@@ -324,15 +380,11 @@
 }
 
 static const struct mw_script_command commands[] = {
-    {"listen", 0, cmd_listen},
-    {"connect", 0, cmd_connect},
-    {"hello", 1, cmd_hello},
-    {"heartbeat", 1, cmd_heartbeat},
-    {"payload", 1, cmd_payload},
-    {"bytes", 1, cmd_bytes},
-    {"send", 1, cmd_send},
-    {"close", 0, cmd_close},
-    {NULL, 0, NULL},
+    {"listen", 0, cmd_listen},   {"connect", 0, cmd_connect},
+    {"hello", 1, cmd_hello},     {"heartbeat", 1, cmd_heartbeat},
+    {"payload", 1, cmd_payload}, {"bytes", 1, cmd_bytes},
+    {"send", 1, cmd_send},       {"unread", 3, cmd_unread},
+    {"close", 0, cmd_close},     {NULL, 0, NULL},
 };
 
 const struct mw_script_kind mw_links_scripts = {"links", commands, begin, end};
