--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -11,6 +11,7 @@
  *
  * FILES
  *   flow-request.c      requests of clients and operators
+ *   flow-admission.c    whether another flow can be held
  *   flow-endpoint.c     heartbeats and incarnations
  *   flow-registry.c     records of endpoints
  *   flow-response.c     responses to commands
@@ -86,6 +87,9 @@
 /* wait for capacity in the rack that holds the data (delay scheduling) */
 #define MW_DATA_LOCALITY_WAIT_US INT64_C(2000000)
 
+/* later times never come; two such times can be added up */
+#define MW_WALL_TIME_MAX_US (INT64_MAX / 4)
+
 /* see struct mw_task_group: groups up to this rank are urgent */
 #define MW_URGENT_RANK_MAX 1
 
@@ -213,6 +217,14 @@
     int64_t reserved_us;
 };
 
+/* mw_flow_size: the memory that flows take. */
+struct mw_flow_size {
+    /* text of the plans, which snapshots contain, too */
+    int64_t plan_bytes;
+    /* decoded plans, and the state of the tasks */
+    int64_t state_bytes;
+};
+
 /* mw_flow: a flow, with the groups of each occurrence in a row. */
 struct mw_flow {
     struct mw_name id;
@@ -222,6 +234,7 @@
     enum mw_flow_state state;
     struct mw_blob *plan_text;
     struct mw_flow_plan *plan;
+    struct mw_flow_size size;
     uint32_t group_count;
     struct mw_task_group *groups;
     uint32_t groups_done;
@@ -394,6 +407,8 @@
     /* of the configuration */
     uint64_t version;
     int64_t received_us;
+    /* of a submitted flow; nothing if another request has proposed it */
+    struct mw_flow_size size;
 };
 
 /* mw_flows: replicated state, then the state of the leader. */
@@ -402,6 +417,8 @@
     struct mw_flow_output output;
     struct mw_flow_config *config;
     GHashTable *flows;
+    /* of all of them */
+    struct mw_flow_size held;
     /* flows that have not ended, oldest first */
     GPtrArray *active;
     GHashTable *zones_out;
@@ -448,6 +465,22 @@
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
 
+/* flow-admission.c */
+struct mw_flow_size mw_flow_plan_size(const struct mw_flow_plan *plan,
+                                      struct mw_str text);
+void mw_add_flow_size(struct mw_flow_size *sum,
+                      const struct mw_flow_size *size);
+void mw_subtract_flow_size(struct mw_flow_size *sum,
+                           const struct mw_flow_size *size);
+/*
+ * mw_check_flow_size: whether the leader may accept a flow of this size.
+ *
+ * Returns MW_ERR_IMPOSSIBLE for one that could never be held, and
+ * MW_ERR_OVERLOADED for one that could be held once others have gone.
+ */
+int mw_check_flow_size(const struct mw_flows *flows,
+                       const struct mw_flow_size *size);
+
 /* flow-state.c */
 /* proposes a TASKS record and counts it; false when that is not possible */
 bool mw_propose_tasks(struct mw_flows *flows, struct mw_record *record);
@@ -466,6 +499,10 @@
 /* whether a task waits for a placement and no record of it is pending */
 bool mw_task_is_waiting(const struct mw_flow_task *task);
 uint32_t mw_count_waiting_tasks(const struct mw_task_group *group);
+/* when an occurrence of a scheduled flow is due; MW_WALL_TIME_MAX_US at most
+ */
+int64_t mw_occurrence_due_us(const struct mw_flow_plan *plan,
+                             uint32_t occurrence);
 /* whether its start time has come and the steps it depends on are done */
 bool mw_task_group_is_ready(const struct mw_task_group *group,
                             int64_t wall_us);
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -168,6 +168,18 @@
     return waiting;
 }
 
+int64_t
+mw_occurrence_due_us(const struct mw_flow_plan *plan, uint32_t occurrence)
+{
+    int64_t first_us = MIN(plan->first_wall_us, MW_WALL_TIME_MAX_US);
+
+    if (occurrence > 0 &&
+        plan->interval_us > (MW_WALL_TIME_MAX_US - first_us) / occurrence) {
+        return MW_WALL_TIME_MAX_US;
+    }
+    return first_us + occurrence * plan->interval_us;
+}
+
 bool
 mw_task_group_is_ready(const struct mw_task_group *group, int64_t wall_us)
 {
@@ -176,8 +188,7 @@
     uint32_t first = group->occurrence * plan->step_count;
 
     if (plan->scheduled &&
-        wall_us <
-            plan->first_wall_us + group->occurrence * plan->interval_us) {
+        wall_us < mw_occurrence_due_us(plan, group->occurrence)) {
         return false;
     }
     for (uint32_t i = 0; i < group->step->dependency_count; i++) {
@@ -250,6 +261,8 @@
     flow->accepted_us = flows->now_us;
     flow->plan_text = mw_keep_blob(record->plan);
     flow->plan = plan;
+    flow->size = mw_flow_plan_size(plan, mw_blob_str(record->plan));
+    mw_add_flow_size(&flows->held, &flow->size);
     add_task_groups(flow);
     g_hash_table_insert(flows->flows, &flow->id, flow);
     if (flow->state == MW_FLOW_ACTIVE) {
@@ -291,6 +304,7 @@
         }
     }
     end_flow(flows, flow, MW_FLOW_CANCELLED);
+    mw_subtract_flow_size(&flows->held, &flow->size);
     g_hash_table_remove(flows->flows, &flow->id);
 }
 
@@ -491,6 +505,7 @@
 {
     g_ptr_array_set_size(flows->active, 0);
     g_hash_table_remove_all(flows->flows);
+    flows->held = (struct mw_flow_size){0};
     g_hash_table_remove_all(flows->zones_out);
     g_hash_table_remove_all(flows->endpoint_records);
     g_clear_pointer(&flows->config, mw_drop_flow_config);
--- a/source/run/http-impl.h
+++ b/source/run/http-impl.h
@@ -27,6 +27,12 @@
     /* those whose request has no reply, by its handle */
     GHashTable *pending;
     uint64_t next_handle;
+    /* of the bodies that are received or whose request has no reply */
+    size_t body_bytes;
+    /* of URLs and headers of these and of requests that are received */
+    size_t header_bytes;
+    /* of the bytes that are kept for later */
+    size_t pipelined_bytes;
     /* connections in the order of their receive deadlines */
     GQueue receiving;
     struct mw_timer *timer;
@@ -65,9 +71,13 @@
     uint32_t header_count;
     bool in_value;
     GByteArray *body;
+    /* length of the body that is accepted; part of the server's sum */
+    size_t body_bytes;
     /* further header lines of the reply */
     GString *reply_headers;
     bool keep_alive;
+    /* why the parser stopped, if not for a syntax error */
+    int parse_error;
     /* the owner is looking at the request, and has replied to it */
     bool in_callback;
     bool has_replied;
--- a/tests/http-script.c
+++ b/tests/http-script.c
@@ -4,6 +4,7 @@
  */
 #include <arpa/inet.h>
 #include <poll.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,6 +16,11 @@
 #define PORT_FIRST 20000
 #define PORT_COUNT 20000
 #define BODY_MAX 1000
+#define BODIES_MAX 2500
+#define HEADERS_MAX 100000
+#define RESPONSES_MAX 150000
+#define PRINTED_BYTES_MAX 40
+#define HELD_SOCKETS_MAX 64
 /* what has not arrived after so long does not come */
 #define QUIET_MS 300
 #define RESPONSE_WAIT_US 5000000
@@ -33,6 +39,9 @@
     bool tells_repeats;
     /* listens for the client */
     int listen_fd;
+    /* of clients that have not sent all of their request */
+    int held_fds[HELD_SOCKETS_MAX];
+    int held_count;
 };
 
 static uint16_t
@@ -67,6 +76,8 @@
         .address = st->address,
         .setting_name = "address",
         .body_max = BODY_MAX,
+        .bodies_max = BODIES_MAX,
+        .headers_max = HEADERS_MAX,
         .opaque = st,
         .request = on_request,
     };
@@ -97,7 +108,9 @@
         response->outcome == MW_HTTP_RESPONSE
             ? g_strdup_printf(
                   "%s %d type=%.*s body=%.*s%s", words[response->outcome],
-                  response->status, MW_FMT(type), MW_FMT(response->body),
+                  response->status, MW_FMT(type),
+                  (int)MIN(response->body.len, PRINTED_BYTES_MAX),
+                  response->body.ptr,
                   st->tells_repeats && response->was_repeated ? " repeated"
                                                               : "")
             : g_strdup(words[response->outcome]));
@@ -112,6 +125,7 @@
         .response = on_response,
         .connections_per_address_max = 2,
         .connections_max = 10,
+        .responses_max = RESPONSES_MAX,
     };
 
     (void)task;
@@ -159,6 +173,9 @@
 
     mw_drop_task(st->server_task);
     mw_drop_task(st->client_task);
+    while (st->held_count > 0) {
+        close(st->held_fds[--st->held_count]);
+    }
     if (st->listen_fd >= 0) {
         close(st->listen_fd);
     }
@@ -273,6 +290,84 @@
     g_free(text);
 }
 
+/* Sends the text from a client whose connection stays open. */
+static void
+hold(struct mw_script *s, struct state *st, const char *text)
+{
+    int fd = st->held_count < HELD_SOCKETS_MAX ? open_socket(st) : -1;
+    bool closed;
+    GString *replies;
+
+    if (fd < 0 || send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
+        mw_script_printf(s, "  can't send");
+    }
+    else {
+        st->held_fds[st->held_count++] = fd;
+        replies = read_all(fd, &closed);
+        print_replies(s, replies, closed);
+        g_string_free(replies, TRUE);
+    }
+}
+
+/* hold TEXT: as raw, but the client's connection stays open */
+static void
+cmd_hold(struct mw_script *s)
+{
+    char *text = g_strcompress(s->rest);
+
+    hold(s, s->state, text);
+    g_free(text);
+}
+
+/* hold-header COUNT: a header of COUNT bytes that does not end */
+static void
+cmd_hold_header(struct mw_script *s)
+{
+    struct state *st = s->state;
+    gsize count = (gsize)g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+    char *fill = g_strnfill(MIN(count, TEXT_MAX), 'a');
+    char *text = g_strconcat("GET / HTTP/1.1\r\nX-Test: ", fill, NULL);
+
+    hold(s, st, text);
+    g_free(text);
+    g_free(fill);
+}
+
+/* send N COUNT: the Nth client that is held sends COUNT times "a" */
+static void
+cmd_send(struct mw_script *s)
+{
+    struct state *st = s->state;
+    int index = atoi(mw_script_word(s, 1)) - 1;
+    gsize count = (gsize)g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+    char *text = g_strnfill(MIN(count, TEXT_MAX), 'a');
+    bool closed;
+    GString *replies;
+
+    if (index < 0 || index >= st->held_count ||
+        send(st->held_fds[index], text, strlen(text), MSG_NOSIGNAL) < 0) {
+        mw_script_printf(s, "  can't send");
+    }
+    else {
+        replies = read_all(st->held_fds[index], &closed);
+        print_replies(s, replies, closed);
+        g_string_free(replies, TRUE);
+    }
+    g_free(text);
+}
+
+/* release: the clients that are held close their connections */
+static void
+cmd_release(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    while (st->held_count > 0) {
+        close(st->held_fds[--st->held_count]);
+    }
+    g_usleep(QUIET_MS * 1000);
+}
+
 /* fill BEFORE COUNT AFTER: sends COUNT times "a" between the two texts */
 static void
 cmd_fill(struct mw_script *s)
@@ -390,6 +485,47 @@
     print_outcome(s);
 }
 
+/* Answers one request on an accepted socket with the text as it is. */
+static void
+answer_raw(int fd, const char *text)
+{
+    char buffer[1024];
+
+    if (recv(fd, buffer, sizeof buffer, 0) > 0) {
+        send(fd, text, strlen(text), MSG_NOSIGNAL);
+    }
+}
+
+/*
+ * halves COUNT: two calls at one time; both get half of a body of twice COUNT
+ * bytes, and later the other half
+ */
+static void
+cmd_halves(struct mw_script *s)
+{
+    struct state *st = s->state;
+    gsize count = (gsize)g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+    char *half = g_strnfill(MIN(count, TEXT_MAX), 'a');
+    char *begin_text =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        2 * strlen(half), half);
+    int fds[2];
+
+    for (int i = 0; i < 2; i++) {
+        send_call(s, mw_name_str(&st->address), 4000000);
+        fds[i] = accept(st->listen_fd, NULL, NULL);
+        answer_raw(fds[i], begin_text);
+        g_usleep(QUIET_MS * 1000);
+    }
+    for (int i = 0; i < 2; i++) {
+        send(fds[i], half, strlen(half), MSG_NOSIGNAL);
+        print_outcome(s);
+        close(fds[i]);
+    }
+    g_free(begin_text);
+    g_free(half);
+}
+
 /*
  * stale TEXT: a call, then a second one on the same connection, which ends
  * instead of a response; a third connection gets the text.
@@ -444,8 +580,11 @@
     {"server", 0, cmd_server}, {"raw", 1, cmd_raw},
     {"fill", 3, cmd_fill},     {"client", 0, cmd_client},
     {"answer", 1, cmd_answer}, {"stale", 1, cmd_stale},
-    {"silent", 0, cmd_silent}, {"call", 1, cmd_call},
-    {"unread", 1, cmd_unread}, {NULL, 0, NULL},
+    {"halves", 1, cmd_halves}, {"silent", 0, cmd_silent},
+    {"call", 1, cmd_call},     {"unread", 1, cmd_unread},
+    {"hold", 1, cmd_hold},     {"hold-header", 1, cmd_hold_header},
+    {"send", 2, cmd_send},     {"release", 0, cmd_release},
+    {NULL, 0, NULL},
 };
 
 const struct mw_script_kind mw_http_scripts = {"http", commands, begin, end};
