--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 TESTS := $(filter-out %/uv-source.c,$(wildcard tests/*.c))
 BENCH := $(filter-out %/slopes.c %/slopes-%.c %/load.c,$(wildcard bench/*.c))
 
+comma := ,
 object = $(patsubst %.c,$(BUILD)/%.o,$(1))
 CORE_OBJECTS := $(call object,$(CORE))
 LIBRARY_OBJECTS := $(call object,$(CORE) $(WIRE) $(RUN))
@@ -77,9 +78,13 @@
 		tests/uv-source.c) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) $(SOUP_LIBS) -o $@
 
+# tests/name-count.c counts the calls of these
+COUNTED = mw_str_equal mw_name_equal mw_same_name mw_hash_name
+
 $(BUILD)/check: $(call object,$(TESTS) $(PLATFORM) source/tools/event-trace.c) \
 		$(LIBRARY)
-	$(CC) $(CFLAGS) $^ $(PKG_LIBS) $(CHECK_LIBS) -o $@
+	$(CC) $(CFLAGS) $^ $(PKG_LIBS) $(CHECK_LIBS) \
+		$(addprefix -Wl$(comma)--wrap=,$(COUNTED)) -o $@
 
 # scripted tests: fixed seeds and no timing, with warnings as errors
 check: all $(BUILD)/check
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -43,7 +43,9 @@
     uint32_t org;
 };
 
-/* mw_flow_config: one version of the configuration; immutable. */
+struct mw_flow_config_index;
+
+/* mw_flow_config: one version of the configuration; immutable once decoded. */
 struct mw_flow_config {
     int refs;
     uint64_t version;
@@ -57,6 +59,8 @@
     struct mw_flow_org *orgs;
     uint32_t key_count;
     struct mw_flow_key *keys;
+    /* of the entries above that were added with mw_index_flow_... */
+    struct mw_flow_config_index *index;
 };
 
 #define MW_FLOW_STEPS_MAX 64
@@ -467,7 +471,28 @@
 void mw_drop_flow_config(struct mw_flow_config *config);
 void mw_drop_flow_plan(struct mw_flow_plan *plan);
 
-/* mw_flow_find_route: by host and longest path prefix; NULL for none. */
+/*
+ * mw_index_flow_service, mw_index_flow_route, mw_index_flow_key: add an entry
+ * of the configuration to its index, from which it is found.
+ *
+ * The entry must be complete and must not move afterwards.  Returns 0, or
+ * MW_ERR_INVALID for a route of a service that was not added, or
+ * MW_ERR_DUPLICATE for a route with the host and the path prefix of another
+ * or an API key of another organisation.  A duplicate is not added.  The time
+ * does not depend on the number of entries.
+ */
+void mw_index_flow_service(struct mw_flow_config *config,
+                           const struct mw_name *service);
+int mw_index_flow_route(struct mw_flow_config *config,
+                        const struct mw_flow_route *route);
+int mw_index_flow_key(struct mw_flow_config *config,
+                      const struct mw_flow_key *key);
+
+/*
+ * mw_flow_find_route: by host and longest path prefix; NULL for none.
+ *
+ * A port after the host is ignored.  All bytes count, upper and lower case.
+ */
 const struct mw_flow_route *
 mw_flow_find_route(const struct mw_flow_config *config, struct mw_str host,
                    struct mw_str path);
--- a/source/core/flow/flow-config.c
+++ b/source/core/flow/flow-config.c
@@ -5,6 +5,94 @@
 
 #include "flow-impl.h"
 
+/* mw_flow_config_index: points to the entries of the configuration. */
+struct mw_flow_config_index {
+    /* services by name */
+    GHashTable *services;
+    /* routes by host and path prefix */
+    GHashTable *routes;
+    /* struct mw_flow_key by its key */
+    GHashTable *keys;
+};
+
+static guint
+hash_route(gconstpointer data)
+{
+    const struct mw_flow_route *route = data;
+
+    return mw_hash_name(&route->host) * 31 + mw_hash_name(&route->prefix);
+}
+
+static gboolean
+is_same_queue(gconstpointer a, gconstpointer b)
+{
+    const struct mw_flow_route *x = a;
+    const struct mw_flow_route *y = b;
+
+    return mw_name_equal(&x->prefix, &y->prefix) &&
+           mw_name_equal(&x->host, &y->host);
+}
+
+static struct mw_flow_config_index *
+get_index(struct mw_flow_config *config)
+{
+    if (!config->index) {
+        config->index = g_new0(struct mw_flow_config_index, 1);
+        config->index->services = g_hash_table_new(mw_hash_name, mw_same_name);
+        config->index->routes = g_hash_table_new(hash_route, is_same_queue);
+        config->index->keys = g_hash_table_new(mw_hash_name, mw_same_name);
+    }
+    return config->index;
+}
+
+static void
+drop_index(struct mw_flow_config_index *index)
+{
+    if (index) {
+        g_hash_table_unref(index->services);
+        g_hash_table_unref(index->routes);
+        g_hash_table_unref(index->keys);
+        g_free(index);
+    }
+}
+
+void
+mw_index_flow_service(struct mw_flow_config *config,
+                      const struct mw_name *service)
+{
+    g_hash_table_add(get_index(config)->services, (gpointer)service);
+}
+
+int
+mw_index_flow_route(struct mw_flow_config *config,
+                    const struct mw_flow_route *route)
+{
+    struct mw_flow_config_index *index = get_index(config);
+
+    if (!g_hash_table_contains(index->services, &route->service)) {
+        return MW_ERR_INVALID;
+    }
+    if (g_hash_table_contains(index->routes, route)) {
+        return MW_ERR_DUPLICATE;
+    }
+    g_hash_table_add(index->routes, (gpointer)route);
+    return 0;
+}
+
+int
+mw_index_flow_key(struct mw_flow_config *config, const struct mw_flow_key *key)
+{
+    struct mw_flow_config_index *index = get_index(config);
+    const struct mw_flow_key *other =
+        g_hash_table_lookup(index->keys, &key->key);
+
+    if (other) {
+        return other->org == key->org ? 0 : MW_ERR_DUPLICATE;
+    }
+    g_hash_table_insert(index->keys, (gpointer)&key->key, (gpointer)key);
+    return 0;
+}
+
 void
 mw_drop_flow_config(struct mw_flow_config *config)
 {
@@ -14,6 +102,7 @@
         g_free(config->services);
         g_free(config->orgs);
         g_free(config->keys);
+        drop_index(config->index);
         g_free(config);
     }
 }
--- a/tests/platform-script.c
+++ b/tests/platform-script.c
@@ -9,6 +9,7 @@
 
 #include "decode.h"
 #include "event-log.h"
+#include "name-count.h"
 #include "platform/settings.h"
 #include "script.h"
 
@@ -57,6 +58,107 @@
     mw_drop_flow_config(config);
 }
 
+/* A valid configuration with so many entries of each kind, all different. */
+static char *
+generate_config(int routes, int services, int keys)
+{
+    GString *text = g_string_new("{\"version\":1,\"services\":[");
+
+    for (int i = 0; i < services; i++) {
+        g_string_append_printf(text, "%s{\"name\":\"s%d\"}", i ? "," : "", i);
+    }
+    g_string_append(text, "],\"tenants\":[");
+    for (int i = 0; i < keys; i++) {
+        g_string_append_printf(text,
+                               "%s{\"name\":\"o%d\",\"api-keys\":[\"k%d\"]}",
+                               i ? "," : "", i, i);
+    }
+    g_string_append(text, "],\"routes\":[");
+    for (int i = 0; i < routes; i++) {
+        g_string_append_printf(text,
+                               "%s{\"name\":\"r%d\",\"host\":\"h\","
+                               "\"path-prefix\":\"/%d/\","
+                               "\"service\":\"s%d\"}",
+                               i ? "," : "", i, i, i % services);
+    }
+    g_string_append(text, "]}");
+    return g_string_free(text, FALSE);
+}
+
+/* Says which of the two numbers is the smaller, and prints an excess. */
+static void
+print_operations(struct mw_script *s, const char *what, uint64_t operations,
+                 uint64_t limit)
+{
+    if (operations <= limit) {
+        mw_script_printf(s, "%s: at most %d operations on names", what,
+                         (int)limit);
+    }
+    else {
+        mw_script_printf(s, "%s: %d operations on names, more than %d", what,
+                         (int)operations, (int)limit);
+    }
+}
+
+/* config-work routes=N services=N keys=N limit=N: how often decoding hashes or
+ * compares names; the limit is for each entry */
+static void
+cmd_config_work(struct mw_script *s)
+{
+    struct state *st = s->state;
+    int routes = (int)mw_script_option_int(s, "routes", 1);
+    int services = (int)mw_script_option_int(s, "services", 1);
+    int keys = (int)mw_script_option_int(s, "keys", 1);
+    char *text = generate_config(routes, services, keys);
+    int err = 0;
+    uint64_t before = mw_name_operations();
+    struct mw_flow_config *config =
+        mw_decode_flow_config(NULL, &st->ctx, mw_str_from(text), &err);
+
+    if (!print_error(s, "config-work", err)) {
+        print_operations(s, "config-work", mw_name_operations() - before,
+                         (uint64_t)(mw_script_option_int(s, "limit", 0) *
+                                    (routes + services + keys)));
+    }
+    mw_drop_flow_config(config);
+    g_free(text);
+}
+
+/* request-work routes=N keys=N limit=N: the same for a request, which is for
+ * the last route and has the last key */
+static void
+cmd_request_work(struct mw_script *s)
+{
+    struct state *st = s->state;
+    int routes = (int)mw_script_option_int(s, "routes", 1);
+    int keys = (int)mw_script_option_int(s, "keys", 1);
+    char *text = generate_config(routes, 1, keys);
+    char *path = g_strdup_printf("/%d/0123456789abcdef", routes - 1);
+    char *key = g_strdup_printf("k%d", keys - 1);
+    int err = 0;
+    struct mw_flow_config *config =
+        mw_decode_flow_config(NULL, &st->ctx, mw_str_from(text), &err);
+
+    if (!print_error(s, "request-work", err)) {
+        uint64_t before = mw_name_operations();
+        const struct mw_flow_route *route =
+            mw_flow_find_route(config, MW_STR("h:80"), mw_str_from(path));
+        const struct mw_flow_org *org =
+            mw_flow_find_org(config, mw_str_from(key));
+        uint64_t operations = mw_name_operations() - before;
+
+        mw_script_printf(s, "request-work: route %.*s of %.*s",
+                         MW_FMT(mw_name_str(&route->name)),
+                         MW_FMT(mw_name_str(&org->name)));
+        print_operations(s, "request-work", operations,
+                         (uint64_t)mw_script_option_int(s, "limit", 0));
+    }
+    mw_drop_flow_config(config);
+    g_free(key);
+    g_free(path);
+    g_free(text);
+}
+
 /* route CONFIG | HOST PATH: the queue that a request goes to */
 static void
 cmd_route(struct mw_script *s)
@@ -323,6 +425,8 @@
 
 static const struct mw_script_command commands[] = {
     {"config", 0, cmd_config},
+    {"config-work", 0, cmd_config_work},
+    {"request-work", 0, cmd_request_work},
     {"route", 0, cmd_route},
     {"plan", 0, cmd_plan},
     {"nested-heartbeat", 1, cmd_nested_heartbeat},
