A request is looked up by hash in a large configuration

Seen by reading: each request was compared with each route and each API key of the configuration, at the leader, which serves all requests of a region.

Change: mw_flow_find_route looks the host and each prefix of the path up in the configuration's index, longest first, and only for lengths that a prefix of some route has: 63 at most, whatever the number of routes. mw_flow_find_org looks the key up.

platform/route-choice shows that the choice is the same: host without port and byte by byte, prefixes that end within a path element, names of 63 bytes and longer hosts.

--- a/source/core/flow/flow-config.c
+++ b/source/core/flow/flow-config.c
@@ -11,6 +11,8 @@
     GHashTable *services;
     /* routes by host and path prefix */
     GHashTable *routes;
+    /* bit n is set if a route has a path prefix of n bytes */
+    uint64_t prefix_lengths;
     /* struct mw_flow_key by its key */
     GHashTable *keys;
 };
@@ -76,6 +78,7 @@
         return MW_ERR_DUPLICATE;
     }
     g_hash_table_add(index->routes, (gpointer)route);
+    index->prefix_lengths |= UINT64_C(1) << route->prefix.len;
     return 0;
 }
 
@@ -117,13 +120,6 @@
     }
 }
 
-static bool
-has_prefix(struct mw_str text, struct mw_str prefix)
-{
-    return text.len >= prefix.len &&
-           memcmp(text.ptr, prefix.ptr, prefix.len) == 0;
-}
-
 /* Queues are selected by host name only, without the port. */
 static struct mw_str
 strip_port(struct mw_str host)
@@ -140,28 +136,31 @@
 mw_flow_find_route(const struct mw_flow_config *config, struct mw_str host,
                    struct mw_str path)
 {
-    const struct mw_flow_route *best = NULL;
-
-    host = strip_port(host);
-    for (uint32_t i = 0; i < config->route_count; i++) {
-        const struct mw_flow_route *route = &config->routes[i];
+    const struct mw_flow_config_index *index = config->index;
+    const struct mw_flow_route *route = NULL;
+    struct mw_flow_route wanted = {0};
 
-        if (mw_str_equal(mw_name_str(&route->host), host) &&
-            has_prefix(path, mw_name_str(&route->prefix)) &&
-            (!best || route->prefix.len > best->prefix.len)) {
-            best = route;
+    if (!index || mw_set_name(&wanted.host, strip_port(host)) != 0) {
+        return NULL;
+    }
+    for (size_t len = MIN(path.len, MW_NAME_MAX); len > 0 && !route; len--) {
+        if (index->prefix_lengths >> len & 1) {
+            wanted.prefix = mw_name_of((struct mw_str){path.ptr, len});
+            route = g_hash_table_lookup(index->routes, &wanted);
         }
     }
-    return best;
+    return route;
 }
 
 const struct mw_flow_org *
 mw_flow_find_org(const struct mw_flow_config *config, struct mw_str key)
 {
-    for (uint32_t i = 0; i < config->key_count; i++) {
-        if (mw_str_equal(mw_name_str(&config->keys[i].key), key)) {
-            return &config->orgs[config->keys[i].org];
-        }
+    const struct mw_flow_key *found;
+    struct mw_name name;
+
+    if (!config->index || mw_set_name(&name, key) != 0) {
+        return NULL;
     }
-    return NULL;
+    found = g_hash_table_lookup(config->index->keys, &name);
+    return found ? &config->orgs[found->org] : NULL;
 }
