Each configuration is decoded once at most, and only the last of a log

Cause: the leader decoded an order to validate it, dropped the result and decoded the text again when its record was committed; every member decoded every committed record at once, also while it reads its log, though only the highest version counts. An order that was sent again was decoded again.

If this process can't decode that one it reports it as before and takes the next, so the result is the one that the members had before, in whatever order the records came. The leader keeps its last 8 validated configurations, which is what an operator may have in progress, until they are committed; an order is recognised by its text. The record shares the text with the configuration.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -384,6 +384,8 @@
  *
  * The owner of the log applies each committed record, collects the records
  * of a snapshot, and resets the state before it applies another snapshot.
+ * The context must outlive the scheduler, which decodes a configuration only
+ * when it needs it.
  */
 void mw_flows_apply(struct mw_context *ctx, struct mw_flows *flows,
                     int64_t now_us, struct mw_record *record);
@@ -445,7 +447,7 @@
                        enum mw_flow_latency latency);
 struct mw_str mw_flow_latency_str(enum mw_flow_latency latency);
 /* mw_flows_config_version: of the configuration; 0 for none. */
-uint64_t mw_flows_config_version(const struct mw_flows *flows);
+uint64_t mw_flows_config_version(struct mw_flows *flows);
 
 struct mw_flows_status {
     uint32_t flows;
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -9,7 +9,7 @@
 emit(struct mw_flows *flows, struct mw_flow_event *event)
 {
     event->term = flows->fence;
-    event->version = flows->config ? flows->config->version : 0;
+    event->version = mw_flows_config_version(flows);
     flows->output.event(flows->output.opaque, event);
 }
 
--- a/source/core/flow/flow-guarantee.c
+++ b/source/core/flow/flow-guarantee.c
@@ -109,7 +109,7 @@
 void
 mw_apply_guarantees(struct mw_flows *flows)
 {
-    GHashTable *uses = new_org_uses(flows->config);
+    GHashTable *uses = new_org_uses(mw_get_flow_config(&flows->configs));
 
     for (guint f = 0; f < flows->active->len; f++) {
         struct mw_flow *flow = flows->active->pdata[f];
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "flow-command-queue.h"
+#include "flow-config-versions.h"
 #include "mimosawind/flow.h"
 
 /*
@@ -17,6 +18,7 @@
  *   flow-late-start.c   starts that endpoints may still execute
  *   flow-reconcile.c    reconciles lists of runs with placements
  *   flow-state.c        applies committed records
+ *   flow-config-versions.c  the configuration in force
  *   flow-snapshot.c     records of a snapshot
  *   flow-schedule.c     scheduling passes, start of leadership
  *   flow-guarantee.c    use of the organisations' guarantees
@@ -400,7 +402,7 @@
 struct mw_flows {
     struct mw_flow_limits limits;
     struct mw_flow_output output;
-    struct mw_flow_config *config;
+    struct mw_flow_config_versions configs;
     GHashTable *flows;
     /* flows that have not ended, oldest first */
     GPtrArray *active;
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -320,21 +320,22 @@
 handle_client_request(struct mw_context *ctx, struct mw_flows *flows,
                       int64_t wall_us, const struct mw_flow_request *request)
 {
+    const struct mw_flow_config *config = mw_get_flow_config(&flows->configs);
     const struct mw_flow_route *route;
     const struct mw_flow_org *org;
 
-    if (!flows->config) {
+    if (!config) {
         send_error(flows, request->ref, MW_ERR_PENDING,
                    MW_STR("no configuration yet"));
         return;
     }
-    route = mw_flow_find_route(flows->config, request->host, request->path);
+    route = mw_flow_find_route(config, request->host, request->path);
     if (!route) {
         send_error(flows, request->ref, MW_ERR_NO_QUEUE,
                    MW_STR("no such queue"));
         return;
     }
-    org = mw_flow_find_org(flows->config, request->key);
+    org = mw_flow_find_org(config, request->key);
     if (!org && !route->keyless) {
         send_error(flows, request->ref, MW_ERR_AUTH, MW_STR("unknown key"));
         return;
@@ -349,8 +350,8 @@
 {
     struct mw_name none = {0};
     int err = 0;
-    struct mw_flow_config *config = flows->output.decode_config(
-        flows->output.opaque, ctx, request->body, &err);
+    const struct mw_flow_config *config =
+        mw_validate_flow_config(ctx, &flows->configs, request->body, &err);
     uint64_t version;
     struct mw_record *record;
 
@@ -360,8 +361,7 @@
         return;
     }
     version = config->version;
-    mw_drop_flow_config(config);
-    if (flows->config && version <= flows->config->version) {
+    if (version <= mw_flows_config_version(flows)) {
         mw_emit_flow_event(flows, "config_acknowledged", &none, "not_higher");
         send_done(flows, request->ref, MW_REPLY_DONE);
         return;
@@ -372,7 +372,7 @@
     }
     record = mw_new_record(MW_RECORD_CONFIG);
     record->config.version = version;
-    record->config.text = mw_new_blob(request->body);
+    record->config.text = mw_keep_blob(config->text);
     if (propose_and_await(flows, request, record, &none, version)) {
         flows->proposed_version = version;
         mw_emit_flow_event(flows, "config_proposed", &none, "higher_version");
@@ -385,13 +385,14 @@
 {
     struct mw_flow_reply reply = {.ref = request->ref,
                                   .kind = MW_REPLY_CONFIG};
+    const struct mw_flow_config *config = mw_get_flow_config(&flows->configs);
 
-    if (!flows->config) {
+    if (!config) {
         send_error(flows, request->ref, MW_ERR_PENDING,
                    MW_STR("no configuration yet"));
         return;
     }
-    reply.text = flows->config->text;
+    reply.text = config->text;
     send_reply(flows, &reply);
 }
 
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -473,6 +473,7 @@
         mw_fail_flow_requests(flows);
     }
     clear_leader_state(flows);
+    mw_forget_validated_configs(&flows->configs);
     flows->is_leader = is_leader;
     flows->suspended = false;
     flows->fence = fence;
--- a/source/core/flow/flow-snapshot.c
+++ b/source/core/flow/flow-snapshot.c
@@ -68,16 +68,17 @@
 mw_flows_snapshot(struct mw_flows *flows, void *out,
                   void (*add)(void *out, struct mw_record *record))
 {
+    const struct mw_flow_config *config = mw_get_flow_config(&flows->configs);
     GPtrArray *all = g_ptr_array_new();
     GHashTableIter iter;
     gpointer zone;
     gpointer flow;
 
-    if (flows->config) {
+    if (config) {
         struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
 
-        record->config.version = flows->config->version;
-        record->config.text = mw_keep_blob(flows->config->text);
+        record->config.version = config->version;
+        record->config.text = mw_keep_blob(config->text);
         add(out, record);
         mw_drop_record(record);
     }
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -85,6 +85,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     flows->pending_requests =
         g_array_new(FALSE, FALSE, sizeof(struct mw_flow_pending_request));
+    mw_init_flow_configs(&flows->configs, output);
     mw_init_command_queue(&flows->command_queue);
     flows->next_ref = 1;
     flows->tick_deadline_us = INT64_MAX;
@@ -110,7 +111,7 @@
     g_ptr_array_unref(flows->active);
     g_hash_table_unref(flows->flows);
     g_array_unref(flows->pending_requests);
-    mw_drop_flow_config(flows->config);
+    mw_clear_flow_configs(&flows->configs);
     g_free(flows);
 }
 
@@ -392,30 +393,6 @@
     }
 }
 
-/* Each member of the log decodes the text; the leader has validated it. */
-static void
-apply_config(struct mw_context *ctx, struct mw_flows *flows,
-             const struct mw_record_config *record)
-{
-    int err = 0;
-    struct mw_flow_config *config;
-
-    if (flows->config && record->version <= flows->config->version) {
-        return;
-    }
-    config = flows->output.decode_config(flows->output.opaque, ctx,
-                                         mw_blob_str(record->text), &err);
-    if (!config) {
-        mw_emit_event(ctx, MW_SEVERITY_ERROR,
-                      "event=config_unreadable version=%" G_GUINT64_FORMAT
-                      " kind=%.*s",
-                      record->version, MW_FMT(mw_error_str(err)));
-        return;
-    }
-    mw_drop_flow_config(flows->config);
-    flows->config = config;
-}
-
 static void
 apply_zone(struct mw_flows *flows, const struct mw_record_zone_out *record)
 {
@@ -455,7 +432,7 @@
     flows->now_us = now_us;
     switch (record->kind) {
     case MW_RECORD_CONFIG:
-        apply_config(ctx, flows, &record->config);
+        mw_commit_flow_config(ctx, &flows->configs, record);
         break;
     case MW_RECORD_ZONE_OUT:
         apply_zone(flows, &record->zone_out);
@@ -493,7 +470,7 @@
     g_hash_table_remove_all(flows->flows);
     g_hash_table_remove_all(flows->zones_out);
     g_hash_table_remove_all(flows->endpoint_records);
-    g_clear_pointer(&flows->config, mw_drop_flow_config);
+    mw_reset_flow_configs(&flows->configs);
 }
 
 const struct mw_flow_counters *
@@ -503,9 +480,11 @@
 }
 
 uint64_t
-mw_flows_config_version(const struct mw_flows *flows)
+mw_flows_config_version(struct mw_flows *flows)
 {
-    return flows->config ? flows->config->version : 0;
+    const struct mw_flow_config *config = mw_get_flow_config(&flows->configs);
+
+    return config ? config->version : 0;
 }
 
 void
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -37,6 +37,10 @@
     int64_t now_us;
     uint64_t fence;
     GPtrArray *uncommitted;
+    /* every record since the script began */
+    GPtrArray *committed;
+    /* configurations decoded since the last `decodes` */
+    int decode_count;
     bool hold_commits;
     /* every proposal fails as if this process did not lead */
     bool refuse_records;
@@ -178,6 +182,16 @@
     }
 }
 
+static struct mw_flow_config *
+decode_config(void *opaque, struct mw_context *ctx, struct mw_str text,
+              int *error)
+{
+    struct state *st = opaque;
+
+    st->decode_count++;
+    return mw_decode_flow_config(NULL, ctx, text, error);
+}
+
 static void
 new_flows(struct state *st)
 {
@@ -186,13 +200,9 @@
         .stop_timeout_us = 900000,
         .state_retention_us = 240000000,
     };
-    struct mw_flow_output output = {st,
-                                    propose,
-                                    send_command,
-                                    print_reply,
-                                    print_event,
-                                    mw_decode_flow_config,
-                                    mw_decode_flow_plan};
+    struct mw_flow_output output = {
+        st,          propose,       send_command,       print_reply,
+        print_event, decode_config, mw_decode_flow_plan};
 
     st->flows = mw_new_flows(&limits, &output);
 }
@@ -207,6 +217,8 @@
     st->key = mw_name_from("k1");
     st->uncommitted =
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
+    st->committed =
+        g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
     st->sent = g_array_new(FALSE, TRUE, sizeof(struct sent_command));
     st->first_lists =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -226,6 +238,7 @@
 
     mw_drop_flows(st->flows);
     g_ptr_array_unref(st->uncommitted);
+    g_ptr_array_unref(st->committed);
     g_array_unref(st->sent);
     g_hash_table_unref(st->heartbeats);
     g_hash_table_unref(st->leases);
@@ -257,7 +270,7 @@
         struct mw_record *record = g_ptr_array_steal_index(st->uncommitted, 0);
 
         mw_flows_apply(&st->ctx, st->flows, st->now_us, record);
-        mw_drop_record(record);
+        g_ptr_array_add(st->committed, record);
     }
 }
 
@@ -481,6 +494,32 @@
     send_request(s, MW_FLOW_CONFIG, "", s->rest);
 }
 
+/* record-config VERSION TEXT: commits a record that another process proposed
+ */
+static void
+cmd_record_config(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
+
+    record->config.version = g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+    record->config.text = mw_new_blob(mw_str_from(line_from(s, 2)));
+    g_ptr_array_add(st->uncommitted, record);
+    settle(st);
+}
+
+/* decodes: how many configurations were decoded since the last time */
+static void
+cmd_decodes(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    int version = (int)mw_flows_config_version(st->flows);
+
+    mw_script_printf(s, "  %d decoded, version %d in force", st->decode_count,
+                     version);
+    st->decode_count = 0;
+}
+
 /* setup [version=N guaranteed=GPUS other=GPUS]: three queues by priority, the
  * organisations org, with key k1, and other, with key k2, and their
  * guarantees */
@@ -730,6 +769,20 @@
     g_ptr_array_unref(records);
 }
 
+/* replay: replaces the scheduler with one that reads all committed records */
+static void
+cmd_replay(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+
+    mw_drop_flows(st->flows);
+    new_flows(st);
+    for (guint i = 0; i < st->committed->len; i++) {
+        mw_flows_apply(&st->ctx, st->flows, st->now_us,
+                       st->committed->pdata[i]);
+    }
+}
+
 static const struct mw_script_command commands[] = {
     {"lead", 1, cmd_lead},
     {"commits", 1, cmd_commits},
@@ -742,6 +795,8 @@
     {"heartbeat", 1, cmd_heartbeat},
     {"key", 1, cmd_key},
     {"config", 0, cmd_config},
+    {"record-config", 2, cmd_record_config},
+    {"decodes", 0, cmd_decodes},
     {"setup", 0, cmd_setup},
     {"read-config", 0, cmd_read_config},
     {"zone", 2, cmd_zone},
@@ -753,6 +808,7 @@
     {"list", 1, cmd_list},
     {"lease", 1, cmd_lease},
     {"snapshot", 0, cmd_snapshot},
+    {"replay", 0, cmd_replay},
     {NULL, 0, NULL}};
 
 const struct mw_script_kind mw_flow_scripts = {"flow", commands, begin, end};
