flow-config-versions: one function decodes, its caller reports

The error code is now the caller's, which also reports the record that can't be decoded; no change of behaviour.

--- a/source/core/flow/flow-config-versions.c
+++ b/source/core/flow/flow-config-versions.c
@@ -91,26 +91,19 @@
     return g_ptr_array_steal_index(records, highest);
 }
 
-/* A new reference, or NULL if this process can't decode the record. */
+/* A new reference, or NULL and an error if it can't be decoded. */
 static struct mw_flow_config *
 decode_record(struct mw_flow_config_versions *configs,
-              const struct mw_record_config *record)
+              const struct mw_record_config *record, int *error)
 {
     struct mw_str text = mw_blob_str(record->text);
     struct mw_flow_config *config = find_validated(configs, text);
-    int err = 0;
 
     if (config) {
         config->refs++;
         return config;
     }
-    config = configs->decode(configs->opaque, configs->ctx, text, &err);
-    if (!config) {
-        mw_emit_event(configs->ctx, MW_SEVERITY_ERROR,
-                      "event=config_unreadable version=%" PRIu64 " kind=%.*s",
-                      record->version, MW_FMT(mw_error_str(err)));
-    }
-    return config;
+    return configs->decode(configs->opaque, configs->ctx, text, error);
 }
 
 /* Drops what was validated for this version or a lower one. */
@@ -126,21 +119,35 @@
     }
 }
 
+static void
+replace_current(struct mw_flow_config_versions *configs,
+                struct mw_flow_config *config)
+{
+    mw_drop_flow_config(configs->current);
+    configs->current = config;
+    g_ptr_array_set_size(configs->undecoded, 0);
+    drop_outdated(configs);
+}
+
 const struct mw_flow_config *
 mw_get_flow_config(struct mw_flow_config_versions *configs)
 {
     while (configs->undecoded->len > 0) {
         struct mw_record *record = take_highest(configs->undecoded);
+        int err = 0;
         struct mw_flow_config *config =
-            decode_record(configs, &record->config);
+            decode_record(configs, &record->config, &err);
 
-        mw_drop_record(record);
         if (config) {
-            mw_drop_flow_config(configs->current);
-            configs->current = config;
-            g_ptr_array_set_size(configs->undecoded, 0);
-            drop_outdated(configs);
+            replace_current(configs, config);
         }
+        else {
+            mw_emit_event(configs->ctx, MW_SEVERITY_ERROR,
+                          "event=config_unreadable version=%" PRIu64
+                          " kind=%.*s",
+                          record->config.version, MW_FMT(mw_error_str(err)));
+        }
+        mw_drop_record(record);
     }
     return configs->current;
 }
