--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -450,6 +450,7 @@
 uint64_t mw_flows_config_version(struct mw_flows *flows);
 
 struct mw_flows_status {
+    uint64_t config_version;
     uint32_t flows;
     uint32_t active;
     uint32_t endpoints;
@@ -461,7 +462,7 @@
     uint32_t command_window;
 };
 
-void mw_flows_get_status(const struct mw_flows *flows,
+void mw_flows_get_status(struct mw_flows *flows,
                          struct mw_flows_status *status);
 
 /* text of enumerators for logs and replies */
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -52,6 +52,8 @@
     }
     log->entries = g_array_new(FALSE, TRUE, sizeof(struct mw_log_entry));
     g_array_set_clear_func(log->entries, clear_entry);
+    log->retained = g_array_new(FALSE, TRUE, sizeof(struct mw_log_entry));
+    g_array_set_clear_func(log->retained, clear_entry);
     log->snapshot_records =
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
     g_queue_init(&log->deferred);
@@ -88,6 +90,7 @@
     g_clear_pointer(&log->incoming_records, g_ptr_array_unref);
     g_ptr_array_unref(log->snapshot_records);
     g_array_unref(log->entries);
+    g_array_unref(log->retained);
     g_rand_free(log->rand);
     g_free(log);
 }
@@ -101,6 +104,10 @@
 struct mw_log_entry *
 mw_log_entry_at(const struct mw_log *log, uint64_t index)
 {
+    if (index <= log->snapshot_index) {
+        return &g_array_index(log->retained, struct mw_log_entry,
+                              index - mw_log_first_index(log));
+    }
     return &g_array_index(log->entries, struct mw_log_entry,
                           index - log->snapshot_index - 1);
 }
@@ -111,7 +118,8 @@
     if (index == log->snapshot_index) {
         return log->snapshot_term;
     }
-    if (index < log->snapshot_index || index > mw_log_last_index(log)) {
+    if (index > mw_log_last_index(log) ||
+        (index < log->snapshot_index && index < mw_log_first_index(log))) {
         return 0;
     }
     return mw_log_entry_at(log, index)->term;
@@ -128,10 +136,14 @@
     return NULL;
 }
 
-/* pending_write: an unsynced item, and its last entry; 0 for none. */
+/*
+ * pending_write: an unsynced item, its last entry, 0 for none, and the size
+ * of the record if it is an entry.
+ */
 struct pending_write {
     uint64_t sequence;
     uint64_t index;
+    uint64_t bytes;
 };
 
 static void
@@ -140,7 +152,12 @@
     struct pending_write *write = g_new(struct pending_write, 1);
 
     item->sequence = ++log->store_sequence;
-    *write = (struct pending_write){item->sequence, index};
+    *write =
+        (struct pending_write){.sequence = item->sequence, .index = index};
+    if (item->kind == MW_STORED_ENTRY) {
+        write->bytes = mw_record_size(item->records[0]);
+    }
+    log->unsynced_bytes += write->bytes;
     g_queue_push_tail(&log->pending_writes, write);
     log->output.store(log->output.opaque, item);
 }
@@ -197,6 +214,7 @@
     struct mw_log_entry entry = {term, mw_keep_record(record)};
 
     g_array_append_val(log->entries, entry);
+    log->uncommitted_bytes += mw_record_size(record);
     mw_log_store_entry(log, mw_log_last_index(log));
     if (record->kind == MW_RECORD_ADMIT || record->kind == MW_RECORD_MEMBER) {
         mw_log_rebuild_config(log);
@@ -282,6 +300,12 @@
         restore_entry(log, item);
         break;
     case MW_STORED_SNAPSHOT:
+        if (item->index < log->applied_index) {
+            return mw_fail(ctx, MW_ERR_DAMAGED,
+                           "stored snapshot of entry %" PRIu64
+                           " follows applied entry %" PRIu64,
+                           item->index, log->applied_index);
+        }
         restore_snapshot(log, item);
         break;
     default:
@@ -307,6 +331,33 @@
     log->output.send(log->output.opaque, to, msg);
 }
 
+/*
+ * Whether a waiting message says the same as a later one that waits for the
+ * same item: a reply to an earlier heartbeat.
+ */
+static bool
+is_repeated(const struct mw_log *log, const struct mw_log_deferred *waiting,
+            const struct mw_name *to, const struct mw_log_msg *msg)
+{
+    return waiting->sequence == log->store_sequence &&
+           waiting->msg.term == log->term && waiting->msg.kind == msg->kind &&
+           waiting->msg.index == msg->index &&
+           waiting->msg.offset == msg->offset && waiting->msg.ok == msg->ok &&
+           mw_name_equal(&waiting->to, to);
+}
+
+/* Replies to heartbeats do not add up while the disk syncs nothing. */
+static void
+drop_repeated(struct mw_log *log, const struct mw_name *to,
+              const struct mw_log_msg *msg)
+{
+    struct mw_log_deferred *last = g_queue_peek_tail(&log->deferred);
+
+    if (last && is_repeated(log, last, to, msg)) {
+        free_deferred(g_queue_pop_tail(&log->deferred));
+    }
+}
+
 void
 mw_log_send_after_sync(struct mw_log *log, const struct mw_name *to,
                        const struct mw_log_msg *msg)
@@ -323,6 +374,7 @@
         free_deferred(deferred);
         return;
     }
+    drop_repeated(log, to, msg);
     g_queue_push_tail(&log->deferred, deferred);
 }
 
@@ -351,6 +403,7 @@
     log->synced_sequence = MAX(log->synced_sequence, sequence);
     while (write && write->sequence <= log->synced_sequence) {
         log->synced_index = MAX(log->synced_index, write->index);
+        log->unsynced_bytes -= write->bytes;
         g_free(g_queue_pop_head(&log->pending_writes));
         write = g_queue_peek_head(&log->pending_writes);
     }
@@ -391,6 +444,7 @@
         .commit_index = log->commit_index,
         .last_index = mw_log_last_index(log),
         .snapshot_index = log->snapshot_index,
+        .bytes = log->snapshot_bytes + log->applied_bytes,
         .incarnation = log->incarnation,
         .admitted = mw_log_is_admitted(log),
         .leader = log->leader,
--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <sys/file.h>
 #include <unistd.h>
-#include <zlib.h>
 
 /* interval at which a write that was refused is tried again */
 #define RETRY_INTERVAL_US 500000
@@ -22,10 +21,10 @@
 }
 
 static int
-write_all(int fd, const uint8_t *data, size_t len)
+write_all(const struct mw_disk *disk, int fd, const uint8_t *data, size_t len)
 {
     while (len > 0) {
-        ssize_t n = write(fd, data, len);
+        ssize_t n = disk->io->write(disk->io->opaque, fd, data, len);
 
         if (n < 0 && errno == EINTR) {
             continue;
@@ -40,71 +39,17 @@
 }
 
 static int
-sync_dir(const char *path)
+sync_file_data(const struct mw_disk *disk, int fd)
 {
-    int fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-
-    if (fd < 0) {
-        return MW_ERR_DISK;
-    }
-    int err = fsync(fd) == 0 ? 0 : MW_ERR_DISK;
-
-    close(fd);
-    return err;
-}
-
-static void
-put_le32(uint8_t *at, uint32_t value)
-{
-    value = GUINT32_TO_LE(value);
-    memcpy(at, &value, sizeof value);
-}
-
-uint32_t
-mw_get_le32(const uint8_t *at)
-{
-    uint32_t value;
-
-    memcpy(&value, at, sizeof value);
-    return GUINT32_FROM_LE(value);
-}
-
-static void
-append_item(GByteArray *out, const struct mw_blob *payload)
-{
-    uint8_t head[ITEM_HEADER_LEN];
-
-    put_le32(head, (uint32_t)payload->len);
-    put_le32(head + 4, (uint32_t)crc32(0, (const Bytef *)payload->ptr,
-                                       (uInt)payload->len));
-    g_byte_array_append(out, head, sizeof head);
-    g_byte_array_append(out, (const guint8 *)payload->ptr,
-                        (guint)payload->len);
+    return disk->io->sync(disk->io->opaque, fd);
 }
 
-static void
-encode_marker(uint8_t *marker, uint64_t offset)
-{
-    uint64_t le = GUINT64_TO_LE(offset);
-
-    put_le32(marker, MARKER_LENGTH_FIELD);
-    memcpy(marker + 4, MARKER_MAGIC, 8);
-    memcpy(marker + 12, &le, sizeof le);
-    put_le32(marker + 20, (uint32_t)crc32(0, marker, 20));
-}
-
-void
-mw_encode_disk_header(const struct mw_disk *disk, enum mw_group group,
-                      uint8_t *header)
+static int
+sync_dir(const struct mw_disk *disk)
 {
-    memset(header, 0, HEADER_LEN);
-    memcpy(header, HEADER_MAGIC, 6);
-    header[6] = MW_DISK_VERSION;
-    header[7] = (uint8_t)group;
-    header[8] = disk->member.len;
-    memcpy(header + 9, disk->member.ptr, disk->member.len);
-    put_le32(header + HEADER_LEN - 4,
-             (uint32_t)crc32(0, header, HEADER_LEN - 4));
+    return disk->io->sync_dir(disk->io->opaque, disk->data_dir) == 0
+               ? 0
+               : MW_ERR_DISK;
 }
 
 int
@@ -126,10 +71,10 @@
     int err = 0;
     int fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
 
-    mw_encode_disk_header(disk, group, header);
+    mw_encode_disk_header(disk, group, MW_DISK_VERSION, header);
     g_byte_array_append(out, header, sizeof header);
-    append_item(out, payload);
-    if (fd < 0 || write_all(fd, out->data, out->len) || fsync(fd) != 0) {
+    mw_append_disk_blob(out, payload);
+    if (fd < 0 || write_all(disk, fd, out->data, out->len) || fsync(fd) != 0) {
         err = mw_disk_error(ctx, path);
     }
     if (fd >= 0) {
@@ -168,7 +113,7 @@
             return err;
         }
     }
-    return sync_dir(disk->data_dir);
+    return sync_dir(disk);
 }
 
 static bool
@@ -207,7 +152,9 @@
     disk->member = setup->member;
     disk->owner = setup->owner;
     disk->ctx = setup->ctx;
+    disk->io = setup->io ? setup->io : &mw_system_disk_io;
     disk->lock_fd = -1;
+    disk->reserve.fd = -1;
     for (int group = 0; group < MW_GROUPS; group++) {
         disk->files[group].fd = -1;
         disk->files[group].unsynced = g_byte_array_new();
@@ -244,6 +191,16 @@
     return err;
 }
 
+/* Removes a new file that an earlier process could not complete. */
+static void
+remove_new_file(const struct mw_disk *disk, enum mw_group group)
+{
+    char *path = mw_disk_path(disk, group, ".new");
+
+    unlink(path);
+    g_free(path);
+}
+
 static int
 load_files(struct mw_context *ctx, struct mw_disk *disk, uint64_t *incarnation,
            const struct mw_disk_loader *loader)
@@ -256,6 +213,7 @@
         err = create_files(ctx, disk, *incarnation);
     }
     for (int group = 0; group < MW_GROUPS && !err; group++) {
+        remove_new_file(disk, (enum mw_group)group);
         err = mw_load_data_file(ctx, disk, (enum mw_group)group, loader,
                                 incarnation);
     }
@@ -321,7 +279,7 @@
     uint8_t header[HEADER_LEN];
 
     file->is_snapshot = true;
-    mw_encode_disk_header(disk, group, header);
+    mw_encode_disk_header(disk, group, MW_DISK_VERSION, header);
     g_byte_array_set_size(file->unsynced, 0);
     g_byte_array_append(file->unsynced, header, sizeof header);
 }
@@ -334,7 +292,7 @@
     if (stored->kind == MW_STORED_SNAPSHOT) {
         begin_snapshot(disk, stored->group);
     }
-    append_item(file->unsynced, stored->blob);
+    mw_append_disk_blob(file->unsynced, stored->blob);
     file->unsynced_sequence = stored->sequence;
 }
 
@@ -352,6 +310,55 @@
     }
 }
 
+/* Writes the new file; returns its descriptor, or -1 with errno set. */
+static int
+write_new_file(struct mw_disk *disk, const GByteArray *data, const char *path)
+{
+    int fd = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+
+    if (fd >= 0 && (write_all(disk, fd, data->data, data->len) ||
+                    sync_file_data(disk, fd) != 0)) {
+        int cause = errno;
+
+        /* leaves the room that the incomplete file takes */
+        disk->io->remove(disk->io->opaque, path);
+        close(fd);
+        errno = cause;
+        return -1;
+    }
+    return fd;
+}
+
+static bool
+is_disk_full(int cause)
+{
+    return cause == ENOSPC || cause == EDQUOT || cause == EFBIG;
+}
+
+/*
+ * Writes a snapshot that a full disk has refused: in the room of the reserve,
+ * or compressed; *length is what was written.
+ */
+static int
+write_without_room(struct mw_disk *disk, enum mw_group group, const char *path,
+                   uint64_t *length)
+{
+    const GByteArray *data = disk->files[group].unsynced;
+    int fd = -1;
+
+    if (mw_release_disk_reserve(disk)) {
+        fd = write_new_file(disk, data, path);
+    }
+    if (fd < 0) {
+        GByteArray *less = mw_compress_data_file(disk, group, data);
+
+        fd = write_new_file(disk, less, path);
+        *length = less->len;
+        g_byte_array_unref(less);
+    }
+    return fd;
+}
+
 /* Writes the new file beside the present one, then replaces that. */
 static int
 write_snapshot(struct mw_disk *disk, enum mw_group group)
@@ -359,30 +366,31 @@
     struct data_file *file = &disk->files[group];
     char *from = mw_disk_path(disk, group, ".new");
     char *to = mw_disk_path(disk, group, "");
-    int fd = open(from, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    uint64_t length = file->unsynced->len;
+    int fd = write_new_file(disk, file->unsynced, from);
     int err = 0;
 
-    if (fd < 0 || write_all(fd, file->unsynced->data, file->unsynced->len) ||
-        fdatasync(fd) != 0 || rename(from, to) != 0 ||
-        sync_dir(disk->data_dir)) {
-        err = MW_ERR_DISK;
+    if (fd < 0 && is_disk_full(errno)) {
+        fd = write_without_room(disk, group, from, &length);
     }
-    if (err) {
-        int cause = errno;
-
-        /* leaves the room that the incomplete file takes */
-        unlink(from);
-        if (fd >= 0) {
-            close(fd);
-        }
-        errno = cause;
+    if (fd < 0 || disk->io->rename(disk->io->opaque, from, to) != 0 ||
+        sync_dir(disk)) {
+        err = MW_ERR_DISK;
     }
-    else {
+    if (!err) {
         close(file->fd);
         file->fd = fd;
-        file->length = file->unsynced->len;
+        file->length = length;
+        file->snapshot_length = file->unsynced->len;
         file->is_snapshot = false;
     }
+    else if (fd >= 0) {
+        int cause = errno;
+
+        disk->io->remove(disk->io->opaque, from);
+        close(fd);
+        errno = cause;
+    }
     g_free(from);
     g_free(to);
     return err;
@@ -404,10 +412,10 @@
 }
 
 static int
-append_unsynced(struct data_file *file)
+append_unsynced(const struct mw_disk *disk, struct data_file *file)
 {
-    if (write_all(file->fd, file->unsynced->data, file->unsynced->len) ||
-        fdatasync(file->fd) != 0) {
+    if (write_all(disk, file->fd, file->unsynced->data, file->unsynced->len) ||
+        sync_file_data(disk, file->fd) != 0) {
         int cause = errno;
 
         undo_unsynced_writes(file);
@@ -420,12 +428,12 @@
 
 /* The marker itself is not synced here, but by the next sync of the file. */
 static void
-write_marker(struct data_file *file)
+write_marker(const struct mw_disk *disk, struct data_file *file)
 {
     uint8_t marker[MARKER_LEN];
 
-    encode_marker(marker, file->length);
-    if (write_all(file->fd, marker, sizeof marker) == 0) {
+    mw_encode_disk_marker(marker, file->length);
+    if (write_all(disk, file->fd, marker, sizeof marker) == 0) {
         file->length += sizeof marker;
     }
     else {
@@ -443,13 +451,13 @@
         return;
     }
     if (file->is_snapshot ? write_snapshot(disk, group)
-                          : append_unsynced(file)) {
+                          : append_unsynced(disk, file)) {
         note_refusal(disk, group_files[group]);
         return;
     }
     file->synced_length = file->length;
     note_success(disk);
-    write_marker(file);
+    write_marker(disk, file);
     g_byte_array_set_size(file->unsynced, 0);
     task_msg = mw_new_task_msg(MW_TASK_MSG_SYNCED);
     task_msg->group = group;
@@ -475,14 +483,15 @@
 {
     const struct mw_disk *disk = opaque;
 
-    return disk->refusing ? disk->retry_deadline_us : INT64_MAX;
+    return disk->refusing ? disk->retry_deadline_us
+                          : mw_disk_reserve_deadline(disk);
 }
 
 static void
 disk_tick(void *opaque, int64_t now_us)
 {
-    (void)now_us;
     disk_batch(opaque);
+    mw_tick_disk_reserve(opaque, now_us);
 }
 
 struct mw_task *
@@ -497,6 +506,7 @@
     };
 
     disk->owner = owner;
+    mw_open_disk_reserve(disk);
     disk->task = mw_new_task("disk", &work);
     return disk->task;
 }
@@ -516,6 +526,7 @@
         }
         g_byte_array_unref(file->unsynced);
     }
+    mw_close_disk_reserve(disk);
     if (disk->lock_fd >= 0) {
         close(disk->lock_fd);
     }
@@ -528,3 +539,9 @@
 {
     return disk->truncated_tails;
 }
+
+const struct mw_disk_summary *
+mw_disk_get_summary(const struct mw_disk *disk, enum mw_group group)
+{
+    return &disk->files[group].summary;
+}
--- a/source/run/disk.h
+++ b/source/run/disk.h
@@ -7,11 +7,15 @@
  * disk: the task that owns the data directory.
  *
  * FILES   LOCK, region.log and zone.log; a new snapshot is written to
- *         NAME.log.new and renamed once it is synced
+ *         NAME.log.new and renamed once it is synced; RESERVE keeps room for
+ *         it, and is removed when the disk has none left
  * FORMAT  header: "MWLOG", version, group, member, CRC-32; then items, each
  *         with its length, CRC-32 and payload; and sync markers, each of
  *         which states that everything before it has been synced
  *
+ * A snapshot that a full disk refuses is written once more with compressed
+ * items.
+ *
  * All items in one batch of messages share one sync.  Damage after the last
  * sync marker is the tail of an interrupted write: it is truncated and
  * counted.  Damage before a sync marker has lost synced data and fails with
@@ -24,11 +28,41 @@
  */
 
 #define MW_DISK_VERSION 1
+/* of a file that may hold compressed items */
+#define MW_DISK_VERSION_COMPRESSED 2
+
+/* mw_disk_space: bytes of a file system. */
+struct mw_disk_space {
+    uint64_t total;
+    uint64_t available;
+};
+
+/*
+ * mw_disk_io: the operations that change files.
+ *
+ * Results and errno are those of write, fdatasync, rename and unlink; sync_dir
+ * makes the names in a directory persist.
+ */
+struct mw_disk_io {
+    void *opaque;
+    ssize_t (*write)(void *opaque, int fd, const void *data, size_t len);
+    int (*sync)(void *opaque, int fd);
+    int (*rename)(void *opaque, const char *from, const char *to);
+    int (*remove)(void *opaque, const char *path);
+    int (*sync_dir)(void *opaque, const char *path);
+    int (*get_space)(void *opaque, const char *path,
+                     struct mw_disk_space *space);
+};
+
+/* mw_system_disk_io: those of the operating system. */
+extern const struct mw_disk_io mw_system_disk_io;
 
+/* mw_disk_setup: io NULL stands for mw_system_disk_io. */
 struct mw_disk_setup {
     struct mw_str data_dir;
     struct mw_name member;
     struct mw_task *owner;
+    const struct mw_disk_io *io;
     struct mw_context ctx;
 };
 
@@ -40,6 +74,23 @@
                 const struct mw_stored_item *item);
 };
 
+/*
+ * mw_disk_summary: what a start has read of a group's file.
+ *
+ * bytes does not count a damaged end.  term, commit and last_index are the
+ * highest that any item states.
+ */
+struct mw_disk_summary {
+    uint64_t bytes;
+    uint64_t entries;
+    uint64_t snapshots;
+    uint64_t term;
+    uint64_t commit;
+    uint64_t last_index;
+    int64_t begin_us;
+    int64_t end_us;
+};
+
 struct mw_disk;
 
 /*
@@ -71,6 +122,10 @@
 struct mw_task *mw_start_disk(struct mw_disk *disk, struct mw_task *owner);
 void mw_drop_disk(struct mw_disk *disk);
 
+/* mw_disk_get_summary: what the start has read of a group's file; lent. */
+const struct mw_disk_summary *mw_disk_get_summary(const struct mw_disk *disk,
+                                                  enum mw_group group);
+
 /* mw_disk_truncated_tail_count: number of files whose damaged tail was
  * truncated on load. */
 uint64_t mw_disk_truncated_tail_count(const struct mw_disk *disk);
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -9,11 +9,15 @@
  */
 #include <string.h>
 
+#include "mimosawind/link-choice.h"
 #include "script.h"
 
 #define MEMBERS_MAX 5
 #define STEP_US 10000
 #define LATENCY_US 1000
+#define US_PER_S 1000000
+/* bytes of a message without entries */
+#define EMPTY_MSG_BYTES 100
 
 /* simulated time at which the founding members start */
 #define START_US 10000000
@@ -23,6 +27,7 @@
     int from;
     int to;
     int64_t arrival_us;
+    uint64_t bytes;
     struct mw_log_msg msg;
 };
 
@@ -35,13 +40,28 @@
     bool frozen;
     /* its disk refuses writes */
     bool disk_full;
+    /* its disk takes writes, and syncs none */
+    bool disk_stalled;
     struct mw_log *log;
     uint64_t incarnation;
     /* encoded stored items; a crash keeps the first synced_count of them */
     GPtrArray *stored;
     uint64_t sequence;
     guint synced_count;
+    /* most entries in memory at once while the items were read */
+    uint64_t most_restored;
     int64_t clock_us;
+    /* bytes per second of the link to it; 0 for no limit */
+    uint64_t link_rate;
+    /* when everything sent to it so far has arrived */
+    int64_t link_free_us;
+    /* bytes on their way to it, and the most there were */
+    uint64_t waiting_bytes;
+    uint64_t most_waiting_bytes;
+    /* the largest message that it has sent */
+    uint64_t largest_msg_bytes;
+    /* the latest configuration, NULL before the first */
+    struct mw_record *config;
     GArray *values;
     uint64_t applied_index;
 };
@@ -66,6 +86,8 @@
     bool keep_disks;
     /* disks fill up and get room again, at random */
     bool fill_disks;
+    /* what each disk has room for, of what no snapshot replaces; 0 for all */
+    uint64_t disk_bytes;
     uint32_t compact_after;
     uint64_t compact_bytes;
     /* members of the first configuration; 0 if all members are in it */
@@ -94,17 +116,51 @@
     return -1;
 }
 
+static uint64_t
+msg_bytes(const struct mw_log_msg *msg)
+{
+    uint64_t bytes = EMPTY_MSG_BYTES;
+
+    for (uint32_t i = 0; i < msg->entry_count; i++) {
+        bytes += mw_record_size(msg->entries[i].record);
+    }
+    return bytes;
+}
+
+/* Time until a link of limited rate has carried so many more bytes. */
+static int64_t
+transmission_us(struct cluster *cluster, struct member *to, uint64_t bytes)
+{
+    if (to->link_rate == 0) {
+        return 0;
+    }
+    to->link_free_us = MAX(to->link_free_us, cluster->now_us) +
+                       (int64_t)(bytes * US_PER_S / to->link_rate);
+    return to->link_free_us - cluster->now_us;
+}
+
+/* As the product's links do, drops messages once too many bytes wait. */
 static void
 schedule_packet(struct cluster *cluster, int from, int to,
                 const struct mw_log_msg *msg, int64_t delay_us)
 {
-    struct packet *packet = g_new0(struct packet, 1);
+    struct member *target = &cluster->members[to];
+    struct packet *packet;
 
+    if (!mw_may_queue_msg(MW_MSG_LOG, target->waiting_bytes)) {
+        return;
+    }
+    packet = g_new0(struct packet, 1);
     packet->from = from;
     packet->to = to;
-    packet->arrival_us = cluster->now_us + delay_us;
+    packet->bytes = msg_bytes(msg);
+    packet->arrival_us = cluster->now_us + delay_us +
+                         transmission_us(cluster, target, packet->bytes);
     mw_log_msg_copy(&packet->msg, msg);
     g_ptr_array_add(cluster->packets, packet);
+    target->waiting_bytes += packet->bytes;
+    target->most_waiting_bytes =
+        MAX(target->most_waiting_bytes, target->waiting_bytes);
 }
 
 static void
@@ -116,6 +172,7 @@
     int target = find_member_index(cluster, to);
     int64_t delay = LATENCY_US;
 
+    m->largest_msg_bytes = MAX(m->largest_msg_bytes, msg_bytes(msg));
     if (target < 0 || cluster->cut[m->index][target]) {
         return;
     }
@@ -144,6 +201,10 @@
 member_apply(void *opaque, uint64_t index, struct mw_record *record)
 {
     struct member *m = opaque;
+    if (record->kind == MW_RECORD_CONFIG) {
+        mw_drop_record(m->config);
+        m->config = mw_keep_record(record);
+    }
     if (record->kind != MW_RECORD_FORGET) {
         return;
     }
@@ -159,6 +220,7 @@
     struct member *m = opaque;
 
     g_array_set_size(m->values, 0);
+    g_clear_pointer(&m->config, mw_drop_record);
 }
 
 static void
@@ -167,6 +229,9 @@
 {
     struct member *m = opaque;
 
+    if (m->config) {
+        add(out, m->config);
+    }
     for (guint i = 0; i < m->values->len; i++) {
         struct mw_record *record = mw_new_record(MW_RECORD_FORGET);
 
@@ -222,15 +287,26 @@
         setup.members[i].name = cluster->members[i].name;
         setup.members[i].disk = cluster->members[i].disk;
     }
-    g_array_set_size(m->values, 0);
+    member_reset(m);
     m->log = mw_new_log(&setup);
 }
 
+static void
+note_restored(struct member *m)
+{
+    struct mw_log_status status;
+
+    mw_log_get_status(m->log, &status);
+    m->most_restored =
+        MAX(m->most_restored, status.last_index - status.snapshot_index);
+}
+
 static void
 replay_stored(struct member *m)
 {
     struct cluster *cluster = m->cluster;
 
+    m->most_restored = 0;
     for (guint i = 0; i < m->stored->len; i++) {
         struct mw_stored_item item;
         struct mw_blob *blob = m->stored->pdata[i];
@@ -242,6 +318,7 @@
                 m->index);
         }
         mw_clear_stored(&item);
+        note_restored(m);
     }
     g_ptr_array_set_size(m->stored, (gint)m->stored->len);
     m->synced_count = m->stored->len;
@@ -304,11 +381,59 @@
     m->synced_count = 0;
 }
 
+/*
+ * Index of the first item that a sync keeps: as on a disk, a snapshot replaces
+ * everything before it.
+ */
+static guint
+first_kept(struct member *m)
+{
+    for (guint i = m->stored->len; i > MAX(m->synced_count, 1); i--) {
+        struct mw_stored_item item;
+        struct mw_blob *blob = m->stored->pdata[i - 1];
+        int err = mw_decode_stored(&m->cluster->ctx, mw_blob_str(blob), &item);
+        bool is_snapshot = !err && item.kind == MW_STORED_SNAPSHOT;
+
+        mw_clear_stored(&item);
+        if (is_snapshot) {
+            return i - 1;
+        }
+    }
+    return 0;
+}
+
+static void
+set_disk_full(struct member *m, bool full)
+{
+    m->disk_full = full;
+    if (m->up) {
+        mw_log_set_writable(&m->cluster->ctx, m->log, m->cluster->now_us,
+                            !full);
+    }
+}
+
+/* Where disks have a size, they refuse what they have no room for. */
+static void
+check_disk_room(struct member *m)
+{
+    uint64_t bytes = 0;
+
+    if (m->cluster->disk_bytes == 0 || !m->up || m->frozen) {
+        return;
+    }
+    for (guint i = first_kept(m); i < m->stored->len; i++) {
+        bytes += mw_blob_str(m->stored->pdata[i]).len;
+    }
+    set_disk_full(m, bytes > m->cluster->disk_bytes);
+}
+
 static void
 sync_member(struct member *m)
 {
-    if (m->up && !m->frozen && !m->disk_full &&
+    check_disk_room(m);
+    if (m->up && !m->frozen && !m->disk_full && !m->disk_stalled &&
         m->synced_count < m->stored->len) {
+        g_ptr_array_remove_range(m->stored, 0, first_kept(m));
         m->synced_count = m->stored->len;
         mw_log_synced(&m->cluster->ctx, m->log, m->cluster->now_us,
                       m->sequence);
@@ -327,6 +452,7 @@
             continue;
         }
         g_ptr_array_steal_index(cluster->packets, i);
+        to->waiting_bytes -= packet->bytes;
         if (to->up && !cluster->cut[packet->from][packet->to]) {
             mw_log_receive(&cluster->ctx, to->log, cluster->now_us,
                            &cluster->members[packet->from].name, &packet->msg);
@@ -504,6 +630,7 @@
 
     for (int i = 0; i < cluster->count; i++) {
         mw_drop_log(cluster->members[i].log);
+        g_clear_pointer(&cluster->members[i].config, mw_drop_record);
         g_ptr_array_unref(cluster->members[i].stored);
         g_array_unref(cluster->members[i].values);
     }
@@ -545,6 +672,7 @@
     cluster->compact_after = (uint32_t)mw_script_option_int(s, "compact", 0);
     cluster->compact_bytes =
         (uint64_t)mw_script_option_int(s, "compact-bytes", 0);
+    cluster->disk_bytes = (uint64_t)mw_script_option_int(s, "disk-bytes", 0);
     for (int i = 1; i < s->word_count; i++) {
         if (!strchr(s->words[i], '=')) {
             add_member(cluster, s->words[i]);
@@ -615,42 +743,114 @@
     say_fault(s);
 }
 
+/* propose [count=N] [every=MS]: values, at once or one after the other */
 static void
 cmd_propose(struct mw_script *s)
 {
     struct cluster *cluster = s->state;
     int64_t count = mw_script_option_int(s, "count", 1);
+    int64_t steps = mw_script_option_int(s, "every", 0) * 1000 / STEP_US;
     struct member *m = find_leader(cluster);
 
     for (int64_t i = 0; m && i < count; i++) {
         propose(cluster, m, ++cluster->next_value);
+        for (int64_t n = 0; n < steps; n++) {
+            step(cluster);
+        }
+        m = find_leader(cluster);
     }
     if (!m) {
         mw_script_printf(s, "propose: no leader");
     }
+    say_fault(s);
 }
 
-/* change-config COUNT BYTES: so many configurations of this size */
+/* Returns whether the leader has taken the configuration. */
+static bool
+propose_config(struct cluster *cluster, uint64_t version, struct mw_str text)
+{
+    struct member *m = find_leader(cluster);
+    struct mw_record *record;
+    int err;
+
+    if (!m) {
+        return false;
+    }
+    record = mw_new_record(MW_RECORD_CONFIG);
+    record->config.version = version;
+    record->config.text = mw_new_blob(text);
+    err = mw_log_propose(&cluster->ctx, m->log, cluster->now_us, record, NULL);
+    mw_drop_record(record);
+    mw_log_flush(m->log, cluster->now_us);
+    return err == 0;
+}
+
+/*
+ * change-config COUNT BYTES [every=MS]: so many configurations of this size,
+ * at once or one after the other; says how many of them are refused
+ */
 static void
 cmd_change_config(struct mw_script *s)
 {
     struct cluster *cluster = s->state;
     gsize len = (gsize)atoi(mw_script_word(s, 2));
     char *text = g_strnfill(len, 'x');
-    struct member *m = find_leader(cluster);
-
-    for (int i = 0; m && i < atoi(mw_script_word(s, 1)); i++) {
-        struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
-
-        record->config.version = (uint64_t)i + 1;
-        record->config.text = mw_new_blob((struct mw_str){text, len});
-        mw_log_propose(&cluster->ctx, m->log, cluster->now_us, record, NULL);
-        mw_drop_record(record);
-        mw_log_flush(m->log, cluster->now_us);
+    int64_t steps = mw_script_option_int(s, "every", 0) * 1000 / STEP_US;
+    int refused = 0;
+
+    for (int i = 0; i < atoi(mw_script_word(s, 1)); i++) {
+        refused += !propose_config(cluster, (uint64_t)i + 1,
+                                   (struct mw_str){text, len});
+        for (int64_t n = 0; n < steps; n++) {
+            step(cluster);
+        }
     }
+    if (refused > 0) {
+        mw_script_printf(s, "%d refused", refused);
+    }
+    say_fault(s);
     g_free(text);
 }
 
+/*
+ * slow-link NAME BYTES: bytes per second of the link to a member; the bytes
+ * on their way are counted from then on
+ */
+static void
+cmd_slow_link(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+
+    m->link_rate = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+    m->most_waiting_bytes = m->waiting_bytes;
+}
+
+/* most-waiting NAME BOUND: whether at most BOUND bytes were on their way */
+static void
+cmd_most_waiting(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    uint64_t bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->most_waiting_bytes <= bound
+                         ? "few bytes were on their way"
+                         : "many bytes were on their way");
+    m->most_waiting_bytes = 0;
+}
+
+/* largest-message NAME BOUND: whether none that it sent was larger */
+static void
+cmd_largest_message(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    uint64_t bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->largest_msg_bytes <= bound ? "messages are small"
+                                                   : "messages are large");
+}
+
 static void
 cmd_crash(struct mw_script *s)
 {
@@ -681,16 +881,6 @@
     member_at_word(s, 1)->frozen = false;
 }
 
-static void
-set_disk_full(struct member *m, bool full)
-{
-    m->disk_full = full;
-    if (m->up) {
-        mw_log_set_writable(&m->cluster->ctx, m->log, m->cluster->now_us,
-                            !full);
-    }
-}
-
 static void
 cmd_disk_full(struct mw_script *s)
 {
@@ -703,6 +893,55 @@
     set_disk_full(member_at_word(s, 1), false);
 }
 
+/* upgrade COMPACT COMPACT_BYTES: what a member takes a snapshot after, from
+ * its next start on */
+static void
+cmd_upgrade(struct mw_script *s)
+{
+    struct cluster *cluster = s->state;
+
+    cluster->compact_after = (uint32_t)atoi(mw_script_word(s, 1));
+    cluster->compact_bytes = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+}
+
+/* restored NAME BOUND: whether its last start had at most BOUND entries in
+ * memory at once */
+static void
+cmd_restored(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    guint64 bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->most_restored <= bound
+                         ? "few entries were in memory"
+                         : "the whole log was in memory");
+}
+
+/* stored NAME BOUND: whether its disk holds at most BOUND items */
+static void
+cmd_stored(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    guint64 bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+
+    mw_script_printf(s, "%s",
+                     m->stored->len <= bound ? "few items are stored"
+                                             : "many items are stored");
+}
+
+static void
+cmd_disk_stall(struct mw_script *s)
+{
+    member_at_word(s, 1)->disk_stalled = true;
+}
+
+static void
+cmd_disk_resume(struct mw_script *s)
+{
+    member_at_word(s, 1)->disk_stalled = false;
+}
+
 /* unsynced NAME BOUND: whether at most BOUND items wait for the disk */
 static void
 cmd_unsynced(struct mw_script *s)
@@ -926,6 +1165,9 @@
     {"run", 1, cmd_run},
     {"propose", 0, cmd_propose},
     {"change-config", 2, cmd_change_config},
+    {"slow-link", 2, cmd_slow_link},
+    {"most-waiting", 2, cmd_most_waiting},
+    {"largest-message", 2, cmd_largest_message},
     {"crash", 1, cmd_crash},
     {"lose-disk", 1, cmd_lose_disk},
     {"start", 1, cmd_start},
@@ -933,7 +1175,12 @@
     {"thaw", 1, cmd_thaw},
     {"disk-full", 1, cmd_disk_full},
     {"disk-free", 1, cmd_disk_free},
+    {"disk-stall", 1, cmd_disk_stall},
+    {"disk-resume", 1, cmd_disk_resume},
     {"unsynced", 2, cmd_unsynced},
+    {"upgrade", 2, cmd_upgrade},
+    {"restored", 2, cmd_restored},
+    {"stored", 2, cmd_stored},
     {"cut", 2, cmd_cut},
     {"isolate", 1, cmd_isolate},
     {"heal", 0, cmd_heal},
