--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -45,7 +45,9 @@
     uint32_t org;
 };
 
-/* mw_flow_config: one version of the configuration; immutable. */
+struct mw_flow_config_index;
+
+/* mw_flow_config: one version of the configuration; immutable once decoded. */
 struct mw_flow_config {
     int refs;
     uint64_t version;
@@ -59,6 +61,8 @@
     struct mw_flow_org *orgs;
     uint32_t key_count;
     struct mw_flow_key *keys;
+    /* of the entries above that were added with mw_index_flow_... */
+    struct mw_flow_config_index *index;
 };
 
 #define MW_FLOW_STEPS_MAX 64
@@ -382,6 +386,8 @@
  *
  * The owner of the log applies each committed record, collects the records
  * of a snapshot, and resets the state before it applies another snapshot.
+ * The context must outlive the scheduler, which decodes a configuration only
+ * when it needs it.
  */
 void mw_flows_apply(struct mw_context *ctx, struct mw_flows *flows,
                     int64_t now_us, struct mw_record *record);
@@ -443,7 +449,7 @@
                        enum mw_flow_latency latency);
 struct mw_str mw_flow_latency_str(enum mw_flow_latency latency);
 /* mw_flows_config_version: of the configuration; 0 for none. */
-uint64_t mw_flows_config_version(const struct mw_flows *flows);
+uint64_t mw_flows_config_version(struct mw_flows *flows);
 
 struct mw_flows_status {
     uint64_t config_version;
@@ -458,7 +464,7 @@
     uint32_t command_window;
 };
 
-void mw_flows_get_status(const struct mw_flows *flows,
+void mw_flows_get_status(struct mw_flows *flows,
                          struct mw_flows_status *status);
 
 /* text of enumerators for logs and replies */
@@ -470,7 +476,28 @@
 void mw_drop_flow_config(struct mw_flow_config *config);
 void mw_drop_flow_plan(struct mw_flow_plan *plan);
 
-/* mw_flow_find_route: by host and longest path prefix; NULL for none. */
+/*
+ * mw_index_flow_service, mw_index_flow_route, mw_index_flow_key: add an entry
+ * of the configuration to its index, from which it is found.
+ *
+ * The entry must be complete and must not move afterwards.  Returns 0, or
+ * MW_ERR_INVALID for a route of a service that was not added, or
+ * MW_ERR_DUPLICATE for a route with the host and the path prefix of another
+ * or an API key of another organisation.  A duplicate is not added.  The time
+ * does not depend on the number of entries.
+ */
+void mw_index_flow_service(struct mw_flow_config *config,
+                           const struct mw_name *service);
+int mw_index_flow_route(struct mw_flow_config *config,
+                        const struct mw_flow_route *route);
+int mw_index_flow_key(struct mw_flow_config *config,
+                      const struct mw_flow_key *key);
+
+/*
+ * mw_flow_find_route: by host and longest path prefix; NULL for none.
+ *
+ * A port after the host is ignored.  All bytes count, upper and lower case.
+ */
 const struct mw_flow_route *
 mw_flow_find_route(const struct mw_flow_config *config, struct mw_str host,
                    struct mw_str path);
