Lines say what keeps room from work that waits for long

The line `waits` comes once a ready step has had no run at work for 3 s while idle endpoints have room for a task, or for the whole gang, and again each time the wait has doubled. It names what keeps most of the room: an earlier run, the urgent pool, a reservation, a trial, a quarantine, endpoints not heard of, late starts, or the choice of a rack. The counter long_waits counts the lines.

Test: flow/wait-reported. flow/silent-heard and flow/takeover-silent, which wait for a lease, have the line now, too; no decision in them is changed.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -334,6 +334,8 @@
     uint64_t preemptions_impossible;
     /* reservations that expired, or broke, before their group was placed */
     uint64_t reservations_lost;
+    /* reports of groups that waited for long although there was room */
+    uint64_t long_waits;
     uint64_t quarantined;
     /* endpoints whose process ended without notice, with runs there */
     uint64_t endpoint_crashes;
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -211,6 +211,10 @@
     uint32_t reserved_count;
     /* when a preemption last reserved endpoints for it */
     int64_t reserved_us;
+    /* since when no run is at work although it is ready; 0 while one is */
+    int64_t idle_since_us;
+    /* when that is reported next */
+    int64_t wait_report_deadline_us;
 };
 
 /* mw_flow: a flow, with the groups of each occurrence in a row. */
@@ -646,6 +650,16 @@
 bool mw_is_reservation_broken(const struct mw_flows *flows,
                               const struct mw_task_group *group,
                               int64_t now_us);
+/*
+ * mw_report_long_waits: emit an event for each task group that has waited for
+ * long although there is room, with what keeps the room from it.
+ *
+ * wall_us is the time of day.  Few groups are reported in one call, the others
+ * in the next ones; one group again each time its wait has doubled.
+ */
+void mw_report_long_waits(struct mw_flows *flows, int64_t now_us,
+                          int64_t wall_us);
+
 /* the group was not placed while endpoints were reserved for it */
 void mw_report_lost_reservation(struct mw_flows *flows,
                                 struct mw_task_group *group, uint32_t tasks,
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -452,6 +452,7 @@
             flow->groups[u].guaranteed_us = 0;
             flow->groups[u].preemption_deadline_us = 0;
             flow->groups[u].reserved_count = 0;
+            flow->groups[u].idle_since_us = 0;
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
                 flow->groups[u].tasks[i].unrecorded_crash_score = 0;
@@ -542,6 +543,7 @@
         remove_ended_flows(flows, now_us);
         mw_remove_stale_endpoint_records(flows, now_us);
         mw_record_unheard_capacities(flows, now_us);
+        mw_report_long_waits(flows, now_us, wall_us);
     }
     if (now_us >= flows->pass_deadline_us) {
         flows->pass_deadline_us = now_us + MW_FLOW_PASS_US;
--- /dev/null
+++ b/source/core/flow/flow-wait.c
@@ -0,0 +1,187 @@
+/*
+ * flow-wait: reports task groups that wait for long although there is room.
+ *
+ * LOAD   work that is not started beside idle endpoints.  No decision is made
+ *        about it, so no event would tell what it waits for.
+ *
+ * Nothing is decided here.  A group that has had no run at work for
+ * REPORT_WAIT_US is reported with the reason that keeps the most room from it,
+ * and again each time its wait has doubled.
+ */
+#include "flow-impl.h"
+
+#define REPORT_WAIT_US INT64_C(3000000)
+/* groups that one call looks at; the others follow in later calls */
+#define LOOKS_MAX 16
+
+/* hold: what keeps an endpoint's room, or all room, from a group. */
+enum hold {
+    /* an earlier run of it is not known to be over */
+    HOLD_EARLIER_RUN = 0,
+    HOLD_URGENT_POOL,
+    HOLD_RESERVATION,
+    /* a task that may crash endpoints is on trial there */
+    HOLD_TRIAL,
+    HOLD_QUARANTINE,
+    /* no list of its runs, or no current capacity, is known */
+    HOLD_NOT_HEARD,
+    /* an earlier start may still be executed there */
+    HOLD_LATE_START,
+    /* the group waits for room in one rack, or in that of its data */
+    HOLD_RACK,
+    HOLD_KINDS
+};
+
+static const char *
+hold_str(enum hold hold)
+{
+    static const char *const texts[] = {
+        "earlier_run", "urgent_pool", "reservation", "trial",
+        "quarantine",  "not_heard",   "late_start",  "rack"};
+
+    return texts[hold];
+}
+
+static uint32_t
+count_placements(const struct mw_task_group *group, bool at_work)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < group->step->count; i++) {
+        const struct mw_task_placement *placement = group->tasks[i].placement;
+
+        count += placement &&
+                 at_work == (placement->phase == MW_PLACEMENT_PROPOSED ||
+                             placement->phase == MW_PLACEMENT_STARTING ||
+                             placement->phase == MW_PLACEMENT_RUNNING);
+    }
+    return count;
+}
+
+/* Draining endpoints and zones that are out have no room for any group. */
+static bool
+may_have_room(const struct mw_flows *flows,
+              const struct mw_flow_endpoint *endpoint,
+              const struct mw_task_group *group)
+{
+    return endpoint->registered && !endpoint->deregistered &&
+           !endpoint->is_leaving && !endpoint->heartbeat.draining &&
+           !mw_flow_zone_is_out(flows, &endpoint->heartbeat.zone) &&
+           mw_name_equal(&endpoint->heartbeat.service,
+                         &group->flow->route.service) &&
+           (group->step->label.len == 0 ||
+            mw_flow_endpoint_has_label(endpoint, &group->step->label));
+}
+
+static enum hold
+hold_of_endpoint(const struct mw_flow_endpoint *endpoint,
+                 const struct mw_task_group *group, int64_t now_us)
+{
+    if (!endpoint->usable) {
+        if (now_us < endpoint->quarantine_deadline_us) {
+            return HOLD_QUARANTINE;
+        }
+        return mw_may_execute_late_start(endpoint) ? HOLD_LATE_START
+                                                   : HOLD_NOT_HEARD;
+    }
+    if (mw_urgent_pool_excludes(endpoint, group, now_us)) {
+        return HOLD_URGENT_POOL;
+    }
+    if (mw_trial_excludes(endpoint, group)) {
+        return HOLD_TRIAL;
+    }
+    if (mw_reservation_excludes(endpoint, group, now_us)) {
+        return HOLD_RESERVATION;
+    }
+    return HOLD_RACK;
+}
+
+/* Counts, by hold, the waiting tasks that idle room would fit. */
+static void
+count_room(const struct mw_flows *flows, const struct mw_task_group *group,
+           int64_t now_us, uint32_t *room)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_flow_endpoint *endpoint = value;
+
+        uint32_t tasks;
+
+        if (!may_have_room(flows, endpoint, group)) {
+            continue;
+        }
+        tasks = mw_tasks_that_fit(&endpoint->heartbeat.total, &endpoint->used,
+                                  &group->step->need);
+        tasks = MIN(tasks, mw_flow_endpoint_limit_left(endpoint, group));
+        room[hold_of_endpoint(endpoint, group, now_us)] += tasks;
+    }
+}
+
+/* Reports the wait if there is room for a task, or for all of a gang. */
+static void
+report_wait(struct mw_flows *flows, const struct mw_task_group *group,
+            int64_t now_us)
+{
+    uint32_t wanted = group->step->count - group->done_count;
+    uint32_t room[HOLD_KINDS] = {0};
+    uint32_t total = 0;
+    enum hold hold = HOLD_EARLIER_RUN;
+
+    count_room(flows, group, now_us, room);
+    for (enum hold h = HOLD_EARLIER_RUN; h < HOLD_KINDS; h++) {
+        total += room[h];
+        hold = room[h] > room[hold] ? h : hold;
+    }
+    if (count_placements(group, false) > 0) {
+        hold = HOLD_EARLIER_RUN;
+    }
+    if (total < (group->step->gang ? wanted : 1)) {
+        return;
+    }
+    flows->counters.long_waits++;
+    mw_emit_task_group_event(flows, "waits", group, hold_str(hold), wanted,
+                             total, now_us - group->idle_since_us);
+}
+
+/* Whether the group's wait is due to be reported. */
+static bool
+is_report_due(struct mw_task_group *group, int64_t now_us, int64_t wall_us)
+{
+    if (group->done_count == group->step->count ||
+        !mw_task_group_is_ready(group, wall_us) ||
+        count_placements(group, true) > 0) {
+        group->idle_since_us = 0;
+        return false;
+    }
+    if (group->idle_since_us == 0) {
+        group->idle_since_us = now_us;
+        group->wait_report_deadline_us = now_us + REPORT_WAIT_US;
+    }
+    return now_us >= group->wait_report_deadline_us;
+}
+
+void
+mw_report_long_waits(struct mw_flows *flows, int64_t now_us, int64_t wall_us)
+{
+    uint32_t looks_left = LOOKS_MAX;
+
+    for (guint f = 0; f < flows->active->len; f++) {
+        struct mw_flow *flow = flows->active->pdata[f];
+
+        for (uint32_t i = 0; !flow->end_proposed && i < flow->group_count;
+             i++) {
+            struct mw_task_group *group = &flow->groups[i];
+
+            if (!is_report_due(group, now_us, wall_us) || looks_left == 0) {
+                continue;
+            }
+            looks_left--;
+            report_wait(flows, group, now_us);
+            group->wait_report_deadline_us =
+                now_us + MAX(now_us - group->idle_since_us, REPORT_WAIT_US);
+        }
+    }
+}
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -56,6 +56,7 @@
     COUNTER(preempted);
     COUNTER(preemptions_impossible);
     COUNTER(reservations_lost);
+    COUNTER(long_waits);
     COUNTER(quarantined);
     COUNTER(endpoint_crashes);
     COUNTER(crashing_flows);
