A gang that is partly over is stopped by the next leader, not started alone

Cause: the end of a gang's run is recorded task by task. A leader that ends after the record of one task and before its stop has reached the others leaves tasks that wait beside tasks that are assigned. The next leader took each by itself: a task that its endpoint listed went on alone, and one that it did not list was started again, alone.

Change: a gang that is recorded as assigned in part has its runs stopped when they are restored. A run that has ended done meanwhile still completes the gang, as before (flow/gang-done).

--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -392,6 +392,21 @@
     flows->dirty = flows->has_renewals_left;
 }
 
+/*
+ * Whether a run of the gang is over, and recorded so for some of its tasks
+ * only: the earlier leader was about to stop the others.
+ */
+static bool
+is_partly_over(const struct mw_task_group *group)
+{
+    uint32_t assigned = 0;
+
+    for (uint32_t i = 0; group->step->gang && i < group->step->count; i++) {
+        assigned += group->tasks[i].state == MW_TASK_ASSIGNED;
+    }
+    return assigned > 0 && assigned < group->step->count;
+}
+
 static void
 restore_task_group(struct mw_flows *flows, int64_t now_us,
                    struct mw_task_group *group)
@@ -413,6 +428,9 @@
                                           MW_PLACEMENT_UNKNOWN);
         placement->started_us = now_us;
     }
+    if (is_partly_over(group)) {
+        mw_stop_task_group(flows, now_us, group);
+    }
 }
 
 /*
