Line waits: room that nothing keeps is told from room that is kept

The reason was the kind of endpoints with the most room, also where those that are free had enough of it, or not enough for a gang. What is free and enough is now room_is_free, and goes first; else the reason is what keeps most of the rest.

--- a/source/core/flow/flow-wait.c
+++ b/source/core/flow/flow-wait.c
@@ -27,8 +27,8 @@
     HOLD_NOT_HEARD,
     /* an earlier start may still be executed there */
     HOLD_LATE_START,
-    /* the group waits for room in one rack, or in that of its data */
-    HOLD_RACK,
+    /* none: the group waits for a rack, or for commands before it */
+    HOLD_NONE,
     HOLD_KINDS
 };
 
@@ -37,7 +37,7 @@
 {
     static const char *const texts[] = {
         "earlier_run", "urgent_pool", "reservation", "trial",
-        "quarantine",  "not_heard",   "late_start",  "rack"};
+        "quarantine",  "not_heard",   "late_start",  "room_is_free"};
 
     return texts[hold];
 }
@@ -93,7 +93,7 @@
     if (mw_reservation_excludes(endpoint, group, now_us)) {
         return HOLD_RESERVATION;
     }
-    return HOLD_RACK;
+    return HOLD_NONE;
 }
 
 /* Counts, by hold, the waiting tasks that idle room would fit. */
@@ -120,30 +120,46 @@
     }
 }
 
+/* What keeps the most room, if what is free is not enough. */
+static enum hold
+find_hold(const struct mw_task_group *group, const uint32_t *room,
+          uint32_t required)
+{
+    enum hold hold = HOLD_EARLIER_RUN;
+
+    if (count_placements(group, false) > 0) {
+        return HOLD_EARLIER_RUN;
+    }
+    if (room[HOLD_NONE] >= required) {
+        return HOLD_NONE;
+    }
+    for (enum hold h = HOLD_EARLIER_RUN; h < HOLD_NONE; h++) {
+        hold = room[h] > room[hold] ? h : hold;
+    }
+    return hold;
+}
+
 /* Reports the wait if there is room for a task, or for all of a gang. */
 static void
 report_wait(struct mw_flows *flows, const struct mw_task_group *group,
             int64_t now_us)
 {
     uint32_t wanted = group->step->count - group->done_count;
+    uint32_t required = group->step->gang ? wanted : 1;
     uint32_t room[HOLD_KINDS] = {0};
     uint32_t total = 0;
-    enum hold hold = HOLD_EARLIER_RUN;
 
     count_room(flows, group, now_us, room);
     for (enum hold h = HOLD_EARLIER_RUN; h < HOLD_KINDS; h++) {
         total += room[h];
-        hold = room[h] > room[hold] ? h : hold;
-    }
-    if (count_placements(group, false) > 0) {
-        hold = HOLD_EARLIER_RUN;
     }
-    if (total < (group->step->gang ? wanted : 1)) {
+    if (total < required) {
         return;
     }
     flows->counters.long_waits++;
-    mw_emit_task_group_event(flows, "waits", group, hold_str(hold), wanted,
-                             total, now_us - group->idle_since_us);
+    mw_emit_task_group_event(flows, "waits", group,
+                             hold_str(find_hold(group, room, required)),
+                             wanted, total, now_us - group->idle_since_us);
 }
 
 /* Whether the group's wait is due to be reported. */
