Runs out of reach no longer make a service half full

Cause: the wait for the urgent pool is short only while less than half of the accelerators are in use, and runs of endpoints that can't be reached counted as in use until their leases had expired (up to 10.8 s, after a change of leader, too), though they keep nothing that other work could use.

Change: their capacity counts, their runs do not.

--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -124,7 +124,27 @@
     }
 }
 
-/* Counts what there is and what is in use, and finds the usable endpoints. */
+/*
+ * Counts what there is and what is in use.  Runs on an endpoint that can't be
+ * reached may be over, and keep nothing that other work could use.
+ */
+static void
+add_capacity(struct mw_urgent_pool *pool,
+             const struct mw_flow_endpoint *endpoint)
+{
+    pool->endpoint_count++;
+    if (!endpoint->registered || endpoint->deregistered) {
+        return;
+    }
+    pool->total_gpus += endpoint->heartbeat.total.gpus;
+    pool->total_cpu += endpoint->heartbeat.total.cpu;
+    if (endpoint->renewal_failures == 0) {
+        pool->used_gpus += endpoint->used.gpus;
+        pool->used_cpu += endpoint->used.cpu;
+    }
+}
+
+/* Adds up the pools' capacity, and finds the usable endpoints. */
 static void
 add_endpoints(struct mw_flows *flows, int64_t now_us)
 {
@@ -141,13 +161,7 @@
         }
         endpoint->in_urgent_pool = false;
         endpoint->usable = mw_flow_endpoint_is_usable(flows, endpoint, now_us);
-        pool->endpoint_count++;
-        if (endpoint->registered && !endpoint->deregistered) {
-            pool->total_gpus += endpoint->heartbeat.total.gpus;
-            pool->used_gpus += endpoint->used.gpus;
-            pool->total_cpu += endpoint->heartbeat.total.cpu;
-            pool->used_cpu += endpoint->used.cpu;
-        }
+        add_capacity(pool, endpoint);
         if (endpoint->usable) {
             g_ptr_array_add(flows->usable, endpoint);
         }
