Line waits: the room that a scheduling pass has left counts

The report ran before the pass of the same tick, so that room which a run had left just then, and the pass was about to use, was reported as room_is_free.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -417,6 +417,8 @@
     uint64_t fence;
     /* every lease that an earlier leader granted has expired by then */
     int64_t earlier_leases_deadline_us;
+    /* when long waits are looked at next */
+    int64_t wait_report_deadline_us;
     GHashTable *endpoints;
     /* the endpoint that was last heard of at an address */
     GHashTable *by_address;
@@ -654,8 +656,9 @@
  * mw_report_long_waits: emit an event for each task group that has waited for
  * long although there is room, with what keeps the room from it.
  *
- * wall_us is the time of day.  Few groups are reported in one call, the others
- * in the next ones; one group again each time its wait has doubled.
+ * To be called after a scheduling pass, since the room that the pass has left
+ * counts.  wall_us is the time of day.  Few groups are reported in one call,
+ * the others in later ones; one group again each time its wait has doubled.
  */
 void mw_report_long_waits(struct mw_flows *flows, int64_t now_us,
                           int64_t wall_us);
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -389,6 +389,7 @@
         maintain_endpoint(flows, now_us, value);
     }
     place_waiting_groups(flows, now_us, wall_us);
+    mw_report_long_waits(flows, now_us, wall_us);
     flows->dirty = flows->has_renewals_left;
 }
 
@@ -561,7 +562,6 @@
         remove_ended_flows(flows, now_us);
         mw_remove_stale_endpoint_records(flows, now_us);
         mw_record_unheard_capacities(flows, now_us);
-        mw_report_long_waits(flows, now_us, wall_us);
     }
     if (now_us >= flows->pass_deadline_us) {
         flows->pass_deadline_us = now_us + MW_FLOW_PASS_US;
--- a/source/core/flow/flow-wait.c
+++ b/source/core/flow/flow-wait.c
@@ -11,7 +11,8 @@
 #include "flow-impl.h"
 
 #define REPORT_WAIT_US INT64_C(3000000)
-/* groups that one call looks at; the others follow in later calls */
+#define REPORT_INTERVAL_US INT64_C(400000)
+/* groups that are looked at each interval; the others follow in later ones */
 #define LOOKS_MAX 16
 
 /* hold: what keeps an endpoint's room, or all room, from a group. */
@@ -184,6 +185,10 @@
 {
     uint32_t looks_left = LOOKS_MAX;
 
+    if (now_us < flows->wait_report_deadline_us) {
+        return;
+    }
+    flows->wait_report_deadline_us = now_us + REPORT_INTERVAL_US;
     for (guint f = 0; f < flows->active->len; f++) {
         struct mw_flow *flow = flows->active->pdata[f];
 
