The earlier leader's start is stopped in the endpoint's next process, too

A job that was cancelled after a change of leader could still be started by its endpoint's next process (UNASKED; a gang that is stopped would run TWICE).

Cause: a start without an answer is remembered, and stopped in the endpoint's next process. A new leader does not know whether its predecessor's start was answered. It assumed not where a list lacked the run, but not where the run was stopped before a list had come.

Change: stopping a run of which nothing is known assumes that its start had no answer.

--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -319,6 +319,8 @@
         mw_lose_run(flows, now_us, placement, "not_sent");
         return;
     }
+    /* whether the earlier leader's start was answered is not known */
+    placement->start_unanswered |= placement->phase == MW_PLACEMENT_UNKNOWN;
     placement->phase = MW_PLACEMENT_STOPPING;
     placement->retry_deadline_us = now_us;
     if (placement->endpoint->registered && !flows->suspended) {
