--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -217,6 +217,10 @@
     uint32_t reserved_count;
     /* when a preemption last reserved endpoints for it */
     int64_t reserved_us;
+    /* since when no run is at work although it is ready; 0 while one is */
+    int64_t idle_since_us;
+    /* when that is reported next */
+    int64_t wait_report_deadline_us;
 };
 
 /* mw_flow_size: the memory that flows take. */
@@ -432,6 +436,8 @@
     uint64_t fence;
     /* every lease that an earlier leader granted has expired by then */
     int64_t earlier_leases_deadline_us;
+    /* when long waits are looked at next */
+    int64_t wait_report_deadline_us;
     GHashTable *endpoints;
     /* the endpoint that was last heard of at an address */
     GHashTable *by_address;
@@ -685,6 +691,17 @@
 bool mw_is_reservation_broken(const struct mw_flows *flows,
                               const struct mw_task_group *group,
                               int64_t now_us);
+/*
+ * mw_report_long_waits: emit an event for each task group that has waited for
+ * long although there is room, with what keeps the room from it.
+ *
+ * To be called after a scheduling pass, since the room that the pass has left
+ * counts.  wall_us is the time of day.  Few groups are reported in one call,
+ * the others in later ones; one group again each time its wait has doubled.
+ */
+void mw_report_long_waits(struct mw_flows *flows, int64_t now_us,
+                          int64_t wall_us);
+
 /* the group was not placed while endpoints were reserved for it */
 void mw_report_lost_reservation(struct mw_flows *flows,
                                 struct mw_task_group *group, uint32_t tasks,
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -389,9 +389,25 @@
         maintain_endpoint(flows, now_us, value);
     }
     place_waiting_groups(flows, now_us, wall_us);
+    mw_report_long_waits(flows, now_us, wall_us);
     flows->dirty = flows->has_renewals_left;
 }
 
+/*
+ * Whether a run of the gang is over, and recorded so for some of its tasks
+ * only: the earlier leader was about to stop the others.
+ */
+static bool
+is_partly_over(const struct mw_task_group *group)
+{
+    uint32_t assigned = 0;
+
+    for (uint32_t i = 0; group->step->gang && i < group->step->count; i++) {
+        assigned += group->tasks[i].state == MW_TASK_ASSIGNED;
+    }
+    return assigned > 0 && assigned < group->step->count;
+}
+
 static void
 restore_task_group(struct mw_flows *flows, int64_t now_us,
                    struct mw_task_group *group)
@@ -413,6 +429,9 @@
                                           MW_PLACEMENT_UNKNOWN);
         placement->started_us = now_us;
     }
+    if (is_partly_over(group)) {
+        mw_stop_task_group(flows, now_us, group);
+    }
 }
 
 /*
@@ -452,6 +471,7 @@
             flow->groups[u].guaranteed_us = 0;
             flow->groups[u].preemption_deadline_us = 0;
             flow->groups[u].reserved_count = 0;
+            flow->groups[u].idle_since_us = 0;
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
                 flow->groups[u].tasks[i].unrecorded_crash_score = 0;
