--- a/source/core/flow/flow-config-versions.c
+++ b/source/core/flow/flow-config-versions.c
@@ -25,10 +25,17 @@
     };
 }
 
+static void
+drop_undecoded(struct mw_flow_config_versions *configs)
+{
+    g_ptr_array_set_size(configs->undecoded, 0);
+    configs->undecoded_bytes = 0;
+}
+
 void
 mw_reset_flow_configs(struct mw_flow_config_versions *configs)
 {
-    g_ptr_array_set_size(configs->undecoded, 0);
+    drop_undecoded(configs);
     mw_forget_validated_configs(configs);
     g_clear_pointer(&configs->current, mw_drop_flow_config);
 }
@@ -56,6 +63,10 @@
     if (!configs->current ||
         record->config.version > configs->current->version) {
         g_ptr_array_add(configs->undecoded, mw_keep_record(record));
+        configs->undecoded_bytes += mw_blob_str(record->config.text).len;
+    }
+    if (configs->undecoded_bytes > MW_FLOW_UNDECODED_BYTES_MAX) {
+        mw_get_flow_config(configs);
     }
 }
 
@@ -125,7 +136,7 @@
 {
     mw_drop_flow_config(configs->current);
     configs->current = config;
-    g_ptr_array_set_size(configs->undecoded, 0);
+    drop_undecoded(configs);
     drop_outdated(configs);
 }
 
@@ -149,6 +160,7 @@
         }
         mw_drop_record(record);
     }
+    drop_undecoded(configs);
     return configs->current;
 }
 
--- a/source/core/flow/flow-config-versions.h
+++ b/source/core/flow/flow-config-versions.h
@@ -15,17 +15,22 @@
  * an operator's order until the record is committed.
  *
  * Records that are not decoded yet take memory until the next call of
- * mw_get_flow_config, which the owner makes for each of its heartbeats.
+ * mw_get_flow_config, which the owner makes for each of its heartbeats but not
+ * while it reads its log; beyond MW_FLOW_UNDECODED_BYTES_MAX the last one is
+ * decoded at once.
  */
 
 /* as many orders as an operator may have in progress at once */
 #define MW_FLOW_VALIDATED_MAX 8
+/* text of committed records that are not decoded */
+#define MW_FLOW_UNDECODED_BYTES_MAX (1024 * 1024)
 
 struct mw_flow_config_versions {
     /* the last that was decoded; to be read with mw_get_flow_config */
     struct mw_flow_config *current;
     /* committed records of higher versions, in the order of the log */
     GPtrArray *undecoded;
+    size_t undecoded_bytes;
     /* struct mw_flow_config without a committed record, oldest first */
     GPtrArray *validated;
     /* of the last committed record */
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -515,6 +515,28 @@
     settle(st);
 }
 
+/* record-configs COUNT BYTES: commits so many versions of such a size */
+static void
+cmd_record_configs(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    char *text = g_strnfill((gsize)atoi(mw_script_word(s, 2)), 'x');
+
+    for (int i = 1; i <= atoi(mw_script_word(s, 1)); i++) {
+        struct mw_record *record = mw_new_record(MW_RECORD_CONFIG);
+        char *config = g_strdup_printf(
+            "{\"version\":%d,\"services\":[],\"routes\":[],\"x\":\"%s\"}", i,
+            text);
+
+        record->config.version = (uint64_t)i;
+        record->config.text = mw_new_blob(mw_str_from(config));
+        g_ptr_array_add(st->uncommitted, record);
+        g_free(config);
+    }
+    settle(st);
+    g_free(text);
+}
+
 /* decodes: how many configurations were decoded since the last time */
 static void
 cmd_decodes(struct mw_script *s)
@@ -841,6 +863,7 @@
     {"key", 1, cmd_key},
     {"config", 0, cmd_config},
     {"record-config", 2, cmd_record_config},
+    {"record-configs", 2, cmd_record_configs},
     {"decodes", 0, cmd_decodes},
     {"setup", 0, cmd_setup},
     {"read-config", 0, cmd_read_config},
