--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -282,11 +282,11 @@
         restore_entry(log, item);
         break;
     case MW_STORED_SNAPSHOT:
-        if (item->index < log->applied_index) {
+        if (item->index < log->snapshot_index) {
             return mw_fail(ctx, MW_ERR_DAMAGED,
                            "stored snapshot of entry %" PRIu64
-                           " follows applied entry %" PRIu64,
-                           item->index, log->applied_index);
+                           " follows the one of entry %" PRIu64,
+                           item->index, log->snapshot_index);
         }
         restore_snapshot(log, item);
         break;
--- a/source/run/disk-load.c
+++ b/source/run/disk-load.c
@@ -317,7 +317,7 @@
 {
     char *path = mw_disk_path(disk, group, "");
     struct file_reader reader = {.fd = open(path, O_RDWR | O_CLOEXEC)};
-    struct stat status;
+    struct stat status = {0};
     int err = 0;
 
     disk->files[group].summary.begin_us = mw_now();
--- a/source/run/disk-reserve.c
+++ b/source/run/disk-reserve.c
@@ -50,7 +50,7 @@
 {
     struct disk_reserve *reserve = &disk->reserve;
     char *path = reserve_path(disk);
-    struct stat status;
+    struct stat status = {0};
 
     reserve->fd = open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     reserve->deadline_us = mw_now() + FILL_DELAY_US;
