--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -137,6 +137,8 @@
     /* leadership transfer: started by this leader, or requested of it */
     bool transferring;
     bool restoring;
+    /* item of the last snapshot that was stored */
+    uint64_t snapshot_sequence;
     /* the snapshot was taken while restoring and is not stored yet */
     bool snapshot_unstored;
     bool flush_due;
@@ -321,6 +323,10 @@
  */
 void mw_log_compact(struct mw_log *log);
 
+/* mw_log_compact_if_due: compact if much has been applied since the last
+ * snapshot, and that one is synced. */
+void mw_log_compact_if_due(struct mw_log *log);
+
 /* mw_log_shrink: compact if the snapshot is smaller than what it replaces. */
 void mw_log_shrink(struct mw_log *log);
 
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -151,17 +151,29 @@
 /*
  * Few large records take as much memory, and time at a start, as many small
  * ones.  A state that is large itself is not written again for each few bytes.
+ * One snapshot waits for the disk at a time, however long that takes.
  */
 static bool
 is_compaction_due(const struct mw_log *log)
 {
     uint64_t applied = log->applied_index - log->snapshot_index;
 
+    if (log->snapshot_sequence > log->synced_sequence) {
+        return false;
+    }
     return (log->compact_after > 0 && applied > log->compact_after) ||
            (log->compact_bytes > 0 &&
             log->applied_bytes > log->compact_bytes + log->snapshot_bytes);
 }
 
+void
+mw_log_compact_if_due(struct mw_log *log)
+{
+    if (is_compaction_due(log)) {
+        mw_log_compact(log);
+    }
+}
+
 void
 mw_log_commit_to(struct mw_log *log, uint64_t commit)
 {
@@ -188,9 +200,7 @@
         log->output.apply(log->output.opaque, log->applied_index,
                           entry->record);
     }
-    if (is_compaction_due(log)) {
-        mw_log_compact(log);
-    }
+    mw_log_compact_if_due(log);
 }
 
 void
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -205,6 +205,7 @@
 
     memcpy(item.config, log->snapshot_config, sizeof item.config);
     store_item(log, &item, log->snapshot_index);
+    log->snapshot_sequence = log->store_sequence;
 }
 
 uint64_t
@@ -408,6 +409,7 @@
         write = g_queue_peek_head(&log->pending_writes);
     }
     send_deferred(log);
+    mw_log_compact_if_due(log);
     if (log->role == MW_LEADER) {
         mw_log_advance_commit(ctx, log, now_us);
     }
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -955,6 +955,22 @@
                          : "many items wait for the disk");
 }
 
+/* unsynced-bytes NAME BOUND: whether at most BOUND bytes wait for the disk */
+static void
+cmd_unsynced_bytes(struct mw_script *s)
+{
+    struct member *m = member_at_word(s, 1);
+    guint64 bound = g_ascii_strtoull(mw_script_word(s, 2), NULL, 10);
+    uint64_t bytes = 0;
+
+    for (guint i = m->synced_count; i < m->stored->len; i++) {
+        bytes += mw_blob_str(m->stored->pdata[i]).len;
+    }
+    mw_script_printf(s, "%s",
+                     bytes <= bound ? "few bytes wait for the disk"
+                                    : "many bytes wait for the disk");
+}
+
 static void
 cmd_cut(struct mw_script *s)
 {
@@ -1178,6 +1194,7 @@
     {"disk-stall", 1, cmd_disk_stall},
     {"disk-resume", 1, cmd_disk_resume},
     {"unsynced", 2, cmd_unsynced},
+    {"unsynced-bytes", 2, cmd_unsynced_bytes},
     {"upgrade", 2, cmd_upgrade},
     {"restored", 2, cmd_restored},
     {"stored", 2, cmd_stored},
