A leader whose disk stalls hands over leadership

Since the bound of 16 MB for what waits for the leader's disk, a leader with a stalled disk refused every record as long as the stall lasted, and went on to lead although the others could have committed (log/stalled-leader-keeps-leading: after the storm 3 of 3 records refused, a still the leader). Without the bound it took them.

It hands over as it does when its disk refuses writes.

--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -129,7 +129,8 @@
         log->election_deadline_us = now_us + 2 * MW_ELECTION_TIMEOUT_US;
     }
     if (now_us >= log->heartbeat_deadline_us || log->flush_due) {
-        if (!log->writable) {
+        if (!log->writable ||
+            log->unsynced_bytes >= MW_LOG_UNSYNCED_BYTES_MAX) {
             mw_log_transfer_leadership(log, now_us);
         }
         mw_log_flush(log, now_us);
