--- a/tests/region.c
+++ b/tests/region.c
@@ -107,9 +107,21 @@
     struct mw_region_node *node = opaque;
 
     node->sequence = item->sequence;
+    if (item->kind == MW_STORED_SNAPSHOT) {
+        node->snapshot_at = node->stored->len;
+    }
     g_ptr_array_add(node->stored, mw_encode_stored(item));
 }
 
+/* As on a disk, a snapshot that is synced replaces everything before it. */
+static void
+sync_stored(struct mw_region_node *node)
+{
+    g_ptr_array_remove_range(node->stored, 0, node->snapshot_at);
+    node->snapshot_at = 0;
+    node->synced_count = node->stored->len;
+}
+
 static void
 node_command(void *opaque, const struct mw_flow_command *command)
 {
@@ -330,6 +342,7 @@
     node->control = NULL;
     node->entry = NULL;
     g_ptr_array_set_size(node->stored, (gint)node->synced_count);
+    node->snapshot_at = 0;
 }
 
 /* Crashes the process and loses its disk. */
@@ -466,7 +479,7 @@
                              wall_us(node->region));
     }
     if (node->synced_count < node->stored->len) {
-        node->synced_count = node->stored->len;
+        sync_stored(node);
         mw_flow_control_synced(&node->ctx, node->control, now_us,
                                node->sequence);
     }
--- a/tests/region.h
+++ b/tests/region.h
@@ -42,6 +42,8 @@
     /* encoded items on its disk; the first synced_count are synced */
     GPtrArray *stored;
     guint synced_count;
+    /* the last snapshot among them, which replaces those before it */
+    guint snapshot_at;
     uint64_t sequence;
     uint64_t start_number;
     /* the log's members, as this process knows them */
