--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -9,12 +9,15 @@
  * The first renew command to an endpoint gets an empty list at once, unless
  * the script says `lists manual`.
  */
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "decode.h"
 #include "mimosawind/flow.h"
+#include "mimosawind/wire.h"
+#include "peak-memory.h"
 #include "script.h"
 
 #define START_US 1000000000
@@ -639,6 +642,109 @@
     g_free(blanks);
 }
 
+static void
+add_record(void *out, struct mw_record *record)
+{
+    g_ptr_array_add(out, mw_keep_record(record));
+}
+
+/* Commits a run for each of the first tasks of a flow. */
+static void
+assign_tasks(struct state *st, const struct mw_name *flow, uint32_t count)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
+
+    record->tasks.count = count;
+    record->tasks.entries = g_new0(struct mw_task_record, count);
+    for (uint32_t i = 0; i < count; i++) {
+        record->tasks.entries[i] = (struct mw_task_record){
+            .id = {.flow = *flow, .index = i},
+            .state = MW_TASK_ASSIGNED,
+            .run = 1,
+            .endpoint = mw_name_from("i-0123456789a"),
+            .incarnation = 1,
+        };
+    }
+    mw_flows_apply(&st->ctx, st->flows, st->now_us, record);
+    mw_drop_record(record);
+}
+
+/*
+ * assign-all COUNT: the first COUNT tasks of each flow run, and nothing but
+ * the state of the flows is kept
+ */
+static void
+cmd_assign_all(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    uint32_t count = (uint32_t)atoi(mw_script_word(s, 1));
+
+    for (guint i = 0; i < st->committed->len; i++) {
+        const struct mw_record *record = st->committed->pdata[i];
+
+        if (record->kind == MW_RECORD_FLOW) {
+            assign_tasks(st, &record->flow.id, count);
+        }
+    }
+    g_ptr_array_set_size(st->committed, 0);
+    malloc_trim(0);
+}
+
+static GPtrArray *
+collect_snapshot(struct state *st)
+{
+    GPtrArray *records =
+        g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
+
+    mw_flows_snapshot(st->flows, records, add_record);
+    return records;
+}
+
+static void
+print_peak(struct mw_script *s, const char *what, uint64_t bound)
+{
+    mw_script_printf(s, "  %s: %s", what,
+                     mw_peak_memory() <= bound ? "fits" : "does not fit");
+}
+
+/*
+ * snapshot-memory BYTES: whether a process with so much memory can take a
+ * second snapshot while it holds the first, as a member of the log does, and
+ * read it at a start
+ */
+static void
+cmd_snapshot_memory(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    uint64_t bound = g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+    GPtrArray *held = collect_snapshot(st);
+    struct mw_stored_item read;
+
+    mw_reset_peak_memory();
+    GPtrArray *records = collect_snapshot(st);
+    struct mw_stored_item item = {
+        .kind = MW_STORED_SNAPSHOT,
+        .record_count = records->len,
+        .records = (struct mw_record **)records->pdata,
+    };
+    struct mw_blob *blob = mw_encode_stored(&item);
+
+    print_peak(s, "taken", bound);
+    g_ptr_array_unref(records);
+    g_ptr_array_unref(held);
+    mw_drop_flows(st->flows);
+    new_flows(st);
+    malloc_trim(0);
+    mw_reset_peak_memory();
+    mw_decode_stored(&st->ctx, mw_blob_str(blob), &read);
+    for (uint32_t i = 0; i < read.record_count; i++) {
+        mw_flows_apply(&st->ctx, st->flows, st->now_us, read.records[i]);
+    }
+    print_peak(s, "read", bound);
+    mw_clear_stored(&read);
+    mw_drop_blob(blob);
+}
+
 static void
 cmd_state(struct mw_script *s)
 {
@@ -812,12 +918,6 @@
                      (int)(MAX(left_us, 0) / 1000));
 }
 
-static void
-add_record(void *out, struct mw_record *record)
-{
-    g_ptr_array_add(out, mw_keep_record(record));
-}
-
 /* snapshot: replaces the scheduler with one rebuilt from a snapshot */
 static void
 cmd_snapshot(struct mw_script *s)
@@ -870,6 +970,8 @@
     {"zone", 2, cmd_zone},
     {"submit", 1, cmd_submit},
     {"submit-many", 3, cmd_submit_many},
+    {"assign-all", 1, cmd_assign_all},
+    {"snapshot-memory", 1, cmd_snapshot_memory},
     {"state", 1, cmd_state},
     {"cancel", 1, cmd_cancel},
     {"run", 1, cmd_run},
--- a/tests/store-script.c
+++ b/tests/store-script.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "peak-memory.h"
 #include "script.h"
 #include "store-disk.h"
 
@@ -375,33 +376,6 @@
     cmd_size(s);
 }
 
-/* Most memory of this process since the last reset, in bytes. */
-static uint64_t
-peak_memory(void)
-{
-    char *text = NULL;
-    uint64_t peak = 0;
-
-    if (g_file_get_contents("/proc/self/status", &text, NULL, NULL)) {
-        const char *line = strstr(text, "VmHWM:");
-
-        peak = line ? g_ascii_strtoull(line + 6, NULL, 10) * 1024 : 0;
-    }
-    g_free(text);
-    return peak;
-}
-
-static void
-reset_peak_memory(void)
-{
-    FILE *file = fopen("/proc/self/clear_refs", "w");
-
-    if (file) {
-        fputs("5", file);
-        fclose(file);
-    }
-}
-
 /* read-memory BYTES: whether a start takes at most this much more memory */
 static void
 cmd_read_memory(struct mw_script *s)
@@ -410,14 +384,14 @@
     uint64_t bound = g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
 
     stop(st);
-    reset_peak_memory();
-    uint64_t before = peak_memory();
+    mw_reset_peak_memory();
+    uint64_t before = mw_peak_memory();
     struct mw_disk *disk = open_store(st, st->store);
 
     print_contents(s, &st->contents);
     mw_script_printf(s, "  %s",
-                     peak_memory() - before <= bound ? "little memory"
-                                                     : "much memory");
+                     mw_peak_memory() - before <= bound ? "little memory"
+                                                        : "much memory");
     mw_drop_disk(disk);
 }
 
