--- a/source/core/zone/zone-impl.h
+++ b/source/core/zone/zone-impl.h
@@ -196,6 +196,8 @@
     bool allocated;
     /* its result record is committed */
     bool result_recorded;
+    /* the log has refused its record, which is proposed again */
+    bool result_refused;
     /* index into zone->active, -1 when not in it */
     int active_index;
     int64_t deliver_deadline_us;
--- a/source/core/zone/zone-job.c
+++ b/source/core/zone/zone-job.c
@@ -150,20 +150,41 @@
     mw_answer_waiters(zone, job);
 }
 
-static int
-record_result(struct mw_zone *zone, const struct mw_job *job, int error,
-              enum mw_execution_status ran)
+/* What the log refuses is proposed again with a later tick. */
+static void
+record_result(struct mw_zone *zone, struct mw_job *job)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_RESULT);
 
+    if (job->ran == MW_NOT_RUN &&
+        !zone->output.can_record_durably(zone->output.opaque)) {
+        /* the refusal could be lost, and the accept record be recovered
+         * from a disk */
+        job->ran = MW_MAY_HAVE_RUN;
+    }
     record->result.job = job->id;
-    record->result.error = error;
-    record->result.ran = ran;
+    record->result.error = job->error;
+    record->result.ran = job->ran;
     record->result.output = mw_keep_blob(job->output);
-    int err = zone->output.propose(zone->output.opaque, record);
-
+    job->result_refused =
+        zone->output.propose(zone->output.opaque, record) != 0;
     mw_drop_record(record);
-    return err;
+}
+
+static void
+record_refused_results(struct mw_zone *zone)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, zone->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_job *job = value;
+
+        if (job->result_refused) {
+            record_result(zone, job);
+        }
+    }
 }
 
 /*
@@ -185,15 +206,9 @@
         mw_remove_job(zone, job);
         return;
     }
-    if (ran == MW_NOT_RUN &&
-        !zone->output.can_record_durably(zone->output.opaque)) {
-        /* the refusal could be lost, and the accept record be recovered
-         * from a disk */
-        ran = MW_MAY_HAVE_RUN;
-    }
     job->error = error;
     job->ran = ran;
-    record_result(zone, job, error, ran);
+    record_result(zone, job);
     if (error == 0) {
         mw_set_job_result(zone, now_us, job, error, ran, job->output);
         return;
@@ -582,6 +597,7 @@
     }
     mw_active_tick(ctx, zone, now_us);
     mw_handover_tick(ctx, zone, now_us);
+    record_refused_results(zone);
     limit_retained_outputs(zone);
     if (now_us >= zone->forget_deadline_us) {
         zone->forget_deadline_us = now_us + FORGET_INTERVAL_US;
--- a/source/core/zone/zone.c
+++ b/source/core/zone/zone.c
@@ -124,6 +124,7 @@
     mw_release_allocation(zone, job);
     mw_set_active(zone, job, false);
     g_ptr_array_remove(zone->reclaiming, job);
+    job->result_refused = false;
     if (job->state == MW_JOB_DONE && !job->result_recorded) {
         job->state = job->intent_recorded ? MW_JOB_RUNNING : MW_JOB_QUEUED;
     }
--- a/tests/zone-script.c
+++ b/tests/zone-script.c
@@ -44,6 +44,8 @@
     struct mw_name name;
     int64_t now_us;
     GQueue records;
+    /* the log takes no records, as too many bytes wait */
+    bool log_refuses;
     GQueue commands;
     GPtrArray *endpoints;
     GPtrArray *parts;
@@ -73,6 +75,9 @@
 {
     struct state *st = opaque;
 
+    if (st->log_refuses) {
+        return MW_ERR_OVERLOADED;
+    }
     g_queue_push_tail(&st->records, mw_keep_record(record));
     return 0;
 }
@@ -872,6 +877,15 @@
 }
 
 /* durable yes|no: whether records can be committed durably */
+/* log-refuses on|off */
+static void
+cmd_log_refuses(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    st->log_refuses = strcmp(mw_script_word(s, 1), "on") == 0;
+}
+
 static void
 cmd_durable(struct mw_script *s)
 {
@@ -1187,6 +1201,7 @@
     {"query", 2, cmd_query},
     {"takeover", 0, cmd_takeover},
     {"durable", 1, cmd_durable},
+    {"log-refuses", 1, cmd_log_refuses},
     {"jobs", 0, cmd_jobs},
     {"guarantees", 0, cmd_guarantees},
     {"show", 0, cmd_show},
