--- a/Makefile
+++ b/Makefile
@@ -156,13 +156,14 @@
 	MW_SEEDS=$(or $(SEEDS),300) $(BUILD)/check seeds
 
 # the real programs under injected faults: make soak-processes FIRST=1
-# SEEDS=50 SECONDS=20
+# SEEDS=50 SECONDS=20 LOAD=configs NETWORK=1
 $(BUILD)/run-soak: $(call object,$(wildcard tests/soak/*.c) \
 		tests/region-endpoint.c tests/uv-source.c) $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(PKG_LIBS) $(SOUP_LIBS) -o $@
 
 soak-processes: all $(BUILD)/run-soak
-	$(BUILD)/run-soak $(or $(FIRST),1) $(or $(SEEDS),5) $(or $(SECONDS),20)
+	$(BUILD)/run-soak $(or $(FIRST),1) $(or $(SEEDS),5) $(or $(SECONDS),20) \
+		$(or $(NETWORK),0) $(or $(LOAD),flows)
 
 # formatter, linters, and a check that the core does no input or output
 SOURCES := $(shell find source include platform bench tests -name '*.[ch]' | \
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -1,11 +1,13 @@
 /*
- * run-soak FIRST COUNT SECONDS [NETWORK]: runs COUNT seeds, each with faults
- * for SECONDS; concurrent runs need different NETWORK indexes.
+ * run-soak FIRST COUNT SECONDS [NETWORK [LOAD]]: runs COUNT seeds, each with
+ * faults for SECONDS; concurrent runs need different NETWORK indexes.  LOAD is
+ * "flows", or "configs" for large configurations that change quickly.
  *
  * EXIT STATUS  0 if no violation was observed, 1 otherwise
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "soak.h"
 #include "uv-source.h"
@@ -15,6 +17,12 @@
 #define REQUEST_INTERVAL_US 60000
 /* after the faults, all accepted flows must end within this time */
 #define FLOW_END_TIMEOUT_US 60000000
+#define CONFIG_INTERVAL_US 30000
+#define ROUTES 700
+/* after the faults, all changes must be acknowledged within this time */
+#define CONFIG_TIMEOUT_US 15000000
+/* a configuration is read this long after all processes have restarted */
+#define RECOVERY_US 12000000
 
 static void
 run_main_loop_until(int64_t until_us)
@@ -128,18 +136,132 @@
     return passed;
 }
 
+/* A pause without faults now and then, so that another disk may be lost. */
+static int64_t
+inject_config_fault(struct soak_processes *processes, GRand *rand)
+{
+    if (g_rand_int_range(rand, 0, 6) == 0) {
+        soak_end_faults(processes);
+        return soak_now_us() + 7000000;
+    }
+    soak_inject_fault(processes, rand);
+    return soak_now_us() + g_rand_int_range(rand, 100, 3000) * 1000;
+}
+
+static void
+change_configs(struct soak_processes *processes, struct soak_configs *configs,
+               GRand *rand, int64_t duration_us)
+{
+    int64_t until_us = soak_now_us() + duration_us;
+    int64_t next_fault_us = soak_now_us();
+
+    while (soak_now_us() < until_us) {
+        run_main_loop_until(soak_now_us() + CONFIG_INTERVAL_US);
+        soak_send_next_config(configs);
+        soak_ask_for_route(configs);
+        if (g_rand_int_range(rand, 0, 4) == 0) {
+            soak_read_config(configs);
+        }
+        if (soak_now_us() >= next_fault_us) {
+            next_fault_us = inject_config_fault(processes, rand);
+        }
+    }
+}
+
+static void
+await_acknowledgements(struct soak_processes *processes,
+                       struct soak_configs *configs, GString *violations)
+{
+    int64_t until_us = soak_now_us() + CONFIG_TIMEOUT_US;
+
+    soak_end_faults(processes);
+    while (!soak_all_configs_acknowledged(configs) &&
+           soak_now_us() < until_us) {
+        run_main_loop_until(soak_now_us() + CONFIG_INTERVAL_US);
+    }
+    if (!soak_all_configs_acknowledged(configs)) {
+        g_string_append(violations, "a change has no acknowledgement; ");
+    }
+}
+
+/* Returns the time until the configuration was read, also if in vain. */
+static int64_t
+restart_and_read(struct soak_processes *processes,
+                 struct soak_configs *configs, GString *violations)
+{
+    int64_t killed_us = soak_now_us();
+
+    soak_settle_configs(configs);
+    soak_restart_all(processes);
+    while (soak_config_last_read_us(configs) <= killed_us &&
+           soak_now_us() < killed_us + 2 * RECOVERY_US) {
+        run_main_loop_until(soak_now_us() + CONFIG_INTERVAL_US);
+        soak_read_config(configs);
+    }
+    if (soak_now_us() > killed_us + RECOVERY_US) {
+        g_string_append(violations,
+                        "no configuration 12 s after the restart; ");
+    }
+    return soak_now_us() - killed_us;
+}
+
+static bool
+run_config_seed(uint32_t seed, int64_t duration_us)
+{
+    GString *violations = g_string_new(NULL);
+    GRand *rand = g_rand_new_with_seed(seed);
+    char *folder = g_strdup_printf("%s/%u", FOLDER, seed);
+    struct soak_processes *processes = soak_new_processes(folder, violations);
+    int route_count = ROUTES * (1 + (int)(seed % 3));
+    struct soak_configs *configs =
+        soak_new_configs(seed, route_count, violations);
+    int64_t slowest_us;
+    int64_t restart_us;
+    unsigned changes;
+    bool passed;
+
+    soak_on_config_acknowledged(configs, processes,
+                                soak_kill_after_acknowledgement);
+    run_main_loop_until(soak_now_us() + STARTUP_US);
+    if (seed % 2 == 0) {
+        soak_share_processor(processes);
+    }
+    change_configs(processes, configs, rand, duration_us);
+    await_acknowledgements(processes, configs, violations);
+    restart_us = restart_and_read(processes, configs, violations);
+    soak_get_config_counts(configs, &changes, &slowest_us);
+    soak_drop_configs(configs);
+    soak_drop_processes(processes);
+    passed = violations->len == 0;
+    printf("seed %u: %u changes of %d routes, slowest %.1f s, read %.1f s "
+           "after a restart: %.600s%s%s\n",
+           seed, changes, route_count, (double)slowest_us / 1e6,
+           (double)restart_us / 1e6,
+           passed ? "no violations" : violations->str,
+           passed ? "" : " logs in ", passed ? "" : folder);
+    fflush(stdout);
+    g_free(folder);
+    g_rand_free(rand);
+    g_string_free(violations, TRUE);
+    return passed;
+}
+
 int
 main(int argc, char **argv)
 {
     int first = argc > 1 ? atoi(argv[1]) : 1;
     int count = argc > 2 ? atoi(argv[2]) : 1;
     int seconds = argc > 3 ? atoi(argv[3]) : 20;
+    bool configs = argc > 5 && strcmp(argv[5], "configs") == 0;
     int passed_count = 0;
 
     mw_add_uv_source();
     soak_use_network(argc > 4 ? atoi(argv[4]) : 0);
     for (int seed = first; seed < first + count; seed++) {
-        passed_count += run_seed((uint32_t)seed, seconds * INT64_C(1000000));
+        int64_t duration_us = seconds * INT64_C(1000000);
+
+        passed_count += configs ? run_config_seed((uint32_t)seed, duration_us)
+                                : run_seed((uint32_t)seed, duration_us);
     }
     printf("soak: %d seeds, %d with violations\n", count,
            count - passed_count);
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -18,6 +18,12 @@
 #define CATCH_UP_US 5000000
 #define SHUTDOWN_TIMEOUT_US 12000000
 #define RESTART_DELAY_US 500000
+#define RESTART_ALL_US 800000
+/* quarters of a tenth of a second in which a process does not run */
+#define QUARTER_MS 25
+#define CORE_STOPPED_QUARTERS 2
+#define ENTRY_STOPPED_QUARTERS 3
+#define LIMITS_INTERVAL_MS 200
 
 struct process {
     struct soak_processes *all;
@@ -29,6 +35,9 @@
     bool suspended;
     bool terminating;
     bool started_once;
+    /* stopped for its share of the processor */
+    bool throttled;
+    bool over_limits;
     int64_t resume_us;
 };
 
@@ -40,6 +49,10 @@
     /* after the next acknowledgement all core processes are killed */
     bool kill_on_acknowledgement;
     guint timer;
+    guint limits_timer;
+    /* 0 without a share of the processor */
+    guint share_timer;
+    unsigned quarter;
     bool shutting_down;
 };
 
@@ -130,6 +143,7 @@
     write_settings(process);
     process->started_once = true;
     process->suspended = false;
+    process->throttled = false;
     if (!g_spawn_async(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD, set_output,
                        log, &process->pid, &error)) {
         g_error("soak: %s", error->message);
@@ -233,6 +247,7 @@
         }
         else if (process->suspended) {
             process->suspended = false;
+            process->throttled = false;
             send_signal(process, SIGCONT);
         }
     }
@@ -242,6 +257,65 @@
     return G_SOURCE_CONTINUE;
 }
 
+static gboolean
+check_limits(gpointer data)
+{
+    struct soak_processes *all = data;
+
+    for (int i = 0; i < PROCESSES; i++) {
+        struct process *process = &all->processes[i];
+        char *folder = g_strconcat(process->folder, "/data", NULL);
+
+        if (process->pid > 0 && !process->over_limits) {
+            process->over_limits = !soak_check_limits(
+                all->violations, process->name, process->pid, folder);
+        }
+        g_free(folder);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+static void
+throttle(struct process *process, bool throttled)
+{
+    if (process->throttled == throttled || process->suspended) {
+        return;
+    }
+    process->throttled = throttled;
+    send_signal(process, throttled ? SIGSTOP : SIGCONT);
+}
+
+static gboolean
+share_processor(gpointer data)
+{
+    struct soak_processes *all = data;
+
+    all->quarter = (all->quarter + 1) % 4;
+    for (int i = 0; i < PROCESSES; i++) {
+        struct process *process = &all->processes[i];
+        unsigned stopped =
+            process->core ? CORE_STOPPED_QUARTERS : ENTRY_STOPPED_QUARTERS;
+
+        throttle(process, !all->shutting_down && all->quarter < stopped);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+void
+soak_share_processor(struct soak_processes *all)
+{
+    all->share_timer = g_timeout_add(QUARTER_MS, share_processor, all);
+}
+
+void
+soak_restart_all(struct soak_processes *all)
+{
+    for (int i = 0; i < PROCESSES; i++) {
+        send_signal(&all->processes[i], SIGKILL);
+        all->processes[i].resume_us = soak_now_us() + RESTART_ALL_US;
+    }
+}
+
 struct soak_processes *
 soak_new_processes(const char *folder, GString *violations)
 {
@@ -273,6 +347,7 @@
     }
     all->healthy_since_us = soak_now_us();
     all->timer = g_timeout_add(20, supervise, all);
+    all->limits_timer = g_timeout_add(LIMITS_INTERVAL_MS, check_limits, all);
     return all;
 }
 
@@ -370,6 +445,10 @@
     bool all_exited = false;
 
     all->shutting_down = true;
+    if (all->share_timer > 0) {
+        share_processor(all);
+        g_source_remove(all->share_timer);
+    }
     for (int i = 0; i < PROCESSES; i++) {
         all->processes[i].terminating = all->processes[i].pid > 0;
         send_signal(&all->processes[i], SIGTERM);
@@ -390,6 +469,7 @@
         run_main_loop_for(5000);
     }
     g_source_remove(all->timer);
+    g_source_remove(all->limits_timer);
     for (int i = 0; i < SOAK_ENTRIES; i++) {
         soak_drop_proxy(all->proxies[i]);
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -85,6 +85,44 @@
 void soak_count_replies(const struct soak_clients *clients, unsigned *accepted,
                         unsigned *refused, unsigned *versions);
 
+/*
+ * soak_configs: an operator that changes a large configuration in quick
+ * succession, up to eight changes at once, each sent until it is acknowledged.
+ * A violation is added for what is read or served otherwise than the versions
+ * that may be in force allow.
+ */
+struct soak_configs;
+
+struct soak_configs *soak_new_configs(uint32_t seed, int route_count,
+                                      GString *violations);
+void soak_drop_configs(struct soak_configs *configs);
+/* soak_on_config_acknowledged: as soak_on_acknowledged; must be set. */
+void soak_on_config_acknowledged(struct soak_configs *configs, void *opaque,
+                                 void (*acknowledged)(void *opaque));
+/* soak_send_next_config: sends the next version, unless eight changes wait
+ * for their acknowledgement. */
+void soak_send_next_config(struct soak_configs *configs);
+/* soak_read_config: reads the configuration at a random core process. */
+void soak_read_config(struct soak_configs *configs);
+/* soak_ask_for_route: asks an entry process for a route that was added or
+ * removed lately. */
+void soak_ask_for_route(struct soak_configs *configs);
+/* soak_settle_configs: no change follows, so the newest version that was
+ * acknowledged is expected from now on. */
+void soak_settle_configs(struct soak_configs *configs);
+bool soak_all_configs_acknowledged(const struct soak_configs *configs);
+/* soak_acknowledged_version: the highest one; 0 for none. */
+int soak_acknowledged_version(const struct soak_configs *configs);
+/* soak_config_last_read_us: when a version was last read; 0 for not yet. */
+int64_t soak_config_last_read_us(const struct soak_configs *configs);
+void soak_get_config_counts(const struct soak_configs *configs,
+                            unsigned *changes, int64_t *slowest_us);
+
+/* soak_check_limits: adds a violation and returns false if a process has used
+ * more memory, or its folder more bytes, than a core machine has. */
+bool soak_check_limits(GString *violations, const char *name, GPid pid,
+                       const char *data_folder);
+
 /* soak_processes: the programs, which are signalled by their process IDs. */
 struct soak_processes;
 
@@ -98,6 +136,11 @@
 /* soak_kill_after_acknowledgement: kills all core processes if that fault
  * was drawn. */
 void soak_kill_after_acknowledgement(void *processes);
+/* soak_share_processor: each process is stopped for a part of each tenth of a
+ * second from now on. */
+void soak_share_processor(struct soak_processes *processes);
+/* soak_restart_all: kills all processes; they are started again. */
+void soak_restart_all(struct soak_processes *processes);
 /* soak_end_faults: all processes run again and proxies forward. */
 void soak_end_faults(struct soak_processes *processes);
 
