Soak: the read after a restart was sent after it, and one disk may be lost with it

On half of the seeds one core process loses its disk in the last restart, right after one more change was acknowledged. config_load.py plays cuts, lost disks, a slow disk and the upgrade of a tree's store, too.

--- a/tests/proofs/config_load.py
+++ b/tests/proofs/config_load.py
@@ -307,26 +307,59 @@
             p.cont()
             self.troubled[p.name] = time.monotonic()
 
+    def cut_for(self, process, for_s):
+        for p in self.cluster.cores:
+            self.troubled[p.name] = time.monotonic() + for_s
+        self.cluster.cut.begin(process)
+        time.sleep(for_s)
+        self.cluster.cut.end()
+        for p in self.cluster.cores:
+            self.troubled[p.name] = time.monotonic()
+
+    def lose_disk(self, process):
+        """Once all core processes have had the time to catch up."""
+        if any(time.monotonic() - self.troubled[p.name] < 5
+               for p in self.cluster.cores):
+            return
+        self.kill(process, 0.5)
+        for name in os.listdir(process.data):
+            os.unlink(os.path.join(process.data, name))
+        time.sleep(0.5)
+        self.start(process)
+        time.sleep(6)
+
+    def trouble(self, rand):
+        """One trouble, drawn from those that were asked for."""
+        cluster = self.cluster
+        cores = rand.sample(cluster.cores, rand.randint(
+            1, self.args.kill_cores))
+        kinds = ["kill", "kill", "edge"]
+        kinds += ["freeze", "freeze"] if self.args.freeze else []
+        kinds += ["cut", "cut"] if self.args.cuts else []
+        kinds += ["wipe", "wipe"] if self.args.wipes else []
+        kind = rand.choice(kinds)
+        if kind == "edge":
+            self.kill_for([rand.choice(cluster.edges)], 0.5)
+        elif kind == "freeze":
+            self.freeze_for(cores, rand.uniform(0.5, 3))
+        elif kind == "cut":
+            self.cut_for(cores[0], rand.uniform(0.3, 5))
+        elif kind == "wipe":
+            time.sleep(5)
+            self.lose_disk(cores[0])
+        else:
+            self.kill_for(cores, rand.uniform(0.2, 1.5))
+
     def kill_often(self):
         rand = random.Random(self.args.seed + 2)
-        cluster = self.cluster
-        while not self.over and self.args.kills:
+        while not self.over:
             time.sleep(rand.uniform(*self.args.kills))
             if self.over or not self.calm.is_set():
                 return
-            cores = rand.sample(cluster.cores, rand.randint(
-                1, self.args.kill_cores))
-            draw = rand.random()
-            if draw < 0.2:
-                self.kill_for([rand.choice(cluster.edges)], 0.5)
-            elif draw < 0.5 and self.args.freeze:
-                self.freeze_for(cores, rand.uniform(0.5, 3))
-            else:
-                self.kill_for(cores, rand.uniform(0.2, 1.5))
+            self.trouble(rand)
 
     def share_processor(self):
         """Each process runs for a part of each tenth of a second."""
-        args = self.args
         while not self.over:
             all_of = self.cluster.cores + self.cluster.edges
             stopped = []
@@ -343,7 +376,6 @@
                 if p.kind == "edge":
                     p.popen.send_signal(standin.signal.SIGCONT)
             time.sleep(0.025)
-        del args
 
     def storm(self):
         args = self.args
@@ -372,6 +404,8 @@
         for p in all_of:
             self.kill(p, self.args.down)
         time.sleep(self.args.down)
+        if self.args.upgrade:
+            standin.ROOT = os.path.abspath(self.args.upgrade)
         for p in all_of:
             self.start(p)
         back = time.monotonic()
@@ -399,7 +433,12 @@
     def run(self):
         args = self.args
         standin.ROOT = os.path.abspath(args.root)
-        self.cluster = Cluster(self.record, edges=args.edges)
+        self.cluster = Cluster(self.record, edges=args.edges,
+                               has_cuts=args.cuts)
+        if args.preload:
+            for role, words in self.cluster.commands.items():
+                self.cluster.commands[role] = [
+                    "env", f"LD_PRELOAD={args.preload}", *words]
         for p in self.cluster.cores + self.cluster.edges:
             p.expected_down = False
         self.operator = Operator(self)
@@ -431,6 +470,7 @@
         self.storm()
         self.calm.clear()
         # until nothing is in progress, and faults have ended
+        time.sleep(6 if args.kills else 0)
         end = time.monotonic() + 15
         for _ in range(args.overlap):
             self.operator.in_flight.acquire(
@@ -459,6 +499,8 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--root", default=os.path.join(HERE, "..", ".."))
+    parser.add_argument("--upgrade", metavar="TREE",
+                        help="restarts the programs of this tree at the end")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=84)
     parser.add_argument("--routes", type=int, default=700)
@@ -471,8 +513,12 @@
     parser.add_argument("--kills", type=float, nargs=2)
     parser.add_argument("--kill-cores", type=int, default=3)
     parser.add_argument("--freeze", action="store_true")
+    parser.add_argument("--cuts", action="store_true")
+    parser.add_argument("--wipes", action="store_true")
     parser.add_argument("--share", action="store_true")
     parser.add_argument("--record")
+    parser.add_argument("--preload", help="library for the programs, such as "
+                        "one that makes a sync slow")
     return Load(parser.parse_args()).run()
 
 
--- a/tests/soak/configs.c
+++ b/tests/soak/configs.c
@@ -54,7 +54,7 @@
     bool settled;
     /* nothing is sent again any more */
     bool over;
-    /* when a version was last read; 0 for not yet */
+    /* when the last read that gave a version was sent; 0 for none */
     int64_t last_read_us;
     void *opaque;
     void (*on_acknowledged)(void *opaque);
@@ -251,7 +251,7 @@
     if (status != 200 || sscanf(text, "{\"version\":%d", &version) != 1) {
         return;
     }
-    configs->last_read_us = soak_now_us();
+    configs->last_read_us = MAX(configs->last_read_us, request->first_sent_us);
     if (version < request->min_version) {
         g_string_append_printf(configs->violations,
                                "version %d read, %d was acknowledged before; ",
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -18,6 +18,8 @@
 /* after the faults, all accepted flows must end within this time */
 #define FLOW_END_TIMEOUT_US 60000000
 #define CONFIG_INTERVAL_US 30000
+/* after faults, before another disk may be lost */
+#define CATCH_UP_US 5000000
 #define ROUTES 700
 /* after the faults, all changes must be acknowledged within this time */
 #define CONFIG_TIMEOUT_US 15000000
@@ -184,15 +186,25 @@
     }
 }
 
-/* Returns the time until the configuration was read, also if in vain. */
+/*
+ * The final fault, right after an acknowledgement.  Returns the time until the
+ * configuration was read, also if in vain.
+ */
 static int64_t
 restart_and_read(struct soak_processes *processes,
-                 struct soak_configs *configs, GString *violations)
+                 struct soak_configs *configs, bool lose_disk, GRand *rand,
+                 GString *violations)
 {
-    int64_t killed_us = soak_now_us();
+    int64_t killed_us;
 
+    if (lose_disk) {
+        run_main_loop_until(soak_now_us() + CATCH_UP_US);
+        soak_send_next_config(configs);
+        await_acknowledgements(processes, configs, violations);
+    }
     soak_settle_configs(configs);
-    soak_restart_all(processes);
+    killed_us = soak_now_us();
+    soak_restart_all(processes, lose_disk, rand);
     while (soak_config_last_read_us(configs) <= killed_us &&
            soak_now_us() < killed_us + 2 * RECOVERY_US) {
         run_main_loop_until(soak_now_us() + CONFIG_INTERVAL_US);
@@ -228,7 +240,8 @@
     }
     change_configs(processes, configs, rand, duration_us);
     await_acknowledgements(processes, configs, violations);
-    restart_us = restart_and_read(processes, configs, violations);
+    restart_us =
+        restart_and_read(processes, configs, seed % 4 >= 2, rand, violations);
     soak_get_config_counts(configs, &changes, &slowest_us);
     soak_drop_configs(configs);
     soak_drop_processes(processes);
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -307,15 +307,6 @@
     all->share_timer = g_timeout_add(QUARTER_MS, share_processor, all);
 }
 
-void
-soak_restart_all(struct soak_processes *all)
-{
-    for (int i = 0; i < PROCESSES; i++) {
-        send_signal(&all->processes[i], SIGKILL);
-        all->processes[i].resume_us = soak_now_us() + RESTART_ALL_US;
-    }
-}
-
 struct soak_processes *
 soak_new_processes(const char *folder, GString *violations)
 {
@@ -365,6 +356,22 @@
     all->healthy_since_us = soak_now_us();
 }
 
+void
+soak_restart_all(struct soak_processes *all, bool lose_disk, GRand *rand)
+{
+    struct process *process =
+        &all->processes[g_rand_int_range(rand, 0, SOAK_CORES)];
+
+    for (int i = 0; i < PROCESSES; i++) {
+        send_signal(&all->processes[i], SIGKILL);
+        all->processes[i].resume_us = soak_now_us() + RESTART_ALL_US;
+    }
+    if (lose_disk) {
+        kill_process(process, RESTART_ALL_US);
+        remove_data(process);
+    }
+}
+
 void
 soak_inject_fault(struct soak_processes *all, GRand *rand)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -113,7 +113,8 @@
 bool soak_all_configs_acknowledged(const struct soak_configs *configs);
 /* soak_acknowledged_version: the highest one; 0 for none. */
 int soak_acknowledged_version(const struct soak_configs *configs);
-/* soak_config_last_read_us: when a version was last read; 0 for not yet. */
+/* soak_config_last_read_us: when the last read that gave a version was sent; 0
+ * for none. */
 int64_t soak_config_last_read_us(const struct soak_configs *configs);
 void soak_get_config_counts(const struct soak_configs *configs,
                             unsigned *changes, int64_t *slowest_us);
@@ -139,8 +140,10 @@
 /* soak_share_processor: each process is stopped for a part of each tenth of a
  * second from now on. */
 void soak_share_processor(struct soak_processes *processes);
-/* soak_restart_all: kills all processes; they are started again. */
-void soak_restart_all(struct soak_processes *processes);
+/* soak_restart_all: kills all processes, of which one core process loses its
+ * disk if that is asked for; they are started again. */
+void soak_restart_all(struct soak_processes *processes, bool lose_disk,
+                      GRand *rand);
 /* soak_end_faults: all processes run again and proxies forward. */
 void soak_end_faults(struct soak_processes *processes);
 
