--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -6,6 +6,9 @@
 
 #include "region.h"
 
+/* between the changes of `configs` */
+#define CHANGE_INTERVAL_US 80000
+
 static void *
 begin(void)
 {
@@ -132,6 +135,49 @@
     g_free(text);
 }
 
+/* configs PROCESS FIRST LAST BYTES: changes with these versions and of this
+ * size, one after the other */
+static void
+cmd_configs(struct mw_script *s)
+{
+    struct mw_region_node *node = node_word(s, 1);
+    char *filler = g_strnfill((gsize)atoi(mw_script_word(s, 4)), ' ');
+
+    for (int i = atoi(mw_script_word(s, 2)); i <= atoi(mw_script_word(s, 3));
+         i++) {
+        char *config = mw_region_config_text((uint64_t)i);
+        char *text = g_strconcat(config, filler, NULL);
+
+        mw_send_region_request(node, MW_FLOW_CONFIG, "", text, NULL);
+        mw_advance_region(node->region, CHANGE_INTERVAL_US);
+        g_free(text);
+        g_free(config);
+    }
+    g_free(filler);
+}
+
+/* stored BYTES: which control processes have more than that on their disk */
+static void
+cmd_stored(struct mw_script *s)
+{
+    struct mw_region *region = script_region(s);
+    uint64_t bound = g_ascii_strtoull(mw_script_word(s, 1), NULL, 10);
+
+    for (int i = 0; i < region->count; i++) {
+        const struct mw_region_node *node = &region->nodes[i];
+        uint64_t bytes = 0;
+
+        for (guint k = 0; k < node->stored->len; k++) {
+            bytes += mw_blob_str(node->stored->pdata[k]).len;
+        }
+        if (node->is_control) {
+            mw_script_printf(s, "  %.*s stores %s",
+                             MW_FMT(mw_name_str(&node->name)),
+                             bytes <= bound ? "no more" : "more");
+        }
+    }
+}
+
 /* zone PROCESS out|in: takes zone za out of service, or back */
 static void
 cmd_zone(struct mw_script *s)
@@ -298,6 +344,8 @@
     {"cut", 3, cmd_cut},
     {"count-from", 1, cmd_count_from},
     {"config", 2, cmd_config},
+    {"configs", 4, cmd_configs},
+    {"stored", 1, cmd_stored},
     {"zone", 2, cmd_zone},
     {"read-config", 1, cmd_read_config},
     {"submit", 2, cmd_submit},
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -21,6 +21,8 @@
 /* after faults, before another disk may be lost */
 #define CATCH_UP_US 5000000
 #define ROUTES 700
+/* a seed goes on to as many, for three times its duration at most */
+#define CHANGES_MIN 400
 /* after the faults, all changes must be acknowledged within this time */
 #define CONFIG_TIMEOUT_US 15000000
 /* a configuration is read this long after all processes have restarted */
@@ -150,14 +152,26 @@
     return soak_now_us() + g_rand_int_range(rand, 100, 3000) * 1000;
 }
 
+static bool
+has_few_changes(const struct soak_configs *configs)
+{
+    int64_t slowest_us;
+    unsigned changes;
+
+    soak_get_config_counts(configs, &changes, &slowest_us);
+    return changes < CHANGES_MIN;
+}
+
 static void
 change_configs(struct soak_processes *processes, struct soak_configs *configs,
                GRand *rand, int64_t duration_us)
 {
     int64_t until_us = soak_now_us() + duration_us;
+    int64_t last_us = until_us + 2 * duration_us;
     int64_t next_fault_us = soak_now_us();
 
-    while (soak_now_us() < until_us) {
+    while (soak_now_us() < until_us ||
+           (has_few_changes(configs) && soak_now_us() < last_us)) {
         run_main_loop_until(soak_now_us() + CONFIG_INTERVAL_US);
         soak_send_next_config(configs);
         soak_ask_for_route(configs);
