--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -43,9 +43,10 @@
     return node;
 }
 
-/* region CONTROLS ENTRIES [endpoints=N] [target=N]: starts a new region with
- * control processes c1, c2, ... and entry processes e1, e2, ...; target is the
- * number of members that the log is to have */
+/* region CONTROLS ENTRIES [endpoints=N] [target=N] [compact=N]: starts a new
+ * region with control processes c1, c2, ... and entry processes e1, e2, ...;
+ * target is the number of members that the log is to have, and compact that of
+ * the entries after which it is replaced by a snapshot */
 static void
 cmd_region(struct mw_script *s)
 {
@@ -54,6 +55,8 @@
 
     region->target_member_count =
         (uint32_t)mw_script_option_int(s, "target", 3);
+    region->compact_after =
+        (uint32_t)mw_script_option_int(s, "compact", MW_REGION_COMPACT_AFTER);
     for (int kind = 0; kind < 2; kind++) {
         for (int i = 1; i <= atoi(mw_script_word(s, 1 + kind)); i++) {
             g_snprintf(name, sizeof name, "%c%d", "ce"[kind], i);
--- a/tests/region.c
+++ b/tests/region.c
@@ -265,7 +265,7 @@
         .member_count = node->member_count,
         .founding_count = MIN(node->member_count, 3),
         .target_member_count = region->target_member_count,
-        .compact_after = 60,
+        .compact_after = region->compact_after,
         .random_seed =
             (uint32_t)(node->index + 1) * 31 + (uint32_t)node->incarnation,
         .first_ref = first_ref(node),
@@ -627,6 +627,7 @@
     region->now_us = MW_REGION_START_US;
     region->last_incarnation = 100;
     region->target_member_count = 3;
+    region->compact_after = MW_REGION_COMPACT_AFTER;
     region->in_flight = g_ptr_array_new_with_free_func(free_packet);
     region->calls = g_ptr_array_new_with_free_func(mw_free_endpoint_call);
     region->heartbeats =
--- a/tests/region.h
+++ b/tests/region.h
@@ -18,6 +18,8 @@
 #define MW_REGION_NODES_MAX 12
 #define MW_REGION_FLOWS_MAX 400
 #define MW_REGION_STEP_US 10000
+/* entries; few, so that most scripts take snapshots */
+#define MW_REGION_COMPACT_AFTER 60
 #define MW_REGION_START_US 1000000000
 #define MW_REGION_REQUEST_TIMEOUT_US 3000000
 /* more refs than a process uses in one life */
@@ -102,6 +104,8 @@
     struct mw_script *script;
     int count;
     uint32_t target_member_count;
+    /* entries after which the log is replaced by a snapshot */
+    uint32_t compact_after;
     struct mw_region_node nodes[MW_REGION_NODES_MAX];
     /* links that drop all messages */
     bool cut[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
