An order that expired while its process stood still is not passed on to the next leader

What callers saw: an order for a zone that had been acknowledged was undone later: a core process with an operator's order that waited for a leader stood still for some seconds, and passed the order on with the next leader's heartbeat, after the operator had sent it elsewhere and then its opposite (both acknowledged).

Change: what has expired is ended before anything is forwarded.

Evidence: region/zone-order-before-pause, before: zone_proposed out at 10920 ms, 290 ms after the acknowledgement of in; after: 504 at 10910 ms and nothing proposed.

--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -352,13 +352,72 @@
     entry->output.reply(entry->output.opaque, &reply);
 }
 
-/* Forwards all pending requests, or only those not forwarded yet. */
+static int64_t
+expiry_us(const struct mw_pending_request *pending)
+{
+    return pending->forward_count > 0
+               ? pending->deadline_us
+               : MIN(pending->deadline_us, pending->leader_deadline_us);
+}
+
+static GPtrArray *
+expired_requests(struct mw_flow_entry *entry, int64_t now_us)
+{
+    GPtrArray *expired = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, entry->pending);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (now_us >= expiry_us(value)) {
+            g_ptr_array_add(expired, value);
+        }
+    }
+    return expired;
+}
+
+static void
+expire(struct mw_flow_entry *entry, int64_t now_us,
+       struct mw_pending_request *pending)
+{
+    uint64_t ref = pending->request_ref;
+    struct mw_str path = mw_blob_str(pending->msg->flow_call.path);
+
+    if (pending->forward_count == 0) {
+        refuse_unforwarded(entry, now_us, ref, path, MW_ERR_NOT_LEADER);
+    }
+    else {
+        entry->counters.timed_out++;
+        log_event(entry, "timed_out", "no_answer",
+                  now_us - pending->received_us, path);
+        refuse(entry, ref, MW_ERR_DEADLINE);
+    }
+    remove_pending(entry, pending);
+}
+
+static void
+end_expired(struct mw_flow_entry *entry, int64_t now_us)
+{
+    GPtrArray *expired = expired_requests(entry, now_us);
+
+    for (guint i = 0; i < expired->len; i++) {
+        expire(entry, now_us, expired->pdata[i]);
+    }
+    g_ptr_array_unref(expired);
+}
+
+/*
+ * Forwards all pending requests, or only those not forwarded yet.  After a
+ * pause of this process some have expired: the client may have sent another
+ * order since.
+ */
 static void
-forward_pending(struct mw_flow_entry *entry, bool all)
+forward_pending(struct mw_flow_entry *entry, int64_t now_us, bool all)
 {
     GHashTableIter iter;
     gpointer value;
 
+    end_expired(entry, now_us);
     g_hash_table_iter_init(&iter, entry->pending);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct mw_pending_request *pending = value;
@@ -423,7 +482,7 @@
     entry->leader_heartbeat_us = now_us;
     entry->version = heartbeat->version[MW_PRODUCTION];
     if (!changed) {
-        forward_pending(entry, false);
+        forward_pending(entry, now_us, false);
         return;
     }
     entry->leader = *from;
@@ -431,7 +490,7 @@
     entry->counters.leaders++;
     log_event(entry, "leader", "found", 0, MW_STR(""));
     /* the previous leader may not have replied */
-    forward_pending(entry, true);
+    forward_pending(entry, now_us, true);
 }
 
 void
@@ -462,58 +521,10 @@
     entry->leader = (struct mw_name){0};
 }
 
-static int64_t
-expiry_us(const struct mw_pending_request *pending)
-{
-    return pending->forward_count > 0
-               ? pending->deadline_us
-               : MIN(pending->deadline_us, pending->leader_deadline_us);
-}
-
-static GPtrArray *
-expired_requests(struct mw_flow_entry *entry, int64_t now_us)
-{
-    GPtrArray *expired = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, entry->pending);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (now_us >= expiry_us(value)) {
-            g_ptr_array_add(expired, value);
-        }
-    }
-    return expired;
-}
-
-static void
-expire(struct mw_flow_entry *entry, int64_t now_us,
-       struct mw_pending_request *pending)
-{
-    uint64_t ref = pending->request_ref;
-    struct mw_str path = mw_blob_str(pending->msg->flow_call.path);
-
-    if (pending->forward_count == 0) {
-        refuse_unforwarded(entry, now_us, ref, path, MW_ERR_NOT_LEADER);
-    }
-    else {
-        entry->counters.timed_out++;
-        log_event(entry, "timed_out", "no_answer",
-                  now_us - pending->received_us, path);
-        refuse(entry, ref, MW_ERR_DEADLINE);
-    }
-    remove_pending(entry, pending);
-}
-
 void
 mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us)
 {
-    GPtrArray *expired = expired_requests(entry, now_us);
-
-    for (guint i = 0; i < expired->len; i++) {
-        expire(entry, now_us, expired->pdata[i]);
-    }
-    g_ptr_array_unref(expired);
+    end_expired(entry, now_us);
 }
 
 int64_t
