Orders that waited at the process that becomes leader are served by it

What callers saw: an operator's order, or a read, that waited at a core process while there was no leader had 504, or 503 with no_leader, from the leader itself, up to 0.9 s after it had begun to lead; a change was acknowledged a further try later.

Cause: waiting requests are forwarded with the heartbeat of a new leader, which no process sends to itself.

Change: with its next tick a leader serves what waits in its own process, oldest first; what has expired is ended before.

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -259,6 +259,13 @@
 /* mw_flow_entry_disconnected: the connection to a process was closed. */
 void mw_flow_entry_disconnected(struct mw_flow_entry *entry, int64_t now_us,
                                 const struct mw_name *process);
+/*
+ * mw_flow_entry_hand_over: passes each request that is pending to the callback,
+ * oldest first, and forgets it: this process leads now.
+ */
+void mw_flow_entry_hand_over(
+    struct mw_flow_entry *entry, int64_t now_us, void *opaque,
+    void (*serve)(void *opaque, const struct mw_flow_request *request));
 /* mw_flow_entry_tick: end requests whose deadline has passed. */
 void mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us);
 /* mw_flow_entry_deadline: when mw_flow_entry_tick is next due. */
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -378,13 +378,23 @@
     mw_update_leadership(ctx, control, now_us);
 }
 
+static void
+handle_own_request(struct mw_context *ctx, struct mw_flow_control *control,
+                   int64_t now_us, int64_t wall_us,
+                   const struct mw_flow_request *request)
+{
+    static const struct mw_name no_process = {0};
+    struct mw_flow_request scheduled = *request;
+
+    scheduled.ref = mw_add_request_origin(control, &no_process, request->ref);
+    mw_flows_handle_request(ctx, control->flows, now_us, wall_us, &scheduled);
+}
+
 void
 mw_flow_control_request(struct mw_context *ctx,
                         struct mw_flow_control *control, int64_t now_us,
                         int64_t wall_us, const struct mw_flow_request *request)
 {
-    static const struct mw_name no_process = {0};
-    struct mw_flow_request scheduled = *request;
     struct mw_flow_reply refusal = outdated_reply;
 
     if (may_be_outdated(control, now_us, request->kind)) {
@@ -398,8 +408,37 @@
                               now_us + MW_FLOW_FORWARD_TIMEOUT_US);
         return;
     }
-    scheduled.ref = mw_add_request_origin(control, &no_process, request->ref);
-    mw_flows_handle_request(ctx, control->flows, now_us, wall_us, &scheduled);
+    handle_own_request(ctx, control, now_us, wall_us, request);
+}
+
+/* local_service: what a request that is served here needs. */
+struct local_service {
+    struct mw_context *ctx;
+    struct mw_flow_control *control;
+    int64_t wall_us;
+};
+
+static void
+serve_locally(void *opaque, const struct mw_flow_request *request)
+{
+    const struct local_service *service = opaque;
+
+    handle_own_request(service->ctx, service->control,
+                       service->control->now_us, service->wall_us, request);
+}
+
+/* Serves the requests that waited for a leader, if this process is it now. */
+static void
+serve_waiting_requests(struct mw_context *ctx, struct mw_flow_control *control,
+                       int64_t wall_us)
+{
+    struct local_service service = {ctx, control, wall_us};
+
+    if (control->is_leader && !control->suspended &&
+        mw_flow_entry_pending_count(control->entry) > 0) {
+        mw_flow_entry_hand_over(control->entry, control->now_us, &service,
+                                serve_locally);
+    }
 }
 
 void
@@ -449,6 +488,7 @@
 {
     mw_watch_tick(&control->pauses, now_us);
     mw_update_leadership(ctx, control, now_us);
+    serve_waiting_requests(ctx, control, wall_us);
     mw_flows_tick(ctx, control->flows, now_us, wall_us);
     mw_flow_entry_tick(control->entry, now_us);
     mw_tick_heartbeat_relay(control, now_us);
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -428,6 +428,60 @@
     }
 }
 
+/* Passes the request on as it came. */
+static void
+hand_over(const struct mw_pending_request *pending, void *opaque,
+          void (*serve)(void *opaque, const struct mw_flow_request *request))
+{
+    const struct mw_msg_flow_call *call = &pending->msg->flow_call;
+    struct mw_flow_request request = {
+        .ref = pending->request_ref,
+        .kind = call->kind,
+        .host = mw_blob_str(call->host),
+        .path = mw_blob_str(call->path),
+        .key = mw_blob_str(call->key),
+        .body = mw_blob_str(call->body),
+    };
+
+    serve(opaque, &request);
+}
+
+static int
+compare_refs(gconstpointer a, gconstpointer b)
+{
+    const struct mw_pending_request *x =
+        *(struct mw_pending_request *const *)a;
+    const struct mw_pending_request *y =
+        *(struct mw_pending_request *const *)b;
+
+    return x->ref < y->ref ? -1 : x->ref > y->ref;
+}
+
+void
+mw_flow_entry_hand_over(struct mw_flow_entry *entry, int64_t now_us,
+                        void *opaque,
+                        void (*serve)(void *opaque,
+                                      const struct mw_flow_request *request))
+{
+    GPtrArray *all = g_ptr_array_new_with_free_func(free_pending);
+    GHashTableIter iter;
+    gpointer value;
+
+    end_expired(entry, now_us);
+    g_hash_table_iter_init(&iter, entry->pending);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(all, value);
+    }
+    g_hash_table_steal_all(entry->pending);
+    g_hash_table_remove_all(entry->pending_by_request_ref);
+    entry->pending_bytes = 0;
+    g_ptr_array_sort(all, compare_refs);
+    for (guint i = 0; i < all->len; i++) {
+        hand_over(all->pdata[i], opaque, serve);
+    }
+    g_ptr_array_unref(all);
+}
+
 /* Replaces the list of members; keeps the times of those in both lists. */
 static void
 set_members(struct mw_flow_entry *entry, const struct mw_heartbeat *heartbeat)
