--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -260,8 +260,8 @@
 void mw_flow_entry_disconnected(struct mw_flow_entry *entry, int64_t now_us,
                                 const struct mw_name *process);
 /*
- * mw_flow_entry_hand_over: passes each request that is pending to the callback,
- * oldest first, and forgets it: this process leads now.
+ * mw_flow_entry_hand_over: passes each request that is pending to the
+ * callback, oldest first, and forgets it: this process leads now.
  */
 void mw_flow_entry_hand_over(
     struct mw_flow_entry *entry, int64_t now_us, void *opaque,
