Pending requests have a module of their own

flow-entry.c had 620 lines and two jobs; a pure move, but for mw_add_pending_request, which was part of mw_flow_entry_request.

--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -11,62 +11,7 @@
  */
 #include <string.h>
 
-#include "flow-impl.h"
-#include "mimosawind/flow-process.h"
-
-/* mw_pending_request: a request without a reply. */
-struct mw_pending_request {
-    /* of the message to the leader */
-    uint64_t ref;
-    /* with which the request came */
-    uint64_t request_ref;
-    /* what is forwarded */
-    struct mw_msg *msg;
-    size_t bytes;
-    int64_t deadline_us;
-    /* when a request that was never forwarded is refused */
-    int64_t leader_deadline_us;
-    int64_t received_us;
-    /* 0 until a leader may have received the request */
-    uint32_t forward_count;
-};
-
-/* mw_known_member: a member of the log, and when its last heartbeat came. */
-struct mw_known_member {
-    struct mw_name name;
-    /* 0 for never */
-    int64_t last_heartbeat_us;
-};
-
-struct mw_flow_entry {
-    struct mw_flow_entry_output output;
-    /* name of this process, which may be a member of the log itself */
-    struct mw_name self;
-    uint64_t next_ref;
-    /* struct mw_pending_request by ref, which owns them, and by request_ref */
-    GHashTable *pending;
-    GHashTable *pending_by_request_ref;
-    /* of all pending requests */
-    size_t pending_bytes;
-    struct mw_name leader;
-    /* the leader's term */
-    uint64_t epoch;
-    /* the leader's version of the configuration; 0 for none */
-    uint64_t version;
-    int64_t leader_heartbeat_us;
-    uint32_t member_count;
-    struct mw_known_member members[MW_MEMBERS_MAX];
-    struct mw_flow_entry_counters counters;
-};
-
-static void
-free_pending(void *data)
-{
-    struct mw_pending_request *pending = data;
-
-    mw_drop_msg(pending->msg);
-    g_free(pending);
-}
+#include "flow-entry-impl.h"
 
 struct mw_flow_entry *
 mw_new_flow_entry(const struct mw_flow_entry_output *output,
@@ -77,8 +22,8 @@
     entry->output = *output;
     entry->self = *self;
     entry->next_ref = first_ref;
-    entry->pending =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_pending);
+    entry->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                           mw_free_pending_request);
     entry->pending_by_request_ref =
         g_hash_table_new(g_int64_hash, g_int64_equal);
     return entry;
@@ -149,9 +94,9 @@
     return mw_name_of((struct mw_str){path.ptr + at, path.len - at});
 }
 
-static void
-log_event(struct mw_flow_entry *entry, const char *name, const char *outcome,
-          int64_t age_us, struct mw_str path)
+void
+mw_log_entry_event(struct mw_flow_entry *entry, const char *name,
+                   const char *outcome, int64_t age_us, struct mw_str path)
 {
     struct mw_flow_event event = {.name = name,
                                   .flow = flow_id_in(path),
@@ -164,8 +109,8 @@
     entry->output.event(entry->output.opaque, &event);
 }
 
-static void
-refuse(struct mw_flow_entry *entry, uint64_t ref, int error)
+void
+mw_refuse_pending(struct mw_flow_entry *entry, uint64_t ref, int error)
 {
     struct mw_flow_reply reply = {
         .ref = ref, .kind = MW_REPLY_ERROR, .error = error};
@@ -176,30 +121,18 @@
     entry->output.reply(entry->output.opaque, &reply);
 }
 
-/*
- * Refuses a request that no leader has received, so that the client can rely
- * on the reply: the flow does not run.
- */
-static void
-refuse_unforwarded(struct mw_flow_entry *entry, int64_t now_us, uint64_t ref,
-                   struct mw_str path, int error)
+void
+mw_refuse_unforwarded(struct mw_flow_entry *entry, int64_t now_us,
+                      uint64_t ref, struct mw_str path, int error)
 {
     entry->counters.refused++;
-    log_event(entry, "refused",
-              error == MW_ERR_OVERLOADED ? "too_much_is_pending" : "no_leader",
-              entry->leader_heartbeat_us > 0
-                  ? now_us - entry->leader_heartbeat_us
-                  : -1,
-              path);
-    refuse(entry, ref, error);
-}
-
-static void
-forward(struct mw_flow_entry *entry, struct mw_pending_request *pending)
-{
-    entry->counters.handed_again += pending->forward_count > 0;
-    pending->forward_count++;
-    entry->output.send(entry->output.opaque, &entry->leader, pending->msg);
+    mw_log_entry_event(
+        entry, "refused",
+        error == MW_ERR_OVERLOADED ? "too_much_is_pending" : "no_leader",
+        entry->leader_heartbeat_us > 0 ? now_us - entry->leader_heartbeat_us
+                                       : -1,
+        path);
+    mw_refuse_pending(entry, ref, error);
 }
 
 bool
@@ -215,55 +148,6 @@
            majority_reachable(entry, now_us);
 }
 
-static void
-add_pending(struct mw_flow_entry *entry, struct mw_pending_request *pending)
-{
-    g_hash_table_insert(entry->pending, &pending->ref, pending);
-    g_hash_table_insert(entry->pending_by_request_ref, &pending->request_ref,
-                        pending);
-    entry->pending_bytes += pending->bytes;
-}
-
-static void
-remove_pending(struct mw_flow_entry *entry, struct mw_pending_request *pending)
-{
-    entry->pending_bytes -= pending->bytes;
-    g_hash_table_remove(entry->pending_by_request_ref, &pending->request_ref);
-    g_hash_table_remove(entry->pending, &pending->ref);
-}
-
-static size_t
-request_size(const struct mw_flow_request *request)
-{
-    return sizeof(struct mw_pending_request) + sizeof(struct mw_msg) +
-           request->host.len + request->path.len + request->key.len +
-           request->body.len;
-}
-
-static bool
-has_room(const struct mw_flow_entry *entry,
-         const struct mw_flow_request *request)
-{
-    return g_hash_table_size(entry->pending) < MW_FLOW_PENDING_MAX &&
-           entry->pending_bytes + request_size(request) <=
-               MW_FLOW_PENDING_BYTES_MAX;
-}
-
-/* The message that passes the request on to the leader. */
-static struct mw_msg *
-new_flow_call(const struct mw_flow_request *request, uint64_t ref)
-{
-    struct mw_msg *msg = mw_new_msg(MW_MSG_FLOW_CALL);
-
-    msg->flow_call.ref = ref;
-    msg->flow_call.kind = request->kind;
-    msg->flow_call.host = mw_new_blob(request->host);
-    msg->flow_call.path = mw_new_blob(request->path);
-    msg->flow_call.key = mw_new_blob(request->key);
-    msg->flow_call.body = mw_new_blob(request->body);
-    return msg;
-}
-
 void
 mw_flow_entry_request(struct mw_flow_entry *entry, int64_t now_us,
                       const struct mw_flow_request *request,
@@ -273,37 +157,18 @@
 
     entry->counters.requests++;
     if (!mw_flow_entry_can_serve(entry, now_us)) {
-        refuse_unforwarded(entry, now_us, request->ref, request->path,
-                           MW_ERR_NOT_LEADER);
+        mw_refuse_unforwarded(entry, now_us, request->ref, request->path,
+                              MW_ERR_NOT_LEADER);
         return;
     }
-    if (!has_room(entry, request)) {
-        refuse_unforwarded(entry, now_us, request->ref, request->path,
-                           MW_ERR_OVERLOADED);
+    if (!mw_has_room_for_request(entry, request)) {
+        mw_refuse_unforwarded(entry, now_us, request->ref, request->path,
+                              MW_ERR_OVERLOADED);
         return;
     }
-    pending = g_new0(struct mw_pending_request, 1);
-    pending->ref = entry->next_ref++;
-    pending->request_ref = request->ref;
-    pending->deadline_us = deadline_us;
-    pending->leader_deadline_us = now_us + MW_FLOW_LEADER_WAIT_US;
-    pending->received_us = now_us;
-    pending->msg = new_flow_call(request, pending->ref);
-    pending->bytes = request_size(request);
-    add_pending(entry, pending);
+    pending = mw_add_pending_request(entry, now_us, request, deadline_us);
     if (has_leader(entry, now_us)) {
-        forward(entry, pending);
-    }
-}
-
-void
-mw_flow_entry_client_closed(struct mw_flow_entry *entry, uint64_t ref)
-{
-    struct mw_pending_request *pending =
-        g_hash_table_lookup(entry->pending_by_request_ref, &ref);
-
-    if (pending) {
-        remove_pending(entry, pending);
+        mw_forward_pending_request(entry, pending);
     }
 }
 
@@ -348,140 +213,10 @@
         return;
     }
     reply.ref = pending->request_ref;
-    remove_pending(entry, pending);
+    mw_remove_pending_request(entry, pending);
     entry->output.reply(entry->output.opaque, &reply);
 }
 
-static int64_t
-expiry_us(const struct mw_pending_request *pending)
-{
-    return pending->forward_count > 0
-               ? pending->deadline_us
-               : MIN(pending->deadline_us, pending->leader_deadline_us);
-}
-
-static GPtrArray *
-expired_requests(struct mw_flow_entry *entry, int64_t now_us)
-{
-    GPtrArray *expired = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, entry->pending);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (now_us >= expiry_us(value)) {
-            g_ptr_array_add(expired, value);
-        }
-    }
-    return expired;
-}
-
-static void
-expire(struct mw_flow_entry *entry, int64_t now_us,
-       struct mw_pending_request *pending)
-{
-    uint64_t ref = pending->request_ref;
-    struct mw_str path = mw_blob_str(pending->msg->flow_call.path);
-
-    if (pending->forward_count == 0) {
-        refuse_unforwarded(entry, now_us, ref, path, MW_ERR_NOT_LEADER);
-    }
-    else {
-        entry->counters.timed_out++;
-        log_event(entry, "timed_out", "no_answer",
-                  now_us - pending->received_us, path);
-        refuse(entry, ref, MW_ERR_DEADLINE);
-    }
-    remove_pending(entry, pending);
-}
-
-static void
-end_expired(struct mw_flow_entry *entry, int64_t now_us)
-{
-    GPtrArray *expired = expired_requests(entry, now_us);
-
-    for (guint i = 0; i < expired->len; i++) {
-        expire(entry, now_us, expired->pdata[i]);
-    }
-    g_ptr_array_unref(expired);
-}
-
-/*
- * Forwards all pending requests, or only those not forwarded yet.  After a
- * pause of this process some have expired: the client may have sent another
- * order since.
- */
-static void
-forward_pending(struct mw_flow_entry *entry, int64_t now_us, bool all)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    end_expired(entry, now_us);
-    g_hash_table_iter_init(&iter, entry->pending);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct mw_pending_request *pending = value;
-
-        if (all || pending->forward_count == 0) {
-            forward(entry, pending);
-        }
-    }
-}
-
-/* Passes the request on as it came. */
-static void
-hand_over(const struct mw_pending_request *pending, void *opaque,
-          void (*serve)(void *opaque, const struct mw_flow_request *request))
-{
-    const struct mw_msg_flow_call *call = &pending->msg->flow_call;
-    struct mw_flow_request request = {
-        .ref = pending->request_ref,
-        .kind = call->kind,
-        .host = mw_blob_str(call->host),
-        .path = mw_blob_str(call->path),
-        .key = mw_blob_str(call->key),
-        .body = mw_blob_str(call->body),
-    };
-
-    serve(opaque, &request);
-}
-
-static int
-compare_refs(gconstpointer a, gconstpointer b)
-{
-    const struct mw_pending_request *x =
-        *(struct mw_pending_request *const *)a;
-    const struct mw_pending_request *y =
-        *(struct mw_pending_request *const *)b;
-
-    return x->ref < y->ref ? -1 : x->ref > y->ref;
-}
-
-void
-mw_flow_entry_hand_over(struct mw_flow_entry *entry, int64_t now_us,
-                        void *opaque,
-                        void (*serve)(void *opaque,
-                                      const struct mw_flow_request *request))
-{
-    GPtrArray *all = g_ptr_array_new_with_free_func(free_pending);
-    GHashTableIter iter;
-    gpointer value;
-
-    end_expired(entry, now_us);
-    g_hash_table_iter_init(&iter, entry->pending);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        g_ptr_array_add(all, value);
-    }
-    g_hash_table_steal_all(entry->pending);
-    g_hash_table_remove_all(entry->pending_by_request_ref);
-    entry->pending_bytes = 0;
-    g_ptr_array_sort(all, compare_refs);
-    for (guint i = 0; i < all->len; i++) {
-        hand_over(all->pdata[i], opaque, serve);
-    }
-    g_ptr_array_unref(all);
-}
-
 /* Replaces the list of members; keeps the times of those in both lists. */
 static void
 set_members(struct mw_flow_entry *entry, const struct mw_heartbeat *heartbeat)
@@ -536,15 +271,15 @@
     entry->leader_heartbeat_us = now_us;
     entry->version = heartbeat->version[MW_PRODUCTION];
     if (!changed) {
-        forward_pending(entry, now_us, false);
+        mw_forward_pending_requests(entry, now_us, false);
         return;
     }
     entry->leader = *from;
     entry->epoch = heartbeat->epoch;
     entry->counters.leaders++;
-    log_event(entry, "leader", "found", 0, MW_STR(""));
+    mw_log_entry_event(entry, "leader", "found", 0, MW_STR(""));
     /* the previous leader may not have replied */
-    forward_pending(entry, now_us, true);
+    mw_forward_pending_requests(entry, now_us, true);
 }
 
 void
@@ -566,8 +301,8 @@
     if (!mw_name_equal(process, &entry->leader)) {
         return;
     }
-    log_event(entry, "leader", "lost", now_us - entry->leader_heartbeat_us,
-              MW_STR(""));
+    mw_log_entry_event(entry, "leader", "lost",
+                       now_us - entry->leader_heartbeat_us, MW_STR(""));
     /*
      * Messages may be lost with the connection.  With no leader set, its next
      * heartbeat counts as a change and all pending requests are forwarded.
@@ -575,26 +310,6 @@
     entry->leader = (struct mw_name){0};
 }
 
-void
-mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us)
-{
-    end_expired(entry, now_us);
-}
-
-int64_t
-mw_flow_entry_deadline(const struct mw_flow_entry *entry)
-{
-    GHashTableIter iter;
-    gpointer value;
-    int64_t deadline_us = INT64_MAX;
-
-    g_hash_table_iter_init(&iter, entry->pending);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        deadline_us = MIN(deadline_us, expiry_us(value));
-    }
-    return deadline_us;
-}
-
 bool
 mw_flow_entry_is_ready(const struct mw_flow_entry *entry, int64_t now_us)
 {
