--- a/tests/proofs/config_load.py
+++ b/tests/proofs/config_load.py
@@ -60,9 +60,8 @@
         self.number += 1
         prefix = f"/r{self.number}/"
         self.config["routes"].append({
-            **self.config["routes"][0], "prefix": None,
-            "name": f"route-{self.number}", "path-prefix": prefix})
-        del self.config["routes"][-1]["prefix"]
+            **self.config["routes"][0], "name": f"route-{self.number}",
+            "path-prefix": prefix})
         return prefix
 
     def change(self):
@@ -211,7 +210,7 @@
             self.read(self.cluster.cores[int(self.rand() * 3)])
             time.sleep(0.03)
 
-    def ask_often(self, index):
+    def ask_often(self):
         """Asks entry processes for routes that were added or removed."""
         while not self.over:
             time.sleep(0.005)
@@ -359,7 +358,8 @@
             self.trouble(rand)
 
     def share_processor(self):
-        """Each process runs for a part of each tenth of a second."""
+        """A core process runs for half of each tenth of a second, an edge
+        process for a quarter."""
         while not self.over:
             all_of = self.cluster.cores + self.cluster.edges
             stopped = []
@@ -460,7 +460,7 @@
         self.calm.set()
         tasks = [self.watch_memory, self.watch_ends, self.read_often,
                  self.read_often]
-        tasks += [lambda: self.ask_often(0)] * 2
+        tasks += [self.ask_often] * 2
         if args.kills:
             tasks.append(self.kill_often)
         if args.share:
