--- a/tests/region.c
+++ b/tests/region.c
@@ -38,16 +38,17 @@
 mw_trace_region(const struct mw_region *region, const char *format, ...)
 {
     va_list args;
+    char *line;
 
     if (!g_getenv("MW_TRACE")) {
         return;
     }
-    fprintf(stderr,
-            "%d ms: ", (int)((region->now_us - MW_REGION_START_US) / 1000));
     va_start(args, format);
-    vfprintf(stderr, format, args);
+    line = g_strdup_vprintf(format, args);
     va_end(args);
-    fputc('\n', stderr);
+    fprintf(stderr, "%d ms: %s\n",
+            (int)((region->now_us - MW_REGION_START_US) / 1000), line);
+    g_free(line);
 }
 
 struct mw_region_node *
