--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,15 @@
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wmissing-prototypes \
 	-Wstrict-prototypes -Wshadow -fno-omit-frame-pointer
 INCLUDES = -Iinclude -Isource/core -Isource/wire -Isource/run \
-	-Isource/core/log -Isource/core/zone -Isource/core/flow -Isource/daemons -Isource/tools -Itests -Iplatform -I.
+	-Isource/core/log -Isource/core/zone -Isource/core/flow \
+	-Isource/core/flow/policy -Isource/daemons -Isource/tools -Itests -Iplatform -I.
 ifdef SANITIZE
 BUILD = build/sanitize
 CFLAGS += -fsanitize=address,undefined -fno-sanitize-recover=undefined
 endif
 
-CORE := $(wildcard source/core/*.c source/core/*/*.c)
+CORE := $(wildcard source/core/*.c source/core/*/*.c \
+	source/core/*/*/*.c)
 WIRE := $(wildcard source/wire/*.c)
 RUN := $(wildcard source/run/*.c)
 PLATFORM := $(filter-out %/mwplatformd.c,$(wildcard platform/*.c))
