Flow: urgent gangs go to fast endpoints, other work to slow ones

Change: lists feed the estimates; an estimate is recorded for the next leader; candidates and racks are ordered by speed class.

--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -118,6 +118,18 @@
     int64_t clock_us;
 };
 
+/*
+ * mw_speed_record: an estimate of an endpoint's speed, in thousandths.
+ *
+ * Both are 0 for an endpoint of which nothing is known.
+ */
+struct mw_speed_record {
+    /* natural logarithm of the speed; 0 for a middling one */
+    int32_t log_speed;
+    /* how much less its variance is than that of an unknown endpoint */
+    uint32_t known;
+};
+
 /*
  * mw_record_endpoint: the last heartbeat of an endpoint, for the next leader.
  *
@@ -127,6 +139,7 @@
     struct mw_flow_heartbeat *heartbeat;
     /* it shut down, was replaced, or sent no heartbeat for a long time */
     bool gone;
+    struct mw_speed_record speed;
 };
 
 struct mw_record_config {
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -458,6 +458,9 @@
     uint32_t flows;
     uint32_t active;
     uint32_t endpoints;
+    /* of the endpoints that may get work */
+    uint32_t endpoints_slow;
+    uint32_t endpoints_fast;
     uint32_t placements;
     /* commands that wait to be sent, those sent without a response, and the
      * limit of the latter */
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "flow-command-queue.h"
+#include "endpoint-speed.h"
 #include "flow-config-versions.h"
 #include "mimosawind/flow.h"
 
@@ -25,6 +26,7 @@
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
+ *   flow-speed.c        observations for the endpoints' speeds
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption, and room for waiting gangs
  *   flow-reserve.c      endpoints reserved for a group
@@ -144,6 +146,7 @@
     int64_t retry_deadline_us;
     int64_t started_us;
     uint32_t percent;
+    struct mw_run_progress progress;
     /* when percent or checkpoint last changed, and when it was last listed */
     int64_t last_progress_us;
     int64_t last_listed_us;
@@ -205,6 +208,8 @@
     uint32_t rank;
     int64_t due_wall_us;
     enum mw_lateness lateness;
+    /* of the runs that this leader has seen */
+    struct mw_step_rate rate;
     /* run of the gang that has already been counted as failed */
     uint32_t failed_run;
     /* index of the task that wrote the gang's newest checkpoint */
@@ -363,6 +368,7 @@
     /* struct late_start; NULL for none */
     GArray *late_starts;
     uint32_t consecutive_failures;
+    struct mw_endpoint_speed speed;
     /* when a run last made progress or was done */
     int64_t last_progress_us;
     int64_t quarantine_deadline_us;
@@ -446,6 +452,9 @@
     bool is_rack_order_stale;
     /* endpoints that may get work in this pass, sorted by rack */
     GPtrArray *usable;
+    /* of these endpoints, and how many are slow, normal or fast */
+    struct mw_speed_mean speed_mean;
+    uint32_t speed_counts[MW_SPEED_CLASSES];
     GHashTable *pending_commands;
     struct mw_command_queue command_queue;
     /* mw_send_waiting_commands is at work */
@@ -589,6 +598,8 @@
  * recorded as having nothing, until their next heartbeat.
  */
 void mw_record_unheard_capacities(struct mw_flows *flows, int64_t now_us);
+/* mw_record_endpoint_speeds: proposes records of speeds that have changed. */
+void mw_record_endpoint_speeds(struct mw_flows *flows, int64_t now_us);
 void mw_apply_flow_endpoint(struct mw_flows *flows, struct mw_record *record);
 /* mw_restore_flow_endpoints: registers all recorded ones at a new leader. */
 void mw_restore_flow_endpoints(struct mw_flows *flows, int64_t now_us);
@@ -709,6 +720,29 @@
 /* endpoints that are reserved now */
 uint32_t mw_count_reserved(const struct mw_flows *flows, int64_t now_us);
 
+/* flow-speed.c */
+/* mw_note_run_start: the endpoint has accepted the start. */
+void mw_note_run_start(struct mw_task_placement *placement, int64_t now_us);
+/* mw_note_run_percent: a list shows this progress; 100 for a run that is done.
+ */
+void mw_note_run_percent(struct mw_task_placement *placement, int64_t now_us,
+                         uint32_t percent);
+
+/* mw_compare_speeds: compares the endpoints that may get work in a pass. */
+void mw_compare_speeds(struct mw_flows *flows);
+enum mw_speed_class
+mw_flow_endpoint_speed(const struct mw_flows *flows,
+                       const struct mw_flow_endpoint *endpoint);
+/* mw_has_unequal_speeds: some endpoint was found to be slow, or fast. */
+bool mw_has_unequal_speeds(const struct mw_flows *flows);
+/*
+ * mw_next_rate_us: when the endpoint's next list may help to learn its speed;
+ * INT64_MAX for no need.
+ */
+int64_t mw_next_rate_us(const struct mw_flows *flows,
+                        const struct mw_flow_endpoint *endpoint,
+                        int64_t now_us);
+
 /* flow-measure.c */
 /* measures how long a guaranteed group waited, once all tasks have started */
 void mw_measure_reclaim(struct mw_flows *flows, struct mw_task_group *group,
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -5,6 +5,10 @@
  *        one rack.  Tasks go to the endpoint with the fewest free accelerators
  *        that fits, and gangs to the rack with the least free capacity that
  *        holds all their tasks (best fit), to avoid fragmentation.
+ *
+ * LOAD   urgent gangs among endpoints of unequal speed.  They go to the rack
+ *        in which the slowest endpoint that they need is fastest; other work
+ *        has more time and takes slow endpoints first.
  */
 #include <string.h>
 
@@ -155,8 +159,21 @@
      * suspect prefers endpoints without runs.
      */
     bool less_preferred;
+    /* how well its speed suits the group; 0 for best */
+    uint32_t speed_order;
 };
 
+/* Urgent work takes the fastest endpoints, other work the slowest. */
+static uint32_t
+speed_order(const struct mw_flows *flows,
+            const struct mw_flow_endpoint *endpoint,
+            const struct mw_task_group *group)
+{
+    enum mw_speed_class class = mw_flow_endpoint_speed(flows, endpoint);
+
+    return group->rank <= MW_URGENT_RANK_MAX ? MW_SPEED_FAST - class : class;
+}
+
 static uint32_t
 free_gpus(const struct mw_flow_endpoint *endpoint)
 {
@@ -168,15 +185,19 @@
 static gint
 by_best_fit(gconstpointer a, gconstpointer b)
 {
-    const struct mw_flow_endpoint *x = ((const struct candidate *)a)->endpoint;
-    const struct mw_flow_endpoint *y = ((const struct candidate *)b)->endpoint;
+    const struct candidate *p = a;
+    const struct candidate *q = b;
+    const struct mw_flow_endpoint *x = p->endpoint;
+    const struct mw_flow_endpoint *y = q->endpoint;
 
     if (x->consecutive_failures != y->consecutive_failures) {
         return x->consecutive_failures < y->consecutive_failures ? -1 : 1;
     }
-    if (((const struct candidate *)a)->less_preferred !=
-        ((const struct candidate *)b)->less_preferred) {
-        return ((const struct candidate *)a)->less_preferred ? 1 : -1;
+    if (p->less_preferred != q->less_preferred) {
+        return p->less_preferred ? 1 : -1;
+    }
+    if (p->speed_order != q->speed_order) {
+        return p->speed_order < q->speed_order ? -1 : 1;
     }
     if (free_gpus(x) != free_gpus(y)) {
         return free_gpus(x) < free_gpus(y) ? -1 : 1;
@@ -204,6 +225,7 @@
         if (group->is_suspect) {
             c.less_preferred = c.endpoint->placements->len > 0;
         }
+        c.speed_order = speed_order(flows, c.endpoint, group);
         if (c.capacity > 0) {
             g_array_append_val(found, c);
         }
@@ -233,8 +255,28 @@
     /* any one in the rack */
     const struct candidate *first;
     uint32_t capacity;
+    /* of the candidates with each speed_order */
+    uint32_t by_speed[MW_SPEED_CLASSES];
 };
 
+static struct rack_capacity *
+find_rack_capacity(GArray *capacities, const struct candidate *c)
+{
+    struct rack_capacity fresh = {.first = c};
+
+    for (guint i = 0; i < capacities->len; i++) {
+        struct rack_capacity *r =
+            &g_array_index(capacities, struct rack_capacity, i);
+
+        if (mw_name_equal(&r->first->endpoint->rack, &c->endpoint->rack)) {
+            return r;
+        }
+    }
+    g_array_append_val(capacities, fresh);
+    return &g_array_index(capacities, struct rack_capacity,
+                          capacities->len - 1);
+}
+
 static GArray *
 capacities_of_racks(const GArray *candidates)
 {
@@ -244,54 +286,82 @@
     for (guint i = 0; i < candidates->len; i++) {
         const struct candidate *c =
             &g_array_index(candidates, struct candidate, i);
-        guint at = 0;
-
-        while (
-            at < capacities->len &&
-            !mw_name_equal(&g_array_index(capacities, struct rack_capacity, at)
-                                .first->endpoint->rack,
-                           &c->endpoint->rack)) {
-            at++;
-        }
-        if (at == capacities->len) {
-            struct rack_capacity fresh = {c, 0};
+        struct rack_capacity *r = find_rack_capacity(capacities, c);
 
-            g_array_append_val(capacities, fresh);
-        }
-        g_array_index(capacities, struct rack_capacity, at).capacity +=
-            c->capacity;
+        r->capacity += c->capacity;
+        r->by_speed[c->speed_order] += c->capacity;
     }
     return capacities;
 }
 
+/* The speed_order of the worst endpoint that the tasks need in the rack. */
+static uint32_t
+worst_speed_order(const struct rack_capacity *r, uint32_t wanted)
+{
+    uint32_t capacity = 0;
+    uint32_t order = 0;
+
+    while (order < MW_SPEED_CLASSES - 1) {
+        capacity += r->by_speed[order];
+        if (capacity >= wanted) {
+            break;
+        }
+        order++;
+    }
+    return order;
+}
+
+/* rack_choice: a rack that holds all tasks; the lowest values are the best. */
+struct rack_choice {
+    const struct candidate *first;
+    bool less_preferred;
+    /* 0 unless the group is urgent */
+    uint32_t speed_order;
+    uint32_t capacity;
+};
+
+static bool
+is_better_rack(const struct rack_choice *a, const struct rack_choice *b)
+{
+    if (a->less_preferred != b->less_preferred) {
+        return !a->less_preferred;
+    }
+    if (a->speed_order != b->speed_order) {
+        return a->speed_order < b->speed_order;
+    }
+    return a->capacity < b->capacity;
+}
+
 /*
- * Returns the rack with the least capacity that holds all tasks, or NULL; a
- * rack that the group prefers wins over one that it does not.
+ * Returns the rack with the least capacity that holds all tasks, or NULL.  A
+ * rack that the group prefers wins over one that it does not, and then, for an
+ * urgent group, one whose endpoints are faster.
  */
 static const struct mw_name *
-best_rack(const GArray *candidates, uint32_t wanted)
+best_rack(const struct mw_task_group *group, const GArray *candidates,
+          uint32_t wanted)
 {
     GArray *capacities = capacities_of_racks(candidates);
-    const struct candidate *best = NULL;
-    uint32_t best_capacity = UINT32_MAX;
+    bool urgent = group->rank <= MW_URGENT_RANK_MAX;
+    struct rack_choice best = {0};
 
     for (guint i = 0; i < capacities->len; i++) {
         const struct rack_capacity *r =
             &g_array_index(capacities, struct rack_capacity, i);
-        bool preferred =
-            best && best->less_preferred && !r->first->less_preferred;
-
-        if (r->capacity < wanted ||
-            (best && r->first->less_preferred && !best->less_preferred)) {
-            continue;
-        }
-        if (preferred || r->capacity < best_capacity) {
-            best = r->first;
-            best_capacity = r->capacity;
+        struct rack_choice choice = {
+            .first = r->first,
+            .less_preferred = r->first->less_preferred,
+            .speed_order = urgent ? worst_speed_order(r, wanted) : 0,
+            .capacity = r->capacity,
+        };
+
+        if (r->capacity >= wanted &&
+            (!best.first || is_better_rack(&choice, &best))) {
+            best = choice;
         }
     }
     g_array_unref(capacities);
-    return best ? &best->endpoint->rack : NULL;
+    return best.first ? &best.first->endpoint->rack : NULL;
 }
 
 /* Whether some rack could hold so many tasks if nothing else ran there. */
@@ -374,7 +444,7 @@
     if (*rack && capacity_of_rack(candidates, *rack) >= required) {
         return true;
     }
-    *rack = best_rack(candidates, wanted);
+    *rack = best_rack(group, candidates, wanted);
     return *rack || mw_may_span_racks(flows, group, now_us, wanted);
 }
 
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -261,6 +261,9 @@
     struct mw_str outcome = mw_run_end_str(run->end);
 
     flows->counters.ends++;
+    if (placement && run->end == MW_END_DONE && !group->step->gang) {
+        mw_note_run_percent(placement, now_us, 100);
+    }
     mw_update_flow_endpoint_health(flows, now_us, endpoint, run->end);
     if (!task || !is_current_run(task, run->run)) {
         finish_placement(flows, now_us, placement, outcome.ptr);
@@ -317,6 +320,9 @@
         placement->last_progress_us = now_us;
         endpoint->last_progress_us = now_us;
     }
+    if (run->percent < 100) {
+        mw_note_run_percent(placement, now_us, run->percent);
+    }
     placement->last_listed_us = listed_us;
     if (run->checkpoint.len > 0 &&
         !mw_str_equal(mw_blob_str(placement->checkpoint), run->checkpoint)) {
--- a/source/core/flow/flow-registry.c
+++ b/source/core/flow/flow-registry.c
@@ -17,6 +17,11 @@
  *        needs no further records: the next leader waits for a heartbeat.
  *        So is the capacity of an endpoint that has not been heard of for too
  *        long: it may have shrunk since.
+ *
+ * LOAD   endpoints of unequal speed, and leaders that change.  A leader needs
+ *        many seconds to learn which endpoints are slow, so that an estimate
+ *        is recorded when the class that follows from it has changed, or when
+ *        it has become much more certain.
  */
 #include <string.h>
 
@@ -26,6 +31,8 @@
 #define ENDPOINT_RETENTION_US INT64_C(60000000)
 /* a capacity that changes is recorded as it is once in so long */
 #define CAPACITY_INTERVAL_US INT64_C(10000000)
+/* records for changed speeds in one round of maintenance */
+#define SPEED_RECORDS_MAX 32
 
 static const struct mw_flow_heartbeat *
 recorded_heartbeat(const struct mw_flows *flows, const struct mw_name *id)
@@ -45,7 +52,8 @@
 
 static bool
 propose_endpoint_record(struct mw_flows *flows,
-                        const struct mw_flow_heartbeat *heartbeat, bool gone)
+                        const struct mw_flow_heartbeat *heartbeat,
+                        const struct mw_speed_record *speed, bool gone)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_ENDPOINT);
     int err;
@@ -53,6 +61,7 @@
     record->endpoint.heartbeat = g_memdup2(heartbeat, sizeof *heartbeat);
     record->endpoint.heartbeat->seq = 0;
     record->endpoint.heartbeat->clock_us = 0;
+    record->endpoint.speed = *speed;
     record->endpoint.gone = gone;
     err = flows->output.propose(flows->output.opaque, record);
     mw_drop_record(record);
@@ -121,12 +130,13 @@
               struct mw_flow_endpoint *endpoint)
 {
     struct mw_flow_heartbeat heartbeat = endpoint->heartbeat;
+    struct mw_speed_record speed = mw_record_endpoint_speed(&endpoint->speed);
 
     if (now_us < endpoint->capacity_record_deadline_us ||
         !mw_endpoint_capacity_counts(endpoint, now_us)) {
         heartbeat.total = (struct mw_flow_resources){0};
     }
-    if (!propose_endpoint_record(flows, &heartbeat, false)) {
+    if (!propose_endpoint_record(flows, &heartbeat, &speed, false)) {
         return false;
     }
     endpoint->record_pending = true;
@@ -191,15 +201,72 @@
     }
 }
 
+/*
+ * Whether the log has another class of the endpoint's speed than this leader,
+ * or a much less certain estimate: the next leader compares all of them.  A
+ * capacity that changes often is recorded as nothing meanwhile, and such a
+ * record would be renewed for the speed.
+ */
+static bool
+has_outdated_speed(const struct mw_flows *flows, int64_t now_us,
+                   const struct mw_flow_endpoint *endpoint)
+{
+    const struct mw_record *record =
+        g_hash_table_lookup(flows->endpoint_records, &endpoint->id);
+    struct mw_endpoint_speed recorded;
+
+    if (!mw_has_unequal_speeds(flows) || !record || !endpoint->registered ||
+        endpoint->deregistered || endpoint->record_pending ||
+        now_us < endpoint->capacity_record_deadline_us ||
+        !same_endpoint_state(record->endpoint.heartbeat,
+                             &endpoint->heartbeat)) {
+        return false;
+    }
+    recorded = mw_recall_endpoint_speed(&record->endpoint.speed, now_us);
+    return mw_is_speed_news(&recorded, &endpoint->speed) ||
+           mw_classify_endpoint_speed(&recorded, &flows->speed_mean) !=
+               mw_flow_endpoint_speed(flows, endpoint);
+}
+
+static void
+emit_speed_event(struct mw_flows *flows,
+                 const struct mw_flow_endpoint *endpoint)
+{
+    static const char *const outcomes[] = {"slow", "normal", "fast"};
+
+    mw_emit_flow_endpoint_event(
+        flows, "endpoint_speed", endpoint,
+        outcomes[mw_flow_endpoint_speed(flows, endpoint)], 0);
+}
+
+void
+mw_record_endpoint_speeds(struct mw_flows *flows, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t proposed = 0;
+
+    g_hash_table_iter_init(&iter, flows->endpoints);
+    while (proposed < SPEED_RECORDS_MAX &&
+           g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (has_outdated_speed(flows, now_us, value)) {
+            proposed++;
+            emit_speed_event(flows, value);
+            propose_state(flows, now_us, value);
+        }
+    }
+}
+
 void
 mw_propose_flow_endpoint_removal(struct mw_flows *flows,
                                  const struct mw_flow_endpoint *endpoint)
 {
+    static const struct mw_speed_record unknown;
     const struct mw_flow_heartbeat *heartbeat =
         recorded_heartbeat(flows, &endpoint->id);
 
     if (heartbeat) {
-        propose_endpoint_record(flows, heartbeat, true);
+        propose_endpoint_record(flows, heartbeat, &unknown, true);
     }
 }
 
@@ -221,6 +288,19 @@
     }
 }
 
+static void
+recall_speed(struct mw_flows *flows, int64_t now_us,
+             const struct mw_record *record)
+{
+    struct mw_flow_endpoint *endpoint =
+        mw_find_flow_endpoint(flows, &record->endpoint.heartbeat->id);
+
+    if (endpoint) {
+        endpoint->speed =
+            mw_recall_endpoint_speed(&record->endpoint.speed, now_us);
+    }
+}
+
 void
 mw_apply_flow_endpoint(struct mw_flows *flows, struct mw_record *record)
 {
@@ -247,6 +327,7 @@
     if (flows->is_leader &&
         (!endpoint || endpoint->incarnation < heartbeat->incarnation)) {
         mw_register_flow_endpoint(flows, flows->now_us, heartbeat, "recalled");
+        recall_speed(flows, flows->now_us, record);
     }
     else if (flows->is_leader && !mw_endpoint_is_heard(endpoint) &&
              endpoint->incarnation == heartbeat->incarnation) {
@@ -266,6 +347,7 @@
 
         mw_register_flow_endpoint(flows, now_us, record->endpoint.heartbeat,
                                   "recalled");
+        recall_speed(flows, now_us, record);
     }
 }
 
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -71,6 +71,7 @@
         placement->phase = MW_PLACEMENT_RUNNING;
         placement->last_response_us = now_us;
         placement->started_us = now_us;
+        mw_note_run_start(placement, now_us);
         mw_measure_reclaim(flows, placement->group, now_us);
         break;
     case MW_FLOW_REFUSED_OLD:
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -320,6 +320,7 @@
     GArray *misfits = g_array_new(FALSE, FALSE, sizeof(struct misfit));
 
     mw_update_urgent_pools(flows, now_us);
+    mw_compare_speeds(flows);
     for (guint i = 0; i < groups->len; i++) {
         struct mw_task_group *group = groups->pdata[i];
 
@@ -472,6 +473,7 @@
             flow->groups[u].preemption_deadline_us = 0;
             flow->groups[u].reserved_count = 0;
             flow->groups[u].idle_since_us = 0;
+            flow->groups[u].rate = (struct mw_step_rate){0};
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
                 flow->groups[u].tasks[i].unrecorded_crash_score = 0;
@@ -563,6 +565,7 @@
         remove_ended_flows(flows, now_us);
         mw_remove_stale_endpoint_records(flows, now_us);
         mw_record_unheard_capacities(flows, now_us);
+        mw_record_endpoint_speeds(flows, now_us);
     }
     if (now_us >= flows->pass_deadline_us) {
         flows->pass_deadline_us = now_us + MW_FLOW_PASS_US;
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -513,6 +513,8 @@
         .flows = g_hash_table_size(flows->flows),
         .active = flows->active->len,
         .endpoints = g_hash_table_size(flows->endpoints),
+        .endpoints_slow = flows->speed_counts[MW_SPEED_SLOW],
+        .endpoints_fast = flows->speed_counts[MW_SPEED_FAST],
     };
     g_hash_table_iter_init(&iter, flows->endpoints);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -2175,7 +2175,7 @@
   (ProtobufCMessageInit) mw__wire__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__endpoint__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mw__wire__endpoint__field_descriptors[13] =
 {
   {
     "id",
@@ -2309,6 +2309,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log_speed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, log_speed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_known",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, speed_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__endpoint__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2319,14 +2343,16 @@
   8,   /* field[8] = gpus */
   0,   /* field[0] = id */
   5,   /* field[5] = labels */
+  11,   /* field[11] = log_speed */
   7,   /* field[7] = memory_mb */
   2,   /* field[2] = service */
+  12,   /* field[12] = speed_known */
   4,   /* field[4] = zone */
 };
 static const ProtobufCIntRange mw__wire__endpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor mw__wire__endpoint__descriptor =
 {
@@ -2336,7 +2362,7 @@
   "Mw__Wire__Endpoint",
   "mw.wire",
   sizeof(Mw__Wire__Endpoint),
-  11,
+  13,
   mw__wire__endpoint__field_descriptors,
   mw__wire__endpoint__field_indices_by_name,
   1,  mw__wire__endpoint__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -190,10 +190,15 @@
   uint32_t gpus;
   protobuf_c_boolean draining;
   protobuf_c_boolean gone;
+  /*
+   * of records: the estimate of its speed, in thousandths
+   */
+  int32_t log_speed;
+  uint32_t speed_known;
 };
 #define MW__WIRE__ENDPOINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__endpoint__descriptor) \
-    , {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -119,6 +119,8 @@
     case MW_RECORD_ENDPOINT:
         wire->endpoint = mw_pack_endpoint(scratch, record->endpoint.heartbeat);
         wire->endpoint->gone = record->endpoint.gone;
+        wire->endpoint->log_speed = record->endpoint.speed.log_speed;
+        wire->endpoint->speed_known = record->endpoint.speed.known;
         break;
     default:
         break;
@@ -284,6 +286,10 @@
     case MW_RECORD_ENDPOINT:
         record->endpoint.heartbeat = g_new0(struct mw_flow_heartbeat, 1);
         record->endpoint.gone = wire->endpoint && wire->endpoint->gone;
+        if (wire->endpoint) {
+            record->endpoint.speed.log_speed = wire->endpoint->log_speed;
+            record->endpoint.speed.known = wire->endpoint->speed_known;
+        }
         return mw_unpack_endpoint(wire->endpoint, record->endpoint.heartbeat);
     default:
         return 0;
