--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -89,10 +89,9 @@
         "mimosawind_places %u\nmimosawind_commands_waiting %u\n"
         "mimosawind_commands_in_flight %u\nmimosawind_command_window %u\n"
         "mimosawind_log_lines_dropped %" PRIu64 "\n",
-        flows.flows, flows.active, flows.endpoints,
-        flows.endpoints_slow, flows.endpoints_fast, flows.placements,
-        flows.commands_waiting, flows.commands_in_flight, flows.command_window,
-        lines_dropped);
+        flows.flows, flows.active, flows.endpoints, flows.endpoints_slow,
+        flows.endpoints_fast, flows.placements, flows.commands_waiting,
+        flows.commands_in_flight, flows.command_window, lines_dropped);
     for (int time = 0; time < MW_FLOW_LATENCIES; time++) {
         add_histogram(out, mw_flow_latency_str((enum mw_flow_latency)time),
                       mw_flow_control_get_histogram(
