Quota: the configuration's cap and weight are read, and use is summed

An organisation's `cap` and `weight` were ignored. They are decoded into struct mw_flow_org; wrong types and values out of range are refused with the name of the field, and amounts are 64 bits wide, so that sums don't overflow.

policy/quota keeps what each organisation's placements use, updated as they are added and freed, beside the caps of the configuration in force. Nothing decides by them yet.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -32,11 +32,22 @@
     int64_t memory_bytes;
 };
 
+/* mw_flow_amounts: sums of resources; in the units of mw_flow_resources. */
+struct mw_flow_amounts {
+    uint64_t cpu;
+    uint64_t memory_mb;
+    uint64_t gpus;
+};
+
 /* mw_flow_org: an organisation. */
 struct mw_flow_org {
     struct mw_name name;
     uint32_t priority;
     uint32_t guaranteed_gpus;
+    /* share of scarce resources in proportion to others; 1 if not given */
+    uint32_t weight;
+    /* what it may have running at once; 0 for no limit */
+    struct mw_flow_amounts cap;
 };
 
 /* mw_flow_key: an API key, and the index of its organisation. */
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -6,6 +6,7 @@
 #include "flow-command-queue.h"
 #include "flow-config-versions.h"
 #include "mimosawind/flow.h"
+#include "quota.h"
 
 /*
  * flow-impl: the state of the scheduler of flows.
@@ -25,6 +26,7 @@
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
+ *   flow-quota.c        caps of the configuration in force
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption, and room for waiting gangs
  *   flow-reserve.c      endpoints reserved for a group
@@ -35,6 +37,7 @@
  *   flow-command-queue.c  which command may be sent next
  *   flow-measure.c      latencies
  *   flow-event.c        lines of the event log
+ *   policy/quota.c      what each organisation uses, against its cap
  *
  * The replicated state of tasks changes only in flow-state.c.  The state of
  * endpoints and placements belongs to the leader; the next leader builds its
@@ -469,6 +472,9 @@
     int64_t maintenance_deadline_us;
     /* struct mw_urgent_pool by service */
     GHashTable *urgent_pools;
+    /* use of the placements, and the caps of the version below */
+    struct mw_quota *quota;
+    uint64_t quota_version;
     struct mw_flow_counters counters;
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
@@ -618,6 +624,10 @@
  */
 bool mw_start_fits(const struct mw_task_placement *placement, int64_t now_us);
 
+/* flow-quota.c */
+/* mw_get_quota: with the caps of the configuration in force. */
+struct mw_quota *mw_get_quota(struct mw_flows *flows);
+
 /* flow-place.c */
 struct mw_task_placement *
 mw_add_task_placement(struct mw_flows *flows,
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -81,6 +81,7 @@
     flows->usable = g_ptr_array_new();
     flows->urgent_pools =
         g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
+    flows->quota = mw_new_quota();
     flows->pending_commands =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     flows->pending_requests =
@@ -101,6 +102,7 @@
     mw_clear_flow_endpoints(flows);
     mw_clear_command_queue(&flows->command_queue);
     g_hash_table_unref(flows->urgent_pools);
+    mw_drop_quota(flows->quota);
     g_ptr_array_unref(flows->usable);
     g_ptr_array_unref(flows->by_rack);
     g_hash_table_unref(flows->by_address);
--- a/tests/platform-script.c
+++ b/tests/platform-script.c
@@ -3,6 +3,7 @@
  * settings, and the encoding of commands to endpoints.  Also, how the event
  * log bounds its lines.
  */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -43,6 +44,23 @@
     return true;
 }
 
+/* Organisations that share unequally, or have a cap. */
+static void
+print_shares(struct mw_script *s, const struct mw_flow_config *config)
+{
+    for (uint32_t i = 0; i < config->org_count; i++) {
+        const struct mw_flow_org *org = &config->orgs[i];
+
+        if (org->weight != 1 || org->cap.cpu || org->cap.memory_mb ||
+            org->cap.gpus) {
+            mw_script_printf(
+                s, "  %.*s: weight %u, cap %" PRIu64 "/%" PRIu64 "/%" PRIu64,
+                MW_FMT(mw_name_str(&org->name)), org->weight, org->cap.cpu,
+                org->cap.memory_mb, org->cap.gpus);
+        }
+    }
+}
+
 static void
 cmd_config(struct mw_script *s)
 {
@@ -55,6 +73,7 @@
         mw_script_printf(s, "config: version %d, %u routes, %u keys",
                          (int)config->version, config->route_count,
                          config->key_count);
+        print_shares(s, config);
     }
     mw_drop_flow_config(config);
 }
