Quota: an organisation runs no more than its cap

Change: a pass asks policy/quota how many of a group's waiting tasks the cap admits beside what may be running; a gang starts whole or waits, other steps start in part. What waits for its cap is not searched for endpoints, so it is no misfit, has no reservation, preempts nothing, adds no urgent demand, and is reported as `cap_wait` instead of `waits`. After a cap was lowered, starts that no endpoint can have received are withdrawn. A gang or task above the cap is refused as impossible. Within an organisation the first work that waits for the cap, and work with a reservation, hold back up to half of the cap from what is behind them. mw explain names the cap and the time.

Without any cap a pass tests one flag for each group.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -353,6 +353,8 @@
     uint64_t reservations_lost;
     /* reports of groups that waited for long although there was room */
     uint64_t long_waits;
+    /* times that a step came to wait for its organisation's cap */
+    uint64_t cap_waits;
     uint64_t quarantined;
     /* endpoints whose process ended without notice, with runs there */
     uint64_t endpoint_crashes;
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -232,6 +232,9 @@
         else if (!mw_start_fits(placement, now_us)) {
             withdraw_start(flows, now_us, placement, "no_capacity");
         }
+        else if (!mw_start_is_within_cap(flows, placement)) {
+            withdraw_start(flows, now_us, placement, "cap_lowered");
+        }
         else {
             transmit_start(flows, now_us, pending, placement);
             return;
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -26,7 +26,7 @@
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
- *   flow-quota.c        caps of the configuration in force
+ *   flow-quota.c        what the organisations' caps admit
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption, and room for waiting gangs
  *   flow-reserve.c      endpoints reserved for a group
@@ -224,6 +224,14 @@
     int64_t idle_since_us;
     /* when that is reported next */
     int64_t wait_report_deadline_us;
+    /* since when its organisation's cap keeps tasks waiting; 0 if none */
+    int64_t capped_us;
+    /* when that is reported next */
+    int64_t cap_report_deadline_us;
+    /* until when the cap kept a gang from starting; 0 for never */
+    int64_t capped_until_us;
+    /* the resource that does, while capped_us is set */
+    enum mw_quota_limit cap_limit;
 };
 
 /* mw_flow_size: the memory that flows take. */
@@ -627,6 +635,28 @@
 /* flow-quota.c */
 /* mw_get_quota: with the caps of the configuration in force. */
 struct mw_quota *mw_get_quota(struct mw_flows *flows);
+/* mw_tasks_within_cap: how many may start, of a gang all or none. */
+uint32_t mw_tasks_within_cap(struct mw_flows *flows,
+                             struct mw_task_group *group, uint32_t waiting);
+/*
+ * mw_draw_cap_for_demand: how many waiting tasks the cap keeps from starting,
+ * with the groups for which this was called since the claims were cleared.
+ */
+uint32_t mw_draw_cap_for_demand(struct mw_flows *flows,
+                                const struct mw_task_group *group);
+/* mw_note_cap_wait: this pass left tasks waiting because of the cap alone. */
+void mw_note_cap_wait(struct mw_flows *flows, struct mw_task_group *group,
+                      int64_t now_us);
+/* whether each step could start within the cap; org is NULL for none */
+bool mw_caps_admit_plan(const struct mw_flow_org *org,
+                        const struct mw_flow_plan *plan);
+/*
+ * mw_start_is_within_cap: false while more is in use than a cap that was
+ * lowered since, unless the start or another one of its gang may have reached
+ * its endpoint.
+ */
+bool mw_start_is_within_cap(struct mw_flows *flows,
+                            const struct mw_task_placement *placement);
 
 /* flow-place.c */
 struct mw_task_placement *
@@ -655,6 +685,8 @@
 /* mw_flow_endpoint_limit_left: tasks that the step's spread still allows. */
 uint32_t mw_flow_endpoint_limit_left(const struct mw_flow_endpoint *endpoint,
                                      const struct mw_task_group *group);
+/* since when the group waits for a rack: ready, and not kept by its cap */
+int64_t mw_rack_wait_start_us(const struct mw_task_group *group);
 /* whether tasks that prefer one rack may now span several */
 bool mw_may_span_racks(const struct mw_flows *flows,
                        const struct mw_task_group *group, int64_t now_us,
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -323,6 +323,12 @@
     return capacity >= wanted;
 }
 
+int64_t
+mw_rack_wait_start_us(const struct mw_task_group *group)
+{
+    return MAX(group->ready_us, group->capped_until_us);
+}
+
 bool
 mw_may_span_racks(const struct mw_flows *flows,
                   const struct mw_task_group *group, int64_t now_us,
@@ -332,7 +338,7 @@
         group->rank < 2 ? MW_URGENT_RACK_WAIT_US : MW_RACK_WAIT_US;
 
     return !group->step->prefer_one_rack ||
-           now_us - group->ready_us >= after_us ||
+           now_us - mw_rack_wait_start_us(group) >= after_us ||
            !empty_rack_could_hold(flows, group, wanted);
 }
 
@@ -356,7 +362,7 @@
             const GArray *candidates, int64_t now_us, uint32_t wanted,
             const struct mw_name **rack)
 {
-    int64_t waited_us = now_us - group->ready_us;
+    int64_t waited_us = now_us - mw_rack_wait_start_us(group);
     uint32_t required = group->step->gang ? wanted : 1;
 
     *rack = NULL;
--- a/source/core/flow/flow-quota.c
+++ b/source/core/flow/flow-quota.c
@@ -1,5 +1,11 @@
 /*
- * flow-quota: the organisations' caps, as the configuration in force has them.
+ * flow-quota: what the organisations' caps admit.
+ *
+ * LOAD   organisations that submit far more than their caps admit.  What waits
+ *        for its cap neither reserves endpoints nor preempts, and is not
+ *        searched for endpoints.
+ *
+ * docs/design/quota.md tells what counts as use.
  */
 #include "flow-impl.h"
 
@@ -16,3 +22,101 @@
     }
     return flows->quota;
 }
+
+uint32_t
+mw_tasks_within_cap(struct mw_flows *flows, struct mw_task_group *group,
+                    uint32_t waiting)
+{
+    uint32_t left =
+        mw_quota_tasks_left(mw_get_quota(flows), &group->flow->org,
+                            &group->step->need, waiting, &group->cap_limit);
+
+    return group->step->gang && left < waiting ? 0 : left;
+}
+
+uint32_t
+mw_draw_cap_for_demand(struct mw_flows *flows,
+                       const struct mw_task_group *group)
+{
+    const struct mw_name *org = &group->flow->org;
+    const struct mw_flow_resources *need = &group->step->need;
+    enum mw_quota_limit limit;
+    uint32_t waiting;
+
+    if (!mw_quota_has_cap(flows->quota, org)) {
+        return 0;
+    }
+    waiting = mw_count_waiting_tasks(group);
+    if (group->step->gang && mw_quota_tasks_left(flows->quota, org, need,
+                                                 waiting, &limit) < waiting) {
+        return waiting;
+    }
+    return waiting - mw_draw_quota(flows->quota, org, need, waiting);
+}
+
+void
+mw_note_cap_wait(struct mw_flows *flows, struct mw_task_group *group,
+                 int64_t now_us)
+{
+    if (group->capped_us == 0) {
+        group->capped_us = now_us;
+        group->cap_report_deadline_us = now_us;
+        flows->counters.cap_waits++;
+    }
+    /* it waits for no room, so neither time runs */
+    group->guaranteed_us = 0;
+    if (group->step->gang) {
+        group->capped_until_us = now_us;
+    }
+    if (group->reserved_count > 0) {
+        mw_release_reservation(flows, group);
+        group->preemption_deadline_us = 0;
+    }
+    mw_claim_quota(flows->quota, &group->flow->org, &group->step->need,
+                   group->step->gang ? group->step->count : 1, true);
+}
+
+bool
+mw_caps_admit_plan(const struct mw_flow_org *org,
+                   const struct mw_flow_plan *plan)
+{
+    for (uint32_t i = 0; org && i < plan->step_count; i++) {
+        const struct mw_flow_step *step = &plan->steps[i];
+
+        if (!mw_cap_admits(&org->cap, &step->need,
+                           step->gang ? step->count : 1)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether a start of the gang may have reached its endpoint. */
+static bool
+has_sent_starts(const struct mw_task_group *group)
+{
+    for (uint32_t i = 0; i < group->step->count; i++) {
+        const struct mw_task_placement *placement = group->tasks[i].placement;
+
+        if (placement && !mw_run_is_unsent(placement)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+mw_start_is_within_cap(struct mw_flows *flows,
+                       const struct mw_task_placement *placement)
+{
+    const struct mw_task_group *group = placement->group;
+
+    if (!mw_quota_is_exceeded(mw_get_quota(flows), &group->flow->org)) {
+        return true;
+    }
+    if (group->step->gang) {
+        return has_sent_starts(group);
+    }
+    return placement->phase != MW_PLACEMENT_UNKNOWN &&
+           !mw_run_is_unsent(placement);
+}
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -361,14 +361,15 @@
 }
 
 static bool
-may_start_run(const struct mw_flows *flows,
+may_start_run(struct mw_flows *flows,
               const struct mw_task_placement *placement)
 {
     const struct mw_flow_endpoint *endpoint = placement->endpoint;
 
     return placement->group->flow->state == MW_FLOW_ACTIVE &&
            !endpoint->heartbeat.draining &&
-           !mw_flow_zone_is_out(flows, &endpoint->heartbeat.zone);
+           !mw_flow_zone_is_out(flows, &endpoint->heartbeat.zone) &&
+           mw_start_is_within_cap(flows, placement);
 }
 
 /* The list was requested after the last response about the run. */
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -208,6 +208,10 @@
         refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
                           "no_endpoint_is_large_enough");
     }
+    else if (!mw_caps_admit_plan(org, plan)) {
+        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
+                          "cap_is_too_small");
+    }
     else if (err) {
         refuse_submission(flows, request, id, err,
                           err == MW_ERR_IMPOSSIBLE ? "too_large_to_be_held"
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -239,6 +239,8 @@
            a->prefer_one_rack == b->prefer_one_rack && b->data_rack.len == 0 &&
            b->max_per_endpoint == 0 && mw_name_equal(&a->label, &b->label) &&
            group->ready_us >= misfit->group->ready_us &&
+           mw_rack_wait_start_us(group) >=
+               mw_rack_wait_start_us(misfit->group) &&
            group->rank >= misfit->group->rank &&
            (b->checkpointing || !a->checkpointing) &&
            mw_name_equal(&group->flow->route.service,
@@ -288,12 +290,13 @@
                  GArray *misfits)
 {
     uint32_t waiting = mw_count_waiting_tasks(group);
+    uint32_t wanted = mw_tasks_within_cap(flows, group, waiting);
     struct misfit misfit = {group, group->step->gang ? waiting : 1};
     uint32_t found = 0;
 
     g_ptr_array_set_size(chosen, 0);
-    if (!is_misfit(misfits, group, misfit.wanted)) {
-        found = mw_choose_endpoints(flows, group, now_us, waiting, chosen);
+    if (wanted > 0 && !is_misfit(misfits, group, misfit.wanted)) {
+        found = mw_choose_endpoints(flows, group, now_us, wanted, chosen);
         if (found == 0) {
             g_array_append_val(misfits, misfit);
         }
@@ -304,11 +307,20 @@
     if (found == waiting) {
         mw_release_reservation(flows, group);
     }
-    if (found < waiting && group->rank == 2) {
-        mw_reserve_for_task_group(flows, group, waiting, now_us);
+    if (found == wanted && wanted < waiting) {
+        mw_note_cap_wait(flows, group, now_us);
+        return;
+    }
+    group->capped_us = 0;
+    if (found < wanted && group->rank == 2) {
+        mw_reserve_for_task_group(flows, group, wanted, now_us);
+    }
+    else if (found < wanted) {
+        mw_preempt_for_task_group(flows, group, wanted - found, now_us);
     }
-    else if (found < waiting) {
-        mw_preempt_for_task_group(flows, group, waiting - found, now_us);
+    if (found < wanted && group->reserved_count > 0) {
+        mw_claim_quota(flows->quota, &group->flow->org, &group->step->need,
+                       wanted - found, false);
     }
 }
 
@@ -319,7 +331,9 @@
     GPtrArray *chosen = g_ptr_array_new();
     GArray *misfits = g_array_new(FALSE, FALSE, sizeof(struct misfit));
 
+    mw_clear_quota_claims(mw_get_quota(flows));
     mw_update_urgent_pools(flows, now_us);
+    mw_clear_quota_claims(flows->quota);
     for (guint i = 0; i < groups->len; i++) {
         struct mw_task_group *group = groups->pdata[i];
 
@@ -472,6 +486,8 @@
             flow->groups[u].preemption_deadline_us = 0;
             flow->groups[u].reserved_count = 0;
             flow->groups[u].idle_since_us = 0;
+            flow->groups[u].capped_us = 0;
+            flow->groups[u].capped_until_us = 0;
             for (uint32_t i = 0; i < flow->groups[u].step->count; i++) {
                 flow->groups[u].tasks[i].uncommitted_records = 0;
                 flow->groups[u].tasks[i].unrecorded_crash_score = 0;
--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -105,6 +105,7 @@
     return is_unused;
 }
 
+/* Work that waits for its organisation's cap is no demand. */
 static void
 add_demand(struct mw_flows *flows)
 {
@@ -117,7 +118,8 @@
 
             if (group->rank <= MW_URGENT_RANK_MAX) {
                 pool_of(flows, &flow->route.service)->demand_gpus +=
-                    (uint64_t)(group->step->count - group->done_count) *
+                    (uint64_t)(group->step->count - group->done_count -
+                               mw_draw_cap_for_demand(flows, group)) *
                     group->step->need.gpus;
             }
         }
--- a/source/core/flow/flow-wait.c
+++ b/source/core/flow/flow-wait.c
@@ -1,18 +1,21 @@
 /*
- * flow-wait: reports task groups that wait for long although there is room.
+ * flow-wait: reports task groups that wait for long although there is room,
+ * and those that wait for their organisation's cap.
  *
  * LOAD   work that is not started beside idle endpoints.  No decision is made
  *        about it, so no event would tell what it waits for.
  *
  * Nothing is decided here.  A group that has had no run at work for
  * REPORT_WAIT_US is reported with the reason that keeps the most room from it,
- * and again each time its wait has doubled.
+ * and again each time its wait has doubled.  One whose organisation's cap
+ * keeps tasks waiting is reported as such, the first time at once.
  */
 #include "flow-impl.h"
 
 #define REPORT_WAIT_US INT64_C(3000000)
 #define REPORT_INTERVAL_US INT64_C(400000)
-/* groups that are looked at each interval; the others follow in later ones */
+/* groups that are looked at each interval, and those that are reported as
+ * waiting for a cap; the others follow in later ones */
 #define LOOKS_MAX 16
 
 /* hold: what keeps an endpoint's room, or all room, from a group. */
@@ -163,12 +166,24 @@
                              wanted, total, now_us - group->idle_since_us);
 }
 
+static void
+report_cap_wait(struct mw_flows *flows, struct mw_task_group *group,
+                int64_t now_us)
+{
+    int64_t waited_us = now_us - group->capped_us;
+
+    group->cap_report_deadline_us = now_us + MAX(waited_us, REPORT_WAIT_US);
+    mw_emit_task_group_event(flows, "cap_wait", group,
+                             mw_quota_limit_str(group->cap_limit),
+                             mw_count_waiting_tasks(group), 0, waited_us);
+}
+
 /* Whether the group's wait is due to be reported. */
 static bool
 is_report_due(struct mw_task_group *group, int64_t now_us, int64_t wall_us)
 {
     if (group->done_count == group->step->count ||
-        !mw_task_group_is_ready(group, wall_us) ||
+        !mw_task_group_is_ready(group, wall_us) || group->capped_us > 0 ||
         count_placements(group, true) > 0) {
         group->idle_since_us = 0;
         return false;
@@ -184,6 +199,7 @@
 mw_report_long_waits(struct mw_flows *flows, int64_t now_us, int64_t wall_us)
 {
     uint32_t looks_left = LOOKS_MAX;
+    uint32_t cap_reports_left = LOOKS_MAX;
 
     if (now_us < flows->wait_report_deadline_us) {
         return;
@@ -196,6 +212,11 @@
              i++) {
             struct mw_task_group *group = &flow->groups[i];
 
+            if (group->capped_us > 0 && cap_reports_left > 0 &&
+                now_us >= group->cap_report_deadline_us) {
+                cap_reports_left--;
+                report_cap_wait(flows, group, now_us);
+            }
             if (!is_report_due(group, now_us, wall_us) || looks_left == 0) {
                 continue;
             }
--- a/source/core/flow/policy/quota.h
+++ b/source/core/flow/policy/quota.h
@@ -17,6 +17,14 @@
  *        each organisation that is configured or uses something
  */
 
+/* mw_quota_limit: the resource whose cap admits the fewest tasks. */
+enum mw_quota_limit {
+    MW_QUOTA_CPU = 0,
+    MW_QUOTA_MEMORY = 1,
+    MW_QUOTA_GPUS = 2,
+    MW_QUOTA_LIMITS = 3
+};
+
 /* mw_quota_org: an organisation; lent until the next change. */
 struct mw_quota_org {
     struct mw_name name;
@@ -25,6 +33,10 @@
     struct mw_flow_amounts cap;
     /* 1 if the configuration has none */
     uint32_t weight;
+    /* held back for groups of it that were visited in this pass */
+    struct mw_flow_amounts claimed;
+    /* one that waits for the cap was */
+    bool has_waiting_claim;
 };
 
 struct mw_quota;
@@ -51,4 +63,43 @@
 const struct mw_quota_org *mw_find_quota_org(const struct mw_quota *quota,
                                              const struct mw_name *name);
 
+/*
+ * mw_quota_tasks_left: how many tasks of this need, wanted at most, the cap
+ * admits beside what is used and claimed.
+ *
+ * None while any resource is above its cap.  If it is fewer than wanted,
+ * *limit is the cap that admits the fewest.
+ */
+uint32_t mw_quota_tasks_left(const struct mw_quota *quota,
+                             const struct mw_name *org,
+                             const struct mw_flow_resources *need,
+                             uint32_t wanted, enum mw_quota_limit *limit);
+/* mw_quota_is_exceeded: whether a resource is above its cap. */
+bool mw_quota_is_exceeded(const struct mw_quota *quota,
+                          const struct mw_name *org);
+/* mw_quota_has_cap: whether any of its resources has a cap. */
+bool mw_quota_has_cap(const struct mw_quota *quota, const struct mw_name *org);
+/* mw_cap_admits: whether the cap admits so many tasks if nothing is used. */
+bool mw_cap_admits(const struct mw_flow_amounts *cap,
+                   const struct mw_flow_resources *need, uint32_t tasks);
+/* mw_quota_limit_str: the field of the configuration. */
+const char *mw_quota_limit_str(enum mw_quota_limit limit);
+
+/*
+ * mw_clear_quota_claims, mw_claim_quota: hold room below the cap for a group
+ * against the organisation's groups behind it.
+ *
+ * All claims of an organisation take half of its cap at most, so that one that
+ * uses less than half can still start small work.  With is_waiting the group
+ * waits for the cap; only the first of these has a claim, or many would
+ * withhold all other resources that they need, too.
+ */
+void mw_clear_quota_claims(struct mw_quota *quota);
+void mw_claim_quota(struct mw_quota *quota, const struct mw_name *org,
+                    const struct mw_flow_resources *need, uint32_t tasks,
+                    bool is_waiting);
+/* mw_draw_quota: as mw_quota_tasks_left; claims all of these tasks. */
+uint32_t mw_draw_quota(struct mw_quota *quota, const struct mw_name *org,
+                       const struct mw_flow_resources *need, uint32_t wanted);
+
 #endif
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -78,6 +78,7 @@
     COUNTER(preemptions_impossible);
     COUNTER(reservations_lost);
     COUNTER(long_waits);
+    COUNTER(cap_waits);
     COUNTER(quarantined);
     COUNTER(endpoint_crashes);
     COUNTER(crashing_flows);
--- a/source/tools/event-trace.c
+++ b/source/tools/event-trace.c
@@ -104,6 +104,9 @@
     const char *failure;
     bool undecided;
     bool timed_out;
+    /* the resource whose cap kept it waiting, NULL for none, and since when */
+    const char *cap;
+    int64_t capped_us;
     /* counts of events about runs */
     guint failed;
     guint preempted;
@@ -149,6 +152,12 @@
         summary->crashes +=
             json_object_get(event->object, "crash_score") != NULL;
     }
+    else if (is_event(event, "cap_wait", NULL) && !summary->cap) {
+        summary->cap = get_text(event, "outcome");
+        summary->capped_us =
+            event->time_us -
+            json_integer_value(json_object_get(event->object, "age_us"));
+    }
     summary->undecided |= is_event(event, "undecided", NULL);
     summary->timed_out |= is_event(event, "timed_out", NULL);
     summary->preempted += is_event(event, "preempted", NULL);
@@ -245,6 +254,13 @@
             out, "; waited %.3f s for its first start",
             (double)(summary->started_us - summary->accepted_us) / US_PER_S);
     }
+    if (summary->cap) {
+        g_string_append_printf(
+            out,
+            "; kept waiting by its organisation's cap of %s from %+.3f s on",
+            summary->cap,
+            (double)(summary->capped_us - summary->first_us) / US_PER_S);
+    }
     append_runs(summary, out);
 }
 
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -552,9 +552,9 @@
     st->decode_count = 0;
 }
 
-/* setup [version=N guaranteed=GPUS other=GPUS]: three queues by priority, the
- * organisations org, with key k1, and other, with key k2, and their
- * guarantees */
+/* setup [version=N guaranteed=GPUS other=GPUS cap=GPUS cap-cpu=N cap-mem=N]:
+ * three queues by priority, the organisations org, with key k1, and other,
+ * with key k2, their guarantees, and the caps of org */
 static void
 cmd_setup(struct mw_script *s)
 {
@@ -570,11 +570,15 @@
         "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
         "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
         "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
-        "\"guaranteed\":{\"gpus\":%d}},"
+        "\"guaranteed\":{\"gpus\":%d},"
+        "\"cap\":{\"gpus\":%d,\"cpu\":%d,\"mem-mb\":%d}},"
         "{\"name\":\"other\",\"api-keys\":[\"k2\"],"
         "\"guaranteed\":{\"gpus\":%d}}]}",
         (int)mw_script_option_int(s, "version", 1),
         (int)mw_script_option_int(s, "guaranteed", 16),
+        (int)mw_script_option_int(s, "cap", 0),
+        (int)mw_script_option_int(s, "cap-cpu", 0),
+        (int)mw_script_option_int(s, "cap-mem", 0),
         (int)mw_script_option_int(s, "other", 0));
 
     send_request(s, MW_FLOW_CONFIG, "", text);
