--- a/tests/region-endpoint.c
+++ b/tests/region-endpoint.c
@@ -310,6 +310,30 @@
     }
 }
 
+/* Checks that the cap of the organisation admits another run. */
+static void
+check_cap(struct mw_fake_endpoints *endpoints, int64_t now_us)
+{
+    unsigned running = 1;
+
+    for (int e = 0; endpoints->cap > 0 && e < endpoints->count; e++) {
+        const struct mw_fake_endpoint *endpoint = &endpoints->all[e];
+
+        for (guint i = 0; i < endpoint->runs->len; i++) {
+            const struct mw_fake_run *run =
+                &g_array_index(endpoint->runs, struct mw_fake_run, i);
+            enum mw_run_end end;
+
+            running += !run->ended && !ends_now(endpoint, run, now_us, &end);
+        }
+    }
+    if (endpoints->cap > 0 && running > endpoints->cap) {
+        g_string_append_printf(endpoints->violations,
+                               "%u runs at %" PRId64 " us, the cap is %u; ",
+                               running, now_us, endpoints->cap);
+    }
+}
+
 /* Checks that a task may start now on this endpoint. */
 static void
 check_start(struct mw_fake_endpoints *endpoints,
@@ -323,6 +347,7 @@
 
     check_runs_once(endpoints, endpoint, command, task, now_us);
     check_room(endpoints, endpoint, now_us);
+    check_cap(endpoints, now_us);
     if (history->done) {
         g_string_append_printf(
             violations,
--- a/tests/region-endpoint.h
+++ b/tests/region-endpoint.h
@@ -12,7 +12,7 @@
  * Violations are appended to a text: a task that runs twice at a time, that
  * starts after a run of it was done or failed too often, that starts on an
  * endpoint whose drain was acknowledged, or more runs than an endpoint has
- * room for.
+ * room for, or their organisation's cap admits.
  *
  * An endpoint measures leases on its own clock, which may be slow.  One that
  * restarts has forgotten everything: its clock, its fencing token and the
@@ -95,6 +95,8 @@
     bool incarnation_in_lists_only;
     /* failed runs of a task after which it must not start; 0 for any */
     uint32_t attempts_max;
+    /* runs at work on all of them; 0 for any */
+    uint32_t cap;
     /* task to its struct mw_fake_history */
     GHashTable *histories;
     GString *violations;
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -132,7 +132,8 @@
 static void
 cmd_config(struct mw_script *s)
 {
-    char *text = mw_region_config_text((uint64_t)atoi(mw_script_word(s, 2)));
+    char *text = mw_region_config_text(script_region(s),
+                                       (uint64_t)atoi(mw_script_word(s, 2)));
 
     mw_send_region_request(node_word(s, 1), MW_FLOW_CONFIG, "", text, NULL);
     g_free(text);
@@ -148,7 +149,7 @@
 
     for (int i = atoi(mw_script_word(s, 2)); i <= atoi(mw_script_word(s, 3));
          i++) {
-        char *config = mw_region_config_text((uint64_t)i);
+        char *config = mw_region_config_text(node->region, (uint64_t)i);
         char *text = g_strconcat(config, filler, NULL);
 
         mw_send_region_request(node, MW_FLOW_CONFIG, "", text, NULL);
@@ -304,11 +305,18 @@
     run_one(s, mw_run_region_seed);
 }
 
-/* seeds FIRST COUNT CONTROLS: a region with injected faults for each seed;
- * MW_SEEDS replaces COUNT */
+static void
+set_cap(struct mw_script *s)
+{
+    script_region(s)->cap_gpus = (uint32_t)mw_script_option_int(s, "cap", 0);
+}
+
+/* seeds FIRST COUNT CONTROLS [cap=RUNS]: a region with injected faults for
+ * each seed, whose organisation has a cap; MW_SEEDS replaces COUNT */
 static void
 cmd_seeds(struct mw_script *s)
 {
+    set_cap(s);
     run_several(s, mw_run_region_seed);
 }
 
@@ -320,7 +328,8 @@
         (unsigned)mw_script_option_int(s, "without", 0);
 }
 
-/* endpoint-seed, endpoint-seeds ... [without=MASK]: with endpoint faults */
+/* endpoint-seed, endpoint-seeds ... [without=MASK cap=RUNS]: with endpoint
+ * faults */
 static void
 cmd_endpoint_seed(struct mw_script *s)
 {
@@ -332,6 +341,7 @@
 cmd_endpoint_seeds(struct mw_script *s)
 {
     exclude_faults(s);
+    set_cap(s);
     run_several(s, mw_run_endpoint_fault_seed);
 }
 
--- a/tests/region-seeds.c
+++ b/tests/region-seeds.c
@@ -82,7 +82,7 @@
                                             ++region->last_version, 0};
     struct mw_region_pending_request read = {MW_FLOW_READ_CONFIG,
                                              region->acknowledged_version, 0};
-    char *text = mw_region_config_text(put.number);
+    char *text = mw_region_config_text(region, put.number);
 
     mw_send_region_request(random_node(region, true), MW_FLOW_CONFIG, "", text,
                            &put);
--- a/tests/region.c
+++ b/tests/region.c
@@ -562,7 +562,7 @@
 }
 
 char *
-mw_region_config_text(uint64_t version)
+mw_region_config_text(const struct mw_region *region, uint64_t version)
 {
     return g_strdup_printf(
         "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],\"routes\":["
@@ -570,8 +570,8 @@
         "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
         "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
         "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
-        "\"guaranteed\":{\"gpus\":8}}]}",
-        (int)version);
+        "\"guaranteed\":{\"gpus\":8},\"cap\":{\"gpus\":%u}}]}",
+        (int)version, region->cap_gpus);
 }
 
 void
@@ -595,6 +595,7 @@
     uint32_t count = 0;
 
     region->endpoints = mw_new_fake_endpoints(endpoints, region->violations);
+    region->endpoints->cap = region->cap_gpus;
     for (int i = 0; i < region->count; i++) {
         if (region->nodes[i].is_control && count < 3) {
             members[count++] = region->nodes[i].name;
--- a/tests/region.h
+++ b/tests/region.h
@@ -145,6 +145,8 @@
     int flow_one_in;
     /* kinds that no seed draws */
     unsigned excluded_faults;
+    /* cap of the organisation in each configuration; 0 for none */
+    uint32_t cap_gpus;
     /* responses of endpoints are slow until then */
     int64_t slow_deadline_us;
     /* when the leader fails, and when a process that failed recovers */
@@ -191,7 +193,7 @@
                             const struct mw_region_pending_request *pending);
 
 /* mw_region_config_text: a configuration with this version; g_free it. */
-char *mw_region_config_text(uint64_t version);
+char *mw_region_config_text(const struct mw_region *region, uint64_t version);
 
 /*
  * mw_run_region_seed: a region with injected faults (region-seeds.c).
