Metrics: use, cap, weight and waiting tasks of organisations

The leader gives lines for the 32 organisations that use most and adds up the others, so that their number is bounded however many are configured.

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -199,6 +199,9 @@
 void mw_flow_control_get_status(const struct mw_flow_control *control,
                                 struct mw_log_status *log,
                                 struct mw_flows_status *flows);
+/* mw_flow_control_get_orgs: see mw_flows_get_orgs. */
+uint32_t mw_flow_control_get_orgs(const struct mw_flow_control *control,
+                                  struct mw_flow_org_status *orgs);
 const struct mw_flow_histogram *
 mw_flow_control_get_histogram(const struct mw_flow_control *control,
                               enum mw_flow_latency latency);
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -482,6 +482,30 @@
 void mw_flows_get_status(struct mw_flows *flows,
                          struct mw_flows_status *status);
 
+/* organisations that the metrics name; all others are added up */
+#define MW_FLOW_ORGS_NAMED_MAX 32
+
+/* mw_flow_org_status: use and cap of an organisation. */
+struct mw_flow_org_status {
+    /* of ready steps */
+    uint64_t waiting_tasks;
+    struct mw_flow_amounts used;
+    struct mw_flow_amounts cap;
+    uint32_t weight;
+    /* the sum of several, without cap and weight; its name is "other" */
+    bool is_sum;
+    struct mw_name name;
+};
+
+/*
+ * mw_flows_get_orgs: the organisations with the most in use, then the sum of
+ * all others if there are any; none unless this process leads.
+ *
+ * Writes at most MW_FLOW_ORGS_NAMED_MAX + 1 of them and returns how many.
+ */
+uint32_t mw_flows_get_orgs(struct mw_flows *flows,
+                           struct mw_flow_org_status *orgs);
+
 /* text of enumerators for logs and replies */
 struct mw_str mw_flow_state_str(enum mw_flow_state state);
 struct mw_str mw_run_end_str(enum mw_run_end end);
--- a/source/core/flow/flow-control-status.c
+++ b/source/core/flow/flow-control-status.c
@@ -36,6 +36,13 @@
     mw_flows_get_status(control->flows, flows);
 }
 
+uint32_t
+mw_flow_control_get_orgs(const struct mw_flow_control *control,
+                         struct mw_flow_org_status *orgs)
+{
+    return mw_flows_get_orgs(control->flows, orgs);
+}
+
 const struct mw_flow_counters *
 mw_flow_control_get_counters(const struct mw_flow_control *control)
 {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -36,6 +36,7 @@
  *   flow-command.c      sends commands and grants leases
  *   flow-command-queue.c  which command may be sent next
  *   flow-measure.c      latencies
+ *   flow-org-status.c   use and caps of organisations, for metrics
  *   flow-event.c        lines of the event log
  *   policy/quota.c      what each organisation uses, against its cap
  *
--- a/source/core/flow/policy/quota.c
+++ b/source/core/flow/policy/quota.c
@@ -32,6 +32,20 @@
     return g_hash_table_lookup(quota->orgs, name);
 }
 
+void
+mw_each_quota_org(const struct mw_quota *quota, void *opaque,
+                  void (*callback)(void *opaque,
+                                   const struct mw_quota_org *org))
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, quota->orgs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        callback(opaque, value);
+    }
+}
+
 /* The organisation, which is added if it is not known. */
 static struct mw_quota_org *
 get_org(struct mw_quota *quota, const struct mw_name *name)
--- a/source/core/flow/policy/quota.h
+++ b/source/core/flow/policy/quota.h
@@ -63,6 +63,11 @@
 const struct mw_quota_org *mw_find_quota_org(const struct mw_quota *quota,
                                              const struct mw_name *name);
 
+/* mw_each_quota_org: calls back for each, in no order. */
+void mw_each_quota_org(const struct mw_quota *quota, void *opaque,
+                       void (*callback)(void *opaque,
+                                        const struct mw_quota_org *org));
+
 /*
  * mw_quota_tasks_left: how many tasks of this need, wanted at most, the cap
  * admits beside what is used and claimed.
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -47,6 +47,58 @@
     COUNTER(snapshots_received);
 }
 
+/* Quotes, backslashes and line breaks are escaped, and nothing else. */
+static char *
+escape_label(struct mw_str text)
+{
+    GString *label = g_string_new(NULL);
+
+    for (size_t i = 0; i < text.len; i++) {
+        char c = text.ptr[i];
+
+        if (c == '"' || c == '\\' || c == '\n') {
+            g_string_append_c(label, '\\');
+        }
+        g_string_append_c(label, c == '\n' ? 'n' : c);
+    }
+    return g_string_free(label, FALSE);
+}
+
+static void
+add_org_value(GString *out, const char *name, const char *label,
+              uint64_t value)
+{
+    g_string_append_printf(out, "mimosawind_org_%s{org=\"%s\"} %" PRIu64 "\n",
+                           name, label, value);
+}
+
+static void
+add_org(GString *out, const struct mw_flow_org_status *org)
+{
+    char *label = escape_label(mw_name_str(&org->name));
+
+    add_org_value(out, "used_cpu", label, org->used.cpu);
+    add_org_value(out, "used_memory_mb", label, org->used.memory_mb);
+    add_org_value(out, "used_gpus", label, org->used.gpus);
+    add_org_value(out, "waiting_tasks", label, org->waiting_tasks);
+    if (!org->is_sum) {
+        add_org_value(out, "cap_cpu", label, org->cap.cpu);
+        add_org_value(out, "cap_memory_mb", label, org->cap.memory_mb);
+        add_org_value(out, "cap_gpus", label, org->cap.gpus);
+        add_org_value(out, "weight", label, org->weight);
+    }
+    g_free(label);
+}
+
+void
+mw_add_org_metrics(GString *out, const struct mw_flow_org_status *orgs,
+                   uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        add_org(out, &orgs[i]);
+    }
+}
+
 GString *
 mw_format_flow_metrics(const struct mw_flow_control *control,
                        uint64_t lines_dropped)
@@ -56,6 +108,7 @@
     GString *out = g_string_new(NULL);
     struct mw_log_status log;
     struct mw_flows_status flows;
+    struct mw_flow_org_status orgs[MW_FLOW_ORGS_NAMED_MAX + 1];
 
     mw_flow_control_get_status(control, &log, &flows);
     add_log_status(out, &log);
@@ -92,6 +145,7 @@
         flows.flows, flows.active, flows.endpoints, flows.placements,
         flows.commands_waiting, flows.commands_in_flight, flows.command_window,
         lines_dropped);
+    mw_add_org_metrics(out, orgs, mw_flow_control_get_orgs(control, orgs));
     for (int time = 0; time < MW_FLOW_LATENCIES; time++) {
         add_histogram(out, mw_flow_latency_str((enum mw_flow_latency)time),
                       mw_flow_control_get_histogram(
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "decode.h"
+#include "flow-metrics.h"
 #include "mimosawind/flow.h"
 #include "mimosawind/wire.h"
 #include "peak-memory.h"
@@ -954,7 +955,47 @@
     }
 }
 
+/* orgs: the metrics of the organisations */
+static void
+cmd_orgs(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    struct mw_flow_org_status orgs[MW_FLOW_ORGS_NAMED_MAX + 1];
+    uint32_t count = mw_flows_get_orgs(st->flows, orgs);
+    GString *text = g_string_new(NULL);
+
+    mw_add_org_metrics(text, orgs, count);
+    g_string_append(s->out, text->str);
+    g_string_free(text, TRUE);
+}
+
+/* many-orgs COUNT VERSION: a configuration with so many organisations, o1 and
+ * so on with keys k1 and so on, and a cap for o1 */
+static void
+cmd_many_orgs(struct mw_script *s)
+{
+    GString *text = g_string_new(NULL);
+
+    g_string_append_printf(
+        text,
+        "{\"version\":%s,\"services\":[{\"name\":\"svc\"}],\"routes\":["
+        "{\"name\":\"bulk\",\"host\":\"h.example\",\"path-prefix\":\"/b/\","
+        "\"service\":\"svc\",\"priority\":2,\"slack-factor\":3}],"
+        "\"tenants\":[{\"name\":\"o1\",\"api-keys\":[\"k1\"],"
+        "\"weight\":3,\"cap\":{\"gpus\":2}}",
+        mw_script_word(s, 2));
+    for (int i = 2; i <= atoi(mw_script_word(s, 1)); i++) {
+        g_string_append_printf(
+            text, ",{\"name\":\"o%d\",\"api-keys\":[\"k%d\"]}", i, i);
+    }
+    g_string_append(text, "]}");
+    send_request(s, MW_FLOW_CONFIG, "", text->str);
+    g_string_free(text, TRUE);
+}
+
 static const struct mw_script_command commands[] = {
+    {"orgs", 0, cmd_orgs},
+    {"many-orgs", 2, cmd_many_orgs},
     {"lead", 1, cmd_lead},
     {"commits", 1, cmd_commits},
     {"commit", 0, cmd_commit},
