Quota: no claim of more than half of a cap

Cause: a claim was cut to half of the cap. With a gang of 8 of 10 waiting and 4 in use, 5 were claimed and a task of 2 did not start, although the organisation used less than half of its cap.

Change: such a claim is not made. Reservations of gangs that are not urgent, for which nothing was stopped, have no claim either.

Result: flow/quota-half starts all five small tasks; before, two. The other scripts print what they printed.

--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -318,7 +318,9 @@
     else if (found < wanted) {
         mw_preempt_for_task_group(flows, group, wanted - found, now_us);
     }
-    if (found < wanted && group->reserved_count > 0) {
+    /* runs may have been stopped for it */
+    if (found < wanted && group->reserved_count > 0 &&
+        group->rank <= MW_URGENT_RANK_MAX) {
         mw_claim_quota(flows->quota, &group->flow->org, &group->step->need,
                        wanted - found, false);
     }
--- a/source/core/flow/policy/quota.c
+++ b/source/core/flow/policy/quota.c
@@ -240,24 +240,39 @@
     }
 }
 
+/* Whether the claims are no more than half of each cap. */
+static bool
+is_within_half(const struct mw_quota_org *org)
+{
+    const struct mw_flow_amounts *cap = &org->cap;
+
+    return (cap->cpu == 0 || org->claimed.cpu <= cap->cpu / 2) &&
+           (cap->memory_mb == 0 ||
+            org->claimed.memory_mb <= cap->memory_mb / 2) &&
+           (cap->gpus == 0 || org->claimed.gpus <= cap->gpus / 2);
+}
+
 void
 mw_claim_quota(struct mw_quota *quota, const struct mw_name *name,
                const struct mw_flow_resources *need, uint32_t tasks,
                bool is_waiting)
 {
     struct mw_quota_org *org = find_capped(quota, name);
+    struct mw_flow_amounts before;
 
     if (!org || (is_waiting && org->has_waiting_claim)) {
         return;
     }
-    org->has_waiting_claim |= is_waiting;
-    org->claimed.cpu =
-        MIN(org->claimed.cpu + (uint64_t)need->cpu * tasks, org->cap.cpu / 2);
-    org->claimed.memory_mb =
-        MIN(org->claimed.memory_mb + (uint64_t)need->memory_mb * tasks,
-            org->cap.memory_mb / 2);
-    org->claimed.gpus = MIN(org->claimed.gpus + (uint64_t)need->gpus * tasks,
-                            org->cap.gpus / 2);
+    before = org->claimed;
+    org->claimed.cpu += (uint64_t)need->cpu * tasks;
+    org->claimed.memory_mb += (uint64_t)need->memory_mb * tasks;
+    org->claimed.gpus += (uint64_t)need->gpus * tasks;
+    if (!is_within_half(org)) {
+        org->claimed = before;
+    }
+    else {
+        org->has_waiting_claim |= is_waiting;
+    }
 }
 
 uint32_t
--- a/source/core/flow/policy/quota.h
+++ b/source/core/flow/policy/quota.h
@@ -94,10 +94,11 @@
  * mw_clear_quota_claims, mw_claim_quota: hold room below the cap for a group
  * against the organisation's groups behind it.
  *
- * All claims of an organisation take half of its cap at most, so that one that
- * uses less than half can still start small work.  With is_waiting the group
- * waits for the cap; only the first of these has a claim, or many would
- * withhold all other resources that they need, too.
+ * A claim with which those of the organisation would take more than half of
+ * its cap is not made: whatever waits for the cap beside a claim then waits
+ * because more than half is in use.  With is_waiting the group waits for the
+ * cap; only the first of these has a claim, or many would withhold all other
+ * resources that they need, too.
  */
 void mw_clear_quota_claims(struct mw_quota *quota);
 void mw_claim_quota(struct mw_quota *quota, const struct mw_name *org,
