Quota: runs that no record knows of count while they are being stopped

A run that an endpoint listed and the leader had no placement for was stopped, but was no use of its organisation meanwhile.

--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -28,6 +28,7 @@
         while (endpoint->placements->len > 0) {
             mw_free_task_placement(flows, endpoint->placements->pdata[0]);
         }
+        mw_forget_stray_runs(flows, endpoint);
     }
     g_hash_table_remove_all(flows->by_address);
     g_ptr_array_set_size(flows->by_rack, 0);
@@ -111,6 +112,7 @@
 {
     mw_emit_flow_endpoint_event(flows, "endpoint_gone", endpoint, reason,
                                 now_us - endpoint->last_contact_us);
+    mw_forget_stray_runs(flows, endpoint);
     while (endpoint->placements->len > 0) {
         mw_lose_run(flows, now_us,
                     endpoint->placements->pdata[endpoint->placements->len - 1],
@@ -165,6 +167,7 @@
         }
     }
     g_ptr_array_unref(placements);
+    mw_forget_stray_runs(flows, endpoint);
     mw_expect_late_starts(endpoint, now_us);
     flows->dirty = true;
 }
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -372,6 +372,8 @@
     bool list_read;
     /* runs of the last list without a placement */
     uint32_t unknown_runs;
+    /* struct stray_use of these runs; NULL for none */
+    GArray *stray_uses;
     /* struct late_start; NULL for none */
     GArray *late_starts;
     uint32_t consecutive_failures;
@@ -648,6 +650,16 @@
 /* mw_note_cap_wait: this pass left tasks waiting because of the cap alone. */
 void mw_note_cap_wait(struct mw_flows *flows, struct mw_task_group *group,
                       int64_t now_us);
+/*
+ * mw_count_stray_run: a list shows a run without a placement; it counts as use
+ * of its organisation, if its flow is known, until the runs are forgotten.
+ */
+void mw_count_stray_run(struct mw_flows *flows,
+                        struct mw_flow_endpoint *endpoint,
+                        const struct mw_task_id *task);
+/* mw_forget_stray_runs: they are over, or the next list follows. */
+void mw_forget_stray_runs(struct mw_flows *flows,
+                          struct mw_flow_endpoint *endpoint);
 /* whether each step could start within the cap; org is NULL for none */
 bool mw_caps_admit_plan(const struct mw_flow_org *org,
                         const struct mw_flow_plan *plan);
--- a/source/core/flow/flow-quota.c
+++ b/source/core/flow/flow-quota.c
@@ -76,6 +76,43 @@
                    group->step->gang ? group->step->count : 1, true);
 }
 
+/* stray_use: what a run without a placement uses. */
+struct stray_use {
+    struct mw_name org;
+    struct mw_flow_resources need;
+};
+
+void
+mw_count_stray_run(struct mw_flows *flows, struct mw_flow_endpoint *endpoint,
+                   const struct mw_task_id *task)
+{
+    struct mw_task_group *group;
+    struct stray_use use;
+
+    if (!mw_find_task(flows, task, &group)) {
+        return;
+    }
+    use = (struct stray_use){group->flow->org, group->step->need};
+    if (!endpoint->stray_uses) {
+        endpoint->stray_uses = g_array_new(FALSE, FALSE, sizeof use);
+    }
+    g_array_append_val(endpoint->stray_uses, use);
+    mw_add_quota_use(flows->quota, &use.org, &use.need);
+}
+
+void
+mw_forget_stray_runs(struct mw_flows *flows, struct mw_flow_endpoint *endpoint)
+{
+    for (guint i = 0; endpoint->stray_uses && i < endpoint->stray_uses->len;
+         i++) {
+        const struct stray_use *use =
+            &g_array_index(endpoint->stray_uses, struct stray_use, i);
+
+        mw_subtract_quota_use(flows->quota, &use->org, &use->need);
+    }
+    g_clear_pointer(&endpoint->stray_uses, g_array_unref);
+}
+
 bool
 mw_caps_admit_plan(const struct mw_flow_org *org,
                    const struct mw_flow_plan *plan)
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -305,6 +305,7 @@
 
     if (!placement) {
         endpoint->unknown_runs++;
+        mw_count_stray_run(flows, endpoint, &run->task);
         mw_emit_flow_endpoint_event(flows, "stray_run", endpoint, "stopped",
                                     0);
         mw_send_stop_for_stray_run(flows, now_us, endpoint, &run->task,
@@ -412,6 +413,7 @@
 
     endpoint->list_read = true;
     endpoint->unknown_runs = 0;
+    mw_forget_stray_runs(flows, endpoint);
     for (uint32_t i = 0; i < response->run_count; i++) {
         const struct mw_listed_run *run = &response->runs[i];
 
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -166,6 +166,10 @@
         now_us >= mw_last_lease_expiry(flows, endpoint)) {
         expire_leases(flows, now_us, endpoint);
     }
+    if (endpoint->stray_uses &&
+        now_us >= mw_last_lease_expiry(flows, endpoint)) {
+        mw_forget_stray_runs(flows, endpoint);
+    }
     if (!endpoint->registered) {
         return;
     }
