--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -32,11 +32,22 @@
     int64_t memory_bytes;
 };
 
+/* mw_flow_amounts: sums of resources; in the units of mw_flow_resources. */
+struct mw_flow_amounts {
+    uint64_t cpu;
+    uint64_t memory_mb;
+    uint64_t gpus;
+};
+
 /* mw_flow_org: an organisation. */
 struct mw_flow_org {
     struct mw_name name;
     uint32_t priority;
     uint32_t guaranteed_gpus;
+    /* share of scarce resources in proportion to others; 1 if not given */
+    uint32_t weight;
+    /* what it may have running at once; 0 for no limit */
+    struct mw_flow_amounts cap;
 };
 
 /* mw_flow_key: an API key, and the index of its organisation. */
@@ -342,6 +353,8 @@
     uint64_t reservations_lost;
     /* reports of groups that waited for long although there was room */
     uint64_t long_waits;
+    /* times that a step came to wait for its organisation's cap */
+    uint64_t cap_waits;
     uint64_t quarantined;
     /* endpoints whose process ended without notice, with runs there */
     uint64_t endpoint_crashes;
@@ -472,6 +485,30 @@
 void mw_flows_get_status(struct mw_flows *flows,
                          struct mw_flows_status *status);
 
+/* organisations that the metrics name; all others are added up */
+#define MW_FLOW_ORGS_NAMED_MAX 32
+
+/* mw_flow_org_status: use and cap of an organisation. */
+struct mw_flow_org_status {
+    /* of ready steps */
+    uint64_t waiting_tasks;
+    struct mw_flow_amounts used;
+    struct mw_flow_amounts cap;
+    uint32_t weight;
+    /* the sum of several, without cap and weight; its name is "other" */
+    bool is_sum;
+    struct mw_name name;
+};
+
+/*
+ * mw_flows_get_orgs: the organisations with the most in use, then the sum of
+ * all others if there are any; none unless this process leads.
+ *
+ * Writes at most MW_FLOW_ORGS_NAMED_MAX + 1 of them and returns how many.
+ */
+uint32_t mw_flows_get_orgs(struct mw_flows *flows,
+                           struct mw_flow_org_status *orgs);
+
 /* text of enumerators for logs and replies */
 struct mw_str mw_flow_state_str(enum mw_flow_state state);
 struct mw_str mw_run_end_str(enum mw_run_end end);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -7,6 +7,7 @@
 #include "endpoint-speed.h"
 #include "flow-config-versions.h"
 #include "mimosawind/flow.h"
+#include "quota.h"
 
 /*
  * flow-impl: the state of the scheduler of flows.
@@ -27,6 +28,7 @@
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
  *   flow-speed.c        observations for the endpoints' speeds
+ *   flow-quota.c        what the organisations' caps admit
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption, and room for waiting gangs
  *   flow-reserve.c      endpoints reserved for a group
@@ -36,7 +38,9 @@
  *   flow-command.c      sends commands and grants leases
  *   flow-command-queue.c  which command may be sent next
  *   flow-measure.c      latencies
+ *   flow-org-status.c   use and caps of organisations, for metrics
  *   flow-event.c        lines of the event log
+ *   policy/quota.c      what each organisation uses, against its cap
  *
  * The replicated state of tasks changes only in flow-state.c.  The state of
  * endpoints and placements belongs to the leader; the next leader builds its
@@ -226,6 +230,14 @@
     int64_t idle_since_us;
     /* when that is reported next */
     int64_t wait_report_deadline_us;
+    /* since when its organisation's cap keeps tasks waiting; 0 if none */
+    int64_t capped_us;
+    /* when that is reported next */
+    int64_t cap_report_deadline_us;
+    /* until when the cap kept a gang from starting; 0 for never */
+    int64_t capped_until_us;
+    /* the resource that does, while capped_us is set */
+    enum mw_quota_limit cap_limit;
 };
 
 /* mw_flow_size: the memory that flows take. */
@@ -365,6 +377,8 @@
     bool list_read;
     /* runs of the last list without a placement */
     uint32_t unknown_runs;
+    /* struct stray_use of these runs; NULL for none */
+    GArray *stray_uses;
     /* struct late_start; NULL for none */
     GArray *late_starts;
     uint32_t consecutive_failures;
@@ -478,6 +492,9 @@
     int64_t maintenance_deadline_us;
     /* struct mw_urgent_pool by service */
     GHashTable *urgent_pools;
+    /* use of the placements, and the caps of the version below */
+    struct mw_quota *quota;
+    uint64_t quota_version;
     struct mw_flow_counters counters;
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
@@ -629,6 +646,42 @@
  */
 bool mw_start_fits(const struct mw_task_placement *placement, int64_t now_us);
 
+/* flow-quota.c */
+/* mw_get_quota: with the caps of the configuration in force. */
+struct mw_quota *mw_get_quota(struct mw_flows *flows);
+/* mw_tasks_within_cap: how many may start, of a gang all or none. */
+uint32_t mw_tasks_within_cap(struct mw_flows *flows,
+                             struct mw_task_group *group, uint32_t waiting);
+/*
+ * mw_draw_cap_for_demand: how many waiting tasks the cap keeps from starting,
+ * with the groups for which this was called since the claims were cleared.
+ */
+uint32_t mw_draw_cap_for_demand(struct mw_flows *flows,
+                                const struct mw_task_group *group);
+/* mw_note_cap_wait: this pass left tasks waiting because of the cap alone. */
+void mw_note_cap_wait(struct mw_flows *flows, struct mw_task_group *group,
+                      int64_t now_us);
+/*
+ * mw_count_stray_run: a list shows a run without a placement; it counts as use
+ * of its organisation, if its flow is known, until the runs are forgotten.
+ */
+void mw_count_stray_run(struct mw_flows *flows,
+                        struct mw_flow_endpoint *endpoint,
+                        const struct mw_task_id *task);
+/* mw_forget_stray_runs: they are over, or the next list follows. */
+void mw_forget_stray_runs(struct mw_flows *flows,
+                          struct mw_flow_endpoint *endpoint);
+/* whether each step could start within the cap; org is NULL for none */
+bool mw_caps_admit_plan(const struct mw_flow_org *org,
+                        const struct mw_flow_plan *plan);
+/*
+ * mw_start_is_within_cap: false while more is in use than a cap that was
+ * lowered since, unless the start or another one of its gang may have reached
+ * its endpoint.
+ */
+bool mw_start_is_within_cap(struct mw_flows *flows,
+                            const struct mw_task_placement *placement);
+
 /* flow-place.c */
 struct mw_task_placement *
 mw_add_task_placement(struct mw_flows *flows,
@@ -656,6 +709,8 @@
 /* mw_flow_endpoint_limit_left: tasks that the step's spread still allows. */
 uint32_t mw_flow_endpoint_limit_left(const struct mw_flow_endpoint *endpoint,
                                      const struct mw_task_group *group);
+/* since when the group waits for a rack: ready, and not kept by its cap */
+int64_t mw_rack_wait_start_us(const struct mw_task_group *group);
 /* whether tasks that prefer one rack may now span several */
 bool mw_may_span_racks(const struct mw_flows *flows,
                        const struct mw_task_group *group, int64_t now_us,
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -31,6 +31,7 @@
     endpoint->used.cpu += placement->need.cpu;
     endpoint->used.memory_mb += placement->need.memory_mb;
     endpoint->used.gpus += placement->need.gpus;
+    mw_add_quota_use(flows->quota, &group->flow->org, &placement->need);
     g_ptr_array_add(endpoint->placements, placement);
     group->tasks[index].placement = placement;
     flows->proposed_runs += phase == MW_PLACEMENT_PROPOSED;
@@ -53,6 +54,8 @@
     endpoint->used.cpu -= placement->need.cpu;
     endpoint->used.memory_mb -= placement->need.memory_mb;
     endpoint->used.gpus -= placement->need.gpus;
+    mw_subtract_quota_use(flows->quota, &placement->group->flow->org,
+                          &placement->need);
     g_ptr_array_remove_fast(endpoint->placements, placement);
     if (task->placement == placement) {
         task->placement = NULL;
@@ -390,6 +393,12 @@
     return capacity >= wanted;
 }
 
+int64_t
+mw_rack_wait_start_us(const struct mw_task_group *group)
+{
+    return MAX(group->ready_us, group->capped_until_us);
+}
+
 bool
 mw_may_span_racks(const struct mw_flows *flows,
                   const struct mw_task_group *group, int64_t now_us,
@@ -399,7 +408,7 @@
         group->rank < 2 ? MW_URGENT_RACK_WAIT_US : MW_RACK_WAIT_US;
 
     return !group->step->prefer_one_rack ||
-           now_us - group->ready_us >= after_us ||
+           now_us - mw_rack_wait_start_us(group) >= after_us ||
            !empty_rack_could_hold(flows, group, wanted);
 }
 
@@ -423,7 +432,7 @@
             const GArray *candidates, int64_t now_us, uint32_t wanted,
             const struct mw_name **rack)
 {
-    int64_t waited_us = now_us - group->ready_us;
+    int64_t waited_us = now_us - mw_rack_wait_start_us(group);
     uint32_t required = group->step->gang ? wanted : 1;
 
     *rack = NULL;
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "decode.h"
+#include "flow-metrics.h"
 #include "mimosawind/flow.h"
 #include "mimosawind/wire.h"
 #include "peak-memory.h"
@@ -552,9 +553,9 @@
     st->decode_count = 0;
 }
 
-/* setup [version=N guaranteed=GPUS other=GPUS]: three queues by priority, the
- * organisations org, with key k1, and other, with key k2, and their
- * guarantees */
+/* setup [version=N guaranteed=GPUS other=GPUS cap=GPUS cap-cpu=N cap-mem=N]:
+ * three queues by priority, the organisations org, with key k1, and other,
+ * with key k2, their guarantees, and the caps of org */
 static void
 cmd_setup(struct mw_script *s)
 {
@@ -570,11 +571,15 @@
         "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
         "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
         "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
-        "\"guaranteed\":{\"gpus\":%d}},"
+        "\"guaranteed\":{\"gpus\":%d},"
+        "\"cap\":{\"gpus\":%d,\"cpu\":%d,\"mem-mb\":%d}},"
         "{\"name\":\"other\",\"api-keys\":[\"k2\"],"
         "\"guaranteed\":{\"gpus\":%d}}]}",
         (int)mw_script_option_int(s, "version", 1),
         (int)mw_script_option_int(s, "guaranteed", 16),
+        (int)mw_script_option_int(s, "cap", 0),
+        (int)mw_script_option_int(s, "cap-cpu", 0),
+        (int)mw_script_option_int(s, "cap-mem", 0),
         (int)mw_script_option_int(s, "other", 0));
 
     send_request(s, MW_FLOW_CONFIG, "", text);
@@ -950,7 +955,47 @@
     }
 }
 
+/* orgs: the metrics of the organisations */
+static void
+cmd_orgs(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    struct mw_flow_org_status orgs[MW_FLOW_ORGS_NAMED_MAX + 1];
+    uint32_t count = mw_flows_get_orgs(st->flows, orgs);
+    GString *text = g_string_new(NULL);
+
+    mw_add_org_metrics(text, orgs, count);
+    g_string_append(s->out, text->str);
+    g_string_free(text, TRUE);
+}
+
+/* many-orgs COUNT VERSION: a configuration with so many organisations, o1 and
+ * so on with keys k1 and so on, and a cap for o1 */
+static void
+cmd_many_orgs(struct mw_script *s)
+{
+    GString *text = g_string_new(NULL);
+
+    g_string_append_printf(
+        text,
+        "{\"version\":%s,\"services\":[{\"name\":\"svc\"}],\"routes\":["
+        "{\"name\":\"bulk\",\"host\":\"h.example\",\"path-prefix\":\"/b/\","
+        "\"service\":\"svc\",\"priority\":2,\"slack-factor\":3}],"
+        "\"tenants\":[{\"name\":\"o1\",\"api-keys\":[\"k1\"],"
+        "\"weight\":3,\"cap\":{\"gpus\":2}}",
+        mw_script_word(s, 2));
+    for (int i = 2; i <= atoi(mw_script_word(s, 1)); i++) {
+        g_string_append_printf(
+            text, ",{\"name\":\"o%d\",\"api-keys\":[\"k%d\"]}", i, i);
+    }
+    g_string_append(text, "]}");
+    send_request(s, MW_FLOW_CONFIG, "", text->str);
+    g_string_free(text, TRUE);
+}
+
 static const struct mw_script_command commands[] = {
+    {"orgs", 0, cmd_orgs},
+    {"many-orgs", 2, cmd_many_orgs},
     {"lead", 1, cmd_lead},
     {"commits", 1, cmd_commits},
     {"commit", 0, cmd_commit},
