Flows: organisations share endpoints by weight

Cause: waiting work is placed by rank, lateness and deadline across all organisations, so one organisation's burst goes ahead of everyone else's later work, and a weight has no effect. Change: where an organisation has a weight or a cap, groups of equal rank are ordered by policy/fair-share. An account keeps what the runs of an organisation use in a service; it is updated with the placements, so a new leader has it before its first pass. Groups are now put in order after the services' capacities are added up. Without a weight or a cap the order is as before.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -70,6 +70,8 @@
     struct mw_name *services;
     uint32_t org_count;
     struct mw_flow_org *orgs;
+    /* an organisation has a weight or a cap: waiting work goes by shares */
+    bool has_shares;
     uint32_t key_count;
     struct mw_flow_key *keys;
     /* of the entries above that were added with mw_index_flow_... */
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -5,6 +5,7 @@
 
 #include "flow-command-queue.h"
 #include "flow-config-versions.h"
+#include "fair-share.h"
 #include "mimosawind/flow.h"
 #include "quota.h"
 
@@ -27,6 +28,7 @@
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
  *   flow-quota.c        caps of the configuration in force
+ *   flow-account.c      use of the organisations in each service
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption, and room for waiting gangs
  *   flow-reserve.c      endpoints reserved for a group
@@ -38,6 +40,7 @@
  *   flow-measure.c      latencies
  *   flow-event.c        lines of the event log
  *   policy/quota.c      what each organisation uses, against its cap
+ *   policy/fair-share.c  the order of waiting work by weighted shares
  *
  * The replicated state of tasks changes only in flow-state.c.  The state of
  * endpoints and placements belongs to the leader; the next leader builds its
@@ -110,15 +113,6 @@
     MW_PLACEMENT_STOPPED = 5
 };
 
-/* mw_lateness: of waiting work, against its latency objective. */
-enum mw_lateness {
-    MW_ON_TIME = 0,
-    /* can no longer meet the objective */
-    MW_LATE = 1,
-    /* so late that the result is of no use any more */
-    MW_TOO_LATE = 2
-};
-
 struct mw_task_group;
 struct mw_flow_endpoint;
 
@@ -234,11 +228,23 @@
     int64_t state_bytes;
 };
 
+/* mw_flow_account: an organisation in one service. */
+struct mw_flow_account {
+    struct mw_name org;
+    struct mw_name service;
+    /* by its runs, in all phases */
+    struct mw_flow_amounts used;
+    /* among the accounts of the current pass */
+    uint32_t index;
+};
+
 /* mw_flow: a flow, with the groups of each occurrence in a row. */
 struct mw_flow {
     struct mw_name id;
     struct mw_flow_route route;
     struct mw_name org;
+    /* of its organisation in the service of its route */
+    struct mw_flow_account *account;
     int64_t accepted_wall_us;
     enum mw_flow_state state;
     struct mw_blob *plan_text;
@@ -284,6 +290,7 @@
     uint32_t used_gpus;
     uint64_t total_cpu;
     uint64_t used_cpu;
+    uint64_t total_memory_mb;
     uint64_t demand_gpus;
     /* of the pool, as chosen so far and as wanted */
     uint32_t gpus;
@@ -475,6 +482,8 @@
     /* use of the placements, and the caps of the version below */
     struct mw_quota *quota;
     uint64_t quota_version;
+    /* set of struct mw_flow_account, of all flows since the process began */
+    GHashTable *accounts;
     struct mw_flow_counters counters;
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
@@ -628,6 +637,20 @@
 /* mw_get_quota: with the caps of the configuration in force. */
 struct mw_quota *mw_get_quota(struct mw_flows *flows);
 
+/* flow-account.c */
+/* mw_new_flow_accounts: set of struct mw_flow_account, which it owns. */
+GHashTable *mw_new_flow_accounts(void);
+/* mw_get_flow_account: the account, which is added if there is none. */
+struct mw_flow_account *mw_get_flow_account(GHashTable *accounts,
+                                            const struct mw_name *org,
+                                            const struct mw_name *service);
+/* a run with this need may be at work from now on */
+void mw_add_account_use(struct mw_flow_account *account,
+                        const struct mw_flow_resources *need);
+/* a run that was added is over */
+void mw_subtract_account_use(struct mw_flow_account *account,
+                             const struct mw_flow_resources *need);
+
 /* flow-place.c */
 struct mw_task_placement *
 mw_add_task_placement(struct mw_flows *flows,
@@ -665,9 +688,17 @@
                              uint32_t wanted, GPtrArray *chosen);
 
 /* flow-queue.c */
-/* mw_rank_waiting_groups: groups to place, the most urgent first. */
+/* mw_rank_waiting_groups: groups to place, with their ranks; not in order. */
 GPtrArray *mw_rank_waiting_groups(struct mw_flows *flows, int64_t now_us,
                                   int64_t wall_us);
+/*
+ * mw_sort_waiting_groups: puts groups to place in order, the first to place
+ * first.
+ *
+ * To be called after mw_update_urgent_pools, which adds up the services'
+ * capacities.
+ */
+void mw_sort_waiting_groups(struct mw_flows *flows, GPtrArray *groups);
 
 /* flow-guarantee.c */
 /* which urgent flows are within a guarantee, and which use more, as of now */
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -28,6 +28,7 @@
     endpoint->used.memory_mb += placement->need.memory_mb;
     endpoint->used.gpus += placement->need.gpus;
     mw_add_quota_use(flows->quota, &group->flow->org, &placement->need);
+    mw_add_account_use(group->flow->account, &placement->need);
     g_ptr_array_add(endpoint->placements, placement);
     group->tasks[index].placement = placement;
     flows->proposed_runs += phase == MW_PLACEMENT_PROPOSED;
@@ -52,6 +53,7 @@
     endpoint->used.gpus -= placement->need.gpus;
     mw_subtract_quota_use(flows->quota, &placement->group->flow->org,
                           &placement->need);
+    mw_subtract_account_use(placement->group->flow->account, &placement->need);
     g_ptr_array_remove_fast(endpoint->placements, placement);
     if (task->placement == placement) {
         task->placement = NULL;
--- a/source/core/flow/flow-queue.c
+++ b/source/core/flow/flow-queue.c
@@ -6,6 +6,9 @@
  *        of its queue, and within a priority the earliest deadline first.
  *        Work that has missed its deadline goes behind work that can still
  *        meet it, so that one burst does not make all later work late too.
+ *
+ *        Where an organisation has a weight or a cap, work of equal rank goes
+ *        by the organisations' weighted shares first (policy/fair-share.h).
  */
 #include <string.h>
 
@@ -134,6 +137,95 @@
             }
         }
     }
-    g_ptr_array_sort(groups, by_urgency);
     return groups;
 }
+
+static struct mw_flow_amounts
+total_of_service(struct mw_flows *flows, const struct mw_name *service)
+{
+    const struct mw_urgent_pool *pool =
+        g_hash_table_lookup(flows->urgent_pools, service);
+
+    if (!pool) {
+        return (struct mw_flow_amounts){0};
+    }
+    return (struct mw_flow_amounts){pool->total_cpu, pool->total_memory_mb,
+                                    pool->total_gpus};
+}
+
+/* Returns struct mw_fair_account, and sets the indexes of flows->accounts. */
+static GArray *
+collect_accounts(struct mw_flows *flows)
+{
+    const struct mw_quota *quota = mw_get_quota(flows);
+    GArray *collected =
+        g_array_new(FALSE, FALSE, sizeof(struct mw_fair_account));
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, flows->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct mw_flow_account *account = value;
+        const struct mw_quota_org *org =
+            mw_find_quota_org(quota, &account->org);
+        struct mw_fair_account fair = {
+            .weight = org ? org->weight : 1,
+            .use = account->used,
+            .total = total_of_service(flows, &account->service),
+        };
+
+        account->index = collected->len;
+        g_array_append_val(collected, fair);
+    }
+    return collected;
+}
+
+static struct mw_fair_group
+describe_group(struct mw_task_group *group)
+{
+    uint64_t waiting = mw_count_waiting_tasks(group);
+
+    return (struct mw_fair_group){
+        .account = group->flow->account->index,
+        .rank = group->rank,
+        .lateness = group->lateness,
+        .due_us = group->due_wall_us,
+        .id = &group->flow->id,
+        .number = (uint32_t)(group - group->flow->groups),
+        .demand = {waiting * group->step->need.cpu,
+                   waiting * group->step->need.memory_mb,
+                   waiting * group->step->need.gpus},
+        .opaque = group,
+    };
+}
+
+static void
+sort_by_share(struct mw_flows *flows, GPtrArray *groups)
+{
+    GArray *accounts = collect_accounts(flows);
+    struct mw_fair_group *described = g_new(struct mw_fair_group, groups->len);
+
+    for (guint i = 0; i < groups->len; i++) {
+        described[i] = describe_group(groups->pdata[i]);
+    }
+    mw_order_by_fair_share((struct mw_fair_account *)(void *)accounts->data,
+                           accounts->len, described, groups->len);
+    for (guint i = 0; i < groups->len; i++) {
+        groups->pdata[i] = described[i].opaque;
+    }
+    g_free(described);
+    g_array_unref(accounts);
+}
+
+void
+mw_sort_waiting_groups(struct mw_flows *flows, GPtrArray *groups)
+{
+    const struct mw_flow_config *config = mw_get_flow_config(&flows->configs);
+
+    if (config && config->has_shares) {
+        sort_by_share(flows, groups);
+    }
+    else {
+        g_ptr_array_sort(groups, by_urgency);
+    }
+}
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -320,6 +320,7 @@
     GArray *misfits = g_array_new(FALSE, FALSE, sizeof(struct misfit));
 
     mw_update_urgent_pools(flows, now_us);
+    mw_sort_waiting_groups(flows, groups);
     for (guint i = 0; i < groups->len; i++) {
         struct mw_task_group *group = groups->pdata[i];
 
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -82,6 +82,7 @@
     flows->urgent_pools =
         g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
     flows->quota = mw_new_quota();
+    flows->accounts = mw_new_flow_accounts();
     flows->pending_commands =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     flows->pending_requests =
@@ -103,6 +104,7 @@
     mw_clear_command_queue(&flows->command_queue);
     g_hash_table_unref(flows->urgent_pools);
     mw_drop_quota(flows->quota);
+    g_hash_table_unref(flows->accounts);
     g_ptr_array_unref(flows->usable);
     g_ptr_array_unref(flows->by_rack);
     g_hash_table_unref(flows->by_address);
@@ -259,6 +261,8 @@
     flow->id = record->id;
     flow->route = record->route;
     flow->org = record->org;
+    flow->account =
+        mw_get_flow_account(flows->accounts, &flow->org, &flow->route.service);
     flow->accepted_wall_us = record->accepted_wall_us;
     flow->state = record->state;
     flow->accepted_us = flows->now_us;
--- a/source/core/flow/flow-urgent-pool.c
+++ b/source/core/flow/flow-urgent-pool.c
@@ -99,6 +99,7 @@
     pool->used_gpus = 0;
     pool->total_cpu = 0;
     pool->used_cpu = 0;
+    pool->total_memory_mb = 0;
     pool->demand_gpus = 0;
     pool->gpus = 0;
     pool->last_rack = NULL;
@@ -138,6 +139,7 @@
     }
     pool->total_gpus += endpoint->heartbeat.total.gpus;
     pool->total_cpu += endpoint->heartbeat.total.cpu;
+    pool->total_memory_mb += endpoint->heartbeat.total.memory_mb;
     if (endpoint->renewal_failures == 0) {
         pool->used_gpus += endpoint->used.gpus;
         pool->used_cpu += endpoint->used.cpu;
