Fair share: seeded loads with weights

Cause: the scripts show single decisions; nothing guarded that shares come out by weight under a sustained load, nor that guarantees hold beside weights. Change: the guarantee loads take weights, and report shares that differ from them by more than 3 points; region tests have a weight in every second version of the configuration. The outputs of the region tests are unchanged, as they have one organisation.

--- a/tests/guarantee-script.c
+++ b/tests/guarantee-script.c
@@ -7,6 +7,9 @@
  * A job is late if it has not started all its tasks in RECLAIM_US, although
  * all urgent jobs of its organisation since its acceptance needed no more than
  * the guarantee.
+ *
+ * With weights, organisation N has weight N + 1, and holds accelerators in
+ * that proportion in the second half if all of them always have work waiting.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,6 +37,9 @@
 /* percentage of all accelerators that is guaranteed */
 #define GUARANTEED_PERCENT 62
 #define WIDTH_MAX 12
+#define SAMPLE_INTERVAL_US 100000
+/* difference from the share by weight that is reported, percentage points */
+#define SHARE_TOLERANCE 3
 #define URGENT 0
 
 /* A run on an endpoint, until its end is acknowledged. */
@@ -99,6 +105,9 @@
     uint64_t version;
     uint32_t guaranteed_gpus;
     uint64_t ref;
+    bool is_weighted;
+    /* accelerators held, added up over samples */
+    uint64_t held_gpus[ORGS];
 };
 
 static int
@@ -345,9 +354,10 @@
     for (int i = 0; i < ORGS; i++) {
         g_string_append_printf(
             text,
-            "%s{\"name\":\"org%d\",\"api-keys\":[\"k%d\"],\"guaranteed\":"
-            "{\"gpus\":%u}}",
-            i ? "," : "", i, i, sim->guaranteed_gpus);
+            "%s{\"name\":\"org%d\",\"api-keys\":[\"k%d\"],\"weight\":%d,"
+            "\"guaranteed\":{\"gpus\":%u}}",
+            i ? "," : "", i, i, sim->is_weighted ? i + 1 : 0,
+            sim->guaranteed_gpus);
     }
     g_string_append(text, "]}");
     request(sim, MW_FLOW_CONFIG, "", "", text->str);
@@ -570,6 +580,44 @@
     g_free(sim);
 }
 
+static void
+sample_held_gpus(struct simulation *sim)
+{
+    for (int i = 0; i < sim->endpoint_count; i++) {
+        const GArray *runs = sim->endpoints[i].runs;
+
+        for (guint r = 0; r < runs->len; r++) {
+            const struct run *run = &g_array_index(runs, struct run, r);
+            const struct job *job = find_job(sim, &run->task.flow);
+
+            if (run->end_number == 0) {
+                sim->held_gpus[job->org] += job->gpus;
+            }
+        }
+    }
+}
+
+/* Prints the organisations whose share differs from that by weight. */
+static void
+print_wrong_shares(struct mw_script *s, const struct simulation *sim,
+                   uint32_t seed)
+{
+    double all = 0;
+
+    for (int org = 0; org < ORGS; org++) {
+        all += (double)sim->held_gpus[org];
+    }
+    for (int org = 0; org < ORGS; org++) {
+        double percent = 100 * (double)sim->held_gpus[org] / MAX(all, 1);
+        double wanted = 200.0 * (org + 1) / (ORGS * (ORGS + 1));
+
+        if (ABS(percent - wanted) > SHARE_TOLERANCE) {
+            mw_script_printf(s, "  seed %u: org%d holds %d %%, not %d", seed,
+                             org, (int)percent, (int)wanted);
+        }
+    }
+}
+
 static void
 print_late_jobs(struct mw_script *s, const struct simulation *sim,
                 uint32_t seed)
@@ -598,8 +646,10 @@
     }
 }
 
-/* play SECONDS seeds=N first=N racks=N endpoints=N urgent=PER_S other=PER_S:
- * urgent is the rate of each organisation but GUARANTEED_ORG */
+/* play SECONDS seeds=N first=N racks=N endpoints=N urgent=PER_S other=PER_S
+ * weights=1 shares=1: urgent is the rate of each organisation but
+ * GUARANTEED_ORG; shares reports shares that differ from the weights, where
+ * nothing is urgent */
 static void
 cmd_play(struct mw_script *s)
 {
@@ -609,6 +659,7 @@
     uint32_t seeds = (uint32_t)mw_script_option_int(s, "seeds", 1);
     double urgent = (double)mw_script_option_int(s, "urgent", 2);
     double other = (double)mw_script_option_int(s, "other", 1);
+    bool checks_shares = mw_script_option_int(s, "shares", 0) != 0;
 
     if (from_env) {
         seeds = (uint32_t)atoi(from_env);
@@ -618,6 +669,7 @@
             new_simulation(seed, (int)mw_script_option_int(s, "racks", 4),
                            (int)mw_script_option_int(s, "endpoints", 5));
 
+        sim->is_weighted = mw_script_option_int(s, "weights", 0) != 0;
         while (sim->now_us < START_US + seconds * 1000000) {
             for (int org = 0; org < ORGS; org++) {
                 maybe_submit(sim, org, URGENT, urgent);
@@ -625,8 +677,17 @@
                 maybe_submit(sim, org, 2, other);
             }
             step(sim);
+            if (sim->now_us >= START_US + seconds * 500000 &&
+                sim->now_us % SAMPLE_INTERVAL_US == 0) {
+                sample_held_gpus(sim);
+            }
+        }
+        if (checks_shares) {
+            print_wrong_shares(s, sim, seed);
+        }
+        else {
+            print_late_jobs(s, sim, seed);
         }
-        print_late_jobs(s, sim, seed);
         drop_simulation(sim);
     }
     mw_script_printf(s, "  played");
--- a/tests/region.c
+++ b/tests/region.c
@@ -561,6 +561,7 @@
     }
 }
 
+/* Every second version orders waiting work by shares. */
 char *
 mw_region_config_text(uint64_t version)
 {
@@ -570,8 +571,8 @@
         "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
         "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
         "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
-        "\"guaranteed\":{\"gpus\":8}}]}",
-        (int)version);
+        "\"guaranteed\":{\"gpus\":8},\"weight\":%d}]}",
+        (int)version, (int)version % 2);
 }
 
 void
