--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -552,24 +552,12 @@
     st->decode_count = 0;
 }
 
-/* The weight of an organisation in the configuration; empty if not given. */
-static char *
-weight_json(const struct mw_script *s, const char *option)
-{
-    int weight = (int)mw_script_option_int(s, option, 0);
-
-    return weight > 0 ? g_strdup_printf(",\"weight\":%d", weight)
-                      : g_strdup("");
-}
-
 /* setup [version=N guaranteed=GPUS other=GPUS weight=N other-weight=N]: three
  * queues by priority, the organisations org, with key k1, and other, with key
  * k2, their guarantees and weights */
 static void
 cmd_setup(struct mw_script *s)
 {
-    char *weight = weight_json(s, "weight");
-    char *other_weight = weight_json(s, "other-weight");
     char *text = g_strdup_printf(
         "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],\"routes\":["
         "{\"name\":\"urgent\",\"host\":\"h.example\",\"path-prefix\":\"/u/\","
@@ -582,17 +570,17 @@
         "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
         "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
         "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
-        "\"guaranteed\":{\"gpus\":%d}%s},"
+        "\"guaranteed\":{\"gpus\":%d},\"weight\":%d},"
         "{\"name\":\"other\",\"api-keys\":[\"k2\"],"
-        "\"guaranteed\":{\"gpus\":%d}%s}]}",
+        "\"guaranteed\":{\"gpus\":%d},\"weight\":%d}]}",
         (int)mw_script_option_int(s, "version", 1),
-        (int)mw_script_option_int(s, "guaranteed", 16), weight,
-        (int)mw_script_option_int(s, "other", 0), other_weight);
+        (int)mw_script_option_int(s, "guaranteed", 16),
+        (int)mw_script_option_int(s, "weight", 0),
+        (int)mw_script_option_int(s, "other", 0),
+        (int)mw_script_option_int(s, "other-weight", 0));
 
     send_request(s, MW_FLOW_CONFIG, "", text);
     g_free(text);
-    g_free(weight);
-    g_free(other_weight);
 }
 
 static void
