--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -341,6 +341,7 @@
     mw_update_urgent_pools(flows, now_us);
     mw_compare_speeds(flows);
     mw_clear_quota_claims(flows->quota);
+    mw_sort_waiting_groups(flows, groups);
     for (guint i = 0; i < groups->len; i++) {
         struct mw_task_group *group = groups->pdata[i];
 
