Flow: Retry-After is decided from the cause, the outage and the crowd

Cause: each refused client was told 1 s, so that all callers of an outage came back in the same second. Change: policy/retry-after decides 1 to 3 whole seconds from the cause, how long no leader was heard, how many were refused or wait, urgency and a hash of the job's identifier. Entry processes learn the priority of a path prefix from the leader's replies (policy/route-priority, FlowReturn.priority_plus_1).

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -218,6 +218,8 @@
     uint64_t requests;
     /* no leader has received the request */
     uint64_t refused;
+    /* these by the delay that the client is asked for, its seconds less 1 */
+    uint64_t refused_by_delay[MW_FLOW_RETRY_AFTER_MAX_S];
     /* forwarded once more, after a change of leader */
     uint64_t handed_again;
     /* forwarded, but no reply by the deadline */
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -242,8 +242,8 @@
     MW_REPLY_ERROR = 5
 };
 
-/* delay that a client is asked for before it retries a refused request */
-#define MW_FLOW_RETRY_AFTER_US 1000000
+/* longest delay before a retry of a refused request, in seconds */
+#define MW_FLOW_RETRY_AFTER_MAX_S 3
 
 /* mw_flow_reply: the reply to a request; lent for the callback. */
 struct mw_flow_reply {
@@ -258,8 +258,11 @@
     uint32_t queue_length;
     /* the configuration */
     struct mw_blob *text;
-    /* delay before a retry; 0 when none is advised */
+    /* delay before a retry, in whole seconds; 0 when none is advised */
     int64_t retry_after_us;
+    /* priority of the route that the request was matched to, if known */
+    bool has_priority;
+    uint32_t priority;
 };
 
 /*
@@ -290,6 +293,8 @@
     int64_t lease_left_us;
     /* evidence that the run has crashed its endpoint; 0 for none */
     uint32_t crash_score;
+    /* delay that a refused client is asked for; 0 for none */
+    int64_t retry_after_us;
     /* of the configuration */
     uint64_t version;
     /* term of the leader */
@@ -316,6 +321,8 @@
 struct mw_flow_counters {
     uint64_t accepted;
     uint64_t refused;
+    /* refusals with a delay, by its seconds less 1 */
+    uint64_t refused_by_delay[MW_FLOW_RETRY_AFTER_MAX_S];
     /* submissions of a flow that was known already */
     uint64_t resent;
     uint64_t completed;
--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -191,6 +191,8 @@
     /* the configuration, or the detail of an error */
     struct mw_blob *text;
     int64_t retry_after_us;
+    bool has_priority;
+    uint32_t priority;
 };
 
 /* mw_relayed_heartbeat: with the ref of the process that passes it on. */
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -46,6 +46,8 @@
     msg->flow_return.queued = reply->queued;
     msg->flow_return.pending = reply->queue_length;
     msg->flow_return.retry_after_us = reply->retry_after_us;
+    msg->flow_return.has_priority = reply->has_priority;
+    msg->flow_return.priority = reply->priority;
     msg->flow_return.text =
         reply->text ? mw_keep_blob(reply->text) : mw_new_blob(reply->detail);
     control->setup.output.send(control->setup.output.opaque, &origin->process,
@@ -240,7 +242,7 @@
 static const struct mw_flow_reply outdated_reply = {
     .kind = MW_REPLY_ERROR,
     .error = MW_ERR_NOT_LEADER,
-    .retry_after_us = MW_FLOW_RETRY_AFTER_US,
+    .retry_after_us = MW_RETRY_AFTER_MIN_US,
 };
 
 static void
--- a/source/core/flow/flow-entry-impl.h
+++ b/source/core/flow/flow-entry-impl.h
@@ -3,6 +3,7 @@
 
 #include "flow-impl.h"
 #include "mimosawind/flow-process.h"
+#include "route-priority.h"
 
 /*
  * flow-entry-impl: forwarding requests to the leader.
@@ -54,6 +55,8 @@
     int64_t leader_heartbeat_us;
     uint32_t member_count;
     struct mw_known_member members[MW_MEMBERS_MAX];
+    struct mw_retry_window refusals;
+    struct mw_route_priorities priorities;
     struct mw_flow_entry_counters counters;
 };
 
@@ -61,15 +64,19 @@
 void mw_log_entry_event(struct mw_flow_entry *entry, const char *name,
                         const char *outcome, int64_t age_us,
                         struct mw_str path);
-void mw_refuse_pending(struct mw_flow_entry *entry, uint64_t ref, int error);
+/* mw_time_out_pending: a leader may have received the request. */
+void mw_time_out_pending(struct mw_flow_entry *entry, uint64_t ref);
 /*
  * mw_refuse_unforwarded: refuses a request that no leader has received, so
  * that the client can rely on the reply: the flow does not run.
  */
 void mw_refuse_unforwarded(struct mw_flow_entry *entry, int64_t now_us,
-                           uint64_t ref, struct mw_str path, int error);
+                           const struct mw_flow_request *request, int error);
 
 /* flow-entry-pending.c */
+/* mw_pending_flow_request: the request as it came. */
+struct mw_flow_request
+mw_pending_flow_request(const struct mw_pending_request *pending);
 /* mw_free_pending_request: for entry->pending. */
 void mw_free_pending_request(void *pending);
 bool mw_has_room_for_request(const struct mw_flow_entry *entry,
--- a/source/core/flow/flow-entry-pending.c
+++ b/source/core/flow/flow-entry-pending.c
@@ -124,21 +124,35 @@
     return expired;
 }
 
+struct mw_flow_request
+mw_pending_flow_request(const struct mw_pending_request *pending)
+{
+    const struct mw_msg_flow_call *call = &pending->msg->flow_call;
+
+    return (struct mw_flow_request){
+        .ref = pending->request_ref,
+        .kind = call->kind,
+        .host = mw_blob_str(call->host),
+        .path = mw_blob_str(call->path),
+        .key = mw_blob_str(call->key),
+        .body = mw_blob_str(call->body),
+    };
+}
+
 static void
 expire(struct mw_flow_entry *entry, int64_t now_us,
        struct mw_pending_request *pending)
 {
-    uint64_t ref = pending->request_ref;
-    struct mw_str path = mw_blob_str(pending->msg->flow_call.path);
+    struct mw_flow_request request = mw_pending_flow_request(pending);
 
     if (pending->forward_count == 0) {
-        mw_refuse_unforwarded(entry, now_us, ref, path, MW_ERR_NOT_LEADER);
+        mw_refuse_unforwarded(entry, now_us, &request, MW_ERR_NOT_LEADER);
     }
     else {
         entry->counters.timed_out++;
         mw_log_entry_event(entry, "timed_out", "no_answer",
-                           now_us - pending->received_us, path);
-        mw_refuse_pending(entry, ref, MW_ERR_DEADLINE);
+                           now_us - pending->received_us, request.path);
+        mw_time_out_pending(entry, request.ref);
     }
     mw_remove_pending_request(entry, pending);
 }
@@ -177,15 +191,7 @@
 hand_over(const struct mw_pending_request *pending, void *opaque,
           void (*serve)(void *opaque, const struct mw_flow_request *request))
 {
-    const struct mw_msg_flow_call *call = &pending->msg->flow_call;
-    struct mw_flow_request request = {
-        .ref = pending->request_ref,
-        .kind = call->kind,
-        .host = mw_blob_str(call->host),
-        .path = mw_blob_str(call->path),
-        .key = mw_blob_str(call->key),
-        .body = mw_blob_str(call->body),
-    };
+    struct mw_flow_request request = mw_pending_flow_request(pending);
 
     serve(opaque, &request);
 }
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -94,15 +94,16 @@
     return mw_name_of((struct mw_str){path.ptr + at, path.len - at});
 }
 
-void
-mw_log_entry_event(struct mw_flow_entry *entry, const char *name,
-                   const char *outcome, int64_t age_us, struct mw_str path)
+static void
+log_event(struct mw_flow_entry *entry, const char *name, const char *outcome,
+          int64_t age_us, struct mw_str path, int64_t retry_after_us)
 {
     struct mw_flow_event event = {.name = name,
                                   .flow = flow_id_in(path),
                                   .endpoint = entry->leader,
                                   .outcome = outcome,
                                   .age_us = age_us,
+                                  .retry_after_us = retry_after_us,
                                   .version = entry->version,
                                   .term = entry->epoch};
 
@@ -110,29 +111,71 @@
 }
 
 void
-mw_refuse_pending(struct mw_flow_entry *entry, uint64_t ref, int error)
+mw_log_entry_event(struct mw_flow_entry *entry, const char *name,
+                   const char *outcome, int64_t age_us, struct mw_str path)
+{
+    log_event(entry, name, outcome, age_us, path, 0);
+}
+
+void
+mw_time_out_pending(struct mw_flow_entry *entry, uint64_t ref)
 {
     struct mw_flow_reply reply = {
-        .ref = ref, .kind = MW_REPLY_ERROR, .error = error};
+        .ref = ref, .kind = MW_REPLY_ERROR, .error = MW_ERR_DEADLINE};
 
-    if (error != MW_ERR_DEADLINE) {
-        reply.retry_after_us = MW_FLOW_RETRY_AFTER_US;
-    }
     entry->output.reply(entry->output.opaque, &reply);
 }
 
+/* Operators are few, and urgent. */
+static bool
+is_urgent(const struct mw_flow_entry *entry,
+          const struct mw_flow_request *request)
+{
+    return request->kind >= MW_FLOW_CONFIG ||
+           mw_is_route_urgent(&entry->priorities, request->host,
+                              request->path);
+}
+
+/* The delay for a client that is refused now; it is counted. */
+static int64_t
+take_retry_after(struct mw_flow_entry *entry, int64_t now_us,
+                 const struct mw_flow_request *request, int error)
+{
+    struct mw_refusal refusal = {
+        .cause = error == MW_ERR_OVERLOADED ? MW_REFUSAL_PENDING
+                                            : MW_REFUSAL_NO_LEADER,
+        .leaderless_us = entry->leader_heartbeat_us > 0
+                             ? now_us - entry->leader_heartbeat_us
+                             : INT64_MAX,
+        .waiting = g_hash_table_size(entry->pending),
+        .urgent = is_urgent(entry, request),
+        .job_hash = mw_hash_job(request->path),
+    };
+    int64_t delay_us = mw_take_retry_after(&entry->refusals, now_us, &refusal);
+
+    entry->counters.refused_by_delay[delay_us / MW_RETRY_AFTER_MIN_US - 1]++;
+    return delay_us;
+}
+
 void
 mw_refuse_unforwarded(struct mw_flow_entry *entry, int64_t now_us,
-                      uint64_t ref, struct mw_str path, int error)
+                      const struct mw_flow_request *request, int error)
 {
+    struct mw_flow_reply reply = {
+        .ref = request->ref,
+        .kind = MW_REPLY_ERROR,
+        .error = error,
+        .retry_after_us = take_retry_after(entry, now_us, request, error),
+    };
+
     entry->counters.refused++;
-    mw_log_entry_event(
-        entry, "refused",
-        error == MW_ERR_OVERLOADED ? "too_much_is_pending" : "no_leader",
-        entry->leader_heartbeat_us > 0 ? now_us - entry->leader_heartbeat_us
-                                       : -1,
-        path);
-    mw_refuse_pending(entry, ref, error);
+    log_event(entry, "refused",
+              error == MW_ERR_OVERLOADED ? "too_much_is_pending" : "no_leader",
+              entry->leader_heartbeat_us > 0
+                  ? now_us - entry->leader_heartbeat_us
+                  : -1,
+              request->path, reply.retry_after_us);
+    entry->output.reply(entry->output.opaque, &reply);
 }
 
 bool
@@ -157,13 +200,11 @@
 
     entry->counters.requests++;
     if (!mw_flow_entry_can_serve(entry, now_us)) {
-        mw_refuse_unforwarded(entry, now_us, request->ref, request->path,
-                              MW_ERR_NOT_LEADER);
+        mw_refuse_unforwarded(entry, now_us, request, MW_ERR_NOT_LEADER);
         return;
     }
     if (!mw_has_room_for_request(entry, request)) {
-        mw_refuse_unforwarded(entry, now_us, request->ref, request->path,
-                              MW_ERR_OVERLOADED);
+        mw_refuse_unforwarded(entry, now_us, request, MW_ERR_OVERLOADED);
         return;
     }
     pending = mw_add_pending_request(entry, now_us, request, deadline_us);
@@ -212,6 +253,11 @@
         /* pending until a leader replies, or until its deadline */
         return;
     }
+    if (msg->has_priority) {
+        mw_learn_route_priority(
+            &entry->priorities, mw_blob_str(pending->msg->flow_call.host),
+            mw_blob_str(pending->msg->flow_call.path), msg->priority);
+    }
     reply.ref = pending->request_ref;
     mw_remove_pending_request(entry, pending);
     entry->output.reply(entry->output.opaque, &reply);
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -27,6 +27,19 @@
     emit(flows, &event);
 }
 
+void
+mw_emit_refused_event(struct mw_flows *flows, const struct mw_name *flow,
+                      const char *reason, int64_t retry_after_us)
+{
+    struct mw_flow_event event = {.name = "refused",
+                                  .flow = *flow,
+                                  .outcome = reason,
+                                  .age_us = -1,
+                                  .retry_after_us = retry_after_us};
+
+    emit(flows, &event);
+}
+
 void
 mw_emit_task_event(struct mw_flows *flows, const char *name,
                    const struct mw_task_placement *placement,
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -6,6 +6,7 @@
 #include "flow-command-queue.h"
 #include "flow-config-versions.h"
 #include "mimosawind/flow.h"
+#include "retry-after.h"
 
 /*
  * flow-impl: the state of the scheduler of flows.
@@ -469,6 +470,7 @@
     int64_t maintenance_deadline_us;
     /* struct mw_urgent_pool by service */
     GHashTable *urgent_pools;
+    struct mw_retry_window refusals;
     struct mw_flow_counters counters;
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
@@ -854,6 +856,9 @@
 /* flow-event.c */
 void mw_emit_flow_event(struct mw_flows *flows, const char *name,
                         const struct mw_name *flow, const char *outcome);
+/* mw_emit_refused_event: retry_after_us is 0 if no retry is advised. */
+void mw_emit_refused_event(struct mw_flows *flows, const struct mw_name *flow,
+                           const char *reason, int64_t retry_after_us);
 void mw_emit_task_event(struct mw_flows *flows, const char *name,
                         const struct mw_task_placement *placement,
                         const char *outcome, int64_t age_us);
--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -17,17 +17,48 @@
     flows->output.reply(flows->output.opaque, reply);
 }
 
+/*
+ * The delay for a client that is refused for a reason that may pass; 0 for any
+ * other.  The route is NULL where the request was not matched to one.
+ *
+ * Requests that wait for their commit don't wait for what this one lacks.
+ */
+static int64_t
+take_retry_after(struct mw_flows *flows, const struct mw_flow_request *request,
+                 const struct mw_flow_route *route, int error)
+{
+    struct mw_refusal refusal = {
+        .cause = MW_REFUSAL_OVERLOADED,
+        .urgent =
+            request->kind >= MW_FLOW_CONFIG || (route && route->priority == 0),
+        .job_hash = mw_hash_job(request->path),
+    };
+    int64_t delay_us;
+
+    if (error == MW_ERR_NOT_LEADER) {
+        /* the process that forwarded the request decides for itself */
+        return MW_RETRY_AFTER_MIN_US;
+    }
+    if (error != MW_ERR_OVERLOADED && error != MW_ERR_PENDING) {
+        return 0;
+    }
+    delay_us = mw_take_retry_after(&flows->refusals, flows->now_us, &refusal);
+    flows->counters.refused_by_delay[delay_us / MW_RETRY_AFTER_MIN_US - 1]++;
+    return delay_us;
+}
+
 static void
-send_error(struct mw_flows *flows, uint64_t ref, int error,
-           struct mw_str detail)
+send_error(struct mw_flows *flows, const struct mw_flow_request *request,
+           int error, struct mw_str detail)
 {
     struct mw_flow_reply reply = {
-        .ref = ref, .kind = MW_REPLY_ERROR, .error = error, .detail = detail};
+        .ref = request->ref,
+        .kind = MW_REPLY_ERROR,
+        .error = error,
+        .detail = detail,
+        .retry_after_us = take_retry_after(flows, request, NULL, error),
+    };
 
-    if (error == MW_ERR_NOT_LEADER || error == MW_ERR_OVERLOADED ||
-        error == MW_ERR_PENDING) {
-        reply.retry_after_us = MW_FLOW_RETRY_AFTER_US;
-    }
     send_reply(flows, &reply);
 }
 
@@ -39,6 +70,20 @@
     send_reply(flows, &reply);
 }
 
+/* The reply tells the entry process the priority of the route. */
+static void
+send_accepted(struct mw_flows *flows, uint64_t ref,
+              const struct mw_flow_route *route)
+{
+    struct mw_flow_reply reply = {.ref = ref, .kind = MW_REPLY_ACCEPTED};
+
+    if (route) {
+        reply.has_priority = true;
+        reply.priority = route->priority;
+    }
+    send_reply(flows, &reply);
+}
+
 static struct mw_flow_pending_request *
 await_commit(struct mw_flows *flows, const struct mw_flow_request *request,
              const struct mw_name *name, uint64_t version)
@@ -68,7 +113,7 @@
 
     mw_drop_record(record);
     if (err) {
-        send_error(flows, request->ref, err, MW_STR(""));
+        send_error(flows, request, err, MW_STR(""));
         return NULL;
     }
     return await_commit(flows, request, name, version);
@@ -183,11 +228,20 @@
 static void
 refuse_submission(struct mw_flows *flows,
                   const struct mw_flow_request *request,
-                  const struct mw_name *id, int error, const char *reason)
+                  const struct mw_flow_route *route, const struct mw_name *id,
+                  int error, const char *reason)
 {
+    struct mw_flow_reply reply = {
+        .ref = request->ref,
+        .kind = MW_REPLY_ERROR,
+        .error = error,
+        .detail = mw_str_from(reason),
+        .retry_after_us = take_retry_after(flows, request, route, error),
+    };
+
     flows->counters.refused++;
-    mw_emit_flow_event(flows, "refused", id, reason);
-    send_error(flows, request->ref, error, mw_str_from(reason));
+    mw_emit_refused_event(flows, id, reason, reply.retry_after_us);
+    send_reply(flows, &reply);
 }
 
 /* Proposes the flow, unless it can't be run or held. */
@@ -201,15 +255,15 @@
     int err = mw_check_flow_size(flows, &size);
 
     if (plan->unsupported) {
-        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
+        refuse_submission(flows, request, route, id, MW_ERR_IMPOSSIBLE,
                           plan->unsupported);
     }
     else if (!can_ever_run(flows, route, plan)) {
-        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
+        refuse_submission(flows, request, route, id, MW_ERR_IMPOSSIBLE,
                           "no_endpoint_is_large_enough");
     }
     else if (err) {
-        refuse_submission(flows, request, id, err,
+        refuse_submission(flows, request, route, id, err,
                           err == MW_ERR_IMPOSSIBLE ? "too_large_to_be_held"
                                                    : "too_much_is_held");
     }
@@ -230,7 +284,7 @@
 
     if (flow) {
         flows->counters.resent++;
-        send_done(flows, request->ref, MW_REPLY_ACCEPTED);
+        send_accepted(flows, request->ref, route);
         return;
     }
     if (is_submission_pending(flows, id)) {
@@ -241,7 +295,7 @@
     plan = flows->output.decode_plan(flows->output.opaque, ctx, request->body,
                                      &err);
     if (!plan) {
-        refuse_submission(flows, request, id, err, "unreadable");
+        refuse_submission(flows, request, route, id, err, "unreadable");
         return;
     }
     admit(flows, wall_us, request, route, org, id, plan);
@@ -250,13 +304,15 @@
 
 static void
 send_state(struct mw_flows *flows, const struct mw_flow_request *request,
-           const struct mw_flow *flow)
+           const struct mw_flow_route *route, const struct mw_flow *flow)
 {
     struct mw_flow_reply reply = {
         .ref = request->ref,
         .kind = MW_REPLY_STATE,
         .state = flow->state,
         .queued = flow->state == MW_FLOW_ACTIVE && !flow->started,
+        .has_priority = true,
+        .priority = route->priority,
     };
 
     send_reply(flows, &reply);
@@ -326,21 +382,20 @@
             submit(ctx, flows, wall_us, request, route, org, &id);
         }
         else {
-            refuse_submission(flows, request, &id, MW_ERR_INVALID,
+            refuse_submission(flows, request, route, &id, MW_ERR_INVALID,
                               "identifier_is_not_16_hex_digits");
         }
         return;
     }
     if (!flow || !is_of_route(flow, route)) {
-        send_error(flows, request->ref, MW_ERR_NOT_FOUND,
-                   MW_STR("no such job"));
+        send_error(flows, request, MW_ERR_NOT_FOUND, MW_STR("no such job"));
         return;
     }
     if (request->kind == MW_FLOW_CANCEL) {
         cancel(flows, request, flow);
     }
     else {
-        send_state(flows, request, flow);
+        send_state(flows, request, route, flow);
     }
 }
 
@@ -353,19 +408,18 @@
     const struct mw_flow_org *org;
 
     if (!config) {
-        send_error(flows, request->ref, MW_ERR_PENDING,
+        send_error(flows, request, MW_ERR_PENDING,
                    MW_STR("no configuration yet"));
         return;
     }
     route = mw_flow_find_route(config, request->host, request->path);
     if (!route) {
-        send_error(flows, request->ref, MW_ERR_NO_QUEUE,
-                   MW_STR("no such queue"));
+        send_error(flows, request, MW_ERR_NO_QUEUE, MW_STR("no such queue"));
         return;
     }
     org = mw_flow_find_org(config, request->key);
     if (!org && !route->keyless) {
-        send_error(flows, request->ref, MW_ERR_AUTH, MW_STR("unknown key"));
+        send_error(flows, request, MW_ERR_AUTH, MW_STR("unknown key"));
         return;
     }
     handle_flow_request(ctx, flows, wall_us, request, route, org);
@@ -385,7 +439,7 @@
 
     if (!config) {
         mw_emit_flow_event(flows, "config_refused", &none, "invalid");
-        send_error(flows, request->ref, err, mw_detail(ctx));
+        send_error(flows, request, err, mw_detail(ctx));
         return;
     }
     version = config->version;
@@ -416,7 +470,7 @@
     const struct mw_flow_config *config = mw_get_flow_config(&flows->configs);
 
     if (!config) {
-        send_error(flows, request->ref, MW_ERR_PENDING,
+        send_error(flows, request, MW_ERR_PENDING,
                    MW_STR("no configuration yet"));
         return;
     }
@@ -444,7 +498,7 @@
 {
     flows->now_us = now_us;
     if (!flows->is_leader || flows->suspended) {
-        send_error(flows, request->ref, MW_ERR_NOT_LEADER, MW_STR(""));
+        send_error(flows, request, MW_ERR_NOT_LEADER, MW_STR(""));
         return;
     }
     switch (request->kind) {
@@ -540,9 +594,12 @@
         mw_count_latency(flows, MW_LATENCY_COMMIT,
                          flows->now_us - pending.received_us);
         emit_committed_event(flows, &pending);
-        send_done(flows, pending.ref,
-                  pending.kind == MW_FLOW_SUBMIT ? MW_REPLY_ACCEPTED
-                                                 : MW_REPLY_DONE);
+        if (pending.kind == MW_FLOW_SUBMIT) {
+            send_accepted(flows, pending.ref, &record->flow.route);
+        }
+        else {
+            send_done(flows, pending.ref, MW_REPLY_DONE);
+        }
     }
 }
 
@@ -553,9 +610,11 @@
     for (guint i = 0; i < flows->pending_requests->len; i++) {
         struct mw_flow_pending_request *pending = &g_array_index(
             flows->pending_requests, struct mw_flow_pending_request, i);
+        struct mw_flow_request request = {.kind = pending->kind};
 
         mw_emit_flow_event(flows, "undecided", &pending->name, "lead_lost");
-        send_error(flows, pending->ref, MW_ERR_DEADLINE,
+        request.ref = pending->ref;
+        send_error(flows, &request, MW_ERR_DEADLINE,
                    MW_STR("the leader changed; ask again"));
     }
     g_array_set_size(flows->pending_requests, 0);
--- /dev/null
+++ b/source/core/flow/policy/retry-after.c
@@ -0,0 +1,86 @@
+#include "retry-after.h"
+
+#include <glib.h>
+
+#define SECOND_US INT64_C(1000000)
+/* so few callers can come back together without a spread */
+#define ISOLATED_MAX 4
+/* a crowd above this is spread over the longest delay */
+#define CROWD_MAX 64
+/*
+ * A loss shows after 1 s of silence (MW_FLOW_MEMBER_TIMEOUT_US), and within a
+ * second of that there is a new leader in most cases.
+ */
+#define ELECTION_US INT64_C(2000000)
+/* and never longer than this: MW_FLOW_ELECTION_MAX_US */
+#define OUTAGE_US INT64_C(3000000)
+
+/* FNV-1a, and the finalizer of MurmurHash3, which spreads to the high bits. */
+uint64_t
+mw_hash_job(struct mw_str path)
+{
+    uint64_t hash = UINT64_C(14695981039346656037);
+    size_t at = path.len;
+
+    while (at > 0 && path.ptr[at - 1] != '/') {
+        at--;
+    }
+    for (; at < path.len; at++) {
+        hash = (hash ^ (unsigned char)path.ptr[at]) * UINT64_C(1099511628211);
+    }
+    hash = (hash ^ (hash >> 33)) * UINT64_C(0xff51afd7ed558ccd);
+    hash = (hash ^ (hash >> 33)) * UINT64_C(0xc4ceb9fe1a85ec53);
+    return hash ^ (hash >> 33);
+}
+
+/* The longest delay, in seconds. */
+static uint32_t
+choose_width(const struct mw_refusal *refusal, uint64_t crowd)
+{
+    if (refusal->urgent || crowd <= ISOLATED_MAX) {
+        return 1;
+    }
+    if (refusal->cause != MW_REFUSAL_NO_LEADER) {
+        return crowd <= CROWD_MAX ? 2 : 3;
+    }
+    if (refusal->leaderless_us < ELECTION_US) {
+        return 1;
+    }
+    return refusal->leaderless_us < OUTAGE_US ? 2 : 3;
+}
+
+int64_t
+mw_choose_retry_after(const struct mw_refusal *refusal, uint32_t recent)
+{
+    uint64_t crowd = (uint64_t)recent + refusal->waiting + 1;
+    uint64_t width = choose_width(refusal, crowd);
+
+    return MW_RETRY_AFTER_MIN_US +
+           (int64_t)(((refusal->job_hash >> 32) * width) >> 32) * SECOND_US;
+}
+
+static void
+move_window(struct mw_retry_window *window, int64_t now_us)
+{
+    int64_t second = now_us / SECOND_US;
+
+    if (second != window->second) {
+        window->refused_before =
+            second == window->second + 1 ? window->refused : 0;
+        window->refused = 0;
+        window->second = second;
+    }
+}
+
+int64_t
+mw_take_retry_after(struct mw_retry_window *window, int64_t now_us,
+                    const struct mw_refusal *refusal)
+{
+    int64_t delay_us;
+
+    move_window(window, now_us);
+    delay_us = mw_choose_retry_after(refusal,
+                                     window->refused + window->refused_before);
+    window->refused++;
+    return delay_us;
+}
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -171,6 +171,10 @@
         json_object_set_new(line, "crash_score",
                             json_integer(event->crash_score));
     }
+    if (event->retry_after_us > 0) {
+        json_object_set_new(line, "retry_after_us",
+                            json_integer(event->retry_after_us));
+    }
     json_object_set_new(line, "config",
                         json_integer((json_int_t)event->version));
     json_object_set_new(line, "term", json_integer((json_int_t)event->term));
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "first-ref.h"
+#include "flow-metrics.h"
 #include "region-process.h"
 
 #define HEARTBEAT_INTERVAL_US 500000
@@ -321,5 +322,6 @@
         c->late_replies, c->leaders, mw_flow_entry_pending_count(t->entry),
         mw_flow_entry_task_is_ready(t),
         mw_event_log_dropped_count(t->process.log));
+    mw_add_refusals_by_delay(out, "refused_by_delay", c->refused_by_delay);
     return out;
 }
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -47,6 +47,17 @@
     COUNTER(snapshots_received);
 }
 
+void
+mw_add_refusals_by_delay(GString *out, const char *name,
+                         const uint64_t *counts)
+{
+    for (int i = 0; i < MW_FLOW_RETRY_AFTER_MAX_S; i++) {
+        g_string_append_printf(out,
+                               "mimosawind_%s{seconds=\"%d\"} %" PRIu64 "\n",
+                               name, i + 1, counts[i]);
+    }
+}
+
 GString *
 mw_format_flow_metrics(const struct mw_flow_control *control,
                        uint64_t lines_dropped)
@@ -61,6 +72,8 @@
     add_log_status(out, &log);
     COUNTER(accepted);
     COUNTER(refused);
+    mw_add_refusals_by_delay(out, "refused_by_delay",
+                             counters->refused_by_delay);
     COUNTER(resent);
     COUNTER(completed);
     COUNTER(failed);
--- a/source/run/flow-metrics.h
+++ b/source/run/flow-metrics.h
@@ -16,4 +16,8 @@
 GString *mw_format_flow_metrics(const struct mw_flow_control *control,
                                 uint64_t lines_dropped);
 
+/* mw_add_refusals_by_delay: MW_FLOW_RETRY_AFTER_MAX_S counters. */
+void mw_add_refusals_by_delay(GString *out, const char *name,
+                              const uint64_t *counts);
+
 #endif
--- a/source/wire/frame-decode.c
+++ b/source/wire/frame-decode.c
@@ -241,7 +241,8 @@
                    struct mw_msg_flow_return *reply)
 {
     if (wire->kind > MW_REPLY_ERROR || wire->state >= MW_FLOW_STATES ||
-        !is_known_error(wire->error)) {
+        !is_known_error(wire->error) || wire->retry_after_us < 0 ||
+        wire->retry_after_us > MW_FLOW_RETRY_AFTER_MAX_S * INT64_C(1000000)) {
         return MW_ERR_OUT_OF_RANGE;
     }
     reply->ref = wire->ref;
@@ -252,6 +253,8 @@
     reply->pending = wire->pending;
     reply->text = mw_unpack_blob(wire->text);
     reply->retry_after_us = wire->retry_after_us;
+    reply->has_priority = wire->priority_plus_1 > 0;
+    reply->priority = reply->has_priority ? wire->priority_plus_1 - 1 : 0;
     return 0;
 }
 
--- a/source/wire/frame-encode.c
+++ b/source/wire/frame-encode.c
@@ -210,6 +210,8 @@
     wire->flow_return->pending = msg->flow_return.pending;
     wire->flow_return->text = mw_pack_blob(msg->flow_return.text);
     wire->flow_return->retry_after_us = msg->flow_return.retry_after_us;
+    wire->flow_return->priority_plus_1 =
+        msg->flow_return.has_priority ? msg->flow_return.priority + 1 : 0;
 }
 
 static void
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -4597,7 +4597,7 @@
   (ProtobufCMessageInit) mw__wire__flow_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__flow_return__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mw__wire__flow_return__field_descriptors[9] =
 {
   {
     "ref",
@@ -4695,11 +4695,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority_plus_1",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowReturn, priority_plus_1),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__flow_return__field_indices_by_name[] = {
   2,   /* field[2] = error */
   1,   /* field[1] = kind */
   5,   /* field[5] = pending */
+  8,   /* field[8] = priority_plus_1 */
   4,   /* field[4] = queued */
   0,   /* field[0] = ref */
   7,   /* field[7] = retry_after_us */
@@ -4709,7 +4722,7 @@
 static const ProtobufCIntRange mw__wire__flow_return__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mw__wire__flow_return__descriptor =
 {
@@ -4719,7 +4732,7 @@
   "Mw__Wire__FlowReturn",
   "mw.wire",
   sizeof(Mw__Wire__FlowReturn),
-  8,
+  9,
   mw__wire__flow_return__field_descriptors,
   mw__wire__flow_return__field_indices_by_name,
   1,  mw__wire__flow_return__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -603,10 +603,14 @@
   uint32_t pending;
   ProtobufCBinaryData text;
   int64_t retry_after_us;
+  /*
+   * of the request's route, plus 1; 0 if it is not known
+   */
+  uint32_t priority_plus_1;
 };
 #define MW__WIRE__FLOW_RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__flow_return__descriptor) \
-    , 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
+    , 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -149,15 +149,18 @@
     struct state *st = opaque;
     struct mw_blob *text;
     struct mw_str body;
+    char delay[32];
 
     if (st->quiet_replies) {
         return;
     }
     text = mw_encode_flow_reply(reply);
     body = mw_blob_str(text);
+    g_snprintf(delay, sizeof delay, " retry-after=%d",
+               (int)(reply->retry_after_us / 1000000));
     mw_script_printf(st->script, "  reply %d %d %.*s%s", (int)reply->ref,
                      mw_flow_reply_http_status(reply), (int)MIN(body.len, 80),
-                     body.ptr, reply->retry_after_us ? " retry-after" : "");
+                     body.ptr, reply->retry_after_us ? delay : "");
     mw_drop_blob(text);
 }
 
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -209,13 +209,14 @@
     g_free(path);
 }
 
-/* submit-many PROCESS COUNT BYTES: so many flows with bodies of that size;
- * how many of them then wait for a reply */
+/* submit-many PROCESS COUNT BYTES [urgent=1]: so many flows with bodies of
+ * that size; how many of them then wait for a reply */
 static void
 cmd_submit_many(struct mw_script *s)
 {
     struct mw_region_node *node = node_word(s, 1);
     bool was_quiet = node->region->quiet;
+    char queue = mw_script_option_int(s, "urgent", 0) ? 'u' : 'b';
     gsize bytes = (gsize)g_ascii_strtoull(mw_script_word(s, 3), NULL, 10);
     char *body = g_strdup_printf("%-*s", (int)bytes, MW_REGION_PLAN);
 
@@ -223,7 +224,7 @@
     for (int i = 0; i < atoi(mw_script_word(s, 2)); i++) {
         char path[32];
 
-        g_snprintf(path, sizeof path, "/b/%016x", i);
+        g_snprintf(path, sizeof path, "/%c/%016x", queue, i);
         mw_send_region_request(node, MW_FLOW_SUBMIT, path, body, NULL);
     }
     node->region->quiet = was_quiet;
@@ -232,6 +233,18 @@
     g_free(body);
 }
 
+/* delays: which delays before a retry were replied since the last `delays` */
+static void
+cmd_delays(struct mw_script *s)
+{
+    struct mw_region *region = script_region(s);
+
+    mw_script_printf(s, "  none: %u, 1 s: %u, 2 s: %u, 3 s: %u",
+                     region->delays[0], region->delays[1], region->delays[2],
+                     region->delays[3]);
+    memset(region->delays, 0, sizeof region->delays);
+}
+
 static void
 cmd_state(struct mw_script *s)
 {
@@ -353,6 +366,7 @@
     {"read-config", 1, cmd_read_config},
     {"submit", 2, cmd_submit},
     {"submit-many", 3, cmd_submit_many},
+    {"delays", 0, cmd_delays},
     {"state", 2, cmd_state},
     {"violations", 0, cmd_violations},
     {"seeds", 3, cmd_seeds},
--- a/tests/region.c
+++ b/tests/region.c
@@ -204,7 +204,9 @@
     int status = mw_flow_reply_http_status(reply);
 
     bool is_heartbeat = pending && pending->kind == MW_REGION_HEARTBEAT;
+    int64_t seconds = (reply->retry_after_us + 999999) / 1000000;
 
+    region->delays[MIN(seconds, MW_FLOW_RETRY_AFTER_MAX_S)]++;
     if (pending) {
         check_reply(region, pending, reply, status);
         g_hash_table_remove(region->pending, &reply->ref);
@@ -568,7 +570,11 @@
         "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],\"routes\":["
         "{\"name\":\"bulk\",\"host\":\"h.example\",\"path-prefix\":\"/b/\","
         "\"service\":\"svc\",\"priority\":2,\"max-attempts\":2,"
-        "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000}],"
+        "\"slack-factor\":3,\"target-latency-ms\":3000,\"timeout-ms\":3000},"
+        "{\"name\":\"urgent\",\"host\":\"h.example\",\"path-prefix\":\"/u/\","
+        "\"service\":\"svc\",\"priority\":0,\"max-attempts\":2,"
+        "\"slack-factor\":1.5,\"target-latency-ms\":3000,"
+        "\"timeout-ms\":3000}],"
         "\"tenants\":[{\"name\":\"org\",\"api-keys\":[\"k1\"],"
         "\"guaranteed\":{\"gpus\":8}}]}",
         (int)version);
--- a/tests/region.h
+++ b/tests/region.h
@@ -119,6 +119,8 @@
     struct mw_fake_endpoints *endpoints;
     int64_t now_us;
     uint64_t last_ref;
+    /* replies without a delay before a retry, and by its seconds */
+    unsigned delays[MW_FLOW_RETRY_AFTER_MAX_S + 1];
     uint64_t start_count;
     uint64_t last_incarnation;
     bool quiet;
