Entry: a shutdown answers every request that was read

Cause: the process ended at the first check after 2.5 s at which no request was being received or without a reply. Requests on their way on open connections, replies that the socket had not taken yet, further requests that had arrived on a connection with the first, and requests still pending at the latest end got no answer. The check ran at heartbeats only: its deadline was always 0.1 s ahead. Change: the process serves on until clients are quiet for 1 s or have no connection open, then accepts what the kernel holds, replies to all pending requests, refuses later ones, and ends when no bytes are unsent. A connection is ended after the reply to the last request that has arrived on it. The HTTP server's refusals of unread requests use policy/retry-after, too, and are counted (unread_refused_by_delay).

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -268,6 +268,13 @@
 void mw_flow_entry_hand_over(
     struct mw_flow_entry *entry, int64_t now_us, void *opaque,
     void (*serve)(void *opaque, const struct mw_flow_request *request));
+/*
+ * mw_flow_entry_end: replies to all requests; the process is about to end.
+ *
+ * Those that no leader has received are refused, as are all later ones; the
+ * outcome of the others is left open.
+ */
+void mw_flow_entry_end(struct mw_flow_entry *entry, int64_t now_us);
 /* mw_flow_entry_tick: end requests whose deadline has passed. */
 void mw_flow_entry_tick(struct mw_flow_entry *entry, int64_t now_us);
 /* mw_flow_entry_deadline: when mw_flow_entry_tick is next due. */
--- a/source/core/flow/flow-entry-impl.h
+++ b/source/core/flow/flow-entry-impl.h
@@ -55,6 +55,8 @@
     int64_t leader_heartbeat_us;
     uint32_t member_count;
     struct mw_known_member members[MW_MEMBERS_MAX];
+    /* mw_flow_entry_end was called */
+    bool ended;
     struct mw_retry_window refusals;
     struct mw_route_priorities priorities;
     struct mw_flow_entry_counters counters;
--- a/source/core/flow/flow-entry-pending.c
+++ b/source/core/flow/flow-entry-pending.c
@@ -168,6 +168,30 @@
     g_ptr_array_unref(expired);
 }
 
+static int
+compare_refs(gconstpointer a, gconstpointer b)
+{
+    const struct mw_pending_request *x =
+        *(struct mw_pending_request *const *)a;
+    const struct mw_pending_request *y =
+        *(struct mw_pending_request *const *)b;
+
+    return x->ref < y->ref ? -1 : x->ref > y->ref;
+}
+
+void
+mw_flow_entry_end(struct mw_flow_entry *entry, int64_t now_us)
+{
+    GPtrArray *all = expired_requests(entry, INT64_MAX);
+
+    entry->ended = true;
+    g_ptr_array_sort(all, compare_refs);
+    for (guint i = 0; i < all->len; i++) {
+        expire(entry, now_us, all->pdata[i]);
+    }
+    g_ptr_array_unref(all);
+}
+
 void
 mw_forward_pending_requests(struct mw_flow_entry *entry, int64_t now_us,
                             bool all)
@@ -196,17 +220,6 @@
     serve(opaque, &request);
 }
 
-static int
-compare_refs(gconstpointer a, gconstpointer b)
-{
-    const struct mw_pending_request *x =
-        *(struct mw_pending_request *const *)a;
-    const struct mw_pending_request *y =
-        *(struct mw_pending_request *const *)b;
-
-    return x->ref < y->ref ? -1 : x->ref > y->ref;
-}
-
 void
 mw_flow_entry_hand_over(struct mw_flow_entry *entry, int64_t now_us,
                         void *opaque,
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -157,6 +157,15 @@
     return delay_us;
 }
 
+static const char *
+refusal_reason(const struct mw_flow_entry *entry, int error)
+{
+    if (entry->ended) {
+        return "shutdown";
+    }
+    return error == MW_ERR_OVERLOADED ? "too_much_is_pending" : "no_leader";
+}
+
 void
 mw_refuse_unforwarded(struct mw_flow_entry *entry, int64_t now_us,
                       const struct mw_flow_request *request, int error)
@@ -169,8 +178,7 @@
     };
 
     entry->counters.refused++;
-    log_event(entry, "refused",
-              error == MW_ERR_OVERLOADED ? "too_much_is_pending" : "no_leader",
+    log_event(entry, "refused", refusal_reason(entry, error),
               entry->leader_heartbeat_us > 0
                   ? now_us - entry->leader_heartbeat_us
                   : -1,
@@ -199,7 +207,7 @@
     struct mw_pending_request *pending;
 
     entry->counters.requests++;
-    if (!mw_flow_entry_can_serve(entry, now_us)) {
+    if (entry->ended || !mw_flow_entry_can_serve(entry, now_us)) {
         mw_refuse_unforwarded(entry, now_us, request, MW_ERR_NOT_LEADER);
         return;
     }
--- a/source/run/conn.c
+++ b/source/run/conn.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include "loop.h"
@@ -277,6 +279,31 @@
     listener->callbacks.accepted(listener->callbacks.opaque, conn);
 }
 
+void
+mw_accept_waiting(struct mw_listener *listener)
+{
+    uv_os_fd_t listen_fd;
+    int fd = -1;
+
+    if (uv_fileno((uv_handle_t *)&listener->tcp, &listen_fd) != 0) {
+        return;
+    }
+    do {
+        fd = accept(listen_fd, NULL, NULL);
+        if (fd >= 0) {
+            struct mw_conn *conn = new_conn();
+
+            if (uv_tcp_open(&conn->tcp, fd) == 0) {
+                listener->callbacks.accepted(listener->callbacks.opaque, conn);
+            }
+            else {
+                close(fd);
+                mw_conn_close(conn);
+            }
+        }
+    } while (fd >= 0);
+}
+
 static void
 free_listener(uv_handle_t *handle)
 {
--- a/source/run/conn.h
+++ b/source/run/conn.h
@@ -78,6 +78,12 @@
                 const char **reason);
 void mw_drop_listener(struct mw_listener *listener);
 
+/*
+ * mw_accept_waiting: accept the connections that the operating system has
+ * established; it would reset them when the listener is dropped.
+ */
+void mw_accept_waiting(struct mw_listener *listener);
+
 /* mw_parse_address: convert IP:PORT; false if it is invalid. */
 bool mw_parse_address(const struct mw_name *text,
                       struct sockaddr_storage *address);
--- a/source/run/flow-entry-task.c
+++ b/source/run/flow-entry-task.c
@@ -8,6 +8,10 @@
 
 #define HEARTBEAT_INTERVAL_US 500000
 #define LEAVE_CHECK_INTERVAL_US 100000
+/* no client has sent anything for this long: none is about to */
+#define LEAVE_QUIET_US 1000000
+/* from the last replies to the end, for clients to receive them */
+#define LEAVE_LAST_REPLIES_US 400000
 
 struct mw_flow_entry_task {
     struct mw_flow_entry_task_setup setup;
@@ -17,10 +21,15 @@
     struct mw_flow_entry *entry;
     bool started;
     bool leaving;
+    /* all requests have their replies; new ones are refused */
+    bool ending;
     int64_t heartbeat_deadline_us;
-    /* when the process may end: if no request is pending, and in any case */
+    /* when the process may end: if no client is active, and in any case */
     int64_t leave_from_us;
     int64_t leave_deadline_us;
+    /* when it ends unless bytes are still unsent */
+    int64_t ending_deadline_us;
+    int64_t leave_check_deadline_us;
 };
 
 static void
@@ -184,12 +193,47 @@
     t->heartbeat_deadline_us = now_us + HEARTBEAT_INTERVAL_US;
 }
 
+/*
+ * Whether no request is to be expected any more, or it is time for the last
+ * replies.  A client may send a request at any time on a connection that is
+ * open, so there must have been none for a while.
+ */
 static bool
-may_end(struct mw_flow_entry_task *t, int64_t now_us)
+may_stop_serving(const struct mw_flow_entry_task *t, int64_t now_us,
+                 const struct mw_http_activity *activity)
 {
-    return now_us >= t->leave_deadline_us ||
-           (now_us >= t->leave_from_us &&
-            t->setup.server.pending_count(t->setup.server.opaque) == 0);
+    if (now_us >= t->leave_deadline_us - LEAVE_LAST_REPLIES_US) {
+        return true;
+    }
+    return now_us >= t->leave_from_us && activity->pending_count == 0 &&
+           (activity->open_count == 0 ||
+            now_us - activity->last_received_us >= LEAVE_QUIET_US);
+}
+
+static bool
+may_end(const struct mw_flow_entry_task *t, int64_t now_us,
+        const struct mw_http_activity *activity)
+{
+    return now_us >= t->leave_deadline_us || activity->connection_count == 0 ||
+           (now_us >= t->ending_deadline_us && activity->unsent_bytes == 0);
+}
+
+static void
+continue_leave(struct mw_flow_entry_task *t, int64_t now_us)
+{
+    struct mw_http_activity activity =
+        t->setup.server.get_activity(t->setup.server.opaque);
+
+    if (!t->ending && may_stop_serving(t, now_us, &activity)) {
+        t->ending = true;
+        t->ending_deadline_us = now_us + LEAVE_LAST_REPLIES_US;
+        mw_flow_entry_end(t->entry, now_us);
+        t->setup.server.stop_listening(t->setup.server.opaque);
+        activity = t->setup.server.get_activity(t->setup.server.opaque);
+    }
+    if (t->ending && may_end(t, now_us, &activity)) {
+        mw_end_region_process(&t->process, 0, MW_STR(""));
+    }
 }
 
 static void
@@ -204,10 +248,11 @@
     if (now_us >= t->heartbeat_deadline_us) {
         send_heartbeat(t, now_us);
     }
-    mw_flush_event_log(t->process.log, now_us);
-    if (t->leaving && may_end(t, now_us)) {
-        mw_end_region_process(&t->process, 0, MW_STR(""));
+    if (t->leaving && now_us >= t->leave_check_deadline_us) {
+        t->leave_check_deadline_us = now_us + LEAVE_CHECK_INTERVAL_US;
+        continue_leave(t, now_us);
     }
+    mw_flush_event_log(t->process.log, now_us);
 }
 
 static int64_t
@@ -220,7 +265,7 @@
         return INT64_MAX;
     }
     if (t->leaving) {
-        due_us = MIN(due_us, mw_now() + LEAVE_CHECK_INTERVAL_US);
+        due_us = MIN(due_us, t->leave_check_deadline_us);
     }
     return MIN(due_us, mw_flow_entry_deadline(t->entry));
 }
--- a/source/run/flow-entry-task.h
+++ b/source/run/flow-entry-task.h
@@ -2,6 +2,7 @@
 #define MW_RUN_FLOW_ENTRY_TASK_H
 
 #include "event-log.h"
+#include "http.h"
 #include "link.h"
 #include "mimosawind/flow-process.h"
 
@@ -23,8 +24,9 @@
     void (*reply)(void *opaque, const struct mw_flow_reply *reply);
     /* begins to report not ready and to close connections after a reply */
     void (*leave)(void *opaque);
-    /* number of requests without a reply */
-    uint32_t (*pending_count)(void *opaque);
+    struct mw_http_activity (*get_activity)(void *opaque);
+    /* accepts no new connections */
+    void (*stop_listening)(void *opaque);
     void (*stop)(void *opaque);
 };
 
--- a/source/run/http-connection.c
+++ b/source/run/http-connection.c
@@ -8,8 +8,6 @@
 
 /* a larger buffer is freed once the reply is sent */
 #define KEPT_BUFFER_BYTES_MAX (16 * 1024)
-/* header of a reply to a request that there was no room for */
-#define RETRY_AFTER "Retry-After: 1\r\n"
 
 static void
 arm_receive_timer(struct mw_http *http)
@@ -128,7 +126,12 @@
                     struct mw_str text)
 {
     GString *out = g_string_sized_new(256 + text.len);
+    bool has_more = connection->in_callback ? connection->has_more
+                                            : connection->pipelined->len > 0;
 
+    if (connection->http->leaving && !has_more) {
+        connection->keep_alive = false;
+    }
     g_string_append_printf(
         out,
         "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
@@ -158,6 +161,26 @@
     mw_begin_receiving(connection);
 }
 
+/* The priority of the route is not known here: nobody is urgent. */
+static void
+add_retry_after(struct mw_http_connection *connection)
+{
+    struct mw_http *http = connection->http;
+    struct mw_refusal refusal = {
+        .cause = MW_REFUSAL_PENDING,
+        .waiting = g_hash_table_size(http->pending),
+        .job_hash = mw_hash_job(
+            (struct mw_str){connection->text->str, connection->url_len}),
+    };
+    int64_t delay_us =
+        mw_take_retry_after(&http->refusals, mw_now(), &refusal);
+    int seconds = (int)(delay_us / MW_RETRY_AFTER_MIN_US);
+
+    http->refused_by_delay[seconds - 1]++;
+    g_string_append_printf(connection->reply_headers, "Retry-After: %d\r\n",
+                           seconds);
+}
+
 void
 mw_refuse_unread(struct mw_http_connection *connection, int error,
                  struct mw_str detail)
@@ -166,7 +189,7 @@
 
     connection->keep_alive = false;
     if (error == MW_ERR_OVERLOADED) {
-        g_string_append(connection->reply_headers, RETRY_AFTER);
+        add_retry_after(connection);
     }
     mw_write_http_reply(connection, mw_error_http_status(error),
                         mw_blob_str(text));
--- a/source/run/http-impl.h
+++ b/source/run/http-impl.h
@@ -5,6 +5,8 @@
 
 #include "conn.h"
 #include "http.h"
+#include "mimosawind/flow.h"
+#include "retry-after.h"
 
 /*
  * http-impl: the HTTP server.
@@ -36,6 +38,12 @@
     /* connections in the order of their receive deadlines */
     GQueue receiving;
     struct mw_timer *timer;
+    /* connections end after a reply */
+    bool leaving;
+    int64_t last_received_us;
+    /* requests that are refused for lack of room */
+    struct mw_retry_window refusals;
+    uint64_t refused_by_delay[MW_FLOW_RETRY_AFTER_MAX_S];
 };
 
 /* mw_http_header_field: a header; offsets into the connection's text. */
@@ -81,6 +89,8 @@
     /* the owner is looking at the request, and has replied to it */
     bool in_callback;
     bool has_replied;
+    /* bytes have arrived after the request that is in the callback */
+    bool has_more;
     /* bytes that arrived while the request waits for its reply */
     GByteArray *pipelined;
     /* in http->receiving until the deadline; its link, or NULL */
--- a/source/run/http.c
+++ b/source/run/http.c
@@ -96,6 +96,7 @@
         bytes.ptr += used;
         bytes.len -= (size_t)used;
         if (connection->phase == MW_HTTP_REPLYING) {
+            connection->has_more = bytes.len > 0;
             dispatch(connection);
         }
     }
@@ -120,7 +121,12 @@
 static void
 on_received(void *opaque, struct mw_str bytes)
 {
-    read_bytes(opaque, bytes);
+    struct mw_http_connection *connection = opaque;
+
+    if (connection->phase != MW_HTTP_LINGERING) {
+        connection->http->last_received_us = mw_now();
+    }
+    read_bytes(connection, bytes);
 }
 
 static void
@@ -139,6 +145,7 @@
     struct mw_conn_callbacks callbacks = {
         .opaque = connection, .received = on_received, .closed = on_closed};
 
+    http->last_received_us = mw_now();
     connection->http = http;
     connection->conn = conn;
     connection->text = g_string_new(NULL);
@@ -248,9 +255,45 @@
 void
 mw_http_stop_listening(struct mw_http *http)
 {
+    if (http->listener) {
+        mw_accept_waiting(http->listener);
+    }
     mw_drop_listener(g_steal_pointer(&http->listener));
 }
 
+void
+mw_http_begin_leave(struct mw_http *http)
+{
+    http->leaving = true;
+}
+
+struct mw_http_activity
+mw_http_get_activity(const struct mw_http *http)
+{
+    struct mw_http_activity activity = {
+        .pending_count = mw_http_pending_count(http),
+        .connection_count = g_hash_table_size(http->connections),
+        .last_received_us = http->last_received_us,
+    };
+    GHashTableIter iter;
+    gpointer key;
+
+    g_hash_table_iter_init(&iter, http->connections);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const struct mw_http_connection *connection = key;
+
+        activity.open_count += connection->phase != MW_HTTP_LINGERING;
+        activity.unsent_bytes += mw_conn_queued_bytes(connection->conn);
+    }
+    return activity;
+}
+
+const uint64_t *
+mw_http_refused_by_delay(const struct mw_http *http)
+{
+    return http->refused_by_delay;
+}
+
 guint
 mw_http_pending_count(const struct mw_http *http)
 {
--- a/source/run/http.h
+++ b/source/run/http.h
@@ -86,9 +86,42 @@
 void mw_http_reply_error(struct mw_http *http, uint64_t handle, int error,
                          struct mw_str detail);
 
-/* mw_http_stop_listening: accept no new connections. */
+/*
+ * mw_http_stop_listening: accept no new connections, after those that the
+ * operating system has established already.
+ */
 void mw_http_stop_listening(struct mw_http *http);
 
+/*
+ * mw_http_begin_leave: end each connection after a reply.
+ *
+ * A connection on which a further request has arrived is ended after the
+ * reply to the last of them.
+ */
+void mw_http_begin_leave(struct mw_http *http);
+
+/* mw_http_activity: what a graceful shutdown waits for. */
+struct mw_http_activity {
+    /* requests being received, or without a reply */
+    uint32_t pending_count;
+    /* connections on which a client may send a request */
+    uint32_t open_count;
+    /* these, and those whose last reply is sent or being sent */
+    uint32_t connection_count;
+    /* of replies, not taken by the sockets yet */
+    size_t unsent_bytes;
+    /* when a client last connected or sent anything; 0 for never */
+    int64_t last_received_us;
+};
+
+struct mw_http_activity mw_http_get_activity(const struct mw_http *http);
+
+/*
+ * mw_http_refused_by_delay: requests refused before they were read, by the
+ * delay that the client was asked for; MW_FLOW_RETRY_AFTER_MAX_S counters.
+ */
+const uint64_t *mw_http_refused_by_delay(const struct mw_http *http);
+
 /* mw_http_pending_count: requests being received, or without a reply. */
 guint mw_http_pending_count(const struct mw_http *http);
 
--- a/tests/http-script.c
+++ b/tests/http-script.c
@@ -1,14 +1,19 @@
 /*
  * http-script: the HTTP server against raw bytes of a client, and the HTTP
- * client against raw bytes of a server, over loopback.
+ * client against raw bytes of a server, over loopback; an entry process with
+ * its server, without any control process.
  */
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <poll.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "conn.h"
+#include "entry-server.h"
 #include "http-client.h"
 #include "http.h"
 #include "script.h"
@@ -29,6 +34,8 @@
 struct state {
     uint16_t port;
     struct mw_name address;
+    /* the same address */
+    struct sockaddr_storage connect_to;
     /* the server, or the client, in a task of its own */
     struct mw_task *server_task;
     struct mw_http *http;
@@ -42,6 +49,12 @@
     /* of clients that have not sent all of their request */
     int held_fds[HELD_SOCKETS_MAX];
     int held_count;
+    /* the entry process; printed replies have some of their headers */
+    struct mw_flow_entry_task *entry;
+    struct mw_entry_server *entry_server;
+    bool prints_headers;
+    /* what was standard output, which the entry process logs to */
+    int stdout_fd;
 };
 
 static uint16_t
@@ -156,12 +169,25 @@
     }
 }
 
+static void
+drop_entry(struct state *st)
+{
+    mw_drop_flow_entry_task(g_steal_pointer(&st->entry));
+    mw_drop_entry_server(g_steal_pointer(&st->entry_server));
+    if (st->stdout_fd >= 0) {
+        dup2(st->stdout_fd, STDOUT_FILENO);
+        close(st->stdout_fd);
+        st->stdout_fd = -1;
+    }
+}
+
 static void *
 begin(void)
 {
     struct state *st = g_new0(struct state, 1);
 
     st->listen_fd = -1;
+    st->stdout_fd = -1;
     st->outcomes = g_async_queue_new_full(g_free);
     return st;
 }
@@ -171,6 +197,7 @@
 {
     struct state *st = state;
 
+    drop_entry(st);
     mw_drop_task(st->server_task);
     mw_drop_task(st->client_task);
     while (st->held_count > 0) {
@@ -191,6 +218,7 @@
     st->port = choose_port();
     g_snprintf(text, sizeof text, "127.0.0.1:%u", st->port);
     st->address = mw_name_from(text);
+    mw_parse_address(&st->address, &st->connect_to);
 }
 
 /* server: starts the server */
@@ -214,12 +242,10 @@
 static int
 open_socket(const struct state *st)
 {
-    struct sockaddr_in to = {.sin_family = AF_INET,
-                             .sin_port = htons(st->port)};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-    inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
-    if (connect(fd, (struct sockaddr *)&to, sizeof to) != 0) {
+    if (connect(fd, (const struct sockaddr *)&st->connect_to,
+                sizeof(struct sockaddr_in)) != 0) {
         close(fd);
         return -1;
     }
@@ -246,16 +272,25 @@
     return text;
 }
 
+static bool
+is_printed_header(const char *line)
+{
+    return g_str_has_prefix(line, "Connection:") ||
+           g_str_has_prefix(line, "Retry-After:");
+}
+
 /* Prints the status lines and bodies of the replies. */
 static void
 print_replies(struct mw_script *s, const GString *text, bool closed)
 {
+    const struct state *st = s->state;
     char **lines = g_strsplit(text->str, "\r\n", 0);
 
     for (char **line = lines; *line; line++) {
         const char *next = strstr(*line, "HTTP/1.1 ");
 
-        if (**line == '{' || next == *line) {
+        if (**line == '{' || next == *line ||
+            (st->prints_headers && is_printed_header(*line))) {
             mw_script_printf(s, "  %s", *line);
         }
     }
@@ -415,6 +450,205 @@
     g_free(text);
 }
 
+static void
+on_entry_ended(void *opaque, int error, struct mw_str message)
+{
+    struct state *st = opaque;
+
+    (void)message;
+    g_async_queue_push(st->outcomes, g_strdup(error ? "failed" : "ended"));
+}
+
+/* Loopback addresses of their own, as the metrics' port is fixed. */
+static void
+set_entry_addresses(struct state *st, struct mw_platform_settings *settings)
+{
+    static int used;
+    int number = getpid() + used++;
+    char text[64];
+    char ip[32];
+
+    g_snprintf(ip, sizeof ip, "127.%d.%d.%d", 100 + (number >> 16) % 100,
+               (number >> 8) % 256, 1 + number % 250);
+    settings->ip = mw_name_from(ip);
+    g_snprintf(text, sizeof text, "%s:18080", ip);
+    settings->frontend = mw_name_from(text);
+    mw_parse_address(&settings->frontend, &st->connect_to);
+    g_snprintf(text, sizeof text, "%s:18081", ip);
+    settings->readiness = mw_name_from(text);
+}
+
+/* entry MIN MAX: starts an entry process whose graceful shutdown takes at
+ * least and at most so many milliseconds */
+static void
+cmd_entry(struct mw_script *s)
+{
+    struct state *st = s->state;
+    struct mw_platform_settings settings = {.zone = mw_name_from("za"),
+                                            .link_port = 18082};
+    struct mw_flow_entry_task_setup setup = {
+        .leave_min_us = 1000 * atoi(mw_script_word(s, 1)),
+        .leave_max_us = 1000 * atoi(mw_script_word(s, 2)),
+        .opaque = st,
+        .ended = on_entry_ended,
+    };
+    int null_fd = open("/dev/null", O_WRONLY);
+    int fd = -1;
+
+    fflush(stdout);
+    st->stdout_fd = dup(STDOUT_FILENO);
+    dup2(null_fd, STDOUT_FILENO);
+    close(null_fd);
+    set_entry_addresses(st, &settings);
+    st->entry_server = mw_new_entry_server(&settings);
+    st->prints_headers = true;
+    setup.name = settings.ip;
+    setup.zone = settings.zone;
+    setup.link_port = settings.link_port;
+    setup.server = mw_entry_server_callbacks(st->entry_server);
+    st->entry = mw_new_flow_entry_task(&setup);
+    for (int i = 0; fd < 0 && i < 100; i++) {
+        g_usleep(10000);
+        fd = open_socket(st);
+    }
+    mw_script_printf(s, "entry %s", fd < 0 ? "failed" : "started");
+    close(fd);
+}
+
+/* leave: the entry process is told to end */
+static void
+cmd_leave(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    mw_flow_entry_task_leave(st->entry);
+}
+
+/* Like the main thread, drops the entry process as soon as it has ended. */
+static bool
+await_end(struct state *st, int64_t for_us)
+{
+    char *outcome = g_async_queue_timeout_pop(st->outcomes, (guint64)for_us);
+
+    if (outcome) {
+        drop_entry(st);
+    }
+    g_free(outcome);
+    return outcome != NULL;
+}
+
+/* wait MS: lets time pass */
+static void
+cmd_wait(struct mw_script *s)
+{
+    struct state *st = s->state;
+    int64_t end_us =
+        g_get_monotonic_time() + 1000 * (int64_t)atoi(mw_script_word(s, 1));
+
+    if (st->entry && await_end(st, end_us - g_get_monotonic_time())) {
+        mw_script_printf(s, "  ended");
+    }
+    g_usleep((gulong)MAX(end_us - g_get_monotonic_time(), 0));
+}
+
+/* await-end: until the entry process has ended */
+static void
+cmd_await_end(struct mw_script *s)
+{
+    mw_script_printf(s, "  %s",
+                     await_end(s->state, RESPONSE_WAIT_US) ? "ended"
+                                                           : "runs on");
+}
+
+/* resend N TEXT: the Nth client that is held sends another text */
+static void
+cmd_resend(struct mw_script *s)
+{
+    struct state *st = s->state;
+    const char *rest = strchr(s->rest, ' ');
+    char *text = g_strcompress(rest ? rest + 1 : "");
+    int index = atoi(mw_script_word(s, 1)) - 1;
+    bool closed;
+    GString *replies;
+
+    send(st->held_fds[index], text, strlen(text), MSG_NOSIGNAL);
+    replies = read_all(st->held_fds[index], &closed);
+    print_replies(s, replies, closed);
+    g_string_free(replies, TRUE);
+    g_free(text);
+}
+
+/*
+ * Bounds what the kernel holds between the client and the server, whose
+ * socket is of this process, too: the rest waits in the server.
+ */
+static void
+limit_buffers(int client_fd)
+{
+    struct sockaddr_in client = {0};
+    socklen_t len = sizeof client;
+    int bytes = 32768;
+
+    setsockopt(client_fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    getsockname(client_fd, (struct sockaddr *)&client, &len);
+    g_usleep(QUIET_MS * 1000);
+    for (int fd = 0; fd < 256; fd++) {
+        struct sockaddr_in peer = {0};
+
+        len = sizeof peer;
+        if (getpeername(fd, (struct sockaddr *)&peer, &len) == 0 &&
+            peer.sin_port == client.sin_port) {
+            setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+        }
+    }
+}
+
+/* hold-unread COUNT: a client that is held sends so many requests at once and
+ * reads nothing yet */
+static void
+cmd_hold_unread(struct mw_script *s)
+{
+    struct state *st = s->state;
+    int fd = open_socket(st);
+    GString *text = g_string_new(NULL);
+
+    limit_buffers(fd);
+    for (int i = 0; i < atoi(mw_script_word(s, 1)); i++) {
+        g_string_append(text, "GET /b/ HTTP/1.1\r\n\r\n");
+    }
+    if (send(fd, text->str, text->len, MSG_NOSIGNAL) < 0) {
+        mw_script_printf(s, "  can't send");
+    }
+    st->held_fds[st->held_count++] = fd;
+    g_string_free(text, TRUE);
+}
+
+/* count-replies N: reads all that the Nth client that is held gets, until it
+ * has been quiet for long */
+static void
+cmd_count_replies(struct mw_script *s)
+{
+    struct state *st = s->state;
+    int fd = st->held_fds[atoi(mw_script_word(s, 1)) - 1];
+    GString *all = g_string_new(NULL);
+    int quiet = 0;
+    int count = 0;
+    bool closed = false;
+
+    while (!closed && quiet < 3) {
+        GString *text = read_all(fd, &closed);
+
+        quiet = text->len > 0 ? 0 : quiet + 1;
+        g_string_append_len(all, text->str, (gssize)text->len);
+        g_string_free(text, TRUE);
+    }
+    for (const char *at = all->str; (at = strstr(at, "HTTP/1.1 ")); at++) {
+        count++;
+    }
+    mw_script_printf(s, "  %d replies, %s", count, closed ? "closed" : "open");
+    g_string_free(all, TRUE);
+}
+
 /* client: starts the client, and a socket that it may connect to */
 static void
 cmd_client(struct mw_script *s)
@@ -577,13 +811,27 @@
 }
 
 static const struct mw_script_command commands[] = {
-    {"server", 0, cmd_server}, {"raw", 1, cmd_raw},
-    {"fill", 3, cmd_fill},     {"client", 0, cmd_client},
-    {"answer", 1, cmd_answer}, {"stale", 1, cmd_stale},
-    {"halves", 1, cmd_halves}, {"silent", 0, cmd_silent},
-    {"call", 1, cmd_call},     {"unread", 1, cmd_unread},
-    {"hold", 1, cmd_hold},     {"hold-header", 1, cmd_hold_header},
-    {"send", 2, cmd_send},     {"release", 0, cmd_release},
+    {"server", 0, cmd_server},
+    {"raw", 1, cmd_raw},
+    {"fill", 3, cmd_fill},
+    {"client", 0, cmd_client},
+    {"answer", 1, cmd_answer},
+    {"stale", 1, cmd_stale},
+    {"halves", 1, cmd_halves},
+    {"silent", 0, cmd_silent},
+    {"call", 1, cmd_call},
+    {"unread", 1, cmd_unread},
+    {"hold", 1, cmd_hold},
+    {"hold-header", 1, cmd_hold_header},
+    {"send", 2, cmd_send},
+    {"release", 0, cmd_release},
+    {"entry", 2, cmd_entry},
+    {"leave", 0, cmd_leave},
+    {"wait", 1, cmd_wait},
+    {"await-end", 0, cmd_await_end},
+    {"resend", 2, cmd_resend},
+    {"hold-unread", 1, cmd_hold_unread},
+    {"count-replies", 1, cmd_count_replies},
     {NULL, 0, NULL},
 };
 
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -233,6 +233,15 @@
     g_free(body);
 }
 
+/* end PROCESS: an entry process gives the last replies of its shutdown */
+static void
+cmd_end(struct mw_script *s)
+{
+    struct mw_region_node *node = node_word(s, 1);
+
+    mw_flow_entry_end(node->entry, node->region->now_us);
+}
+
 /* delays: which delays before a retry were replied since the last `delays` */
 static void
 cmd_delays(struct mw_script *s)
@@ -367,6 +376,7 @@
     {"submit", 2, cmd_submit},
     {"submit-many", 3, cmd_submit_many},
     {"delays", 0, cmd_delays},
+    {"end", 1, cmd_end},
     {"state", 2, cmd_state},
     {"violations", 0, cmd_violations},
     {"seeds", 3, cmd_seeds},
