--- a/source/run/flow-metrics.h
+++ b/source/run/flow-metrics.h
@@ -25,4 +25,8 @@
 GString *mw_format_flow_metrics(const struct mw_flow_control *control,
                                 uint64_t lines_dropped);
 
+/* mw_add_refusals_by_delay: MW_FLOW_RETRY_AFTER_MAX_S counters. */
+void mw_add_refusals_by_delay(GString *out, const char *name,
+                              const uint64_t *counts);
+
 #endif
