--- a/source/core/flow/flow-request.c
+++ b/source/core/flow/flow-request.c
@@ -263,7 +263,7 @@
                           "no_endpoint_is_large_enough");
     }
     else if (!mw_caps_admit_plan(org, plan)) {
-        refuse_submission(flows, request, id, MW_ERR_IMPOSSIBLE,
+        refuse_submission(flows, request, route, id, MW_ERR_IMPOSSIBLE,
                           "cap_is_too_small");
     }
     else if (err) {
