Log: elections with early votes, without waiting for leases that ended

Cause: for 1 s after its start a member voted for nobody, since it doesn't know which lease it granted before. After the loss of all members this wait was most of the outage. Change: such a member gives an early vote, and a candidate that counts one needs the vote of every member of every configuration that may be in force (docs/design/recovery.md has the proof). An early vote grants no lease. The message has a field for it; earlier versions read an early vote as a refusal. A leader whose own admission isn't known to be committed no longer acts on its lease. A group that began with one member and has grown keeps the hold-off, too: it had none.

--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -44,6 +44,13 @@
  *               a pair has a disk, that one may be elected by its own vote,
  *               though it can't commit alone.
  *
+ * EARLY VOTES   A member that has started within the election timeout doesn't
+ *               know which lease it granted before.  Its vote is early: it
+ *               grants no lease, and a candidate that counts one needs the
+ *               vote of each member of each configuration that may be in
+ *               force.  Any leader with a lease is one of them, and has given
+ *               it up with its vote.  docs/design/recovery.md has the proof.
+ *
  * UNITS         microseconds of each process's monotonic clock
  * ERRORS        MW_ERR_NOT_LEADER, MW_ERR_OVERLOADED; on restoring,
  *               MW_ERR_DAMAGED, MW_ERR_VERSION
@@ -107,9 +114,11 @@
  * the candidate's term.  offset and total count records of a snapshot, and
  * config has the incarnations that it admits, by slot.  ok is the result in
  * a reply; in a request for a vote it says that the leader asked for the
- * election.  The reply to APPEND or SNAPSHOT returns sent_us unchanged: the
- * leader's lease runs from the time at which an answered message was sent,
- * by the leader's own clock.
+ * election.  early says in a request for a vote that the sender has just
+ * started, and in a reply, with ok false, that an early vote is granted: a
+ * process of an earlier version takes that for a refusal.  The reply to APPEND
+ * or SNAPSHOT returns sent_us unchanged: the leader's lease runs from the time
+ * at which an answered message was sent, by the leader's own clock.
  */
 struct mw_log_msg {
     enum mw_log_msg_kind kind;
@@ -122,6 +131,7 @@
     uint64_t total;
     int64_t sent_us;
     bool ok;
+    bool early;
     uint64_t config[MW_MEMBERS_MAX];
     uint32_t entry_count;
     struct mw_log_entry *entries;
@@ -202,6 +212,8 @@
     uint64_t refused;
     uint64_t elections;
     uint64_t terms_won;
+    /* those of them won with an early vote */
+    uint64_t early_elections;
     uint64_t lease_lost;
     uint64_t snapshots_taken;
     uint64_t snapshots_sent;
@@ -313,7 +325,9 @@
  *
  * True for every ready leader, and also for a leader whose first record
  * can't be committed because no member with a disk responds.  Such a leader
- * can commit nothing.
+ * can commit nothing.  False as long as this member doesn't know that its own
+ * admission has been committed: the members before it may elect another
+ * leader then without knowing of this one.
  */
 bool mw_log_holds_lease(const struct mw_log *log, int64_t now_us);
 
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -25,6 +25,8 @@
     bool disk;
     uint64_t incarnation;
     bool vote_granted;
+    /* the vote that it granted is early */
+    bool is_vote_early;
     uint64_t match_index;
     uint64_t next_index;
     /* bytes of the entries sent since match_index, or more */
@@ -119,17 +121,23 @@
     uint64_t incoming_term;
 
     int64_t election_deadline_us;
+    /* the random part of the election timeout */
+    int64_t election_jitter_us;
     int64_t heartbeat_deadline_us;
     /*
-     * No vote or candidacy before this time after a start: before the
-     * restart this member may have granted a lease.
+     * Votes before this time after a start are early: before the restart this
+     * member may have granted a lease.
      */
     int64_t holdoff_deadline_us;
+    /* the next attempt to be elected with early votes; INT64_MAX for none */
+    int64_t early_deadline_us;
+    /* this member's vote for itself is early */
+    bool is_own_vote_early;
     /* a line has said that this member is not admitted */
     bool reported_unadmitted;
     /*
-     * Last message from the leader, or vote granted: for the election
-     * timeout from then on this member grants no vote.
+     * Last message from the leader, or vote granted that is not early: for the
+     * election timeout from then on this member grants no vote.
      */
     int64_t leader_contact_us;
     int64_t vote_requested_us;
@@ -206,6 +214,12 @@
  */
 bool mw_log_has_election_quorum(const struct mw_log *log, uint32_t mask);
 
+/*
+ * mw_log_has_all_votes: whether the peers in mask are all members, under their
+ * admitted incarnations, of every configuration from the committed one on.
+ */
+bool mw_log_has_all_votes(const struct mw_log *log, uint32_t mask);
+
 /*
  * mw_log_has_commit_quorum: whether an entry at index is committed if the
  * peers in mask have synced it.
@@ -272,9 +286,21 @@
 /* mw_log_reset_election_timer: set a random election deadline. */
 void mw_log_reset_election_timer(struct mw_log *log, int64_t now_us);
 
+/* mw_log_schedule_early: set the deadline of the next early attempt. */
+void mw_log_schedule_early(struct mw_log *log, int64_t now_us);
+
 /* elections */
 void mw_log_start_prevote(struct mw_context *ctx, struct mw_log *log,
                           int64_t now_us);
+
+/*
+ * mw_log_start_early_prevote: stand before the election timer is due.
+ *
+ * For a member that has just started, and for one with a newer log than such
+ * a member.  Does nothing if there may be a leader.
+ */
+void mw_log_start_early_prevote(struct mw_context *ctx, struct mw_log *log,
+                                int64_t now_us);
 void mw_log_start_election(struct mw_context *ctx, struct mw_log *log,
                            int64_t now_us);
 void mw_log_on_vote_request(struct mw_context *ctx, struct mw_log *log,
--- a/source/core/log/log-quorum.c
+++ b/source/core/log/log-quorum.c
@@ -124,6 +124,31 @@
     return has_quorum;
 }
 
+static bool
+config_has_all_votes(const struct mw_log *log, const uint64_t *config,
+                     uint32_t mask)
+{
+    for (unsigned i = 0; i < log->peer_count; i++) {
+        if (config[i] != 0 &&
+            (!(mask & (1u << i)) || !mw_log_is_voter(log, config, i))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+mw_log_has_all_votes(const struct mw_log *log, uint32_t mask)
+{
+    bool has_all = config_has_all_votes(log, log->config, mask);
+
+    for (uint32_t i = 0; has_all && i < log->pending_config_count; i++) {
+        has_all = config_has_all_votes(
+            log, log->pending_configs[i].incarnations, mask);
+    }
+    return has_all;
+}
+
 /*
  * An entry needs a commit quorum of the configuration in effect at its index
  * and an election quorum of each one before it, from the committed one on:
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -249,7 +249,8 @@
 bool
 mw_log_holds_lease(const struct mw_log *log, int64_t now_us)
 {
-    return mw_log_is_lease_valid(log, now_us);
+    return log->config[log->self] == log->incarnation &&
+           mw_log_is_lease_valid(log, now_us);
 }
 
 void
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -60,10 +60,8 @@
     g_queue_init(&log->pending_writes);
     init_config(log);
     log->holdoff_deadline_us = setup->now_us + MW_ELECTION_TIMEOUT_US;
-    if (log->peer_count == 1) {
-        log->holdoff_deadline_us = setup->now_us;
-    }
     mw_log_reset_election_timer(log, setup->now_us);
+    mw_log_schedule_early(log, setup->now_us);
     return log;
 }
 
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -152,6 +152,9 @@
     if (now_us >= log->election_deadline_us) {
         mw_log_start_prevote(ctx, log, now_us);
     }
+    else if (now_us >= log->early_deadline_us) {
+        mw_log_start_early_prevote(ctx, log, now_us);
+    }
 }
 
 void
@@ -182,7 +185,7 @@
     if (log->role == MW_LEADER) {
         return log->flush_due ? 0 : log->heartbeat_deadline_us;
     }
-    return log->election_deadline_us;
+    return MIN(log->election_deadline_us, log->early_deadline_us);
 }
 
 void
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -2794,7 +2794,7 @@
   (ProtobufCMessageInit) mw__wire__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__log__field_descriptors[13] =
+static const ProtobufCFieldDescriptor mw__wire__log__field_descriptors[14] =
 {
   {
     "group",
@@ -2952,10 +2952,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "early",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Log, early),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__log__field_indices_by_name[] = {
   6,   /* field[6] = commit */
   11,   /* field[11] = config */
+  13,   /* field[13] = early */
   12,   /* field[12] = entries */
   0,   /* field[0] = group */
   3,   /* field[3] = incarnation */
@@ -2971,7 +2984,7 @@
 static const ProtobufCIntRange mw__wire__log__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mw__wire__log__descriptor =
 {
@@ -2981,7 +2994,7 @@
   "Mw__Wire__Log",
   "mw.wire",
   sizeof(Mw__Wire__Log),
-  13,
+  14,
   mw__wire__log__field_descriptors,
   mw__wire__log__field_indices_by_name,
   1,  mw__wire__log__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -289,10 +289,11 @@
   uint64_t *config;
   size_t n_entries;
   Mw__Wire__Entry **entries;
+  protobuf_c_boolean early;
 };
 #define MW__WIRE__LOG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__log__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/source/wire/pack-record.c
+++ b/source/wire/pack-record.c
@@ -209,6 +209,7 @@
     wire->total = msg->total;
     wire->sent_us = msg->sent_us;
     wire->ok = msg->ok;
+    wire->early = msg->early;
     if (msg->kind == MW_LOG_SNAPSHOT) {
         wire->n_config = MW_MEMBERS_MAX;
         wire->config = (uint64_t *)msg->config;
@@ -250,6 +251,7 @@
     msg->total = wire->total;
     msg->sent_us = wire->sent_us;
     msg->ok = wire->ok;
+    msg->early = wire->early;
     for (size_t i = 0; i < wire->n_config; i++) {
         msg->config[i] = wire->config[i];
     }
--- a/source/wire/reply-json.c
+++ b/source/wire/reply-json.c
@@ -232,6 +232,7 @@
     COUNTER(mw_log_counters, refused),
     COUNTER(mw_log_counters, elections),
     COUNTER(mw_log_counters, terms_won),
+    COUNTER(mw_log_counters, early_elections),
     COUNTER(mw_log_counters, lease_lost),
     COUNTER(mw_log_counters, snapshots_taken),
     COUNTER(mw_log_counters, snapshots_sent),
