Control processes: a heartbeat at once over a new link

Cause: heartbeats go to all processes each 0.4 s; an entry process whose link had come back refused requests until the next one. Change: a control process sends its heartbeat to a process whose link was established.

--- a/include/mimosawind/flow-process.h
+++ b/include/mimosawind/flow-process.h
@@ -116,6 +116,15 @@
 void mw_flow_control_set_writable(struct mw_context *ctx,
                                   struct mw_flow_control *control,
                                   int64_t now_us, bool writable);
+/*
+ * mw_flow_control_connected: a connection to a process was established.
+ *
+ * The process is sent a heartbeat at once, not with the next one to all: until
+ * then an entry process refuses requests as it knows no leader.
+ */
+void mw_flow_control_connected(struct mw_flow_control *control, int64_t now_us,
+                               const struct mw_name *process);
+
 /*
  * mw_flow_control_disconnected: the connection to a process was closed.
  *
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -450,8 +450,8 @@
     mw_flows_handle_response(control->flows, now_us, response);
 }
 
-static void
-send_heartbeats(struct mw_flow_control *control, int64_t now_us)
+static struct mw_msg *
+new_heartbeat(struct mw_flow_control *control)
 {
     struct mw_msg *msg = mw_new_msg(MW_MSG_HEARTBEAT);
     struct mw_heartbeat *heartbeat = &msg->heartbeat;
@@ -472,8 +472,28 @@
             mw_log_get_members(control->log, heartbeat->members);
     }
     heartbeat->protocol = MW_PROTOCOL;
+    return msg;
+}
+
+void
+mw_flow_control_connected(struct mw_flow_control *control, int64_t now_us,
+                          const struct mw_name *process)
+{
+    struct mw_msg *msg;
+
+    mw_update_leadership(NULL, control, now_us);
+    msg = new_heartbeat(control);
+    control->setup.output.send(control->setup.output.opaque, process, msg);
+    mw_drop_msg(msg);
+}
+
+static void
+send_heartbeats(struct mw_flow_control *control, int64_t now_us)
+{
+    struct mw_msg *msg = new_heartbeat(control);
+
     mw_note_heartbeat_target(&control->targets, now_us, &control->setup.name,
-                             heartbeat);
+                             &msg->heartbeat);
     control->setup.output.send_all(control->setup.output.opaque, MW_ROLE_ENTRY,
                                    msg);
     control->setup.output.send_all(control->setup.output.opaque,
--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -66,7 +66,10 @@
     if (task_msg->role == MW_ROLE_CONTROL) {
         mw_log_link_change(&t->process, task_msg);
     }
-    if (!task_msg->connected) {
+    if (task_msg->connected) {
+        mw_flow_control_connected(t->control, mw_now(), &task_msg->process);
+    }
+    else {
         mw_flow_control_disconnected(t->control, mw_now(), &task_msg->process);
     }
 }
--- a/tests/region.c
+++ b/tests/region.c
@@ -432,6 +432,19 @@
     }
 }
 
+static void
+connect_again(struct mw_region *region, int a, int b)
+{
+    struct mw_region_node *node = &region->nodes[a];
+
+    if (region->disconnected[a][b] && node->is_control && node->up &&
+        !node->frozen) {
+        mw_flow_control_connected(node->control, region->now_us,
+                                  &region->nodes[b].name);
+    }
+    region->disconnected[a][b] = false;
+}
+
 static void
 detect_disconnected(struct mw_region *region)
 {
@@ -443,7 +456,7 @@
 
             if (!unreachable) {
                 region->last_heard_us[a][b] = region->now_us;
-                region->disconnected[a][b] = false;
+                connect_again(region, a, b);
             }
             if (region->disconnected[a][b] || !node->up || node->frozen ||
                 region->now_us - region->last_heard_us[a][b] <
