Entry processes: refuse at once without a connection to any core process

Cause: a request was kept for up to 1 s after the last heartbeat although the connections to all core processes had been closed. Change: a member whose connection has been closed doesn't count as reachable until its next heartbeat; with none left, requests are refused at once. One that arrived before waits for the next leader, as it did.

--- a/source/core/flow/flow-entry-impl.h
+++ b/source/core/flow/flow-entry-impl.h
@@ -34,6 +34,8 @@
     struct mw_name name;
     /* 0 for never */
     int64_t last_heartbeat_us;
+    /* its connection has been closed since */
+    bool is_disconnected;
 };
 
 struct mw_flow_entry {
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -75,6 +75,7 @@
         const struct mw_known_member *member = &entry->members[i];
 
         reachable +=
+            !member->is_disconnected &&
             has_heartbeat(entry, member, now_us, MW_FLOW_MEMBER_TIMEOUT_US);
         current +=
             has_heartbeat(entry, member, now_us, MW_FLOW_MEMBER_EXPIRY_US);
@@ -82,6 +83,18 @@
     return reachable > current / 2;
 }
 
+/* Whether a member's connection is open, as far as this process knows. */
+static bool
+has_link(const struct mw_flow_entry *entry)
+{
+    for (uint32_t i = 0; i < entry->member_count; i++) {
+        if (!entry->members[i].is_disconnected) {
+            return true;
+        }
+    }
+    return entry->member_count == 0;
+}
+
 /* The flow's identifier is the last component of the path. */
 static struct mw_name
 flow_id_in(struct mw_str path)
@@ -141,7 +154,7 @@
     int64_t since_heartbeat_us = now_us - entry->leader_heartbeat_us;
 
     if (entry->leader_heartbeat_us == 0 ||
-        since_heartbeat_us >= MW_FLOW_ELECTION_MAX_US) {
+        since_heartbeat_us >= MW_FLOW_ELECTION_MAX_US || !has_link(entry)) {
         return false;
     }
     return since_heartbeat_us < MW_FLOW_MEMBER_TIMEOUT_US ||
@@ -221,15 +234,14 @@
 static void
 set_members(struct mw_flow_entry *entry, const struct mw_heartbeat *heartbeat)
 {
-    struct mw_known_member members[MW_MEMBERS_MAX] = {{{0}, 0}};
+    struct mw_known_member members[MW_MEMBERS_MAX] = {0};
 
     for (uint32_t i = 0; i < heartbeat->member_count; i++) {
         members[i].name = heartbeat->members[i];
         for (uint32_t k = 0; k < entry->member_count; k++) {
             if (mw_name_equal(&entry->members[k].name,
                               &heartbeat->members[i])) {
-                members[i].last_heartbeat_us =
-                    entry->members[k].last_heartbeat_us;
+                members[i] = entry->members[k];
             }
         }
     }
@@ -250,6 +262,7 @@
     for (uint32_t i = 0; i < entry->member_count; i++) {
         if (mw_name_equal(&entry->members[i].name, from)) {
             entry->members[i].last_heartbeat_us = now_us;
+            entry->members[i].is_disconnected = false;
         }
     }
 }
@@ -298,6 +311,10 @@
 mw_flow_entry_disconnected(struct mw_flow_entry *entry, int64_t now_us,
                            const struct mw_name *process)
 {
+    for (uint32_t i = 0; i < entry->member_count; i++) {
+        entry->members[i].is_disconnected |=
+            mw_name_equal(&entry->members[i].name, process);
+    }
     if (!mw_name_equal(process, &entry->leader)) {
         return;
     }
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -120,6 +120,23 @@
                       strcmp(mw_script_word(s, 3), "on") == 0);
 }
 
+/* reset A B: B's host closes the connection, and A is told at once */
+static void
+cmd_reset(struct mw_script *s)
+{
+    struct mw_region *region = script_region(s);
+    struct mw_region_node *node = node_word(s, 1);
+
+    if (node->is_control) {
+        mw_flow_control_disconnected(node->control, region->now_us,
+                                     &node_word(s, 2)->name);
+    }
+    else {
+        mw_flow_entry_disconnected(node->entry, region->now_us,
+                                   &node_word(s, 2)->name);
+    }
+}
+
 /* count-from N: the next request gets ref N, as with a process that has been
  * started again and numbers its clients' requests anew */
 static void
@@ -345,6 +362,7 @@
     {"wipe", 1, cmd_wipe},
     {"start", 1, cmd_start},
     {"cut", 3, cmd_cut},
+    {"reset", 2, cmd_reset},
     {"count-from", 1, cmd_count_from},
     {"config", 2, cmd_config},
     {"configs", 4, cmd_configs},
