--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -20,7 +20,7 @@
 
 status=0
 if [ "${1:-check}" = check ]; then
-    for spec in log job; do
+    for spec in log job lease; do
         out=$(run_spin $spec)
         errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' <<<"$out")
         depth=$(sed -n 's/.*depth reached \([0-9]*\).*/\1/p' <<<"$out")
@@ -29,10 +29,11 @@
             { echo "$spec: the search is incomplete"; status=1; }
         [ "$errors" = 0 ] || status=1
     done
-    echo "bounds: log 3 members, 2 terms, 2 entries, 2 lost disks; job 3 epochs, 2 parts"
+    echo "bounds: log 3 members, 2 terms, 2 entries, 2 lost disks; job 3 epochs, 2 parts; lease 3 members, 3 terms"
 else
     for fault in log:NO_ADMIT log:NO_COMPARE log:NO_SYNC log:NO_OLD_QUORUM \
-        job:NO_INTENT job:RUN_AGAIN job:SAY_NOT_RUN job:NO_FENCE job:IGNORE_OUT; do
+        job:NO_INTENT job:RUN_AGAIN job:SAY_NOT_RUN job:NO_FENCE job:IGNORE_OUT \
+        lease:NO_ALL_VOTES lease:EARLY_LEASE lease:NO_HOLDOFF; do
         # one fault needs an additional term; the search finds it long before
         # it has covered the larger state space
         out=$(run_spin "${fault%%:*}" "-D${fault#*:}" -DTERMS=4)
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -42,6 +42,7 @@
         "\nmimosawind_log_bytes %" PRIu64 "\n",
         log->role == MW_LEADER, log->term, log->commit_index,
         log->last_index - log->snapshot_index, log->bytes);
+    COUNTER(early_elections);
     COUNTER(snapshots_taken);
     COUNTER(snapshots_sent);
     COUNTER(snapshots_received);
--- a/tests/links-script.c
+++ b/tests/links-script.c
@@ -409,9 +409,9 @@
 
     *fd = socket(AF_INET, SOCK_STREAM, 0);
     fcntl(*fd, F_SETFL, O_NONBLOCK);
-    connect(*fd, (const struct sockaddr *)to, sizeof *to);
     ready.fd = *fd;
-    return poll(&ready, 1, QUIET_MS) > 0;
+    return connect(*fd, (const struct sockaddr *)to, sizeof *to) == 0 ||
+           poll(&ready, 1, QUIET_MS) > 0;
 }
 
 /* Whether another process connects in time after the queue got room. */
@@ -437,8 +437,8 @@
     struct sockaddr_in address;
     struct mw_name name;
     char text[32];
-    int first;
-    int second;
+    int first = -1;
+    int second = -1;
     int listener = listen_without_queue(&address);
 
     if (!try_connect(&address, &first) || try_connect(&address, &second)) {
