--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PACKAGES = glib-2.0 libuv libprotobuf-c jansson zlib argtable2 yaml-0.1
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 # http_parser has no entry in pkg-config
-PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm
 # of mw and of test programs
 SOUP_CFLAGS := $(shell pkg-config --cflags gio-unix-2.0 libsoup-3.0 2>/dev/null)
 SOUP_LIBS := $(shell pkg-config --libs gio-unix-2.0 libsoup-3.0 2>/dev/null)
