Flow: interference between kinds of work is learnt from lists and used

Cause: tasks are placed beside tasks that halve their rate although there is room elsewhere. Change: each list feeds the estimates with changes of its runs' rates; among candidates that are otherwise equal, those without a known bad neighbour come before the number of free accelerators. Nothing is recorded. A line when a pair is known or forgotten, and three metrics.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -290,6 +290,11 @@
     int64_t lease_left_us;
     /* evidence that the run has crashed its endpoint; 0 for none */
     uint32_t crash_score;
+    /* a kind of work, and the kind that slows it by so much; valid during the
+     * call */
+    struct mw_str kind;
+    struct mw_str neighbour;
+    uint32_t slowdown_percent;
     /* of the configuration */
     uint64_t version;
     /* term of the leader */
@@ -347,6 +352,8 @@
     uint64_t endpoint_crashes;
     /* flows that failed because a task crashed endpoints */
     uint64_t crashing_flows;
+    /* placements that went past an endpoint with a bad neighbour */
+    uint64_t neighbours_avoided;
 };
 
 /* mw_flow_latency: the latencies that are measured. */
@@ -464,6 +471,10 @@
     uint32_t commands_waiting;
     uint32_t commands_in_flight;
     uint32_t command_window;
+    /* kinds of work that are followed for interference, and the pairs of them
+     * that are known to interfere */
+    uint32_t work_kinds;
+    uint32_t interfering_pairs;
 };
 
 void mw_flows_get_status(struct mw_flows *flows,
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -1,6 +1,7 @@
 /*
  * flow-event: events for the log, and the texts of enumerators.
  */
+#include <math.h>
 #include <string.h>
 
 #include "flow-impl.h"
@@ -132,6 +133,38 @@
     emit(flows, &event);
 }
 
+/* Long enough for a name and four numbers. */
+#define KIND_TEXT_SIZE (MW_NAME_MAX + 80)
+
+static struct mw_str
+format_kind(const struct mw_work_kind *kind, char *text)
+{
+    g_snprintf(text, KIND_TEXT_SIZE, "%.*s cpu=%u mem-mb=%u gpus=%u%s",
+               MW_FMT(mw_name_str(&kind->queue)), kind->cpu, kind->memory_mb,
+               kind->gpus, kind->gang ? " gang" : "");
+    return mw_str_from(text);
+}
+
+void
+mw_emit_interference_event(void *flows, const struct mw_work_kind *victim,
+                           const struct mw_work_kind *neighbour, double cost,
+                           bool is_known)
+{
+    char kind[KIND_TEXT_SIZE];
+    char other[KIND_TEXT_SIZE];
+    struct mw_flow_event event = {
+        .name = "interference",
+        .queue = victim->queue,
+        .outcome = is_known ? "known" : "forgotten",
+        .kind = format_kind(victim, kind),
+        .neighbour = format_kind(neighbour, other),
+        .slowdown_percent = (uint32_t)lround(100 * (1 - exp(-fmax(cost, 0)))),
+        .age_us = -1,
+    };
+
+    emit(flows, &event);
+}
+
 struct mw_str
 mw_flow_state_str(enum mw_flow_state state)
 {
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -5,6 +5,7 @@
 
 #include "flow-command-queue.h"
 #include "flow-config-versions.h"
+#include "interference.h"
 #include "mimosawind/flow.h"
 
 /*
@@ -25,6 +26,7 @@
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
+ *   flow-interference.c  which kinds of work the lists show side by side
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption, and room for waiting gangs
  *   flow-reserve.c      endpoints reserved for a group
@@ -144,6 +146,7 @@
     int64_t retry_deadline_us;
     int64_t started_us;
     uint32_t percent;
+    struct mw_kind_rate kind_rate;
     /* when percent or checkpoint last changed, and when it was last listed */
     int64_t last_progress_us;
     int64_t last_listed_us;
@@ -205,6 +208,8 @@
     uint32_t rank;
     int64_t due_wall_us;
     enum mw_lateness lateness;
+    /* hash of its kind of work; 0 for not yet computed */
+    uint64_t kind;
     /* run of the gang that has already been counted as failed */
     uint32_t failed_run;
     /* index of the task that wrote the gang's newest checkpoint */
@@ -363,6 +368,10 @@
     /* struct late_start; NULL for none */
     GArray *late_starts;
     uint32_t consecutive_failures;
+    /* set of the kinds that run according to the last list, and when that was
+     * made; 0 and 0 for no list */
+    uint64_t listed_kinds;
+    int64_t kinds_listed_us;
     /* when a run last made progress or was done */
     int64_t last_progress_us;
     int64_t quarantine_deadline_us;
@@ -469,6 +478,7 @@
     int64_t maintenance_deadline_us;
     /* struct mw_urgent_pool by service */
     GHashTable *urgent_pools;
+    struct mw_interference *interference;
     struct mw_flow_counters counters;
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
@@ -709,6 +719,32 @@
 /* endpoints that are reserved now */
 uint32_t mw_count_reserved(const struct mw_flows *flows, int64_t now_us);
 
+/* flow-interference.c */
+/* mw_listed_placement: a run in a list, and its placement. */
+struct mw_listed_placement {
+    struct mw_task_placement *placement;
+    const struct mw_listed_run *run;
+    /* set of its kind */
+    uint64_t kind;
+};
+
+/* mw_work_kind_of: hash of the group's kind of work. */
+uint64_t mw_work_kind_of(struct mw_task_group *group);
+/*
+ * mw_learn_from_list: what a list shows of interference between its runs.
+ *
+ * To be called before the placements are reconciled with the list.  listed has
+ * the running runs and the new ends.  is_complete says that it has all of
+ * them; otherwise the list is no evidence.
+ */
+void mw_learn_from_list(struct mw_flows *flows, int64_t listed_us,
+                        struct mw_flow_endpoint *endpoint,
+                        struct mw_listed_placement *listed, uint32_t count,
+                        bool is_complete);
+/* mw_neighbour_penalty: of placing a task beside the runs of the endpoint. */
+double mw_neighbour_penalty(const struct mw_flow_endpoint *endpoint,
+                            const struct mw_bad_neighbours *bad);
+
 /* flow-measure.c */
 /* measures how long a guaranteed group waited, once all tasks have started */
 void mw_measure_reclaim(struct mw_flows *flows, struct mw_task_group *group,
@@ -874,6 +910,10 @@
 void mw_emit_flow_zone_event(struct mw_flows *flows, const char *name,
                              const struct mw_name *zone, const char *outcome,
                              int64_t age_us);
+/* mw_emit_interference_event: callback of struct mw_interference_output. */
+void mw_emit_interference_event(void *flows, const struct mw_work_kind *victim,
+                                const struct mw_work_kind *neighbour,
+                                double cost, bool is_known);
 void mw_emit_flow_endpoint_event(struct mw_flows *flows, const char *name,
                                  const struct mw_flow_endpoint *endpoint,
                                  const char *outcome, int64_t age_us);
--- /dev/null
+++ b/source/core/flow/flow-interference.c
@@ -0,0 +1,165 @@
+/*
+ * flow-interference: observations for the interference between kinds of work.
+ *
+ * A list shows which runs are side by side on an endpoint, and how far each
+ * is.  policy/interference.c turns that into costs of pairs of kinds.
+ */
+#include "flow-impl.h"
+
+static struct mw_work_kind
+describe_kind(const struct mw_task_group *group)
+{
+    const struct mw_flow_step *step = group->step;
+
+    return (struct mw_work_kind){
+        .queue = group->flow->route.name,
+        .cpu = step->need.cpu,
+        .memory_mb = step->need.memory_mb,
+        .gpus = step->need.gpus,
+        .gang = step->gang,
+    };
+}
+
+uint64_t
+mw_work_kind_of(struct mw_task_group *group)
+{
+    if (group->kind == 0) {
+        struct mw_work_kind kind = describe_kind(group);
+
+        group->kind = mw_hash_work_kind(&kind);
+    }
+    return group->kind;
+}
+
+/* Whether the run was at work at since_us, as far as is known. */
+static bool
+was_there(const struct mw_task_placement *placement, int64_t since_us)
+{
+    return placement->last_listed_us > 0 ||
+           (placement->phase == MW_PLACEMENT_RUNNING &&
+            placement->started_us <= since_us);
+}
+
+/* Whether its rate tells about its neighbours: see the design note. */
+static bool
+is_comparable(const struct mw_listed_placement *listed)
+{
+    const struct mw_task_placement *placement = listed->placement;
+    const struct mw_flow_step *step = placement->group->step;
+
+    if (placement->phase == MW_PLACEMENT_STOPPING ||
+        placement->phase == MW_PLACEMENT_STOPPED ||
+        (step->data_rack.len > 0 &&
+         !mw_name_equal(&step->data_rack, &placement->endpoint->rack))) {
+        return false;
+    }
+    /* a gang ends as a whole, with members that are not done */
+    return listed->run->ended ? listed->run->end == MW_END_DONE && !step->gang
+                              : listed->run->percent < 100;
+}
+
+/* The kinds beside a run; *is_steady: as in mw_measure_kind_rate. */
+static uint64_t
+find_kinds_beside(const struct mw_flow_endpoint *endpoint,
+                  const struct mw_listed_placement *listed, uint32_t count,
+                  uint32_t index, bool *is_steady)
+{
+    int64_t since_us =
+        MAX(listed[index].placement->started_us, endpoint->kinds_listed_us);
+    uint64_t beside = 0;
+    uint64_t throughout = 0;
+    uint64_t at_any_time = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        const struct mw_listed_placement *other = &listed[i];
+
+        if (i == index) {
+            continue;
+        }
+        at_any_time |= other->kind;
+        if (!other->run->ended) {
+            beside |= other->kind;
+            if (was_there(other->placement, since_us)) {
+                throughout |= other->kind;
+            }
+        }
+    }
+    throughout |= beside & endpoint->listed_kinds;
+    *is_steady = throughout == beside && at_any_time == beside;
+    return beside;
+}
+
+static void
+learn_from_run(struct mw_flows *flows, int64_t listed_us,
+               const struct mw_listed_placement *listed, uint64_t beside,
+               bool is_steady)
+{
+    struct mw_task_placement *placement = listed->placement;
+    const struct mw_task_group *group = placement->group;
+    struct mw_kind_rate *rate = &placement->kind_rate;
+    struct mw_interference_sample sample = {
+        .victim = listed->kind,
+        .endpoint = mw_hash_name(&placement->endpoint->id),
+    };
+
+    if (placement->last_listed_us == 0 &&
+        placement->phase == MW_PLACEMENT_RUNNING &&
+        !group->tasks[placement->index].checkpoint) {
+        mw_begin_kind_rate(flows->interference, rate, placement->started_us,
+                           beside);
+    }
+    if (mw_measure_kind_rate(flows->interference, rate, listed_us,
+                             listed->run->ended ? 100 : listed->run->percent,
+                             beside, is_steady, &sample) == MW_RATE_CHANGED) {
+        mw_learn_interference(flows->interference, listed_us, &sample);
+    }
+    rate->known_cost =
+        (float)mw_known_cost(flows->interference, listed->kind, beside);
+}
+
+void
+mw_learn_from_list(struct mw_flows *flows, int64_t listed_us,
+                   struct mw_flow_endpoint *endpoint,
+                   struct mw_listed_placement *listed, uint32_t count,
+                   bool is_complete)
+{
+    uint64_t running = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        struct mw_work_kind kind = describe_kind(listed[i].placement->group);
+
+        listed[i].kind =
+            mw_see_work_kind(flows->interference, listed_us, &kind);
+        running |= listed[i].run->ended ? 0 : listed[i].kind;
+        is_complete &= listed[i].kind != 0;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        bool is_steady;
+        uint64_t beside =
+            find_kinds_beside(endpoint, listed, count, i, &is_steady);
+
+        if (listed[i].kind != 0 && is_comparable(&listed[i])) {
+            learn_from_run(flows, listed_us, &listed[i], beside,
+                           is_complete && is_steady);
+        }
+    }
+    endpoint->listed_kinds = running;
+    endpoint->kinds_listed_us = listed_us;
+}
+
+double
+mw_neighbour_penalty(const struct mw_flow_endpoint *endpoint,
+                     const struct mw_bad_neighbours *bad)
+{
+    uint64_t counted = 0;
+    double penalty = 0;
+
+    for (guint i = 0; bad->count > 0 && i < endpoint->placements->len; i++) {
+        const struct mw_task_placement *placement =
+            endpoint->placements->pdata[i];
+
+        mw_add_neighbour_penalty(bad, mw_work_kind_of(placement->group),
+                                 &counted, &penalty);
+    }
+    return penalty;
+}
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -155,6 +155,8 @@
      * suspect prefers endpoints without runs.
      */
     bool less_preferred;
+    /* see mw_neighbour_penalty */
+    double penalty;
 };
 
 static uint32_t
@@ -178,6 +180,13 @@
         ((const struct candidate *)b)->less_preferred) {
         return ((const struct candidate *)a)->less_preferred ? 1 : -1;
     }
+    if (((const struct candidate *)a)->penalty !=
+        ((const struct candidate *)b)->penalty) {
+        return ((const struct candidate *)a)->penalty <
+                       ((const struct candidate *)b)->penalty
+                   ? -1
+                   : 1;
+    }
     if (free_gpus(x) != free_gpus(y)) {
         return free_gpus(x) < free_gpus(y) ? -1 : 1;
     }
@@ -186,7 +195,7 @@
 
 static GArray *
 find_candidates(struct mw_flows *flows, const struct mw_task_group *group,
-                int64_t now_us)
+                const struct mw_bad_neighbours *bad, int64_t now_us)
 {
     GArray *found = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 
@@ -205,6 +214,7 @@
             c.less_preferred = c.endpoint->placements->len > 0;
         }
         if (c.capacity > 0) {
+            c.penalty = mw_neighbour_penalty(c.endpoint, bad);
             g_array_append_val(found, c);
         }
     }
@@ -396,14 +406,44 @@
     return chosen->len;
 }
 
+/*
+ * Whether an endpoint with a bad neighbour would have come before the last one
+ * that was chosen.
+ */
+static bool
+has_avoided_neighbour(const GArray *candidates, const struct mw_name *rack,
+                      const struct mw_flow_endpoint *last_chosen)
+{
+    const struct candidate *chosen = NULL;
+
+    for (guint i = 0; i < candidates->len; i++) {
+        struct candidate c = g_array_index(candidates, struct candidate, i);
+
+        if (c.endpoint == last_chosen) {
+            chosen = &g_array_index(candidates, struct candidate, i);
+        }
+        else if (chosen && c.penalty > chosen->penalty &&
+                 (!rack || mw_name_equal(&c.endpoint->rack, rack))) {
+            c.penalty = chosen->penalty;
+            if (by_best_fit(&c, chosen) < 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 uint32_t
 mw_choose_endpoints(struct mw_flows *flows, struct mw_task_group *group,
                     int64_t now_us, uint32_t wanted, GPtrArray *chosen)
 {
-    GArray *candidates = find_candidates(flows, group, now_us);
+    struct mw_bad_neighbours bad;
+    GArray *candidates;
     const struct mw_name *rack;
     uint32_t found = 0;
 
+    mw_find_bad_neighbours(flows->interference, mw_work_kind_of(group), &bad);
+    candidates = find_candidates(flows, group, &bad, now_us);
     if (choose_rack(flows, group, candidates, now_us, wanted, &rack)) {
         found = take_endpoints(candidates, rack, wanted, chosen);
     }
@@ -411,6 +451,10 @@
         g_ptr_array_set_size(chosen, 0);
         found = 0;
     }
+    if (found > 0 && bad.count > 0) {
+        flows->counters.neighbours_avoided += has_avoided_neighbour(
+            candidates, rack, g_ptr_array_index(chosen, found - 1));
+    }
     g_array_unref(candidates);
     return found;
 }
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -398,6 +398,36 @@
     }
 }
 
+/* A list with more runs is no evidence of interference. */
+#define COMPARED_RUNS_MAX 128
+
+static void
+compare_listed_runs(struct mw_flows *flows, int64_t listed_us,
+                    struct mw_flow_endpoint *endpoint,
+                    const struct mw_flow_response *response)
+{
+    struct mw_listed_placement listed[COMPARED_RUNS_MAX];
+    uint32_t count = 0;
+    bool is_complete = true;
+
+    for (uint32_t i = 0; i < response->run_count; i++) {
+        const struct mw_listed_run *run = &response->runs[i];
+        struct mw_task_placement *placement;
+
+        if (run->ended && run->end_number <= endpoint->seen_end) {
+            continue;
+        }
+        placement = mw_find_task_placement(endpoint, &run->task, run->run);
+        if (placement && count < COMPARED_RUNS_MAX) {
+            listed[count++] = (struct mw_listed_placement){placement, run, 0};
+        }
+        else {
+            is_complete = false;
+        }
+    }
+    mw_learn_from_list(flows, listed_us, endpoint, listed, count, is_complete);
+}
+
 void
 mw_reconcile_list(struct mw_flows *flows, int64_t now_us,
                   struct mw_flow_endpoint *endpoint,
@@ -411,6 +441,7 @@
 
     endpoint->list_read = true;
     endpoint->unknown_runs = 0;
+    compare_listed_runs(flows, listed_us, endpoint, response);
     for (uint32_t i = 0; i < response->run_count; i++) {
         const struct mw_listed_run *run = &response->runs[i];
 
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -460,6 +460,7 @@
 clear_leader_state(struct mw_flows *flows)
 {
     mw_clear_flow_endpoints(flows);
+    mw_clear_interference(flows->interference);
     mw_clear_command_queue(&flows->command_queue);
     g_hash_table_remove_all(flows->pending_commands);
     for (guint f = 0; f < flows->active->len; f++) {
@@ -563,6 +564,7 @@
         remove_ended_flows(flows, now_us);
         mw_remove_stale_endpoint_records(flows, now_us);
         mw_record_unheard_capacities(flows, now_us);
+        mw_update_interference(flows->interference, now_us);
     }
     if (now_us >= flows->pass_deadline_us) {
         flows->pass_deadline_us = now_us + MW_FLOW_PASS_US;
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -81,6 +81,8 @@
     flows->usable = g_ptr_array_new();
     flows->urgent_pools =
         g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
+    flows->interference = mw_new_interference(
+        &(struct mw_interference_output){flows, mw_emit_interference_event});
     flows->pending_commands =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     flows->pending_requests =
@@ -100,6 +102,7 @@
     }
     mw_clear_flow_endpoints(flows);
     mw_clear_command_queue(&flows->command_queue);
+    mw_drop_interference(flows->interference);
     g_hash_table_unref(flows->urgent_pools);
     g_ptr_array_unref(flows->usable);
     g_ptr_array_unref(flows->by_rack);
@@ -519,6 +522,8 @@
         status->placements +=
             ((struct mw_flow_endpoint *)value)->placements->len;
     }
+    status->work_kinds = mw_count_work_kinds(flows->interference);
+    status->interfering_pairs = mw_count_known_pairs(flows->interference);
     status->commands_waiting =
         mw_count_waiting_commands(&flows->command_queue);
     status->commands_in_flight = flows->command_queue.in_flight;
--- a/source/core/flow/policy/interference.c
+++ b/source/core/flow/policy/interference.c
@@ -20,8 +20,8 @@
 /* progress from which a rate is measured: percents are rounded */
 #define RATE_PERCENTS_MIN 10
 #define RATE_DURATION_MIN_US 100000
-/* of the change of a run's rate: rounding, delay of lists, uneven work */
-#define CHANGE_VARIANCE 0.03
+/* of the change of a run's rate: rounding, delay of lists, uneven progress */
+#define CHANGE_VARIANCE 0.06
 /* of a pair of which nothing is known: its standard deviation is 0.5 */
 #define PRIOR_WEIGHT 4.0
 #define HALF_LIFE_US 60e6
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -171,6 +171,12 @@
         json_object_set_new(line, "crash_score",
                             json_integer(event->crash_score));
     }
+    if (event->kind.len > 0) {
+        json_object_set_new(line, "kind", json_text(event->kind));
+        json_object_set_new(line, "neighbour", json_text(event->neighbour));
+        json_object_set_new(line, "slowdown_percent",
+                            json_integer(event->slowdown_percent));
+    }
     json_object_set_new(line, "config",
                         json_integer((json_int_t)event->version));
     json_object_set_new(line, "term", json_integer((json_int_t)event->term));
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -81,16 +81,18 @@
     COUNTER(quarantined);
     COUNTER(endpoint_crashes);
     COUNTER(crashing_flows);
+    COUNTER(neighbours_avoided);
     g_string_append_printf(
         out,
         "mimosawind_flows %u\n"
         "mimosawind_flows_active %u\nmimosawind_endpoints %u\n"
         "mimosawind_places %u\nmimosawind_commands_waiting %u\n"
         "mimosawind_commands_in_flight %u\nmimosawind_command_window %u\n"
+        "mimosawind_work_kinds %u\nmimosawind_interfering_pairs %u\n"
         "mimosawind_log_lines_dropped %" PRIu64 "\n",
         flows.flows, flows.active, flows.endpoints, flows.placements,
         flows.commands_waiting, flows.commands_in_flight, flows.command_window,
-        lines_dropped);
+        flows.work_kinds, flows.interfering_pairs, lines_dropped);
     for (int time = 0; time < MW_FLOW_LATENCIES; time++) {
         add_histogram(out, mw_flow_latency_str((enum mw_flow_latency)time),
                       mw_flow_control_get_histogram(
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -185,6 +185,11 @@
         mw_script_printf(st->script, "      crash score %u",
                          event->crash_score);
     }
+    if (event->kind.len > 0) {
+        mw_script_printf(st->script, "      %.*s: %u %% slower beside %.*s",
+                         MW_FMT(event->kind), event->slowdown_percent,
+                         MW_FMT(event->neighbour));
+    }
     if (event->wanted > 0) {
         mw_script_printf(st->script, "      %u of %u tasks fit",
                          event->capacity, event->wanted);
@@ -918,6 +923,20 @@
                      (int)(MAX(left_us, 0) / 1000));
 }
 
+/* interference: what the metrics say about it */
+static void
+cmd_interference(struct mw_script *s)
+{
+    struct state *st = script_state(s);
+    struct mw_flows_status status;
+
+    mw_flows_get_status(st->flows, &status);
+    mw_script_printf(
+        s, "  %u kinds, %u pairs known, %d placements avoided one",
+        status.work_kinds, status.interfering_pairs,
+        (int)mw_flows_get_counters(st->flows)->neighbours_avoided);
+}
+
 /* snapshot: replaces the scheduler with one rebuilt from a snapshot */
 static void
 cmd_snapshot(struct mw_script *s)
@@ -978,6 +997,7 @@
     {"respond", 2, cmd_respond},
     {"list", 1, cmd_list},
     {"lease", 1, cmd_lease},
+    {"interference", 0, cmd_interference},
     {"snapshot", 0, cmd_snapshot},
     {"replay", 0, cmd_replay},
     {NULL, 0, NULL}};
