Flow: the kinds on an endpoint are kept for placement decisions

Change: each endpoint keeps the distinct kinds of its placements, up to 8, until a placement there changes.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -91,6 +91,9 @@
 /* wait for capacity in the rack that holds the data (delay scheduling) */
 #define MW_DATA_LOCALITY_WAIT_US INT64_C(2000000)
 
+/* with more kinds on an endpoint, its placements are looked at one by one */
+#define MW_PLACED_KINDS_MAX 8
+
 /* later times never come; two such times can be added up */
 #define MW_WALL_TIME_MAX_US (INT64_MAX / 4)
 
@@ -372,6 +375,11 @@
      * made; 0 and 0 for no list */
     uint64_t listed_kinds;
     int64_t kinds_listed_us;
+    /* hashes of the kinds of its placements, and whether they are up to date;
+     * a larger count means that there are more than these */
+    uint64_t placed_kinds[MW_PLACED_KINDS_MAX];
+    uint32_t placed_kind_count;
+    bool has_placed_kinds;
     /* when a run last made progress or was done */
     int64_t last_progress_us;
     int64_t quarantine_deadline_us;
@@ -742,7 +750,7 @@
                         struct mw_listed_placement *listed, uint32_t count,
                         bool is_complete);
 /* mw_neighbour_penalty: of placing a task beside the runs of the endpoint. */
-double mw_neighbour_penalty(const struct mw_flow_endpoint *endpoint,
+double mw_neighbour_penalty(struct mw_flow_endpoint *endpoint,
                             const struct mw_bad_neighbours *bad);
 
 /* flow-measure.c */
--- a/source/core/flow/flow-interference.c
+++ b/source/core/flow/flow-interference.c
@@ -147,14 +147,57 @@
     endpoint->kinds_listed_us = listed_us;
 }
 
+static void
+add_placed_kind(struct mw_flow_endpoint *endpoint, uint64_t kind)
+{
+    uint32_t at = 0;
+
+    while (at < endpoint->placed_kind_count &&
+           endpoint->placed_kinds[at] != kind) {
+        at++;
+    }
+    if (at < MW_PLACED_KINDS_MAX) {
+        endpoint->placed_kinds[at] = kind;
+    }
+    endpoint->placed_kind_count = MAX(endpoint->placed_kind_count, at + 1);
+}
+
+static void
+find_placed_kinds(struct mw_flow_endpoint *endpoint)
+{
+    endpoint->placed_kind_count = 0;
+    for (guint i = 0; i < endpoint->placements->len &&
+                      endpoint->placed_kind_count <= MW_PLACED_KINDS_MAX;
+         i++) {
+        const struct mw_task_placement *placement =
+            endpoint->placements->pdata[i];
+
+        add_placed_kind(endpoint, mw_work_kind_of(placement->group));
+    }
+    endpoint->has_placed_kinds = true;
+}
+
 double
-mw_neighbour_penalty(const struct mw_flow_endpoint *endpoint,
+mw_neighbour_penalty(struct mw_flow_endpoint *endpoint,
                      const struct mw_bad_neighbours *bad)
 {
     uint64_t counted = 0;
     double penalty = 0;
 
-    for (guint i = 0; bad->count > 0 && i < endpoint->placements->len; i++) {
+    if (bad->count == 0) {
+        return 0;
+    }
+    if (!endpoint->has_placed_kinds) {
+        find_placed_kinds(endpoint);
+    }
+    if (endpoint->placed_kind_count <= MW_PLACED_KINDS_MAX) {
+        for (uint32_t i = 0; i < endpoint->placed_kind_count; i++) {
+            mw_add_neighbour_penalty(bad, endpoint->placed_kinds[i], &counted,
+                                     &penalty);
+        }
+        return penalty;
+    }
+    for (guint i = 0; i < endpoint->placements->len; i++) {
         const struct mw_task_placement *placement =
             endpoint->placements->pdata[i];
 
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -28,6 +28,7 @@
     endpoint->used.memory_mb += placement->need.memory_mb;
     endpoint->used.gpus += placement->need.gpus;
     g_ptr_array_add(endpoint->placements, placement);
+    endpoint->has_placed_kinds = false;
     group->tasks[index].placement = placement;
     flows->proposed_runs += phase == MW_PLACEMENT_PROPOSED;
     placement->is_on_trial =
@@ -50,6 +51,7 @@
     endpoint->used.memory_mb -= placement->need.memory_mb;
     endpoint->used.gpus -= placement->need.gpus;
     g_ptr_array_remove_fast(endpoint->placements, placement);
+    endpoint->has_placed_kinds = false;
     if (task->placement == placement) {
         task->placement = NULL;
     }
