Interference: late lists are no evidence; kinds have rounded needs

Cause: rates were measured to the time at which a list was made at the latest, and the speed of endpoints to the time at which it arrives; the two could not be compared. Steps whose needs differ by a little were kinds of their own. Change: both use the time of arrival, and a list that arrives more than 0.1 s after it was made gives no evidence. Processors and memory of a kind are rounded up to powers of two.

--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -139,7 +139,7 @@
 static struct mw_str
 format_kind(const struct mw_work_kind *kind, char *text)
 {
-    g_snprintf(text, KIND_TEXT_SIZE, "%.*s cpu=%u mem-mb=%u gpus=%u%s",
+    g_snprintf(text, KIND_TEXT_SIZE, "%.*s cpu<=%u mem-mb<=%u gpus=%u%s",
                MW_FMT(mw_name_str(&kind->queue)), kind->cpu, kind->memory_mb,
                kind->gpus, kind->gang ? " gang" : "");
     return mw_str_from(text);
--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -743,9 +743,9 @@
  *
  * To be called before the placements are reconciled with the list.  listed has
  * the running runs and the new ends.  is_complete says that it has all of
- * them; otherwise the list is no evidence.
+ * them, and that the list is not late; otherwise it is no evidence.
  */
-void mw_learn_from_list(struct mw_flows *flows, int64_t listed_us,
+void mw_learn_from_list(struct mw_flows *flows, int64_t now_us,
                         struct mw_flow_endpoint *endpoint,
                         struct mw_listed_placement *listed, uint32_t count,
                         bool is_complete);
--- a/source/core/flow/flow-interference.c
+++ b/source/core/flow/flow-interference.c
@@ -6,6 +6,22 @@
  */
 #include "flow-impl.h"
 
+/* Rounds up to a power of two. */
+static uint32_t
+round_up(uint32_t value)
+{
+    uint32_t rounded = 1;
+
+    while (rounded < value && rounded <= UINT32_MAX / 2) {
+        rounded *= 2;
+    }
+    return value == 0 ? 0 : rounded;
+}
+
+/*
+ * Steps that differ little in their needs are of one kind: otherwise each
+ * could be a kind of its own, with too little evidence.
+ */
 static struct mw_work_kind
 describe_kind(const struct mw_task_group *group)
 {
@@ -13,8 +29,8 @@
 
     return (struct mw_work_kind){
         .queue = group->flow->route.name,
-        .cpu = step->need.cpu,
-        .memory_mb = step->need.memory_mb,
+        .cpu = round_up(step->need.cpu),
+        .memory_mb = round_up(step->need.memory_mb),
         .gpus = step->need.gpus,
         .gang = step->gang,
     };
@@ -90,7 +106,7 @@
 }
 
 static void
-learn_from_run(struct mw_flows *flows, int64_t listed_us,
+learn_from_run(struct mw_flows *flows, int64_t now_us,
                const struct mw_listed_placement *listed, uint64_t beside,
                bool is_steady)
 {
@@ -108,17 +124,17 @@
         mw_begin_kind_rate(flows->interference, rate, placement->started_us,
                            beside);
     }
-    if (mw_measure_kind_rate(flows->interference, rate, listed_us,
+    if (mw_measure_kind_rate(flows->interference, rate, now_us,
                              listed->run->ended ? 100 : listed->run->percent,
                              beside, is_steady, &sample) == MW_RATE_CHANGED) {
-        mw_learn_interference(flows->interference, listed_us, &sample);
+        mw_learn_interference(flows->interference, now_us, &sample);
     }
     rate->known_cost =
         (float)mw_known_cost(flows->interference, listed->kind, beside);
 }
 
 void
-mw_learn_from_list(struct mw_flows *flows, int64_t listed_us,
+mw_learn_from_list(struct mw_flows *flows, int64_t now_us,
                    struct mw_flow_endpoint *endpoint,
                    struct mw_listed_placement *listed, uint32_t count,
                    bool is_complete)
@@ -128,8 +144,7 @@
     for (uint32_t i = 0; i < count; i++) {
         struct mw_work_kind kind = describe_kind(listed[i].placement->group);
 
-        listed[i].kind =
-            mw_see_work_kind(flows->interference, listed_us, &kind);
+        listed[i].kind = mw_see_work_kind(flows->interference, now_us, &kind);
         running |= listed[i].run->ended ? 0 : listed[i].kind;
         is_complete &= listed[i].kind != 0;
     }
@@ -139,12 +154,12 @@
             find_kinds_beside(endpoint, listed, count, i, &is_steady);
 
         if (listed[i].kind != 0 && is_comparable(&listed[i])) {
-            learn_from_run(flows, listed_us, &listed[i], beside,
+            learn_from_run(flows, now_us, &listed[i], beside,
                            is_complete && is_steady);
         }
     }
     endpoint->listed_kinds = running;
-    endpoint->kinds_listed_us = listed_us;
+    endpoint->kinds_listed_us = now_us;
 }
 
 static void
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -398,17 +398,18 @@
     }
 }
 
-/* A list with more runs is no evidence of interference. */
+/* A list with more runs, or a later one, is no evidence of interference. */
 #define COMPARED_RUNS_MAX 128
+#define COMPARED_LIST_LATE_US 100000
 
 static void
-compare_listed_runs(struct mw_flows *flows, int64_t listed_us,
+compare_listed_runs(struct mw_flows *flows, int64_t now_us, int64_t listed_us,
                     struct mw_flow_endpoint *endpoint,
                     const struct mw_flow_response *response)
 {
     struct mw_listed_placement listed[COMPARED_RUNS_MAX];
     uint32_t count = 0;
-    bool is_complete = true;
+    bool is_complete = now_us - listed_us <= COMPARED_LIST_LATE_US;
 
     for (uint32_t i = 0; i < response->run_count; i++) {
         const struct mw_listed_run *run = &response->runs[i];
@@ -425,7 +426,7 @@
             is_complete = false;
         }
     }
-    mw_learn_from_list(flows, listed_us, endpoint, listed, count, is_complete);
+    mw_learn_from_list(flows, now_us, endpoint, listed, count, is_complete);
 }
 
 void
@@ -441,7 +442,7 @@
 
     endpoint->list_read = true;
     endpoint->unknown_runs = 0;
-    compare_listed_runs(flows, listed_us, endpoint, response);
+    compare_listed_runs(flows, now_us, listed_us, endpoint, response);
     for (uint32_t i = 0; i < response->run_count; i++) {
         const struct mw_listed_run *run = &response->runs[i];
 
--- a/source/core/flow/policy/interference.h
+++ b/source/core/flow/policy/interference.h
@@ -27,7 +27,7 @@
 /* mw_work_kind: tasks that are expected to use an endpoint alike. */
 struct mw_work_kind {
     struct mw_name queue;
-    /* of one task */
+    /* upper bounds of the needs of one task */
     uint32_t cpu;
     uint32_t memory_mb;
     uint32_t gpus;
