--- a/source/core/flow/flow-interference.c
+++ b/source/core/flow/flow-interference.c
@@ -105,6 +105,25 @@
     return beside;
 }
 
+/*
+ * Compares the run with others of its step.  False if there are none, or no
+ * neighbours.
+ */
+static bool
+compare_with_step(const struct mw_task_placement *placement,
+                  struct mw_interference_sample *sample)
+{
+    const struct mw_task_group *group = placement->group;
+
+    if (group->rate.weight <= 0 || sample->came == 0) {
+        return false;
+    }
+    sample->residual -=
+        mw_expect_run_rate(&placement->endpoint->speed, &group->rate,
+                           group->step->gang, &sample->variance);
+    return true;
+}
+
 static void
 learn_from_run(struct mw_flows *flows, int64_t now_us,
                const struct mw_listed_placement *listed, uint64_t beside,
@@ -117,6 +136,7 @@
         .victim = listed->kind,
         .endpoint = mw_hash_name(&placement->endpoint->id),
     };
+    enum mw_rate_result result;
 
     if (placement->last_listed_us == 0 &&
         placement->phase == MW_PLACEMENT_RUNNING &&
@@ -124,13 +144,15 @@
         mw_begin_kind_rate(flows->interference, rate, placement->started_us,
                            beside);
     }
-    if (mw_measure_kind_rate(flows->interference, rate, now_us,
+    result =
+        mw_measure_kind_rate(flows->interference, rate, now_us,
                              listed->run->ended ? 100 : listed->run->percent,
-                             beside, is_steady, &sample) == MW_RATE_CHANGED) {
+                             beside, is_steady, &sample);
+    if (result == MW_RATE_CHANGED ||
+        (result == MW_RATE_FIRST && compare_with_step(placement, &sample))) {
         mw_learn_interference(flows->interference, now_us, &sample);
     }
-    rate->known_cost =
-        (float)mw_known_cost(flows->interference, listed->kind, beside);
+    mw_update_known_cost(flows->interference, rate, listed->kind, beside);
 }
 
 void
--- a/source/core/flow/policy/interference.c
+++ b/source/core/flow/policy/interference.c
@@ -44,6 +44,8 @@
 /* a known pair below these is forgotten */
 #define FORGOTTEN_COST 0.1
 #define FORGOTTEN_DEVIATIONS 2.0
+/* rates freed of costs that differ by more are not compared */
+#define COST_CHANGE_MIN 0.1
 /* a kind that no list has shown for so long makes room for others */
 #define KIND_IDLE_US INT64_C(10000000)
 
@@ -500,20 +502,19 @@
     return mean_of(&whole);
 }
 
-double
-mw_known_cost(const struct mw_interference *table, uint64_t victim,
-              uint64_t beside)
+void
+mw_update_known_cost(const struct mw_interference *table,
+                     struct mw_kind_rate *rate, uint64_t victim,
+                     uint64_t beside)
 {
     double cost = 0;
 
-    if (table->known_count == 0 || victim == 0) {
-        return 0;
-    }
-    for (; beside != 0; beside &= beside - 1) {
+    for (; table->known_count > 0 && beside != 0; beside &= beside - 1) {
         cost += known_pair_cost(table, (uint32_t)__builtin_ctzll(victim),
                                 (uint32_t)__builtin_ctzll(beside));
     }
-    return cost;
+    rate->has_changed |= fabs(cost - rate->known_cost) > COST_CHANGE_MIN;
+    rate->known_cost = (float)cost;
 }
 
 static uint32_t
--- a/source/core/flow/policy/interference.h
+++ b/source/core/flow/policy/interference.h
@@ -49,7 +49,8 @@
     /* progress has been seen since the first list */
     bool is_moving;
     bool has_rate;
-    /* other kinds are beside the run; cleared by the reader */
+    /* other kinds are beside the run, or the known cost is another; cleared by
+     * the reader */
     bool has_changed;
 };
 
@@ -134,9 +135,13 @@
  */
 void mw_update_interference(struct mw_interference *table, int64_t now_us);
 
-/* mw_known_cost: of the kinds in the set beside the victim, a set of one. */
-double mw_known_cost(const struct mw_interference *table, uint64_t victim,
-                     uint64_t beside);
+/*
+ * mw_update_known_cost: sets rate->known_cost for a run of the kind victim, a
+ * set of one.
+ */
+void mw_update_known_cost(const struct mw_interference *table,
+                          struct mw_kind_rate *rate, uint64_t victim,
+                          uint64_t beside);
 
 /* mw_bad_neighbours: kinds with which a kind is in a known pair. */
 struct mw_bad_neighbours {
