Interference: no comparison where the speed was learnt beside the neighbour

Cause: an endpoint that always runs the same two kinds has the cost in its speed, so that a comparison of runs there with others of their step shows none. Change: the kinds beside the runs that taught an endpoint's speed are kept for one to two minutes; a comparison beside these is no evidence. Result: a script in which only the comparison of gang members shows a pair, and slow endpoints are not blamed on the neighbours there.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -381,6 +381,11 @@
      * made; 0 and 0 for no list */
     uint64_t listed_kinds;
     int64_t kinds_listed_us;
+    /* sets of the kinds beside the runs whose rates taught its speed since
+     * speed_kinds_us, and in the period before */
+    uint64_t speed_kinds;
+    uint64_t earlier_speed_kinds;
+    int64_t speed_kinds_us;
     /* hashes of the kinds of its placements, and whether they are up to date;
      * a larger count means that there are more than these */
     uint64_t placed_kinds[MW_PLACED_KINDS_MAX];
@@ -783,6 +788,12 @@
                         struct mw_flow_endpoint *endpoint,
                         struct mw_listed_placement *listed, uint32_t count,
                         bool is_complete);
+/*
+ * mw_note_speed_neighbours: the endpoint's speed is learnt from a rate of this
+ * run; what its neighbours cost it may be taken for the speed.
+ */
+void mw_note_speed_neighbours(const struct mw_task_placement *placement,
+                              int64_t now_us);
 /* mw_neighbour_penalty: of placing a task beside the runs of the endpoint. */
 double mw_neighbour_penalty(struct mw_flow_endpoint *endpoint,
                             const struct mw_bad_neighbours *bad);
--- a/source/core/flow/flow-interference.c
+++ b/source/core/flow/flow-interference.c
@@ -22,6 +22,9 @@
  * Steps that differ little in their needs are of one kind: otherwise each
  * could be a kind of its own, with too little evidence.
  */
+/* neighbours count for the speed of an endpoint for one to two such periods */
+#define SPEED_KINDS_PERIOD_US INT64_C(60000000)
+
 static struct mw_work_kind
 describe_kind(const struct mw_task_group *group)
 {
@@ -105,22 +108,39 @@
     return beside;
 }
 
+void
+mw_note_speed_neighbours(const struct mw_task_placement *placement,
+                         int64_t now_us)
+{
+    struct mw_flow_endpoint *endpoint = placement->endpoint;
+
+    if (now_us - endpoint->speed_kinds_us >= SPEED_KINDS_PERIOD_US) {
+        endpoint->earlier_speed_kinds = endpoint->speed_kinds;
+        endpoint->speed_kinds = 0;
+        endpoint->speed_kinds_us = now_us;
+    }
+    endpoint->speed_kinds |= placement->kind_rate.beside;
+}
+
 /*
- * Compares the run with others of its step.  False if there are none, or no
- * neighbours.
+ * Compares the run with others of its step.  False if that says nothing:
+ * without others, without neighbours, or if the endpoint's speed was learnt
+ * beside the same neighbours and contains what they cost.
  */
 static bool
 compare_with_step(const struct mw_task_placement *placement,
                   struct mw_interference_sample *sample)
 {
     const struct mw_task_group *group = placement->group;
+    const struct mw_flow_endpoint *endpoint = placement->endpoint;
 
-    if (group->rate.weight <= 0 || sample->came == 0) {
+    if (group->rate.weight <= 0 || sample->came == 0 ||
+        (sample->came &
+         (endpoint->speed_kinds | endpoint->earlier_speed_kinds))) {
         return false;
     }
-    sample->residual -=
-        mw_expect_run_rate(&placement->endpoint->speed, &group->rate,
-                           group->step->gang, &sample->variance);
+    sample->residual -= mw_expect_run_rate(
+        &endpoint->speed, &group->rate, group->step->gang, &sample->variance);
     return true;
 }
 
--- a/source/core/flow/flow-speed.c
+++ b/source/core/flow/flow-speed.c
@@ -53,6 +53,7 @@
     }
     else if (mw_note_run_progress(progress, now_us, percent)) {
         progress->log_rate += kind_rate->known_cost;
+        mw_note_speed_neighbours(placement, now_us);
         mw_learn_endpoint_speed(&placement->endpoint->speed, &group->rate,
                                 progress, now_us, group->step->gang);
     }
