--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -308,6 +308,7 @@
 
     if (!placement) {
         endpoint->unknown_runs++;
+        mw_count_stray_run(flows, endpoint, &run->task);
         mw_emit_flow_endpoint_event(flows, "stray_run", endpoint, "stopped",
                                     0);
         mw_send_stop_for_stray_run(flows, now_us, endpoint, &run->task,
@@ -367,14 +368,15 @@
 }
 
 static bool
-may_start_run(const struct mw_flows *flows,
+may_start_run(struct mw_flows *flows,
               const struct mw_task_placement *placement)
 {
     const struct mw_flow_endpoint *endpoint = placement->endpoint;
 
     return placement->group->flow->state == MW_FLOW_ACTIVE &&
            !endpoint->heartbeat.draining &&
-           !mw_flow_zone_is_out(flows, &endpoint->heartbeat.zone);
+           !mw_flow_zone_is_out(flows, &endpoint->heartbeat.zone) &&
+           mw_start_is_within_cap(flows, placement);
 }
 
 /* The list was requested after the last response about the run. */
@@ -448,6 +450,7 @@
 
     endpoint->list_read = true;
     endpoint->unknown_runs = 0;
+    mw_forget_stray_runs(flows, endpoint);
     compare_listed_runs(flows, now_us, listed_us, endpoint, response);
     for (uint32_t i = 0; i < response->run_count; i++) {
         const struct mw_listed_run *run = &response->runs[i];
