--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -32,6 +32,7 @@
     endpoint->used.memory_mb += placement->need.memory_mb;
     endpoint->used.gpus += placement->need.gpus;
     mw_add_quota_use(flows->quota, &group->flow->org, &placement->need);
+    mw_add_account_use(group->flow->account, &placement->need);
     g_ptr_array_add(endpoint->placements, placement);
     endpoint->has_placed_kinds = false;
     group->tasks[index].placement = placement;
@@ -57,6 +58,7 @@
     endpoint->used.gpus -= placement->need.gpus;
     mw_subtract_quota_use(flows->quota, &placement->group->flow->org,
                           &placement->need);
+    mw_subtract_account_use(placement->group->flow->account, &placement->need);
     g_ptr_array_remove_fast(endpoint->placements, placement);
     endpoint->has_placed_kinds = false;
     if (task->placement == placement) {
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -82,6 +82,7 @@
     flows->urgent_pools =
         g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
     flows->quota = mw_new_quota();
+    flows->accounts = mw_new_flow_accounts();
     flows->interference = mw_new_interference(
         &(struct mw_interference_output){flows, mw_emit_interference_event});
     flows->pending_commands =
@@ -106,6 +107,7 @@
     mw_drop_interference(flows->interference);
     g_hash_table_unref(flows->urgent_pools);
     mw_drop_quota(flows->quota);
+    g_hash_table_unref(flows->accounts);
     g_ptr_array_unref(flows->usable);
     g_ptr_array_unref(flows->by_rack);
     g_hash_table_unref(flows->by_address);
@@ -262,6 +264,8 @@
     flow->id = record->id;
     flow->route = record->route;
     flow->org = record->org;
+    flow->account =
+        mw_get_flow_account(flows->accounts, &flow->org, &flow->route.service);
     flow->accepted_wall_us = record->accepted_wall_us;
     flow->state = record->state;
     flow->accepted_us = flows->now_us;
