--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -7,6 +7,7 @@
 #include "endpoint-speed.h"
 #include "flow-config-versions.h"
 #include "fair-share.h"
+#include "interference.h"
 #include "mimosawind/flow.h"
 #include "quota.h"
 #include "retry-after.h"
@@ -32,6 +33,7 @@
  *   flow-speed.c        observations for the endpoints' speeds
  *   flow-quota.c        what the organisations' caps admit
  *   flow-account.c      use of the organisations in each service
+ *   flow-interference.c  which kinds of work the lists show side by side
  *   flow-place.c        chooses endpoints
  *   flow-preempt.c      preemption, and room for waiting gangs
  *   flow-reserve.c      endpoints reserved for a group
@@ -99,6 +101,9 @@
 /* wait for capacity in the rack that holds the data (delay scheduling) */
 #define MW_DATA_LOCALITY_WAIT_US INT64_C(2000000)
 
+/* with more kinds on an endpoint, its placements are looked at one by one */
+#define MW_PLACED_KINDS_MAX 8
+
 /* later times never come; two such times can be added up */
 #define MW_WALL_TIME_MAX_US (INT64_MAX / 4)
 
@@ -146,6 +151,7 @@
     int64_t started_us;
     uint32_t percent;
     struct mw_run_progress progress;
+    struct mw_kind_rate kind_rate;
     /* when percent or checkpoint last changed, and when it was last listed */
     int64_t last_progress_us;
     int64_t last_listed_us;
@@ -209,6 +215,8 @@
     enum mw_lateness lateness;
     /* of the runs that this leader has seen */
     struct mw_step_rate rate;
+    /* hash of its kind of work; 0 for not yet computed */
+    uint64_t kind;
     /* run of the gang that has already been counted as failed */
     uint32_t failed_run;
     /* index of the task that wrote the gang's newest checkpoint */
@@ -391,6 +399,20 @@
     GArray *late_starts;
     uint32_t consecutive_failures;
     struct mw_endpoint_speed speed;
+    /* set of the kinds that run according to the last list, and when that was
+     * made; 0 and 0 for no list */
+    uint64_t listed_kinds;
+    int64_t kinds_listed_us;
+    /* sets of the kinds beside the runs whose rates taught its speed since
+     * speed_kinds_us, and in the period before */
+    uint64_t speed_kinds;
+    uint64_t earlier_speed_kinds;
+    int64_t speed_kinds_us;
+    /* hashes of the kinds of its placements, and whether they are up to date;
+     * a larger count means that there are more than these */
+    uint64_t placed_kinds[MW_PLACED_KINDS_MAX];
+    uint32_t placed_kind_count;
+    bool has_placed_kinds;
     /* when a run last made progress or was done */
     int64_t last_progress_us;
     int64_t quarantine_deadline_us;
@@ -506,6 +528,7 @@
     /* set of struct mw_flow_account, of all flows since the process began */
     GHashTable *accounts;
     struct mw_retry_window refusals;
+    struct mw_interference *interference;
     struct mw_flow_counters counters;
     struct mw_flow_histogram latencies[MW_FLOW_LATENCIES];
 };
@@ -831,6 +854,38 @@
                         const struct mw_flow_endpoint *endpoint,
                         int64_t now_us);
 
+/* flow-interference.c */
+/* mw_listed_placement: a run in a list, and its placement. */
+struct mw_listed_placement {
+    struct mw_task_placement *placement;
+    const struct mw_listed_run *run;
+    /* set of its kind */
+    uint64_t kind;
+};
+
+/* mw_work_kind_of: hash of the group's kind of work. */
+uint64_t mw_work_kind_of(struct mw_task_group *group);
+/*
+ * mw_learn_from_list: what a list shows of interference between its runs.
+ *
+ * To be called before the placements are reconciled with the list.  listed has
+ * the running runs and the new ends.  is_complete says that it has all of
+ * them, and that the list is not late; otherwise it is no evidence.
+ */
+void mw_learn_from_list(struct mw_flows *flows, int64_t now_us,
+                        struct mw_flow_endpoint *endpoint,
+                        struct mw_listed_placement *listed, uint32_t count,
+                        bool is_complete);
+/*
+ * mw_note_speed_neighbours: the endpoint's speed is learnt from a rate of this
+ * run; what its neighbours cost it may be taken for the speed.
+ */
+void mw_note_speed_neighbours(const struct mw_task_placement *placement,
+                              int64_t now_us);
+/* mw_neighbour_penalty: of placing a task beside the runs of the endpoint. */
+double mw_neighbour_penalty(struct mw_flow_endpoint *endpoint,
+                            const struct mw_bad_neighbours *bad);
+
 /* flow-measure.c */
 /* measures how long a guaranteed group waited, once all tasks have started */
 void mw_measure_reclaim(struct mw_flows *flows, struct mw_task_group *group,
@@ -999,6 +1054,10 @@
 void mw_emit_flow_zone_event(struct mw_flows *flows, const char *name,
                              const struct mw_name *zone, const char *outcome,
                              int64_t age_us);
+/* mw_emit_interference_event: callback of struct mw_interference_output. */
+void mw_emit_interference_event(void *flows, const struct mw_work_kind *victim,
+                                const struct mw_work_kind *neighbour,
+                                double cost, bool is_known);
 void mw_emit_flow_endpoint_event(struct mw_flows *flows, const char *name,
                                  const struct mw_flow_endpoint *endpoint,
                                  const char *outcome, int64_t age_us);
--- a/source/core/flow/flow-speed.c
+++ b/source/core/flow/flow-speed.c
@@ -40,12 +40,22 @@
                     uint32_t percent)
 {
     struct mw_task_group *group = placement->group;
+    struct mw_run_progress *progress = &placement->progress;
+    struct mw_kind_rate *kind_rate = &placement->kind_rate;
 
-    if (is_comparable(placement) &&
-        mw_note_run_progress(&placement->progress, now_us, percent)) {
+    if (!is_comparable(placement)) {
+        return;
+    }
+    /* members of a gang are compared with each other, not with themselves */
+    if (kind_rate->has_changed && progress->has_rate && !group->step->gang) {
+        kind_rate->has_changed = false;
+        mw_restart_run_progress(progress, now_us, percent);
+    }
+    else if (mw_note_run_progress(progress, now_us, percent)) {
+        progress->log_rate += kind_rate->known_cost;
+        mw_note_speed_neighbours(placement, now_us);
         mw_learn_endpoint_speed(&placement->endpoint->speed, &group->rate,
-                                &placement->progress, now_us,
-                                group->step->gang);
+                                progress, now_us, group->step->gang);
     }
 }
 
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -83,6 +83,8 @@
         g_hash_table_new_full(mw_hash_name, mw_same_name, NULL, g_free);
     flows->quota = mw_new_quota();
     flows->accounts = mw_new_flow_accounts();
+    flows->interference = mw_new_interference(
+        &(struct mw_interference_output){flows, mw_emit_interference_event});
     flows->pending_commands =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     flows->pending_requests =
@@ -102,6 +104,7 @@
     }
     mw_clear_flow_endpoints(flows);
     mw_clear_command_queue(&flows->command_queue);
+    mw_drop_interference(flows->interference);
     g_hash_table_unref(flows->urgent_pools);
     mw_drop_quota(flows->quota);
     g_hash_table_unref(flows->accounts);
@@ -527,6 +530,8 @@
         status->placements +=
             ((struct mw_flow_endpoint *)value)->placements->len;
     }
+    status->work_kinds = mw_count_work_kinds(flows->interference);
+    status->interfering_pairs = mw_count_known_pairs(flows->interference);
     status->commands_waiting =
         mw_count_waiting_commands(&flows->command_queue);
     status->commands_in_flight = flows->command_queue.in_flight;
--- a/source/core/flow/policy/endpoint-speed.c
+++ b/source/core/flow/policy/endpoint-speed.c
@@ -128,8 +128,10 @@
                     variance_of(speed) + RATE_VARIANCE + task_variance);
     }
     if (progress->has_rate && !equal_tasks) {
-        update_estimate(speed, progress->log_rate, progress->log_task_rate,
-                        RATE_VARIANCE);
+        if (!progress->has_restarted) {
+            update_estimate(speed, progress->log_rate, progress->log_task_rate,
+                            RATE_VARIANCE);
+        }
     }
     else if (others.weight > 0) {
         update_estimate(speed, progress->log_rate, others.log_rate,
@@ -137,6 +139,7 @@
     }
     progress->log_task_rate = progress->log_rate - speed->log_speed;
     progress->has_rate = true;
+    progress->has_restarted = false;
 }
 
 struct mw_speed_record
@@ -185,6 +188,24 @@
     return speed->known - older->known > NEWS_VARIANCE;
 }
 
+double
+mw_expect_run_rate(const struct mw_endpoint_speed *speed,
+                   const struct mw_step_rate *step, bool equal_tasks,
+                   double *variance)
+{
+    *variance = RATE_VARIANCE + 1 / step->weight + variance_of(speed) +
+                (equal_tasks ? 0 : TASK_VARIANCE);
+    return step->log_rate + speed->log_speed;
+}
+
+void
+mw_restart_run_progress(struct mw_run_progress *progress, int64_t now_us,
+                        uint32_t percent)
+{
+    mw_begin_run_progress(progress, now_us, percent);
+    progress->has_restarted = true;
+}
+
 enum mw_speed_class
 mw_classify_endpoint_speed(const struct mw_endpoint_speed *speed,
                            const struct mw_speed_mean *fleet)
--- a/source/core/flow/policy/endpoint-speed.h
+++ b/source/core/flow/policy/endpoint-speed.h
@@ -65,6 +65,8 @@
     double log_rate;
     double log_task_rate;
     bool has_rate;
+    /* the next rate can't be compared with the last one */
+    bool has_restarted;
 };
 
 /*
@@ -113,6 +115,25 @@
 /* mw_is_speed_news: whether an estimate says much more than an older one. */
 bool mw_is_speed_news(const struct mw_endpoint_speed *older,
                       const struct mw_endpoint_speed *speed);
+/*
+ * mw_expect_run_rate: logarithm of the rate of a run of the step there.
+ *
+ * *variance is that of the rate that a list shows, around the returned one.
+ * To be called only for a step that has rates.
+ */
+double mw_expect_run_rate(const struct mw_endpoint_speed *speed,
+                          const struct mw_step_rate *step, bool equal_tasks,
+                          double *variance);
+
+/*
+ * mw_restart_run_progress: the run may be faster or slower from now on for a
+ * reason that is not the endpoint's.
+ *
+ * Its next rate is not compared with its earlier ones.
+ */
+void mw_restart_run_progress(struct mw_run_progress *progress, int64_t now_us,
+                             uint32_t percent);
+
 enum mw_speed_class
 mw_classify_endpoint_speed(const struct mw_endpoint_speed *speed,
                            const struct mw_speed_mean *fleet);
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -149,6 +149,7 @@
     COUNTER(quarantined);
     COUNTER(endpoint_crashes);
     COUNTER(crashing_flows);
+    COUNTER(neighbours_avoided);
     g_string_append_printf(
         out,
         "mimosawind_flows %u\n"
@@ -156,10 +157,12 @@
         "mimosawind_endpoints_slow %u\nmimosawind_endpoints_fast %u\n"
         "mimosawind_places %u\nmimosawind_commands_waiting %u\n"
         "mimosawind_commands_in_flight %u\nmimosawind_command_window %u\n"
+        "mimosawind_work_kinds %u\nmimosawind_interfering_pairs %u\n"
         "mimosawind_log_lines_dropped %" PRIu64 "\n",
         flows.flows, flows.active, flows.endpoints, flows.endpoints_slow,
         flows.endpoints_fast, flows.placements, flows.commands_waiting,
-        flows.commands_in_flight, flows.command_window, lines_dropped);
+        flows.commands_in_flight, flows.command_window, flows.work_kinds,
+        flows.interfering_pairs, lines_dropped);
     mw_add_org_metrics(out, orgs, mw_flow_control_get_orgs(control, orgs));
     for (int time = 0; time < MW_FLOW_LATENCIES; time++) {
         add_histogram(out, mw_flow_latency_str((enum mw_flow_latency)time),
