Flow: guaranteed work at its organisation's cap stops that organisation's other work

Only that work makes room below the cap, so its cheapest runs are stopped, gangs whole; nothing of other organisations.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -790,6 +790,12 @@
 void mw_reserve_for_task_group(struct mw_flows *flows,
                                struct mw_task_group *group, uint32_t tasks,
                                int64_t now_us);
+/*
+ * mw_preempt_for_cap: stops less urgent runs of the group's own organisation,
+ * so that its cap admits the tasks of a group within its guarantee.
+ */
+void mw_preempt_for_cap(struct mw_flows *flows, struct mw_task_group *group,
+                        uint32_t tasks, int64_t now_us);
 /* stops less urgent runs to make room for urgent tasks */
 void mw_preempt_for_task_group(struct mw_flows *flows,
                                struct mw_task_group *group, uint32_t tasks,
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -11,6 +11,10 @@
  *        the endpoints.  A group within its organisation's guarantee stops
  *        them, too, where too little other work can be stopped.
  *
+ *        Urgent jobs within a guarantee of an organisation whose own other
+ *        work uses up its cap.  That work is stopped, and no other: only it
+ *        makes room below the cap.
+ *
  *        A less urgent gang preempts nothing.  The endpoints where the runs in
  *        its way end soonest are reserved for it.
  */
@@ -486,3 +490,95 @@
     g_ptr_array_unref(ignored);
     g_ptr_array_unref(selected);
 }
+
+static void
+reduce_excess(struct mw_flow_amounts *excess,
+              const struct mw_flow_resources *need)
+{
+    excess->cpu -= MIN(excess->cpu, need->cpu);
+    excess->memory_mb -= MIN(excess->memory_mb, need->memory_mb);
+    excess->gpus -= MIN(excess->gpus, need->gpus);
+}
+
+static bool
+is_covered(const struct mw_flow_amounts *excess)
+{
+    return excess->cpu == 0 && excess->memory_mb == 0 && excess->gpus == 0;
+}
+
+/*
+ * Adds the runs of the group's organisation that may be stopped for it to
+ * runs.  What is being stopped there already reduces the excess.
+ */
+static void
+collect_own_runs(const struct mw_flows *flows,
+                 const struct mw_task_group *group,
+                 struct mw_flow_amounts *excess, GPtrArray *runs)
+{
+    for (guint e = 0; e < flows->by_rack->len; e++) {
+        const struct mw_flow_endpoint *endpoint = flows->by_rack->pdata[e];
+
+        for (guint i = 0; i < endpoint->placements->len; i++) {
+            struct mw_task_placement *placement =
+                endpoint->placements->pdata[i];
+
+            if (!mw_name_equal(&placement->group->flow->org,
+                               &group->flow->org)) {
+                continue;
+            }
+            if (is_stopping(placement)) {
+                reduce_excess(excess, &placement->need);
+            }
+            else if (can_be_displaced(placement, group, VICTIMS_LESS_URGENT)) {
+                g_ptr_array_add(runs, placement);
+            }
+        }
+    }
+}
+
+/* Moves the run to victims; of a gang, all its runs. */
+static void
+take_victim(GPtrArray *runs, const struct mw_task_placement *victim,
+            struct mw_flow_amounts *excess, GPtrArray *victims)
+{
+    const struct mw_task_group *gang =
+        victim->group->step->gang ? victim->group : NULL;
+
+    for (guint i = runs->len; i > 0; i--) {
+        struct mw_task_placement *run = runs->pdata[i - 1];
+
+        if (run == victim || (gang && run->group == gang)) {
+            reduce_excess(excess, &run->need);
+            g_ptr_array_add(victims, run);
+            g_ptr_array_remove_index_fast(runs, i - 1);
+        }
+    }
+}
+
+void
+mw_preempt_for_cap(struct mw_flows *flows, struct mw_task_group *group,
+                   uint32_t tasks, int64_t now_us)
+{
+    struct mw_flow_amounts excess;
+    GPtrArray *runs;
+    GPtrArray *victims;
+
+    if (group->rank > 0 || now_us < group->preemption_deadline_us) {
+        return;
+    }
+    excess = mw_quota_excess(mw_get_quota(flows), &group->flow->org,
+                             &group->step->need, tasks);
+    runs = g_ptr_array_new();
+    victims = g_ptr_array_new();
+    collect_own_runs(flows, group, &excess, runs);
+    while (!is_covered(&excess) && runs->len > 0) {
+        take_victim(runs, cheapest_run(runs, now_us, preemption_cost), &excess,
+                    victims);
+    }
+    group->preemption_deadline_us = now_us + MW_PREEMPTION_RETRY_US;
+    if (is_covered(&excess) || !group->step->gang) {
+        preempt(flows, group, victims, now_us);
+    }
+    g_ptr_array_unref(victims);
+    g_ptr_array_unref(runs);
+}
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -313,6 +313,7 @@
     }
     if (found == wanted && wanted < waiting) {
         mw_note_cap_wait(flows, group, now_us);
+        mw_preempt_for_cap(flows, group, waiting - wanted, now_us);
         return;
     }
     group->capped_us = 0;
--- a/source/core/flow/policy/quota.c
+++ b/source/core/flow/policy/quota.c
@@ -154,6 +154,31 @@
            (cap->gpus > 0 && org->used.gpus > cap->gpus);
 }
 
+static uint64_t
+excess_of(uint64_t cap, uint64_t used, uint64_t wanted)
+{
+    return cap > 0 && used + wanted > cap ? used + wanted - cap : 0;
+}
+
+struct mw_flow_amounts
+mw_quota_excess(const struct mw_quota *quota, const struct mw_name *name,
+                const struct mw_flow_resources *need, uint32_t tasks)
+{
+    const struct mw_quota_org *org = find_capped(quota, name);
+
+    if (!org) {
+        return (struct mw_flow_amounts){0};
+    }
+    return (struct mw_flow_amounts){
+        .cpu = excess_of(org->cap.cpu, org->used.cpu,
+                         (uint64_t)need->cpu * tasks),
+        .memory_mb = excess_of(org->cap.memory_mb, org->used.memory_mb,
+                               (uint64_t)need->memory_mb * tasks),
+        .gpus = excess_of(org->cap.gpus, org->used.gpus,
+                          (uint64_t)need->gpus * tasks),
+    };
+}
+
 bool
 mw_quota_is_exceeded(const struct mw_quota *quota, const struct mw_name *name)
 {
--- a/source/core/flow/policy/quota.h
+++ b/source/core/flow/policy/quota.h
@@ -79,6 +79,11 @@
                              const struct mw_name *org,
                              const struct mw_flow_resources *need,
                              uint32_t wanted, enum mw_quota_limit *limit);
+/* mw_quota_excess: by how much so many tasks more would exceed the cap. */
+struct mw_flow_amounts mw_quota_excess(const struct mw_quota *quota,
+                                       const struct mw_name *org,
+                                       const struct mw_flow_resources *need,
+                                       uint32_t tasks);
 /* mw_quota_is_exceeded: whether a resource is above its cap. */
 bool mw_quota_is_exceeded(const struct mw_quota *quota,
                           const struct mw_name *org);
