--- a/source/core/flow/policy/retry-after.c
+++ b/source/core/flow/policy/retry-after.c
@@ -1,6 +1,17 @@
+/*
+ * retry-after: when the caller of a refused request should come back.
+ *
+ * LOAD   crowds of callers that are refused together: all requests of a
+ *        region during an outage of the core, or bursts beyond what is held.
+ *        With one delay for all they return in the same second, when the
+ *        leader has just been elected.  Single refusals, urgent callers and
+ *        the first second of an election keep the shortest delay.
+ */
 #include "retry-after.h"
 
+#define XXH_INLINE_ALL
 #include <glib.h>
+#include <xxhash.h>
 
 #define SECOND_US INT64_C(1000000)
 /* so few callers can come back together without a spread */
@@ -15,22 +26,15 @@
 /* and never longer than this: MW_FLOW_ELECTION_MAX_US */
 #define OUTAGE_US INT64_C(3000000)
 
-/* FNV-1a, and the finalizer of MurmurHash3, which spreads to the high bits. */
 uint64_t
 mw_hash_job(struct mw_str path)
 {
-    uint64_t hash = UINT64_C(14695981039346656037);
     size_t at = path.len;
 
     while (at > 0 && path.ptr[at - 1] != '/') {
         at--;
     }
-    for (; at < path.len; at++) {
-        hash = (hash ^ (unsigned char)path.ptr[at]) * UINT64_C(1099511628211);
-    }
-    hash = (hash ^ (hash >> 33)) * UINT64_C(0xff51afd7ed558ccd);
-    hash = (hash ^ (hash >> 33)) * UINT64_C(0xc4ceb9fe1a85ec53);
-    return hash ^ (hash >> 33);
+    return XXH3_64bits(path.ptr + at, path.len - at);
 }
 
 /* The longest delay, in seconds. */
--- a/source/core/flow/policy/retry-after.h
+++ b/source/core/flow/policy/retry-after.h
@@ -6,12 +6,6 @@
 /*
  * retry-after: when the caller of a refused request should come back.
  *
- * LOAD   crowds of callers that are refused together: all requests of a
- *        region during an outage of the core, or bursts beyond what is held.
- *        With one delay for all they return in the same second, when the
- *        leader has just been elected.  Single refusals, urgent callers and
- *        the first second of an election keep the shortest delay.
- *
  * Delays are whole seconds: HTTP's Retry-After has no others.
  */
 
--- a/source/core/flow/policy/route-priority.c
+++ b/source/core/flow/policy/route-priority.c
@@ -1,6 +1,16 @@
+/*
+ * route-priority: which routes are urgent, as far as an entry process knows.
+ *
+ * LOAD   requests of some hundred routes through a process that doesn't have
+ *        the configuration.  It learns the priority of a route's host and
+ *        prefix from the leader's replies, in a table of fixed size in which
+ *        a prefix replaces another that falls on the same slot.
+ */
 #include "route-priority.h"
 
+#define XXH_INLINE_ALL
 #include <glib.h>
+#include <xxhash.h>
 
 /* of a job's identifier, in hexadecimal digits */
 #define ID_LEN 16
@@ -20,23 +30,14 @@
     return (struct mw_str){path.ptr, path.len - ID_LEN};
 }
 
-static uint64_t
-add_to_hash(uint64_t hash, struct mw_str text)
-{
-    for (size_t i = 0; i < text.len; i++) {
-        hash = (hash ^ (unsigned char)text.ptr[i]) * UINT64_C(1099511628211);
-    }
-    /* a byte that no host or path contains ends the text */
-    return (hash ^ 0xff) * UINT64_C(1099511628211);
-}
-
-/* FNV-1a of both; not 0. */
+/* Never 0. */
 static uint64_t
 hash_route(struct mw_str host, struct mw_str path)
 {
-    uint64_t hash = add_to_hash(UINT64_C(14695981039346656037), host);
+    struct mw_str prefix = route_prefix(path);
+    uint64_t hash = XXH3_64bits(host.ptr, host.len);
 
-    hash = add_to_hash(hash, route_prefix(path));
+    hash = XXH3_64bits_withSeed(prefix.ptr, prefix.len, hash);
     return hash ? hash : 1;
 }
 
--- a/source/core/flow/policy/route-priority.h
+++ b/source/core/flow/policy/route-priority.h
@@ -6,10 +6,8 @@
 /*
  * route-priority: which routes are urgent, as far as an entry process knows.
  *
- * LOAD   requests of some hundred routes through a process that doesn't have
- *        the configuration.  It learns the priority of a route's host and
- *        prefix from the leader's replies, in a table of fixed size in which
- *        a prefix replaces another that falls on the same slot.
+ * An entry process doesn't have the configuration.  It learns the priorities
+ * from the leader's replies.
  */
 
 /* some 3 % of 240 prefixes share a slot with another one */
