Interference: sets of kinds on an endpoint end with an eviction, and with time

A reading of the code found that a kind that takes over the bit of an evicted one counted as having been there, and that neighbours of long ago still kept a speed from being compared.

--- a/source/core/flow/flow-impl.h
+++ b/source/core/flow/flow-impl.h
@@ -408,6 +408,8 @@
     uint64_t speed_kinds;
     uint64_t earlier_speed_kinds;
     int64_t speed_kinds_us;
+    /* mw_interference_generation, of the sets above */
+    uint32_t kinds_generation;
     /* hashes of the kinds of its placements, and whether they are up to date;
      * a larger count means that there are more than these */
     uint64_t placed_kinds[MW_PLACED_KINDS_MAX];
@@ -853,12 +855,12 @@
 /* mw_has_unequal_speeds: some endpoint was found to be slow, or fast. */
 bool mw_has_unequal_speeds(const struct mw_flows *flows);
 /*
- * mw_next_rate_us: when the endpoint's next list may help to learn its speed;
- * INT64_MAX for no need.
+ * mw_next_speed_list_us: when the endpoint's next list may help to learn its
+ * speed; INT64_MAX for no need.
  */
-int64_t mw_next_rate_us(const struct mw_flows *flows,
-                        const struct mw_flow_endpoint *endpoint,
-                        int64_t now_us);
+int64_t mw_next_speed_list_us(const struct mw_flows *flows,
+                              const struct mw_flow_endpoint *endpoint,
+                              int64_t now_us);
 
 /* flow-interference.c */
 /* mw_listed_placement: a run in a list, and its placement. */
@@ -886,8 +888,7 @@
  * mw_note_speed_neighbours: the endpoint's speed is learnt from a rate of this
  * run; what its neighbours cost it may be taken for the speed.
  */
-void mw_note_speed_neighbours(const struct mw_task_placement *placement,
-                              int64_t now_us);
+void mw_note_speed_neighbours(const struct mw_task_placement *placement);
 /* mw_neighbour_penalty: of placing a task beside the runs of the endpoint. */
 double mw_neighbour_penalty(struct mw_flow_endpoint *endpoint,
                             const struct mw_bad_neighbours *bad);
--- a/source/core/flow/flow-interference.c
+++ b/source/core/flow/flow-interference.c
@@ -3,9 +3,15 @@
  *
  * A list shows which runs are side by side on an endpoint, and how far each
  * is.  policy/interference.c turns that into costs of pairs of kinds.
+ *
+ * LOAD   kinds of work that slow each other down on one endpoint, in lists of
+ *        hundreds of endpoints a second.
  */
 #include "flow-impl.h"
 
+/* neighbours count for the speed of an endpoint for one to two such periods */
+#define SPEED_KINDS_PERIOD_US INT64_C(60000000)
+
 /* Rounds up to a power of two. */
 static uint32_t
 round_up(uint32_t value)
@@ -22,9 +28,6 @@
  * Steps that differ little in their needs are of one kind: otherwise each
  * could be a kind of its own, with too little evidence.
  */
-/* neighbours count for the speed of an endpoint for one to two such periods */
-#define SPEED_KINDS_PERIOD_US INT64_C(60000000)
-
 static struct mw_work_kind
 describe_kind(const struct mw_task_group *group)
 {
@@ -108,18 +111,35 @@
     return beside;
 }
 
-void
-mw_note_speed_neighbours(const struct mw_task_placement *placement,
-                         int64_t now_us)
+/*
+ * Drops what the sets of the endpoint no longer tell: neighbours of long ago,
+ * and all of them once a kind was evicted, whose place another one may have.
+ */
+static void
+refresh_kind_sets(const struct mw_flows *flows, int64_t now_us,
+                  struct mw_flow_endpoint *endpoint)
 {
-    struct mw_flow_endpoint *endpoint = placement->endpoint;
+    int64_t age_us = now_us - endpoint->speed_kinds_us;
+    uint32_t generation = mw_interference_generation(flows->interference);
 
-    if (now_us - endpoint->speed_kinds_us >= SPEED_KINDS_PERIOD_US) {
-        endpoint->earlier_speed_kinds = endpoint->speed_kinds;
+    if (endpoint->kinds_generation != generation) {
+        endpoint->kinds_generation = generation;
+        endpoint->listed_kinds = 0;
+        endpoint->speed_kinds = 0;
+        endpoint->earlier_speed_kinds = 0;
+    }
+    if (age_us >= SPEED_KINDS_PERIOD_US) {
+        endpoint->earlier_speed_kinds =
+            age_us < 2 * SPEED_KINDS_PERIOD_US ? endpoint->speed_kinds : 0;
         endpoint->speed_kinds = 0;
         endpoint->speed_kinds_us = now_us;
     }
-    endpoint->speed_kinds |= placement->kind_rate.beside;
+}
+
+void
+mw_note_speed_neighbours(const struct mw_task_placement *placement)
+{
+    placement->endpoint->speed_kinds |= placement->kind_rate.beside;
 }
 
 /*
@@ -190,6 +210,7 @@
         running |= listed[i].run->ended ? 0 : listed[i].kind;
         is_complete &= listed[i].kind != 0;
     }
+    refresh_kind_sets(flows, now_us, endpoint);
     for (uint32_t i = 0; i < count; i++) {
         bool is_steady;
         uint64_t beside =
--- a/source/core/flow/policy/interference.c
+++ b/source/core/flow/policy/interference.c
@@ -115,6 +115,12 @@
     table->generation = generation + 1;
 }
 
+uint32_t
+mw_interference_generation(const struct mw_interference *table)
+{
+    return table->generation;
+}
+
 uint64_t
 mw_hash_work_kind(const struct mw_work_kind *kind)
 {
--- a/source/core/flow/policy/interference.h
+++ b/source/core/flow/policy/interference.h
@@ -96,6 +96,12 @@
 /* mw_clear_interference: forgets everything, without a callback. */
 void mw_clear_interference(struct mw_interference *table);
 
+/*
+ * mw_interference_generation: changes when a kind is evicted; sets of kinds
+ * from before are not valid any more.
+ */
+uint32_t mw_interference_generation(const struct mw_interference *table);
+
 /* mw_hash_work_kind: identifies the kind; never 0. */
 uint64_t mw_hash_work_kind(const struct mw_work_kind *kind);
 
