--- a/source/core/flow/flow-account.c
+++ b/source/core/flow/flow-account.c
@@ -1,6 +1,10 @@
 /*
  * flow-account: what the runs of each organisation use in each service.
  *
+ * LOAD   queues of thousands of groups that are ordered by their
+ *        organisations' shares in each pass: use is a sum that is kept, not
+ *        added up again.
+ *
  * An account stays until the process ends: 170 bytes for each organisation and
  * service that had a flow.
  */
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -403,7 +403,7 @@
         int64_t next_us =
             MIN(mw_next_stall_us(endpoint), mw_next_trial_us(endpoint));
 
-        next_us = MIN(next_us, mw_next_rate_us(flows, endpoint, now_us));
+        next_us = MIN(next_us, mw_next_speed_list_us(flows, endpoint, now_us));
 
         command.long_poll_us =
             CLAMP(next_us - now_us, MW_RENEWAL_LONG_POLL_MIN_US,
--- a/source/core/flow/flow-org-status.c
+++ b/source/core/flow/flow-org-status.c
@@ -1,5 +1,8 @@
 /*
  * flow-org-status: what the organisations use and wait for, for metrics.
+ *
+ * LOAD   hundreds of organisations: only those that use most are listed, so
+ *        that the metrics stay bounded.
  */
 #include <string.h>
 
--- a/source/core/flow/flow-place.c
+++ b/source/core/flow/flow-place.c
@@ -233,7 +233,8 @@
                                        &c.endpoint->used, &group->step->need);
         c.capacity =
             MIN(c.capacity, mw_flow_endpoint_limit_left(c.endpoint, group));
-        c.less_preferred = c.endpoint->in_urgent_pool != (group->rank < 2);
+        c.less_preferred =
+            c.endpoint->in_urgent_pool != (group->rank <= MW_URGENT_RANK_MAX);
         if (group->is_suspect) {
             c.less_preferred = c.endpoint->placements->len > 0;
         }
@@ -414,8 +415,9 @@
                   const struct mw_task_group *group, int64_t now_us,
                   uint32_t wanted)
 {
-    int64_t after_us =
-        group->rank < 2 ? MW_URGENT_RACK_WAIT_US : MW_RACK_WAIT_US;
+    int64_t after_us = group->rank <= MW_URGENT_RANK_MAX
+                           ? MW_URGENT_RACK_WAIT_US
+                           : MW_RACK_WAIT_US;
 
     return !group->step->prefer_one_rack ||
            now_us - mw_rack_wait_start_us(group) >= after_us ||
--- a/source/core/flow/flow-preempt.c
+++ b/source/core/flow/flow-preempt.c
@@ -170,7 +170,7 @@
               uint64_t *cost)
 {
     cost_function cost_of_run =
-        group->rank < 2 ? preemption_cost : remaining_time;
+        group->rank <= MW_URGENT_RANK_MAX ? preemption_cost : remaining_time;
     struct mw_flow_resources used = endpoint->used;
     GPtrArray *placements = g_ptr_array_new();
     guint useful_victims = victims->len;
--- a/source/core/flow/flow-registry.c
+++ b/source/core/flow/flow-registry.c
@@ -223,7 +223,7 @@
         return false;
     }
     recorded = mw_recall_endpoint_speed(&record->endpoint.speed, now_us);
-    return mw_is_speed_news(&recorded, &endpoint->speed) ||
+    return mw_is_speed_more_certain(&recorded, &endpoint->speed) ||
            mw_classify_endpoint_speed(&recorded, &flows->speed_mean) !=
                mw_flow_endpoint_speed(flows, endpoint);
 }
@@ -251,8 +251,9 @@
            g_hash_table_iter_next(&iter, NULL, &value)) {
         if (has_outdated_speed(flows, now_us, value)) {
             proposed++;
-            emit_speed_event(flows, value);
-            propose_state(flows, now_us, value);
+            if (propose_state(flows, now_us, value)) {
+                emit_speed_event(flows, value);
+            }
         }
     }
 }
--- a/source/core/flow/flow-speed.c
+++ b/source/core/flow/flow-speed.c
@@ -53,7 +53,7 @@
     }
     else if (mw_note_run_progress(progress, now_us, percent)) {
         progress->log_rate += kind_rate->known_cost;
-        mw_note_speed_neighbours(placement, now_us);
+        mw_note_speed_neighbours(placement);
         mw_learn_endpoint_speed(&placement->endpoint->speed, &group->rate,
                                 progress, now_us, group->step->gang);
     }
@@ -90,12 +90,13 @@
 }
 
 /*
- * Most urgent tasks end before a long poll does, so that no list would show
- * their progress.  Where all endpoints are alike there is nothing to learn.
+ * Only gangs need this: their runs tell most of a speed, and the short ones
+ * end before a long poll does.  Where all endpoints are alike there is nothing
+ * to learn.
  */
 int64_t
-mw_next_rate_us(const struct mw_flows *flows,
-                const struct mw_flow_endpoint *endpoint, int64_t now_us)
+mw_next_speed_list_us(const struct mw_flows *flows,
+                      const struct mw_flow_endpoint *endpoint, int64_t now_us)
 {
     if (!mw_has_unequal_speeds(flows) || mw_is_speed_known(&endpoint->speed)) {
         return INT64_MAX;
--- a/source/core/flow/policy/endpoint-speed.c
+++ b/source/core/flow/policy/endpoint-speed.c
@@ -24,7 +24,7 @@
 /* an estimate with less needs no further lists */
 #define KNOWN_VARIANCE_MAX 0.03
 /* an estimate with so much less is worth another record */
-#define NEWS_VARIANCE 0.06
+#define MORE_CERTAIN_VARIANCE 0.06
 /* of a rate, for the rounding of percents and the delay of lists */
 #define RATE_VARIANCE 0.01
 /* variance that is added to an estimate, a microsecond */
@@ -182,10 +182,10 @@
 }
 
 bool
-mw_is_speed_news(const struct mw_endpoint_speed *older,
-                 const struct mw_endpoint_speed *speed)
+mw_is_speed_more_certain(const struct mw_endpoint_speed *older,
+                         const struct mw_endpoint_speed *speed)
 {
-    return speed->known - older->known > NEWS_VARIANCE;
+    return speed->known - older->known > MORE_CERTAIN_VARIANCE;
 }
 
 double
--- a/source/core/flow/policy/endpoint-speed.h
+++ b/source/core/flow/policy/endpoint-speed.h
@@ -112,9 +112,10 @@
 
 /* mw_is_speed_known: whether another run would hardly change the estimate. */
 bool mw_is_speed_known(const struct mw_endpoint_speed *speed);
-/* mw_is_speed_news: whether an estimate says much more than an older one. */
-bool mw_is_speed_news(const struct mw_endpoint_speed *older,
-                      const struct mw_endpoint_speed *speed);
+/* mw_is_speed_more_certain: whether an estimate says much more than an older
+ * one. */
+bool mw_is_speed_more_certain(const struct mw_endpoint_speed *older,
+                              const struct mw_endpoint_speed *speed);
 /*
  * mw_expect_run_rate: logarithm of the rate of a run of the step there.
  *
--- a/source/core/flow/policy/fair-share.c
+++ b/source/core/flow/policy/fair-share.c
@@ -1,6 +1,10 @@
 /*
  * fair-share: the order of waiting work by weighted dominant shares.
  *
+ * LOAD   bursts of one organisation beyond the capacity of a service, while
+ *        others have work with later deadlines.  The organisation with the
+ *        smallest dominant share for its weight goes next.
+ *
  * The groups are sorted by section, then by account.  A section is a rank, or
  * the part of a rank that is too late.  The queues of a section's accounts are
  * then merged with a heap, the account with the smallest share at its top.
@@ -67,7 +71,7 @@
     return order ? order : compare_due(a, b);
 }
 
-/* The share that so much of the total is; none of what there is nothing. */
+/* The weighted share of the total; 0 if the service has none of it. */
 static double
 share_of(uint64_t use, uint64_t total, uint32_t weight)
 {
--- a/source/core/flow/policy/fair-share.h
+++ b/source/core/flow/policy/fair-share.h
@@ -6,10 +6,6 @@
 /*
  * fair-share: the order of waiting work by weighted dominant shares.
  *
- * LOAD   bursts of one organisation beyond the capacity of a service, while
- *        others have work with later deadlines.  The organisation with the
- *        smallest dominant share for its weight goes next.
- *
  * An account is an organisation in one service, whose endpoints no other
  * service can use.  Its dominant share is the largest of use / total over the
  * resources.  As a group is taken into the order its demand is added to the
--- a/source/core/flow/policy/quota.c
+++ b/source/core/flow/policy/quota.c
@@ -1,3 +1,9 @@
+/*
+ * quota: what each organisation uses, against its cap.
+ *
+ * LOAD   organisations that submit more than they may run at once, beside
+ *        others that need the same endpoints.
+ */
 #include "quota.h"
 
 #include <glib.h>
@@ -196,9 +202,9 @@
            times_left(cap->gpus, 0, need->gpus) >= tasks;
 }
 
-/* The resource that is furthest above its cap. */
+/* The scarcest resource that is above its cap: accelerators, then cores. */
 static enum mw_quota_limit
-most_exceeded(const struct mw_quota_org *org)
+scarcest_exceeded(const struct mw_quota_org *org)
 {
     const struct mw_flow_amounts *cap = &org->cap;
 
@@ -222,7 +228,7 @@
         return wanted;
     }
     if (is_exceeded(org)) {
-        *limit = most_exceeded(org);
+        *limit = scarcest_exceeded(org);
         return 0;
     }
     left[MW_QUOTA_CPU] =
--- a/source/core/flow/policy/quota.h
+++ b/source/core/flow/policy/quota.h
@@ -6,9 +6,6 @@
 /*
  * quota: what each organisation uses, against its cap.
  *
- * LOAD   organisations that submit more than they may run at once, beside
- *        others that need the same endpoints.
- *
  * The owner reports each run that may be at work and each that is over, and
  * the organisations of the configuration in force.  A cap of 0 is no limit.
  * Work without an organisation is counted under the empty name.
--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -4,11 +4,11 @@
 #include "log-impl.h"
 
 /*
- * Time between two attempts with early votes, to which up to 100 ms are added:
- * long enough for the replies to a pre-vote, and many times in a hold-off.
+ * Least time between two early pre-votes, to which up to 100 ms are added: it
+ * leaves time for the replies, and for several attempts in a hold-off.
  */
 #define EARLY_INTERVAL_US 50000
-/* likewise after an early vote: long enough to sync it on two disks */
+/* the same after an early vote, which is synced on two disks */
 #define EARLY_VOTE_INTERVAL_US 300000
 
 void
