--- a/source/core/flow/flow-registry.c
+++ b/source/core/flow/flow-registry.c
@@ -213,19 +213,25 @@
 {
     const struct mw_record *record =
         g_hash_table_lookup(flows->endpoint_records, &endpoint->id);
+    struct mw_speed_record wanted = mw_record_endpoint_speed(&endpoint->speed);
     struct mw_endpoint_speed recorded;
+    struct mw_endpoint_speed recordable;
 
     if (!mw_has_unequal_speeds(flows) || !record || !endpoint->registered ||
         endpoint->deregistered || endpoint->record_pending ||
         now_us < endpoint->capacity_record_deadline_us ||
+        !mw_endpoint_capacity_counts(endpoint, now_us) ||
         !same_endpoint_state(record->endpoint.heartbeat,
                              &endpoint->heartbeat)) {
         return false;
     }
     recorded = mw_recall_endpoint_speed(&record->endpoint.speed, now_us);
-    return mw_is_speed_more_certain(&recorded, &endpoint->speed) ||
+    /* a record is less certain than the estimate, and may be of another class
+     */
+    recordable = mw_recall_endpoint_speed(&wanted, now_us);
+    return mw_is_speed_more_certain(&recorded, &recordable) ||
            mw_classify_endpoint_speed(&recorded, &flows->speed_mean) !=
-               mw_flow_endpoint_speed(flows, endpoint);
+               mw_classify_endpoint_speed(&recordable, &flows->speed_mean);
 }
 
 static void
--- a/source/core/flow/flow-speed.c
+++ b/source/core/flow/flow-speed.c
@@ -30,7 +30,9 @@
 {
     const struct mw_task_group *group = placement->group;
 
-    if (!group->tasks[placement->index].checkpoint) {
+    /* a start without a response may have been executed long before */
+    if (!group->tasks[placement->index].checkpoint &&
+        !placement->start_unanswered) {
         mw_begin_run_progress(&placement->progress, now_us, 0);
     }
 }
