--- a/tests/guarantee-script.c
+++ b/tests/guarantee-script.c
@@ -695,9 +695,7 @@
         if (checks_shares) {
             print_wrong_shares(s, sim, seed);
         }
-        else {
-            print_late_jobs(s, sim, seed);
-        }
+        print_late_jobs(s, sim, seed);
         drop_simulation(sim);
     }
     mw_script_printf(s, "  played");
