--- a/review/lib-2/cases.c
+++ b/review/lib-2/cases.c
@@ -453,6 +453,88 @@
     return strcmp(state, "failed") == 0 && crashes_under_runs < 2 ? 1 : 0;
 }
 
+/*
+ * Another writer announces something else at the address of an idle worker,
+ * under a service that no configuration has.
+ */
+
+#define WAIT_MS 60000
+
+static const char waiting_id[] = "00000000000000b1";
+static volatile int waiting_starts;
+
+static void
+count_waiting(struct worker *worker, struct run *run)
+{
+    (void)worker;
+    if (strncmp(run->task, waiting_id, strlen(waiting_id)) == 0) {
+        waiting_starts++;
+    }
+}
+
+static int
+put_foreign_entry(const struct worker *worker)
+{
+    char body[512];
+    struct answer answer;
+    int status;
+
+    snprintf(body, sizeof body,
+             "{\"service\":\"another\",\"address\":\"%s\","
+             "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":1,"
+             "\"state\":\"ready\",\"cold-left-ms\":0,"
+             "\"clock-ms\":1000,\"born\":%lld,\"seq\":1}",
+             worker->address, worker->zone, (long long)wall_ms());
+    answer = call(core_control(0), "PUT", "/mimosawind/instances/another-1",
+                  "Host: control\r\n", body, 1000);
+    status = answer.status;
+    drop_answer(&answer);
+    return status;
+}
+
+static int
+foreign_entry(void)
+{
+    struct worker *worker = &workers[0];
+    const char *state = "";
+    int64_t sent_ms;
+    uint64_t beats;
+
+    on_run_begun = count_waiting;
+    other_kind_count = 1;
+    begin(FLAP_WORKERS, false);
+    if (trouble) {
+        note("another writer announces a service that no configuration has, "
+             "at the address of %s: answered %d",
+             worker->id, put_foreign_entry(worker));
+    }
+    sleep_ms(2 * BEAT_MS);
+    if (submit_job(0, "/p1/", waiting_id,
+                   "{\"spec\":\"ms=300\",\"phases\":[{\"count\":1,"
+                   "\"cpu\":4000,\"mem-mb\":1024,\"gpus\":1,"
+                   "\"estimate-ms\":300,\"requirements\":\"b\"}]}") != 200) {
+        fail_to_run("the job was not accepted");
+    }
+    sent_ms = now_ms();
+    beats = worker->acknowledged_beats;
+    note("job %s is accepted; it requires %s, which is idle", waiting_id,
+         worker->id);
+    while (now_ms() - sent_ms < WAIT_MS) {
+        state = read_state(0, "/p1/", waiting_id);
+        if (strcmp(state, "completed") == 0) {
+            break;
+        }
+        sleep_ms(100);
+    }
+    note("job %s is shown as %s %lld ms after it was accepted; its task was "
+         "begun %d times; %s has had %llu of its liveness reports "
+         "acknowledged meanwhile",
+         waiting_id, state, (long long)(now_ms() - sent_ms), waiting_starts,
+         worker->id,
+         (unsigned long long)(worker->acknowledged_beats - beats));
+    return strcmp(state, "completed") != 0 ? 1 : 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -464,6 +546,7 @@
         {"stale-zone-order", stale_zone_order},
         {"late-start-wait", late_start_wait},
         {"failed-unstarted", failed_unstarted},
+        {"foreign-entry", foreign_entry},
     };
     const char *text = getenv("TROUBLE");
 
--- a/review/lib-2/standin.c
+++ b/review/lib-2/standin.c
@@ -56,7 +56,7 @@
     return (int64_t)at.tv_sec * 1000 + at.tv_nsec / 1000000;
 }
 
-static int64_t
+int64_t
 wall_ms(void)
 {
     struct timespec at;
@@ -1165,6 +1165,7 @@
                      to ? to : "");
             json_decref(reply);
             drop_answer(&answer);
+            worker->acknowledged_beats++;
             break;
         }
         worker->beat_address[0] = 0;
--- a/review/lib-2/standin.h
+++ b/review/lib-2/standin.h
@@ -26,6 +26,8 @@
 #define CONTACT_MS 3000
 
 int64_t now_ms(void);
+/* since 1970 */
+int64_t wall_ms(void);
 void sleep_ms(int64_t ms);
 /* a line of record.txt, with the time since the script began */
 void note(const char *format, ...) __attribute__((format(printf, 1, 2)));
@@ -119,6 +121,7 @@
     /* slow after its start, as it says in cold-left-ms */
     int64_t cold_until_ms;
     char beat_address[40];
+    uint64_t acknowledged_beats;
 };
 extern struct worker workers[WORKERS_MAX];
 extern int worker_count;
