--- a/review/lib-2/cases.c
+++ b/review/lib-2/cases.c
@@ -1,9 +1,9 @@
 /*
  * cases: the scripts of the second review.
  *
- *     cases NAME RECORD
+ *     cases NAME RECORD TROUBLE
  *
- * With TROUBLE=0 in the environment the disruption is left out.
+ * With 0 for TROUBLE the disruption is left out.
  *
  * EXIT STATUS  1 if the rule was broken, 0 if it held, 2 if the case could not
  *              run
@@ -548,10 +548,8 @@
         {"failed-unstarted", failed_unstarted},
         {"foreign-entry", foreign_entry},
     };
-    const char *text = getenv("TROUBLE");
-
-    trouble = !text || strcmp(text, "0") != 0;
-    for (size_t i = 0; argc == 3 && i < sizeof all / sizeof *all; i++) {
+    trouble = argc == 4 && strcmp(argv[3], "0") != 0;
+    for (size_t i = 0; argc == 4 && i < sizeof all / sizeof *all; i++) {
         if (strcmp(argv[1], all[i].name) == 0) {
             int status;
 
@@ -564,6 +562,6 @@
             return status;
         }
     }
-    fprintf(stderr, "usage: cases NAME RECORD\n");
+    fprintf(stderr, "usage: cases NAME RECORD TROUBLE\n");
     return 2;
 }
