Tests: draw a job's figures in statements, not among a call's arguments

Cause: submit in tests/guarantee-script.c drew three random numbers among the arguments of one call.

Change: the draws are made in statements, in the order that x86-64 had.

A search of tests/ and bench/ for statements with two draws finds one other: a product of two draws in bench/workload.c, which doesn't depend on their order.

--- a/tests/guarantee-script.c
+++ b/tests/guarantee-script.c
@@ -419,17 +419,18 @@
 {
     char path[32];
     char key[8];
+    /* in statements: C leaves the order of a call's arguments open */
+    bool checkpointing = g_rand_double(sim->rand) < 0.45 && job->priority > 0;
+    bool rack_sensitive = g_rand_double(sim->rand) < 0.8 && job->priority < 2;
+    double estimate_error = g_rand_double_range(sim->rand, 0.2, 1.8);
     char *plan = g_strdup_printf(
         "{\"spec\":\"s\",\"phases\":[{\"count\":%u,\"cpu\":%u,\"gpus\":%u,"
         "\"estimate-ms\":%d,\"gang\":%s,\"rack-sensitive\":%s,"
         "\"checkpointing\":%s}]}",
         job->width, job->gpus * 1000, job->gpus,
-        (int)(job->duration_us * g_rand_double_range(sim->rand, 0.2, 1.8) /
-              1000),
+        (int)(job->duration_us * estimate_error / 1000),
         job->priority < 2 ? "true" : "false",
-        g_rand_double(sim->rand) < 0.8 && job->priority < 2 ? "true" : "false",
-        g_rand_double(sim->rand) < 0.45 && job->priority > 0 ? "true"
-                                                             : "false");
+        rack_sensitive ? "true" : "false", checkpointing ? "true" : "false");
 
     g_snprintf(path, sizeof path, "/%d/%.*s", job->priority,
                MW_FMT(mw_name_str(&job->id)));
