A refused start is no evidence that a task crashes endpoints

Cause: evidence against a task was taken from a process being gone, without evidence that any process had the start. A second refused connection of a start counted, and so did a start that was on its way when the endpoint's list was refused. Four of them fail a job.

Change: a run has evidence against it only if a process had its start: it answered, a list shows the run, or it took the connection of the start and closed it without a response. The HTTP client tells this (was_cut_off).

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -214,6 +214,11 @@
     enum mw_flow_result result;
     /* another copy of the command was sent before, without a response */
     bool was_repeated;
+    /*
+     * A process had taken the connection of the command, or of its first
+     * copy, and closed it without a response.
+     */
+    bool was_cut_off;
     bool has_clock;
     int64_t clock_us;
     /* incarnation that responded; 0 when not known */
--- a/source/core/flow/flow-crash.c
+++ b/source/core/flow/flow-crash.c
@@ -5,12 +5,17 @@
  *        end, so its attempts are not used up, and each run takes another
  *        endpoint and what else runs there with it.
  *
+ * A run has evidence against it only if a process had its start: it answered,
+ * a list shows the run, or it took the connection of the start and closed it
+ * without a response.  A start that was refused, or had no response in time,
+ * may have reached no process: another one may have crashed before.
+ *
  * Strong evidence against a run is a connection that broke soon after the
  * endpoint had answered its start, and was refused from then on; weak evidence
- * is a start that had no answer before connections were refused, or a crash
- * later than that, up to AT_WORK_US after the start.  An endpoint that is only
- * out of reach, or crashes while the run has been at work for longer, is no
- * evidence.  It counts once the run is known to be over.
+ * is a start whose own connection was closed before connections were refused,
+ * or a crash later than that, up to AT_WORK_US after the start.  An endpoint
+ * that is only out of reach, or crashes while the run has been at work for
+ * longer, is no evidence.  It counts once the run is known to be over.
  *
  * A task whose score reaches SCORE_SUSPECT is a suspect.  Its group prefers
  * endpoints without runs, and no other flow is placed beside it until the
@@ -51,6 +56,15 @@
     return score >= SCORE_SUSPECT;
 }
 
+void
+mw_blame_unanswered_start(struct mw_task_placement *placement)
+{
+    if (placement->start_cut_off) {
+        placement->crash_score =
+            MAX(placement->crash_score, SCORE_START_UNANSWERED);
+    }
+}
+
 static void
 blame(struct mw_task_placement *placement, int64_t crash_us)
 {
@@ -65,11 +79,10 @@
              worked_us < AT_WORK_US) {
         score = SCORE_AT_WORK;
     }
-    else if (placement->phase == MW_PLACEMENT_STARTING &&
-             !mw_run_is_unsent(placement)) {
-        score = SCORE_START_UNANSWERED;
-    }
     placement->crash_score = MAX(placement->crash_score, score);
+    if (placement->phase == MW_PLACEMENT_STARTING) {
+        mw_blame_unanswered_start(placement);
+    }
 }
 
 void
@@ -85,13 +98,6 @@
     }
 }
 
-void
-mw_blame_unanswered_start(struct mw_task_placement *placement)
-{
-    placement->crash_score =
-        MAX(placement->crash_score, SCORE_START_UNANSWERED);
-}
-
 void
 mw_withdraw_blame(struct mw_flow_endpoint *endpoint)
 {
--- a/source/core/flow/flow-crash.h
+++ b/source/core/flow/flow-crash.h
@@ -16,7 +16,10 @@
  * broken; evidence against the runs that had just been started there.
  */
 void mw_blame_crash(struct mw_flows *flows, struct mw_flow_endpoint *endpoint);
-/* a start had no response, and no process listened when it was sent again */
+/*
+ * mw_blame_unanswered_start: no process listens at the endpoint, and the start
+ * had no response; evidence if a process had the start.
+ */
 void mw_blame_unanswered_start(struct mw_task_placement *placement);
 /* mw_withdraw_blame: the same process responds again. */
 void mw_withdraw_blame(struct mw_flow_endpoint *endpoint);
--- a/source/core/flow/flow-placement-state.h
+++ b/source/core/flow/flow-placement-state.h
@@ -44,6 +44,9 @@
     int64_t start_sent_us;
     /* a start had no response, so it may still be executed */
     bool start_unanswered;
+    /* a process had the connection of a start, and closed it instead of
+     * responding */
+    bool start_cut_off;
     /* how often a start was sent */
     uint32_t start_attempts;
     /* starts without a response that may not have been executed yet */
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -29,13 +29,14 @@
 static void
 handle_unanswered_start(struct mw_flows *flows, int64_t now_us,
                         struct mw_task_placement *placement,
-                        enum mw_flow_result result)
+                        const struct mw_flow_response *response)
 {
     bool drained =
         placement->endpoint->heartbeat.draining ||
         mw_flow_zone_is_out(flows, &placement->endpoint->heartbeat.zone);
 
-    if (result == MW_FLOW_NO_PROCESS && placement->start_unanswered) {
+    placement->start_cut_off |= response->was_cut_off;
+    if (response->result == MW_FLOW_NO_PROCESS) {
         mw_blame_unanswered_start(placement);
     }
     placement->start_unanswered = true;
@@ -135,7 +136,7 @@
         handle_refused_start(flows, now_us, placement, response->result);
         break;
     default:
-        handle_unanswered_start(flows, now_us, placement, response->result);
+        handle_unanswered_start(flows, now_us, placement, response);
         break;
     }
 }
--- a/source/run/http-client-impl.h
+++ b/source/run/http-client-impl.h
@@ -50,6 +50,8 @@
     bool is_invalid;
     /* it has been sent on a connection that failed at once */
     bool was_repeated;
+    /* a process had taken its connection and closed it */
+    bool was_cut_off;
     /* NULL while it waits */
     struct mw_client_connection *connection;
 };
@@ -62,6 +64,10 @@
     struct mw_client_request *request;
     /* it has carried a response before this request */
     bool is_reused;
+    /* a process was at its other end when the request was sent */
+    bool is_taken;
+    /* when a byte arrived last */
+    int64_t heard_us;
     /* a byte of the response has arrived */
     bool has_response;
     bool may_be_kept;
--- a/source/run/http-client.c
+++ b/source/run/http-client.c
@@ -10,6 +10,11 @@
  * arrived is read first: the loop looks at timers before it reads sockets.
  */
 #define DEADLINE_GRACE_US 2000
+/*
+ * A connection that carried a response so shortly ago has a process at its
+ * other end; one that is idle for longer may lead to a machine that is off.
+ */
+#define CONNECTION_ALIVE_US 500000
 
 static void send_waiting(struct mw_client_host *host);
 
@@ -76,6 +81,7 @@
     void *opaque = request->opaque;
 
     response->was_repeated = request->was_repeated;
+    response->was_cut_off = request->was_cut_off;
     free_request(request);
     send_waiting(host);
     client->setup.response(client->setup.opaque, opaque, response);
@@ -172,6 +178,7 @@
         return;
     }
     connection->has_response = true;
+    connection->heard_us = mw_now();
     mw_parse_client_response(connection, bytes);
     error = HTTP_PARSER_ERRNO(&connection->parser);
     if (connection->is_complete) {
@@ -215,9 +222,11 @@
     if (connection->is_complete) {
         connection->may_be_kept = false;
         end_response(connection);
+        return;
     }
-    else if (connection->is_reused && !connection->has_response &&
-             !request->was_repeated) {
+    request->was_cut_off |= connection->is_taken;
+    if (connection->is_reused && !connection->has_response &&
+        !request->was_repeated) {
         repeat_request(request);
     }
     else {
@@ -225,13 +234,24 @@
     }
 }
 
+/* The operating system has a process that listens there. */
+static void
+on_opened(void *opaque)
+{
+    struct mw_client_connection *connection = opaque;
+
+    connection->is_taken = true;
+}
+
 static struct mw_client_connection *
 open_connection(struct mw_client_host *host)
 {
     struct mw_client_connection *connection =
         g_new0(struct mw_client_connection, 1);
-    struct mw_conn_callbacks callbacks = {
-        .opaque = connection, .received = on_received, .closed = on_closed};
+    struct mw_conn_callbacks callbacks = {.opaque = connection,
+                                          .opened = on_opened,
+                                          .received = on_received,
+                                          .closed = on_closed};
 
     connection->conn = mw_dial_conn(&host->address, &callbacks);
     if (!connection->conn) {
@@ -279,6 +299,8 @@
 
     if (connection) {
         leave_idle(connection);
+        connection->is_taken =
+            mw_now() - connection->heard_us < CONNECTION_ALIVE_US;
         return connection;
     }
     if (host->connections->len >=
--- a/source/run/http-client.h
+++ b/source/run/http-client.h
@@ -37,6 +37,11 @@
      * says, the first may have been handled, or may yet be.
      */
     bool was_repeated;
+    /*
+     * A process had taken the connection that carried the request, or its
+     * first copy, and the connection was closed there without a response.
+     */
+    bool was_cut_off;
     int status;
     struct mw_str body;
     /* complete header lines */
--- a/tests/http-script.c
+++ b/tests/http-script.c
@@ -44,6 +44,7 @@
     GAsyncQueue *outcomes;
     /* outcomes say whether the call was sent twice */
     bool tells_repeats;
+    bool tells_cut_off;
     /* listens for the client */
     int listen_fd;
     /* of clients that have not sent all of their request */
@@ -126,7 +127,10 @@
                   response->body.ptr,
                   st->tells_repeats && response->was_repeated ? " repeated"
                                                               : "")
-            : g_strdup(words[response->outcome]));
+            : g_strdup_printf("%s%s", words[response->outcome],
+                              st->tells_cut_off && response->was_cut_off
+                                  ? " cut off"
+                                  : ""));
 }
 
 static void
@@ -789,6 +793,47 @@
     st->tells_repeats = false;
 }
 
+/* cut-off: a call whose connection is accepted and then closed */
+static void
+cmd_cut_off(struct mw_script *s)
+{
+    struct state *st = s->state;
+
+    st->tells_cut_off = true;
+    send_call(s, mw_name_str(&st->address), 2000000);
+    close(accept(st->listen_fd, NULL, NULL));
+    print_outcome(s);
+    st->tells_cut_off = false;
+}
+
+/*
+ * stale-cut-off IDLE_MS: a call gets a response; a second one on the same
+ * connection IDLE_MS later finds it closed, and no process listens any more.
+ */
+static void
+cmd_stale_cut_off(struct mw_script *s)
+{
+    struct state *st = s->state;
+    char buffer[1024];
+    int first;
+
+    send_call(s, mw_name_str(&st->address), 2000000);
+    first = accept(st->listen_fd, NULL, NULL);
+    answer(first, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    print_outcome(s);
+    g_usleep((gulong)atoi(mw_script_word(s, 1)) * 1000);
+    st->tells_cut_off = true;
+    send_call(s, mw_name_str(&st->address), 2000000);
+    if (recv(first, buffer, sizeof buffer, 0) <= 0) {
+        mw_script_printf(s, "  the connection was not reused");
+    }
+    close(st->listen_fd);
+    st->listen_fd = -1;
+    close(first);
+    print_outcome(s);
+    st->tells_cut_off = false;
+}
+
 /* silent: a call that gets no response by its deadline */
 static void
 cmd_silent(struct mw_script *s)
@@ -817,6 +862,8 @@
     {"client", 0, cmd_client},
     {"answer", 1, cmd_answer},
     {"stale", 1, cmd_stale},
+    {"cut-off", 0, cmd_cut_off},
+    {"stale-cut-off", 1, cmd_stale_cut_off},
     {"halves", 1, cmd_halves},
     {"silent", 0, cmd_silent},
     {"call", 1, cmd_call},
