Orders for zones are numbered by the process that receives them

Callers saw tasks start in a zone for as long as they looked after its evacuation had been acknowledged (EVAC), and nobody had taken the zone back.

Cause: an order for a zone that one process forwards to the leader had no age and no number. One that a cut link held back for 1.25 s was acted on when it arrived, after the operator had sent it elsewhere, and then its opposite.

Change: the receiving process adds the index of the last record of the log that it knows; heartbeats of the leader carry it for processes that follow no log. The leader compares it with the index of the last record for the zone: an order that may be older is acknowledged without a record if it says what is in force, and refused with 503 outdated if it says the opposite. This holds for orders that wait for the next leader, too.

--- a/include/mimosawind/error.h
+++ b/include/mimosawind/error.h
@@ -51,8 +51,9 @@
     MW_ERR_TRUNCATED = -35,
     MW_ERR_OUT = -36,
     MW_ERR_NO_QUEUE = -37,
+    MW_ERR_OUTDATED = -38,
     /* one past the last code */
-    MW_ERR_LAST = -38
+    MW_ERR_LAST = -39
 };
 
 /* mw_execution_status: execution status, what is known of whether a job was
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -254,6 +254,11 @@
     struct mw_str path;
     struct mw_str key;
     struct mw_str body;
+    /*
+     * The index of the last record of the log that was known to the process
+     * which received the request, when it did; 0 for none.
+     */
+    uint64_t known_index;
 };
 
 enum mw_flow_reply_kind {
--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -90,6 +90,8 @@
     struct mw_name members[MW_MEMBERS_MAX];
     /* MW_PROTOCOL of the sender; 0 of processes that have none */
     uint32_t protocol;
+    /* of the last record of the region's log that the sender has applied */
+    uint64_t applied_index;
 };
 
 struct mw_msg_log {
@@ -178,6 +180,8 @@
     struct mw_blob *path;
     struct mw_blob *key;
     struct mw_blob *body;
+    /* see struct mw_flow_request */
+    uint64_t known_index;
 };
 
 /* mw_msg_flow_return: the reply to a forwarded request. */
--- a/source/core/error.c
+++ b/source/core/error.c
@@ -164,6 +164,11 @@
                                "no route has this host and path; put a "
                                "configuration in force that has one",
                                404),
+    [-MW_ERR_OUTDATED] = ERROR("outdated",
+                               "a later order may have been taken since this "
+                               "one was received; send it again if it is "
+                               "still wanted",
+                               503),
 };
 
 static const struct error_info *
--- a/source/core/flow/flow-control-impl.h
+++ b/source/core/flow/flow-control-impl.h
@@ -6,6 +6,7 @@
 #include "flow-heartbeat-relay.h"
 #include "flow-heartbeat-target.h"
 #include "flow-pause.h"
+#include "flow-zone-order.h"
 #include "mimosawind/flow-process.h"
 
 /*
@@ -19,6 +20,7 @@
  *   flow-heartbeat-relay.c    heartbeats that are passed on to the leader
  *   flow-heartbeat-target.c   which process takes an endpoint's heartbeats
  *   flow-pause.c              whether the process has stood still
+ *   flow-zone-order.c         which order for a zone is the newest
  */
 
 /* mw_request_origin: where the reply to a request of the scheduler goes. */
@@ -49,6 +51,9 @@
     bool leaving;
     int64_t heartbeat_deadline_us;
     struct mw_pause_watch pauses;
+    struct mw_zone_orders zone_orders;
+    /* of the last record that was applied */
+    uint64_t applied_index;
     /* forwards requests while another process is the leader */
     struct mw_flow_entry *entry;
     /* the same for heartbeats of endpoints */
--- a/source/core/flow/flow-control-log.c
+++ b/source/core/flow/flow-control-log.c
@@ -47,7 +47,11 @@
 {
     struct mw_flow_control *control = opaque;
 
-    (void)index;
+    control->applied_index = index;
+    if (record->kind == MW_RECORD_ZONE_OUT) {
+        mw_note_zone_order(&control->zone_orders, &record->zone_out.zone,
+                           record->zone_out.out, index);
+    }
     give_up_lost_leadership(control);
     mw_flows_apply(control->ctx, control->flows, control->now_us, record);
 }
@@ -58,6 +62,7 @@
     struct mw_flow_control *control = opaque;
 
     give_up_lost_leadership(control);
+    mw_forget_zone_orders(&control->zone_orders);
     mw_flows_reset(control->flows);
 }
 
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -11,9 +11,16 @@
 flows_propose(void *opaque, struct mw_record *record)
 {
     struct mw_flow_control *control = opaque;
+    uint64_t index = 0;
+    int err = mw_log_propose(control->ctx, control->log, control->now_us,
+                             record, &index);
 
-    return mw_log_propose(control->ctx, control->log, control->now_us, record,
-                          NULL);
+    if (!err && record->kind == MW_RECORD_ZONE_OUT) {
+        mw_note_proposed_zone_order(&control->zone_orders,
+                                    &record->zone_out.zone,
+                                    record->zone_out.out, index);
+    }
+    return err;
 }
 
 static void
@@ -132,6 +139,7 @@
     control->flows = mw_new_flows(&setup->limits, &output);
     control->entry = mw_new_flow_entry(&entry, &setup->name, setup->first_ref);
     mw_init_heartbeat_relay(control);
+    mw_init_zone_orders(&control->zone_orders);
     if (setup->member_count > 0) {
         control->log = mw_new_flow_control_log(control);
     }
@@ -146,6 +154,7 @@
         mw_drop_flows(control->flows);
         mw_drop_flow_entry(control->entry);
         mw_drop_heartbeat_relay(control->relay);
+        mw_clear_zone_orders(&control->zone_orders);
         g_hash_table_unref(control->origins);
         g_free(control);
     }
@@ -189,6 +198,9 @@
         set_suspended(control, !ready);
         return;
     }
+    if (!ready || status.term != control->leader_term) {
+        mw_void_proposed_zone_orders(&control->zone_orders);
+    }
     if (ready != control->is_leader) {
         struct mw_flow_event event = {.name = "lead",
                                       .outcome = ready ? "gained" : "lost",
@@ -226,26 +238,75 @@
     return origin->ref;
 }
 
+static bool
+is_zone_order(enum mw_flow_request_kind kind)
+{
+    return kind == MW_FLOW_ZONE_OUT || kind == MW_FLOW_ZONE_IN;
+}
+
 /*
- * Whether the operator may have given up and sent a later order elsewhere: an
- * order for a zone has no number by which that would show.
+ * Whether the order may have waited at this process, while the operator gave
+ * up and sent a later one elsewhere.
  */
 static bool
-may_be_outdated(const struct mw_flow_control *control, int64_t now_us,
+may_have_waited(const struct mw_flow_control *control, int64_t now_us,
                 enum mw_flow_request_kind kind)
 {
-    bool is_zone_order = kind == MW_FLOW_ZONE_OUT || kind == MW_FLOW_ZONE_IN;
-
-    return is_zone_order && mw_may_have_paused(&control->pauses, now_us);
+    return is_zone_order(kind) && mw_may_have_paused(&control->pauses, now_us);
 }
 
 /* Nothing was done; the order may be sent again. */
 static const struct mw_flow_reply outdated_reply = {
     .kind = MW_REPLY_ERROR,
-    .error = MW_ERR_NOT_LEADER,
+    .error = MW_ERR_OUTDATED,
     .retry_after_us = MW_RETRY_AFTER_MIN_US,
 };
 
+static const struct mw_flow_reply in_force_reply = {.kind = MW_REPLY_DONE};
+
+static void
+emit_zone_order_event(struct mw_flow_control *control,
+                      const struct mw_name *zone, const char *outcome)
+{
+    struct mw_flow_event event = {.name = "zone_order",
+                                  .outcome = outcome,
+                                  .zone = *zone,
+                                  .age_us = -1,
+                                  .term = control->leader_term};
+
+    control->setup.output.event(control->setup.output.opaque, &event);
+}
+
+/*
+ * The reply to an order that was received earlier or elsewhere, if a newer one
+ * may have been taken since; NULL if the leader must act on it.
+ */
+static const struct mw_flow_reply *
+judge_old_order(struct mw_flow_control *control,
+                const struct mw_flow_request *request)
+{
+    struct mw_name zone = mw_name_of(request->path);
+    struct mw_log_status status;
+
+    if (!is_zone_order(request->kind) || !control->is_leader ||
+        control->suspended) {
+        return NULL;
+    }
+    mw_log_get_status(control->log, &status);
+    switch (mw_judge_zone_order(&control->zone_orders, &zone,
+                                request->kind == MW_FLOW_ZONE_OUT,
+                                request->known_index, status.snapshot_index)) {
+    case MW_ZONE_ORDER_IN_FORCE:
+        emit_zone_order_event(control, &zone, "in_force");
+        return &in_force_reply;
+    case MW_ZONE_ORDER_OUTDATED:
+        emit_zone_order_event(control, &zone, "outdated");
+        return &outdated_reply;
+    default:
+        return NULL;
+    }
+}
+
 static void
 receive_forwarded(struct mw_context *ctx, struct mw_flow_control *control,
                   int64_t now_us, int64_t wall_us, const struct mw_name *from,
@@ -259,10 +320,15 @@
         .path = mw_blob_str(msg->path),
         .key = mw_blob_str(msg->key),
         .body = mw_blob_str(msg->body),
+        .known_index = msg->known_index,
     };
+    const struct mw_flow_reply *reply =
+        may_have_waited(control, now_us, msg->kind)
+            ? &outdated_reply
+            : judge_old_order(control, &request);
 
-    if (may_be_outdated(control, now_us, msg->kind)) {
-        send_reply(control, &origin, &outdated_reply);
+    if (reply) {
+        send_reply(control, &origin, reply);
         return;
     }
     request.ref = mw_add_request_origin(control, from, msg->ref);
@@ -381,6 +447,17 @@
     mw_update_leadership(ctx, control, now_us);
 }
 
+static void
+reply_directly(struct mw_flow_control *control,
+               const struct mw_flow_request *request,
+               const struct mw_flow_reply *reply)
+{
+    struct mw_flow_reply direct = *reply;
+
+    direct.ref = request->ref;
+    control->setup.output.reply(control->setup.output.opaque, &direct);
+}
+
 static void
 handle_own_request(struct mw_context *ctx, struct mw_flow_control *control,
                    int64_t now_us, int64_t wall_us,
@@ -398,16 +475,16 @@
                         struct mw_flow_control *control, int64_t now_us,
                         int64_t wall_us, const struct mw_flow_request *request)
 {
-    struct mw_flow_reply refusal = outdated_reply;
+    struct mw_flow_request numbered = *request;
 
-    if (may_be_outdated(control, now_us, request->kind)) {
-        refusal.ref = request->ref;
-        control->setup.output.reply(control->setup.output.opaque, &refusal);
+    if (may_have_waited(control, now_us, request->kind)) {
+        reply_directly(control, request, &outdated_reply);
         return;
     }
     mw_update_leadership(ctx, control, now_us);
     if (!control->is_leader || control->suspended) {
-        mw_flow_entry_request(control->entry, now_us, request,
+        numbered.known_index = control->applied_index;
+        mw_flow_entry_request(control->entry, now_us, &numbered,
                               now_us + MW_FLOW_FORWARD_TIMEOUT_US);
         return;
     }
@@ -425,7 +502,13 @@
 serve_locally(void *opaque, const struct mw_flow_request *request)
 {
     const struct local_service *service = opaque;
+    const struct mw_flow_reply *reply =
+        judge_old_order(service->control, request);
 
+    if (reply) {
+        reply_directly(service->control, request, reply);
+        return;
+    }
     handle_own_request(service->ctx, service->control,
                        service->control->now_us, service->wall_us, request);
 }
@@ -475,6 +558,7 @@
             mw_log_get_members(control->log, heartbeat->members);
     }
     heartbeat->protocol = MW_PROTOCOL;
+    heartbeat->applied_index = control->applied_index;
     return msg;
 }
 
--- a/source/core/flow/flow-entry-impl.h
+++ b/source/core/flow/flow-entry-impl.h
@@ -57,6 +57,8 @@
     /* the leader's version of the configuration; 0 for none */
     uint64_t version;
     int64_t leader_heartbeat_us;
+    /* the last record that a leader had applied, by its heartbeats */
+    uint64_t known_index;
     uint32_t member_count;
     struct mw_known_member members[MW_MEMBERS_MAX];
     /* mw_flow_entry_end was called */
--- a/source/core/flow/flow-entry-pending.c
+++ b/source/core/flow/flow-entry-pending.c
@@ -68,6 +68,7 @@
     msg->flow_call.path = mw_new_blob(request->path);
     msg->flow_call.key = mw_new_blob(request->key);
     msg->flow_call.body = mw_new_blob(request->body);
+    msg->flow_call.known_index = request->known_index;
     return msg;
 }
 
@@ -84,6 +85,8 @@
     pending->leader_deadline_us = now_us + MW_FLOW_LEADER_WAIT_US;
     pending->received_us = now_us;
     pending->msg = new_flow_call(request, pending->ref);
+    pending->msg->flow_call.known_index =
+        MAX(request->known_index, entry->known_index);
     pending->bytes = request_size(request);
     add_pending(entry, pending);
     return pending;
@@ -136,6 +139,7 @@
         .path = mw_blob_str(call->path),
         .key = mw_blob_str(call->key),
         .body = mw_blob_str(call->body),
+        .known_index = call->known_index,
     };
 }
 
--- a/source/core/flow/flow-entry.c
+++ b/source/core/flow/flow-entry.c
@@ -336,6 +336,7 @@
         return;
     }
     entry->leader_heartbeat_us = now_us;
+    entry->known_index = MAX(entry->known_index, heartbeat->applied_index);
     entry->version = heartbeat->version[MW_PRODUCTION];
     if (!changed) {
         mw_forward_pending_requests(entry, now_us, false);
--- a/source/wire/frame-decode.c
+++ b/source/wire/frame-decode.c
@@ -50,6 +50,7 @@
     heartbeat->leaving = wire->leaving;
     heartbeat->epoch = wire->epoch;
     heartbeat->protocol = wire->protocol;
+    heartbeat->applied_index = wire->applied_index;
     heartbeat->load.queued = wire->queued;
     heartbeat->load.free_accelerators = wire->free_accelerators;
     heartbeat->version[MW_TRIAL] = wire->trial_version;
@@ -233,6 +234,7 @@
     call->path = mw_unpack_blob(wire->path);
     call->key = mw_unpack_blob(wire->key);
     call->body = mw_unpack_blob(wire->body);
+    call->known_index = wire->known_index;
     return 0;
 }
 
--- a/source/wire/frame-encode.c
+++ b/source/wire/frame-encode.c
@@ -199,6 +199,7 @@
         wire->flow_call->path = mw_pack_blob(msg->flow_call.path);
         wire->flow_call->key = mw_pack_blob(msg->flow_call.key);
         wire->flow_call->body = mw_pack_blob(msg->flow_call.body);
+        wire->flow_call->known_index = msg->flow_call.known_index;
         return;
     }
     BEGIN_BODY(FLOW_RETURN, flow_return);
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -3259,7 +3259,7 @@
   (ProtobufCMessageInit) mw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[13] =
+static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[14] =
 {
   {
     "role",
@@ -3417,8 +3417,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "applied_index",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Heartbeat, applied_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__heartbeat__field_indices_by_name[] = {
+  13,   /* field[13] = applied_index */
   6,   /* field[6] = epoch */
   10,   /* field[10] = free_accelerators */
   3,   /* field[3] = leads_region */
@@ -3436,7 +3449,7 @@
 static const ProtobufCIntRange mw__wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mw__wire__heartbeat__descriptor =
 {
@@ -3446,7 +3459,7 @@
   "Mw__Wire__Heartbeat",
   "mw.wire",
   sizeof(Mw__Wire__Heartbeat),
-  13,
+  14,
   mw__wire__heartbeat__field_descriptors,
   mw__wire__heartbeat__field_indices_by_name,
   1,  mw__wire__heartbeat__number_ranges,
@@ -4546,7 +4559,7 @@
   (ProtobufCMessageInit) mw__wire__judged__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__flow_call__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mw__wire__flow_call__field_descriptors[7] =
 {
   {
     "ref",
@@ -4620,19 +4633,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_index",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__FlowCall, known_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__flow_call__field_indices_by_name[] = {
   5,   /* field[5] = body */
   2,   /* field[2] = host */
   4,   /* field[4] = key */
   1,   /* field[1] = kind */
+  6,   /* field[6] = known_index */
   3,   /* field[3] = path */
   0,   /* field[0] = ref */
 };
 static const ProtobufCIntRange mw__wire__flow_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mw__wire__flow_call__descriptor =
 {
@@ -4642,7 +4668,7 @@
   "Mw__Wire__FlowCall",
   "mw.wire",
   sizeof(Mw__Wire__FlowCall),
-  6,
+  7,
   mw__wire__flow_call__field_descriptors,
   mw__wire__flow_call__field_indices_by_name,
   1,  mw__wire__flow_call__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -367,10 +367,14 @@
    * what the sender understands; 0 of processes before FlowHeartbeats
    */
   uint32_t protocol;
+  /*
+   * the last record of the region's log that the sender has applied
+   */
+  uint64_t applied_index;
 };
 #define MW__WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__heartbeat__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -593,10 +597,14 @@
   ProtobufCBinaryData path;
   ProtobufCBinaryData key;
   ProtobufCBinaryData body;
+  /*
+   * the last record of the log that the process knew which received the request
+   */
+  uint64_t known_index;
 };
 #define MW__WIRE__FLOW_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__flow_call__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL} }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -111,6 +111,15 @@
     mw_start_node(node_word(s, 1));
 }
 
+/* hold A B on|off: the link holds messages back, and passes them on later */
+static void
+cmd_hold(struct mw_script *s)
+{
+    mw_hold_region_link(script_region(s), node_word(s, 1)->index,
+                        node_word(s, 2)->index,
+                        strcmp(mw_script_word(s, 3), "on") == 0);
+}
+
 /* cut A B on|off: the link between two processes */
 static void
 cmd_cut(struct mw_script *s)
@@ -413,6 +422,7 @@
     {"wipe", 1, cmd_wipe},
     {"start", 1, cmd_start},
     {"cut", 3, cmd_cut},
+    {"hold", 3, cmd_hold},
     {"reset", 2, cmd_reset},
     {"count-from", 1, cmd_count_from},
     {"config", 2, cmd_config},
--- a/tests/region.c
+++ b/tests/region.c
@@ -422,7 +422,8 @@
         struct packet *packet = region->in_flight->pdata[i];
         struct mw_region_node *to = &region->nodes[packet->to];
 
-        if (packet->at_us > region->now_us || (to->up && to->frozen)) {
+        if (packet->at_us > region->now_us || (to->up && to->frozen) ||
+            region->held[packet->from][packet->to]) {
             i++;
             continue;
         }
@@ -453,8 +454,8 @@
     for (int a = 0; a < region->count; a++) {
         for (int b = 0; b < region->count; b++) {
             struct mw_region_node *node = &region->nodes[a];
-            bool unreachable = region->cut[a][b] || !region->nodes[b].up ||
-                               region->nodes[b].frozen;
+            bool unreachable = region->cut[a][b] || region->held[a][b] ||
+                               !region->nodes[b].up || region->nodes[b].frozen;
 
             if (!unreachable) {
                 region->last_heard_us[a][b] = region->now_us;
@@ -672,6 +673,7 @@
     region->count = 0;
     memset(region->nodes, 0, sizeof region->nodes);
     memset(region->cut, 0, sizeof region->cut);
+    memset(region->held, 0, sizeof region->held);
     memset(region->disconnected, 0, sizeof region->disconnected);
     memset(region->last_heard_us, 0, sizeof region->last_heard_us);
     region->last_ref = 0;
@@ -697,6 +699,13 @@
     g_free(region);
 }
 
+void
+mw_hold_region_link(struct mw_region *region, int a, int b, bool held)
+{
+    region->held[a][b] = held;
+    region->held[b][a] = held;
+}
+
 void
 mw_set_region_cut(struct mw_region *region, int a, int b, bool cut)
 {
--- a/tests/region.h
+++ b/tests/region.h
@@ -148,6 +148,8 @@
     struct mw_region_node nodes[MW_REGION_NODES_MAX];
     /* links that drop all messages */
     bool cut[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
+    /* links that hold back what is sent, until they are released */
+    bool held[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
     /* by the process that hears, then the one that is heard */
     int64_t last_heard_us[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
     bool disconnected[MW_REGION_NODES_MAX][MW_REGION_NODES_MAX];
@@ -219,6 +221,11 @@
 
 /* mw_set_region_cut: whether the link of two processes drops all messages. */
 void mw_set_region_cut(struct mw_region *region, int a, int b, bool cut);
+/*
+ * mw_hold_region_link: whether the link of two processes holds all messages
+ * back, as one does that a partition has cut for less than its timeout.
+ */
+void mw_hold_region_link(struct mw_region *region, int a, int b, bool held);
 
 /* mw_find_region_node: the process with this name, or NULL. */
 struct mw_region_node *mw_find_region_node(struct mw_region *region,
