Waits for late starts outlast restarts, and answered starts need none

Callers saw a job whose run had failed have nothing running for 78 s, with all endpoints idle (LOST), while the core was restarted in turn.

Cause: a leader counted four starts of each run of an earlier leader as outstanding, though one was sent and a list had shown it; and it reckoned the 18 s in which they may be executed from when its process had read the record, so that every restart began the wait anew.

Change: the flow clock goes on over leaders and restarts, in records and the leader's heartbeats; it may stand still and is never ahead. A record of an assignment says when it was made by it. The log also says how many starts of a run may have been sent: each after the first is recorded before it is sent, and the HTTP client no longer repeats starts by itself. A list that shows the run accounts for one.

--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -86,10 +86,18 @@
     /* a list of that incarnation has shown the run, and no start of it that
      * may be executed yet is left */
     bool is_identified;
+    /* how many starts of the run may have been sent; 0 if not recorded */
+    uint32_t starts;
+    /* when the run was assigned, in milliseconds of the flow clock modulo
+     * 2^32; 0 if not recorded */
+    uint32_t assigned_ms;
     struct mw_blob *checkpoint;
 };
 
 struct mw_record_tasks {
+    /* reading of the flow clock, and the term of the leader that made it */
+    uint64_t clock_term;
+    int64_t clock_us;
     uint32_t count;
     struct mw_task_record *entries;
 };
--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -457,6 +457,14 @@
 void mw_flows_set_leadership(struct mw_flows *flows, int64_t now_us,
                              bool is_leader, uint64_t fence);
 
+/*
+ * mw_flows_learn_clock, mw_flows_clock: the flow clock (flow-clock.h), which a
+ * leader's heartbeats carry.  term is the leader's; times in microseconds.
+ */
+void mw_flows_learn_clock(struct mw_flows *flows, int64_t now_us,
+                          uint64_t term, int64_t time_us);
+int64_t mw_flows_clock(const struct mw_flows *flows, int64_t now_us);
+
 /*
  * mw_flows_set_suspended: the leader's lease has expired, but nobody else
  * leads.
--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -92,6 +92,8 @@
     uint32_t protocol;
     /* of the last record of the region's log that the sender has applied */
     uint64_t applied_index;
+    /* the leader's reading of the flow clock */
+    int64_t clock_us;
 };
 
 struct mw_msg_log {
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -21,6 +21,9 @@
 #include "flow-state.h"
 #include "flow-task-state.h"
 
+/* a record could not be proposed: the log is full of others */
+#define START_RECORD_RETRY_US INT64_C(100000)
+
 static struct mw_flow_pending_command *
 new_pending_command(struct mw_flows *flows, int64_t now_us,
                     struct mw_flow_endpoint *endpoint,
@@ -116,14 +119,51 @@
     return checkpoint;
 }
 
+/*
+ * Records that the start may be sent once more; it is sent when that is
+ * committed.  The next leader knows by this how many starts there can be: once
+ * it has seen that all of them were executed, it waits for no other.
+ */
+static void
+propose_another_start(struct mw_flows *flows, int64_t now_us,
+                      struct mw_task_placement *placement)
+{
+    struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
+    struct mw_task_record *entry = g_new0(struct mw_task_record, 1);
+    const struct mw_flow_task *task =
+        &placement->group->tasks[placement->index];
+
+    record->tasks.count = 1;
+    record->tasks.entries = entry;
+    mw_init_task_record(placement->group, placement->index, entry);
+    entry->state = MW_TASK_ASSIGNED;
+    entry->endpoint = task->endpoint;
+    entry->incarnation = task->incarnation;
+    entry->starts = task->starts + 1;
+    if (mw_propose_tasks(flows, record)) {
+        placement->awaits_start_record = true;
+        placement->command_pending = true;
+    }
+    else {
+        placement->retry_deadline_us = now_us + START_RECORD_RETRY_US;
+    }
+    mw_drop_record(record);
+}
+
 void
 mw_send_start(struct mw_flows *flows, int64_t now_us,
               struct mw_task_placement *placement)
 {
-    struct mw_flow_pending_command *pending = new_pending_command(
-        flows, now_us, placement->endpoint, MW_FLOW_COMMAND_START);
+    struct mw_flow_pending_command *pending;
     bool urgent = placement->group->rank <= MW_URGENT_RANK_MAX;
 
+    if (placement->starts_sent >=
+        placement->group->tasks[placement->index].starts) {
+        propose_another_start(flows, now_us, placement);
+        return;
+    }
+    pending = new_pending_command(flows, now_us, placement->endpoint,
+                                  MW_FLOW_COMMAND_START);
     pending->task = mw_placed_task_id(placement);
     pending->run = placement->run;
     placement->command_pending = true;
@@ -184,6 +224,7 @@
         mw_count_latency(flows, MW_LATENCY_PLACE, now_us - group->ready_us);
     }
     placement->start_attempts++;
+    placement->starts_sent++;
     placement->start_in_flight = true;
     placement->start_sent_us = now_us;
     placement->start_generation = placement->endpoint->generation;
@@ -245,7 +286,7 @@
     }
     if (placement && is_start && placement->phase == MW_PLACEMENT_STARTING) {
         if (now_us - pending->queued_us >= MW_START_QUEUE_TIMEOUT_US ||
-            now_us >= mw_start_deadline(placement, now_us)) {
+            now_us >= mw_start_deadline(flows, placement, now_us)) {
             withdraw_start(flows, now_us, placement, "queue_timeout");
         }
         else if (placement->endpoint->is_contested) {
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -358,6 +358,8 @@
     }
     if (heartbeat->leads_region) {
         control->leader_protocol = heartbeat->protocol;
+        mw_flows_learn_clock(control->flows, control->now_us, heartbeat->epoch,
+                             heartbeat->clock_us);
     }
     if (control->log && heartbeat->role == MW_ROLE_CONTROL &&
         heartbeat->member_count == 0) {
@@ -559,6 +561,7 @@
     }
     heartbeat->protocol = MW_PROTOCOL;
     heartbeat->applied_index = control->applied_index;
+    heartbeat->clock_us = mw_flows_clock(control->flows, control->now_us);
     return msg;
 }
 
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -494,6 +494,7 @@
     struct mw_flow_pending_request pending = {
         .ref = ref, .kind = MW_FLOW_DRAIN, .name = heartbeat->id};
 
+    flows->now_us = now_us;
     if (!flows->is_leader || flows->suspended) {
         return MW_ERR_NOT_LEADER;
     }
--- a/source/core/flow/flow-late-start.c
+++ b/source/core/flow/flow-late-start.c
@@ -117,12 +117,13 @@
 }
 
 void
-mw_note_earlier_start(struct mw_task_placement *placement, int64_t now_us)
+mw_note_earlier_start(const struct mw_flows *flows,
+                      struct mw_task_placement *placement, int64_t now_us)
 {
-    /* the earlier leader may have sent it so often */
-    placement->starts_outstanding = MW_START_ATTEMPTS_MAX;
+    placement->starts_sent = placement->group->tasks[placement->index].starts;
+    placement->starts_outstanding = placement->starts_sent;
     placement->execution_deadline_us =
-        mw_start_deadline(placement, now_us) + MW_LATE_EXECUTION_US;
+        mw_start_deadline(flows, placement, now_us) + MW_LATE_EXECUTION_US;
     mw_note_unidentified_grant(placement->endpoint,
                                now_us + MW_LATE_EXECUTION_US);
     placement->was_identified =
@@ -130,8 +131,7 @@
     if (placement->was_identified) {
         placement->starts_outstanding = 0;
     }
-    /* an earlier leader that had read its log anew reckons from later on */
-    if (now_us >= placement->execution_deadline_us + MW_LATE_EXECUTION_US) {
+    if (now_us >= placement->execution_deadline_us) {
         placement->starts_outstanding = 0;
     }
 }
@@ -221,13 +221,15 @@
 }
 
 int64_t
-mw_start_deadline(const struct mw_task_placement *placement, int64_t now_us)
+mw_start_deadline(const struct mw_flows *flows,
+                  const struct mw_task_placement *placement, int64_t now_us)
 {
     const struct mw_flow_task *task =
         &placement->group->tasks[placement->index];
-    uint32_t age_ms = (uint32_t)(now_us / 1000) - task->assigned_ms;
+    int64_t time_us = mw_flow_clock_time(&flows->clock, now_us);
+    int32_t age_ms = (int32_t)(mw_flow_clock_ms(time_us) - task->assigned_ms);
 
-    return now_us - INT64_C(1000) * age_ms + MW_START_WINDOW_US;
+    return now_us - INT64_C(1000) * MAX(age_ms, 0) + MW_START_WINDOW_US;
 }
 
 /*
@@ -242,7 +244,7 @@
     const struct mw_task_group *group = placement->group;
 
     return mw_run_is_wanted(flows, placement) &&
-           now_us < mw_start_deadline(placement, now_us) &&
+           now_us < mw_start_deadline(flows, placement, now_us) &&
            placement->start_attempts < MW_START_ATTEMPTS_MAX &&
            mw_name_equal(&endpoint->heartbeat.service,
                          &group->flow->route.service) &&
--- a/source/core/flow/flow-late-start.h
+++ b/source/core/flow/flow-late-start.h
@@ -19,7 +19,8 @@
 void mw_note_listed_start(struct mw_task_placement *placement,
                           int64_t listed_us);
 /* the run was recorded under an earlier leader */
-void mw_note_earlier_start(struct mw_task_placement *placement,
+void mw_note_earlier_start(const struct mw_flows *flows,
+                           struct mw_task_placement *placement,
                            int64_t now_us);
 /* a call that extends leases was sent, and may be executed until then */
 void mw_note_unidentified_grant(struct mw_flow_endpoint *endpoint,
@@ -40,7 +41,8 @@
 int64_t mw_run_expiry(const struct mw_flows *flows,
                       const struct mw_task_placement *placement);
 /* mw_start_deadline: a start of the run may be sent until then */
-int64_t mw_start_deadline(const struct mw_task_placement *placement,
+int64_t mw_start_deadline(const struct mw_flows *flows,
+                          const struct mw_task_placement *placement,
                           int64_t now_us);
 /* mw_may_start_again: whether a start of the run may be sent, or repeated */
 bool mw_may_start_again(const struct mw_flows *flows, int64_t now_us,
--- a/source/core/flow/flow-placement-state.h
+++ b/source/core/flow/flow-placement-state.h
@@ -49,6 +49,10 @@
     bool start_cut_off;
     /* how often a start was sent */
     uint32_t start_attempts;
+    /* starts that were sent by any leader, but for those that were refused */
+    uint32_t starts_sent;
+    /* the record that allows one more start is not committed yet */
+    bool awaits_start_record;
     /* starts without a response that may not have been executed yet */
     uint32_t starts_outstanding;
     /* a start has been executed, by whichever process of the endpoint */
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -95,6 +95,8 @@
         }
         break;
     default:
+        /* it was not executed, and can't be any more */
+        placement->starts_sent -= was_in_flight && !response->was_repeated;
         break;
     }
 }
@@ -448,6 +450,7 @@
     if (!pending) {
         return;
     }
+    flows->now_us = now_us;
     g_hash_table_steal(flows->pending_commands, &response->ref);
     note_response(flows, now_us, pending, response);
     mw_note_begun_by_response(flows, pending, response);
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -238,8 +238,8 @@
 /* Proposes a record of the runs; their starts are sent once it is committed.
  */
 static void
-propose_runs(struct mw_flows *flows, struct mw_task_group *group,
-             GPtrArray *chosen)
+propose_runs(struct mw_flows *flows, int64_t now_us,
+             struct mw_task_group *group, GPtrArray *chosen)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
     uint32_t gang_run = mw_task_group_last_run(group) + 1;
@@ -261,6 +261,9 @@
         entry->run = group->step->gang ? gang_run : task->run + 1;
         entry->endpoint = endpoint->id;
         entry->incarnation = endpoint->incarnation;
+        entry->starts = 1;
+        entry->assigned_ms =
+            mw_flow_clock_ms(mw_flow_clock_time(&flows->clock, now_us));
         mw_add_task_placement(flows, endpoint, group, i, entry->run,
                               MW_PLACEMENT_PROPOSED);
     }
@@ -360,7 +363,7 @@
         }
     }
     if (found > 0) {
-        propose_runs(flows, group, chosen);
+        propose_runs(flows, now_us, group, chosen);
     }
     if (found == waiting) {
         mw_release_reservation(flows, group);
@@ -506,7 +509,7 @@
         placement = mw_add_task_placement(flows, endpoint, group, i, task->run,
                                           MW_PLACEMENT_UNKNOWN);
         placement->started_us = now_us;
-        mw_note_earlier_start(placement, now_us);
+        mw_note_earlier_start(flows, placement, now_us);
     }
     if (is_partly_over(group)) {
         mw_stop_task_group(flows, now_us, group);
@@ -581,6 +584,11 @@
     flows->is_leader = is_leader;
     flows->suspended = false;
     flows->fence = fence;
+    flows->now_us = now_us;
+    if (is_leader) {
+        mw_learn_flow_clock(&flows->clock, now_us, fence,
+                            mw_flow_clock_time(&flows->clock, now_us));
+    }
     flows->last_generation = 0;
     flows->earlier_leases_deadline_us =
         now_us + mw_lease_duration(flows->limits.lease_max_us);
@@ -635,6 +643,7 @@
               int64_t wall_us)
 {
     (void)ctx;
+    flows->now_us = now_us;
     if (!flows->is_leader || flows->suspended) {
         return;
     }
--- a/source/core/flow/flow-scheduler-state.h
+++ b/source/core/flow/flow-scheduler-state.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "endpoint-speed.h"
+#include "flow-clock.h"
 #include "flow-command-queue.h"
 #include "flow-config-versions.h"
 #include "flow-task-state.h"
@@ -23,6 +24,7 @@
  *   flow-registry.c     records of endpoints
  *   flow-response.c     responses to commands
  *   flow-late-start.c   starts that endpoints may still execute
+ *   flow-clock.c        time that goes on over leaders and restarts
  *   flow-reconcile.c    reconciles lists of runs with placements
  *   flow-state.c        applies committed records
  *   flow-config-versions.c  the configuration in force
@@ -71,6 +73,7 @@
     GHashTable *zones_out;
     /* last record of each endpoint that is not gone, by identifier */
     GHashTable *endpoint_records;
+    struct mw_flow_clock clock;
 
     bool is_leader;
     bool suspended;
--- a/source/core/flow/flow-snapshot.c
+++ b/source/core/flow/flow-snapshot.c
@@ -9,13 +9,16 @@
 #include "mimosawind/flow.h"
 
 static void
-snapshot_tasks(struct mw_flow *flow, void *out,
+snapshot_tasks(const struct mw_flows *flows, struct mw_flow *flow, void *out,
                void (*add)(void *out, struct mw_record *record))
 {
     for (uint32_t i = 0; i < flow->group_count; i++) {
         struct mw_task_group *group = &flow->groups[i];
         struct mw_record *record = mw_new_record(MW_RECORD_TASKS);
 
+        record->tasks.clock_term = flows->clock.term;
+        record->tasks.clock_us =
+            mw_flow_clock_time(&flows->clock, flows->now_us);
         record->tasks.entries =
             g_new0(struct mw_task_record, group->step->count);
         for (uint32_t t = 0; t < group->step->count; t++) {
@@ -42,7 +45,7 @@
 }
 
 static void
-snapshot_flow(struct mw_flow *flow, void *out,
+snapshot_flow(const struct mw_flows *flows, struct mw_flow *flow, void *out,
               void (*add)(void *out, struct mw_record *record))
 {
     struct mw_record *record = mw_new_record(MW_RECORD_FLOW);
@@ -55,7 +58,7 @@
     record->flow.plan = mw_keep_blob(flow->plan_text);
     add(out, record);
     mw_drop_record(record);
-    snapshot_tasks(flow, out, add);
+    snapshot_tasks(flows, flow, out, add);
 }
 
 static gint
@@ -104,7 +107,7 @@
     }
     g_ptr_array_sort(all, by_acceptance);
     for (guint i = 0; i < all->len; i++) {
-        snapshot_flow(all->pdata[i], out, add);
+        snapshot_flow(flows, all->pdata[i], out, add);
     }
     g_ptr_array_unref(all);
 }
--- a/source/core/flow/flow-state.c
+++ b/source/core/flow/flow-state.c
@@ -31,6 +31,8 @@
 bool
 mw_propose_tasks(struct mw_flows *flows, struct mw_record *record)
 {
+    record->tasks.clock_term = flows->fence;
+    record->tasks.clock_us = mw_flow_clock_time(&flows->clock, flows->now_us);
     if (flows->output.propose(flows->output.opaque, record) != 0) {
         return false;
     }
@@ -58,6 +60,8 @@
         .run = task->run,
         .failures = task->failures,
         .crash_score = task->crash_score + task->unrecorded_crash_score,
+        .starts = task->starts,
+        .assigned_ms = task->assigned_ms,
         .checkpoint = mw_keep_blob(task->checkpoint),
     };
 }
@@ -400,15 +404,34 @@
     }
 }
 
+/* The record allows another start of a run that is being started. */
+static void
+resume_start(struct mw_flows *flows, int64_t now_us,
+             struct mw_task_placement *placement)
+{
+    placement->awaits_start_record = false;
+    if (placement->phase == MW_PLACEMENT_STARTING) {
+        placement->command_pending = false;
+        placement->retry_deadline_us = now_us;
+        flows->dirty = true;
+    }
+}
+
 static void
 start_assigned_run(struct mw_flows *flows, int64_t now_us,
                    struct mw_flow_task *task)
 {
     struct mw_task_placement *placement = task->placement;
 
-    if (!flows->is_leader || !placement ||
-        placement->phase != MW_PLACEMENT_PROPOSED ||
-        placement->run != task->run) {
+    if (!flows->is_leader || !placement || placement->run != task->run) {
+        return;
+    }
+    if (placement->awaits_start_record &&
+        placement->starts_sent < task->starts) {
+        resume_start(flows, now_us, placement);
+        return;
+    }
+    if (placement->phase != MW_PLACEMENT_PROPOSED) {
         return;
     }
     placement->phase = MW_PLACEMENT_STARTING;
@@ -438,22 +461,44 @@
            (entry->state == MW_TASK_WAITING && entry->endpoint.len > 0);
 }
 
+/* A record of an earlier version does not say when, or how often. */
 static void
+apply_assignment(struct mw_flows *flows, int64_t now_us,
+                 struct mw_flow_task *task, const struct mw_task_record *entry,
+                 bool is_new_run)
+{
+    int64_t time_us = mw_flow_clock_time(&flows->clock, now_us);
+
+    task->starts =
+        MIN(entry->starts > 0 ? entry->starts : MW_START_ATTEMPTS_MAX,
+            MW_TASK_STARTS_MAX);
+    if (entry->assigned_ms > 0) {
+        task->assigned_ms = entry->assigned_ms;
+    }
+    else if (is_new_run) {
+        task->assigned_ms = mw_flow_clock_ms(time_us);
+    }
+    start_assigned_run(flows, now_us, task);
+}
+
+/* Returns whether the record allows a start: it shows no end of a run then. */
+static bool
 apply_task_entry(struct mw_flows *flows, int64_t now_us,
                  const struct mw_task_record *entry)
 {
     bool is_new_run;
+    bool allows_start;
     struct mw_task_group *group;
     struct mw_flow_task *task = mw_find_task(flows, &entry->id, &group);
 
     if (!task) {
-        return;
+        return false;
     }
     if (flows->is_leader && task->uncommitted_records > 0) {
         task->uncommitted_records--;
     }
     if (task->state == MW_TASK_DONE) {
-        return;
+        return false;
     }
     if (entry->checkpoint != task->checkpoint) {
         mw_drop_blob(task->checkpoint);
@@ -464,6 +509,8 @@
         task->awaits_late_start = false;
     }
     is_new_run = task->state != MW_TASK_ASSIGNED || task->run != entry->run;
+    allows_start = entry->state == MW_TASK_ASSIGNED &&
+                   (is_new_run || entry->starts > task->starts);
     task->state = entry->state;
     task->run = entry->run;
     task->is_identified = entry->is_identified;
@@ -474,12 +521,10 @@
     task->endpoint = entry->endpoint;
     task->incarnation = entry->incarnation;
     group->flow->has_begun |= shows_execution(entry);
-    if (entry->state == MW_TASK_ASSIGNED && is_new_run) {
-        task->assigned_ms = (uint32_t)(now_us / 1000);
-    }
     if (entry->state == MW_TASK_ASSIGNED) {
-        start_assigned_run(flows, now_us, task);
+        apply_assignment(flows, now_us, task, entry, is_new_run);
     }
+    return allows_start;
 }
 
 static void
@@ -519,6 +564,22 @@
     }
 }
 
+static void
+apply_tasks(struct mw_flows *flows, int64_t now_us,
+            const struct mw_record_tasks *tasks)
+{
+    bool allows_start = false;
+
+    mw_learn_flow_clock(&flows->clock, now_us, tasks->clock_term,
+                        tasks->clock_us);
+    for (uint32_t i = 0; i < tasks->count; i++) {
+        allows_start |= apply_task_entry(flows, now_us, &tasks->entries[i]);
+    }
+    if (tasks->count > 0 && !allows_start) {
+        on_end_committed(flows, &tasks->entries[0]);
+    }
+}
+
 void
 mw_flows_apply(struct mw_context *ctx, struct mw_flows *flows, int64_t now_us,
                struct mw_record *record)
@@ -538,12 +599,7 @@
         apply_flow_state(flows, now_us, &record->flow_state);
         break;
     case MW_RECORD_TASKS:
-        for (uint32_t i = 0; i < record->tasks.count; i++) {
-            apply_task_entry(flows, now_us, &record->tasks.entries[i]);
-        }
-        if (record->tasks.count > 0) {
-            on_end_committed(flows, &record->tasks.entries[0]);
-        }
+        apply_tasks(flows, now_us, &record->tasks);
         break;
     case MW_RECORD_ENDPOINT:
         mw_apply_flow_endpoint(flows, record);
@@ -568,6 +624,19 @@
     mw_reset_flow_configs(&flows->configs);
 }
 
+void
+mw_flows_learn_clock(struct mw_flows *flows, int64_t now_us, uint64_t term,
+                     int64_t time_us)
+{
+    mw_learn_flow_clock(&flows->clock, now_us, term, time_us);
+}
+
+int64_t
+mw_flows_clock(const struct mw_flows *flows, int64_t now_us)
+{
+    return mw_flow_clock_time(&flows->clock, now_us);
+}
+
 const struct mw_flow_counters *
 mw_flows_get_counters(const struct mw_flows *flows)
 {
--- a/source/core/flow/flow-task-state.h
+++ b/source/core/flow/flow-task-state.h
@@ -8,6 +8,10 @@
 
 /* flow-task-state: flows, their groups of tasks, and the tasks. */
 
+/* starts of a run that are counted; there are far fewer */
+#define MW_TASK_STARTS_BITS 7
+#define MW_TASK_STARTS_MAX ((1u << MW_TASK_STARTS_BITS) - 1)
+
 /* see struct mw_task_group: groups up to this rank are urgent */
 #define MW_URGENT_RANK_MAX 1
 
@@ -24,11 +28,13 @@
     struct mw_name endpoint;
     uint64_t incarnation;
     struct mw_blob *checkpoint;
-    /* when this process applied the record of the run, in milliseconds modulo
-     * 2^32 */
+    /* when the run was assigned, in milliseconds of the flow clock modulo 2^32
+     */
     uint32_t assigned_ms;
     /* a list has shown the run, and no start of it is left */
-    bool is_identified;
+    bool is_identified : 1;
+    /* how many starts of the run may have been sent, by any leader */
+    uint8_t starts : MW_TASK_STARTS_BITS;
     /* of the leader: */
     /* its run is over where it was placed, but see flow-late-start.c */
     bool awaits_late_start;
--- a/source/run/http-client-impl.h
+++ b/source/run/http-client-impl.h
@@ -48,6 +48,7 @@
     bool grace_used;
     /* the address is invalid: it can't be sent */
     bool is_invalid;
+    bool is_single;
     /* it has been sent on a connection that failed at once */
     bool was_repeated;
     /* a process had taken its connection and closed it */
--- a/source/run/http-client.c
+++ b/source/run/http-client.c
@@ -200,8 +200,6 @@
     failed->request = NULL;
     close_connection(failed);
     g_queue_push_head(&request->host->waiting, request);
-    /* others that have been idle may have ended with it */
-    close_idle_connections(request->host);
     send_waiting(request->host);
 }
 
@@ -225,8 +223,12 @@
         return;
     }
     request->was_cut_off |= connection->is_taken;
+    if (connection->is_reused && !connection->has_response) {
+        /* others that have been idle may have ended with it */
+        close_idle_connections(host);
+    }
     if (connection->is_reused && !connection->has_response &&
-        !request->was_repeated) {
+        !request->was_repeated && !request->is_single) {
         repeat_request(request);
     }
     else {
@@ -412,6 +414,7 @@
     struct sockaddr_storage address;
 
     request->host = host;
+    request->is_single = call->is_single;
     request->is_invalid = !mw_parse_address(&call->address, &address);
     request->opaque = call->opaque;
     request->text = format_request(call);
--- a/source/run/http-client.h
+++ b/source/run/http-client.h
@@ -8,7 +8,8 @@
  *
  * Connections are kept and reused.  A request that fails on a reused
  * connection before any byte of the response arrived is sent once more on a
- * new one, so requests must be idempotent.  A connection without a response by
+ * new one, unless is_single says otherwise, so requests must be idempotent.  A
+ * connection without a response by
  * the deadline is closed, and the other connections to the address as well:
  * established connections can stop carrying data while new ones still work.
  *
@@ -58,6 +59,8 @@
     struct mw_str headers;
     struct mw_str body;
     int64_t deadline_us;
+    /* it is never sent a second time */
+    bool is_single;
     void *opaque;
 };
 
--- a/source/wire/frame-decode.c
+++ b/source/wire/frame-decode.c
@@ -51,6 +51,7 @@
     heartbeat->epoch = wire->epoch;
     heartbeat->protocol = wire->protocol;
     heartbeat->applied_index = wire->applied_index;
+    heartbeat->clock_us = wire->clock_us;
     heartbeat->load.queued = wire->queued;
     heartbeat->load.free_accelerators = wire->free_accelerators;
     heartbeat->version[MW_TRIAL] = wire->trial_version;
--- a/source/wire/frame-encode.c
+++ b/source/wire/frame-encode.c
@@ -27,6 +27,7 @@
     wire->heartbeat->production_version = heartbeat->version[MW_PRODUCTION];
     wire->heartbeat->protocol = heartbeat->protocol;
     wire->heartbeat->applied_index = heartbeat->applied_index;
+    wire->heartbeat->clock_us = heartbeat->clock_us;
     wire->heartbeat->n_members = heartbeat->member_count;
     wire->heartbeat->members =
         mw_scratch_alloc(scratch, (heartbeat->member_count + 1) *
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -1929,7 +1929,7 @@
   (ProtobufCMessageInit) mw__wire__part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__record__field_descriptors[17] =
+static const ProtobufCFieldDescriptor mw__wire__record__field_descriptors[19] =
 {
   {
     "kind",
@@ -2135,9 +2135,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_term",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Record, clock_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_us",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Record, clock_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__record__field_indices_by_name[] = {
   8,   /* field[8] = attempt */
+  17,   /* field[17] = clock_term */
+  18,   /* field[18] = clock_us */
   16,   /* field[16] = endpoint */
   3,   /* field[3] = environment */
   10,   /* field[10] = error */
@@ -2158,7 +2184,7 @@
 static const ProtobufCIntRange mw__wire__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor mw__wire__record__descriptor =
 {
@@ -2168,7 +2194,7 @@
   "Mw__Wire__Record",
   "mw.wire",
   sizeof(Mw__Wire__Record),
-  17,
+  19,
   mw__wire__record__field_descriptors,
   mw__wire__record__field_indices_by_name,
   1,  mw__wire__record__number_ranges,
@@ -2601,7 +2627,7 @@
   (ProtobufCMessageInit) mw__wire__flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[12] =
+static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[14] =
 {
   {
     "flow",
@@ -2747,8 +2773,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "starts",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "assigned_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, assigned_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__task_note__field_indices_by_name[] = {
+  13,   /* field[13] = assigned_ms */
   8,   /* field[8] = born */
   9,   /* field[9] = checkpoint */
   10,   /* field[10] = crash_score */
@@ -2759,13 +2810,14 @@
   3,   /* field[3] = index */
   1,   /* field[1] = occurrence */
   5,   /* field[5] = run */
+  12,   /* field[12] = starts */
   4,   /* field[4] = state */
   2,   /* field[2] = step */
 };
 static const ProtobufCIntRange mw__wire__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mw__wire__task_note__descriptor =
 {
@@ -2775,7 +2827,7 @@
   "Mw__Wire__TaskNote",
   "mw.wire",
   sizeof(Mw__Wire__TaskNote),
-  12,
+  14,
   mw__wire__task_note__field_descriptors,
   mw__wire__task_note__field_indices_by_name,
   1,  mw__wire__task_note__number_ranges,
@@ -3259,7 +3311,7 @@
   (ProtobufCMessageInit) mw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[15] =
 {
   {
     "role",
@@ -3429,9 +3481,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Heartbeat, clock_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__heartbeat__field_indices_by_name[] = {
   13,   /* field[13] = applied_index */
+  14,   /* field[14] = clock_us */
   6,   /* field[6] = epoch */
   10,   /* field[10] = free_accelerators */
   3,   /* field[3] = leads_region */
@@ -3449,7 +3514,7 @@
 static const ProtobufCIntRange mw__wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor mw__wire__heartbeat__descriptor =
 {
@@ -3459,7 +3524,7 @@
   "Mw__Wire__Heartbeat",
   "mw.wire",
   sizeof(Mw__Wire__Heartbeat),
-  14,
+  15,
   mw__wire__heartbeat__field_descriptors,
   mw__wire__heartbeat__field_indices_by_name,
   1,  mw__wire__heartbeat__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -165,10 +165,15 @@
   size_t n_tasks;
   Mw__Wire__TaskNote **tasks;
   Mw__Wire__Endpoint *endpoint;
+  /*
+   * of tasks: reading of the flow clock, and the term of the leader
+   */
+  uint64_t clock_term;
+  int64_t clock_us;
 };
 #define MW__WIRE__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__record__descriptor) \
-    , 0, {0,NULL}, 0, 0, {0,NULL}, {0,NULL}, 0, NULL, NULL, 0,NULL, 0, 0, NULL, 0, NULL, 0,NULL, NULL }
+    , 0, {0,NULL}, 0, 0, {0,NULL}, {0,NULL}, 0, NULL, NULL, 0,NULL, 0, 0, NULL, 0, NULL, 0,NULL, NULL, 0, 0 }
 
 
 /*
@@ -257,10 +262,16 @@
    * a list of that incarnation has shown the run, and no start of it is left
    */
   protobuf_c_boolean identified;
+  /*
+   * how many starts of the run may have been sent, and when it was assigned, in
+   * milliseconds of the flow clock modulo 2^32; 0 if not recorded
+   */
+  uint32_t starts;
+  uint32_t assigned_ms;
 };
 #define MW__WIRE__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__task_note__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0 }
 
 
 /*
@@ -371,10 +382,14 @@
    * the last record of the region's log that the sender has applied
    */
   uint64_t applied_index;
+  /*
+   * the leader's reading of the flow clock
+   */
+  int64_t clock_us;
 };
 #define MW__WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__heartbeat__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -39,6 +39,8 @@
 pack_tasks(struct mw_scratch *scratch, const struct mw_record_tasks *tasks,
            Mw__Wire__Record *wire)
 {
+    wire->clock_term = tasks->clock_term;
+    wire->clock_us = tasks->clock_us;
     wire->n_tasks = tasks->count;
     wire->tasks =
         mw_scratch_alloc(scratch, (tasks->count + 1) * sizeof *wire->tasks);
@@ -59,6 +61,8 @@
         message->endpoint = mw_pack_name(&task->endpoint);
         message->born = task->incarnation;
         message->identified = task->is_identified;
+        message->starts = task->starts;
+        message->assigned_ms = task->assigned_ms;
         message->checkpoint = mw_pack_blob(task->checkpoint);
         wire->tasks[i] = message;
     }
@@ -191,6 +195,8 @@
     task->crash_score = wire->crash_score;
     task->incarnation = wire->born;
     task->is_identified = wire->identified;
+    task->starts = wire->starts;
+    task->assigned_ms = wire->assigned_ms;
     task->checkpoint = mw_unpack_blob(wire->checkpoint);
     return err ? err : mw_unpack_name(wire->endpoint, &task->endpoint);
 }
@@ -200,6 +206,8 @@
 {
     int err = 0;
 
+    tasks->clock_term = wire->clock_term;
+    tasks->clock_us = wire->clock_us;
     tasks->entries = g_new0(struct mw_task_record, wire->n_tasks + 1);
     for (size_t i = 0; i < wire->n_tasks && !err; i++) {
         err = unpack_task(wire->tasks[i], &tasks->entries[i]);
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -1006,18 +1006,27 @@
     g_ptr_array_unref(records);
 }
 
-/* replay: replaces the scheduler with one that reads all committed records */
+/*
+ * replay [heard=1]: replaces the scheduler with one that reads all committed
+ * records, and has heard a heartbeat of the last leader
+ */
 static void
 cmd_replay(struct mw_script *s)
 {
     struct state *st = script_state(s);
 
+    bool heard = mw_script_option_int(s, "heard", 0) != 0;
+    int64_t clock_us = mw_flows_clock(st->flows, st->now_us);
+
     mw_drop_flows(st->flows);
     new_flows(st);
     for (guint i = 0; i < st->committed->len; i++) {
         mw_flows_apply(&st->ctx, st->flows, st->now_us,
                        st->committed->pdata[i]);
     }
+    if (heard) {
+        mw_flows_learn_clock(st->flows, st->now_us, st->fence, clock_us);
+    }
 }
 
 /* orgs: the metrics of the organisations */
