A report displaces no endpoint before a list has shown who is there

Callers saw a job stay queued for good (LOST) though the worker that could do it was idle, sound and in touch: nothing was started there any more.

Cause: what a report says was acted on before anything had shown it to be true. One report of another writer, with a service that no configuration has, deregistered the idle endpoint at its address; the list that was then asked for showed that nobody of that name is there, and every later heartbeat of the endpoint was ignored.

Change: a heartbeat whose service is named nowhere changes nothing. An address belongs to the endpoint whose list was last read there: a heartbeat of another one waits for that one's list, or for its own. If a life was only announced and not found, earlier heartbeats count again.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -395,6 +395,8 @@
     /* times that something contradicted what was known of an endpoint's
      * process */
     uint64_t contests;
+    /* heartbeats that name a service which nothing else does */
+    uint64_t foreign_heartbeats;
     /* placements that went past an endpoint with a bad neighbour */
     uint64_t neighbours_avoided;
 };
@@ -584,6 +586,10 @@
 int mw_index_flow_key(struct mw_flow_config *config,
                       const struct mw_flow_key *key);
 
+/* mw_flow_config_has_service: whether the configuration names the service. */
+bool mw_flow_config_has_service(const struct mw_flow_config *config,
+                                const struct mw_name *service);
+
 /*
  * mw_flow_find_route: by host and longest path prefix; NULL for none.
  *
--- a/source/core/flow/flow-account.c
+++ b/source/core/flow/flow-account.c
@@ -49,6 +49,22 @@
     return account;
 }
 
+bool
+mw_has_account_of_service(GHashTable *accounts, const struct mw_name *service)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (mw_name_equal(&((struct mw_flow_account *)value)->service,
+                          service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 mw_add_account_use(struct mw_flow_account *account,
                    const struct mw_flow_resources *need)
--- a/source/core/flow/flow-account.h
+++ b/source/core/flow/flow-account.h
@@ -23,6 +23,9 @@
 struct mw_flow_account *mw_get_flow_account(GHashTable *accounts,
                                             const struct mw_name *org,
                                             const struct mw_name *service);
+/* mw_has_account_of_service: whether there was a flow for the service. */
+bool mw_has_account_of_service(GHashTable *accounts,
+                               const struct mw_name *service);
 /* a run with this need may be at work from now on */
 void mw_add_account_use(struct mw_flow_account *account,
                         const struct mw_flow_resources *need);
--- a/source/core/flow/flow-config.c
+++ b/source/core/flow/flow-config.c
@@ -66,6 +66,14 @@
     g_hash_table_add(get_index(config)->services, (gpointer)service);
 }
 
+bool
+mw_flow_config_has_service(const struct mw_flow_config *config,
+                           const struct mw_name *service)
+{
+    return config->index &&
+           g_hash_table_contains(config->index->services, service);
+}
+
 int
 mw_index_flow_route(struct mw_flow_config *config,
                     const struct mw_flow_route *route)
--- a/source/core/flow/flow-endpoint-state.h
+++ b/source/core/flow/flow-endpoint-state.h
@@ -73,6 +73,8 @@
      * list will show whether another incarnation is there.
      */
     bool is_contested;
+    /* the heartbeat that does, if that list decides about it; or NULL */
+    struct mw_flow_heartbeat *held_heartbeat;
     /* when the next renewal may be sent */
     int64_t renewal_deadline_us;
     /* numbers of the last end that was listed, recorded, acknowledged */
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -1,6 +1,7 @@
 /*
  * flow-endpoint: registration of endpoints and their incarnations.
  */
+#include "flow-account.h"
 #include "flow-capacity.h"
 #include "flow-command.h"
 #include "flow-endpoint-state.h"
@@ -27,6 +28,7 @@
 
     g_ptr_array_unref(endpoint->placements);
     mw_drop_late_starts(endpoint);
+    g_free(endpoint->held_heartbeat);
     g_free(endpoint);
 }
 
@@ -275,36 +277,55 @@
     return true;
 }
 
+/* Whether a list of its present process has been read. */
+static bool
+is_confirmed(const struct mw_flow_endpoint *endpoint)
+{
+    return endpoint->listed_generation == endpoint->generation;
+}
+
+/* The endpoint that has the address, if another one than this. */
+static struct mw_flow_endpoint *
+find_other_at(const struct mw_flows *flows, const struct mw_name *address,
+              const struct mw_name *id)
+{
+    struct mw_flow_endpoint *other =
+        g_hash_table_lookup(flows->by_address, address);
+
+    if (!other || !other->registered || other->deregistered ||
+        mw_name_equal(&other->id, id)) {
+        return NULL;
+    }
+    return other;
+}
+
 /*
- * Whether the heartbeat is ignored for another endpoint at the same address:
- * a later one, or one with runs whose list must show whether it is there yet.
- * Otherwise the other one is deregistered.
+ * Whether the heartbeat is left aside for another endpoint at the same
+ * address: one whose list was read there and that is later, or one that
+ * answers, so that its list decides.
  */
 static bool
 is_superseded(struct mw_flows *flows, int64_t now_us,
               const struct mw_flow_heartbeat *heartbeat)
 {
     struct mw_flow_endpoint *other =
-        g_hash_table_lookup(flows->by_address, &heartbeat->address);
+        find_other_at(flows, &heartbeat->address, &heartbeat->id);
 
-    if (!other || !other->registered || other->deregistered ||
-        mw_name_equal(&other->id, &heartbeat->id)) {
+    if (!other) {
         return false;
     }
-    if (other->incarnation > heartbeat->incarnation ||
-        (other->placements->len > 0 &&
-         await_list(flows, now_us, other, "address"))) {
+    if (is_confirmed(other) && other->incarnation > heartbeat->incarnation) {
         return true;
     }
-    if (other->incarnation < heartbeat->incarnation) {
-        mw_void_outstanding_starts(other);
-        mw_deregister_flow_endpoint(flows, now_us, other,
-                                    "address_taken_over");
+    if (!await_list(flows, now_us, other, "address")) {
+        return false;
     }
-    return false;
+    g_free(other->held_heartbeat);
+    other->held_heartbeat = g_memdup2(heartbeat, sizeof *heartbeat);
+    return true;
 }
 
-/* The endpoint is the one that was last heard of at its address. */
+/* An address in use stays that of the other endpoint. */
 static void
 set_address(struct mw_flows *flows, struct mw_flow_endpoint *endpoint,
             const struct mw_name *address)
@@ -314,8 +335,59 @@
         g_hash_table_remove(flows->by_address, &endpoint->heartbeat.address);
     }
     endpoint->heartbeat.address = *address;
-    g_hash_table_replace(flows->by_address, &endpoint->heartbeat.address,
-                         endpoint);
+    if (!find_other_at(flows, address, &endpoint->id)) {
+        g_hash_table_replace(flows->by_address, &endpoint->heartbeat.address,
+                             endpoint);
+    }
+}
+
+void
+mw_confirm_flow_endpoint(struct mw_flows *flows, int64_t now_us,
+                         struct mw_flow_endpoint *endpoint)
+{
+    struct mw_flow_endpoint *other =
+        find_other_at(flows, &endpoint->heartbeat.address, &endpoint->id);
+
+    if (other) {
+        mw_void_outstanding_starts(other);
+        mw_deregister_flow_endpoint(flows, now_us, other,
+                                    "address_taken_over");
+    }
+    if (endpoint->registered &&
+        g_hash_table_lookup(flows->by_address, &endpoint->heartbeat.address) !=
+            endpoint) {
+        set_address(flows, endpoint, &endpoint->heartbeat.address);
+    }
+}
+
+void
+mw_settle_held_heartbeat(struct mw_flows *flows, int64_t now_us,
+                         struct mw_flow_endpoint *endpoint)
+{
+    struct mw_flow_heartbeat *held;
+
+    if (!endpoint->held_heartbeat ||
+        (endpoint->is_contested && !endpoint->deregistered &&
+         endpoint->renewal_failures == 0)) {
+        return;
+    }
+    held = g_steal_pointer(&endpoint->held_heartbeat);
+    if (endpoint->deregistered || endpoint->renewal_failures > 0) {
+        mw_register_flow_endpoint(flows, now_us, held, "known");
+    }
+    g_free(held);
+}
+
+/*
+ * Whether its present process was only announced, and no such process was
+ * found: an earlier heartbeat may be that of the true one.
+ */
+static bool
+is_unproven(const struct mw_flow_endpoint *endpoint)
+{
+    return !is_confirmed(endpoint) && endpoint->placements->len == 0 &&
+           !endpoint->heartbeat.draining &&
+           (endpoint->deregistered || endpoint->renewal_failures > 0);
 }
 
 /*
@@ -330,6 +402,9 @@
             const struct mw_flow_heartbeat *heartbeat)
 {
     if (heartbeat->incarnation < endpoint->incarnation) {
+        if (is_unproven(endpoint)) {
+            return false;
+        }
         await_list(flows, now_us, endpoint, "earlier_heartbeat");
         return true;
     }
@@ -429,6 +504,10 @@
                                         heartbeat->incarnation);
     }
     else if (endpoint->incarnation != heartbeat->incarnation) {
+        if (endpoint->incarnation > heartbeat->incarnation) {
+            /* the record of the one that was only announced */
+            mw_propose_flow_endpoint_removal(flows, endpoint);
+        }
         end_incarnation(flows, now_us, endpoint);
         begin_incarnation(flows, endpoint, heartbeat->incarnation);
     }
@@ -485,6 +564,27 @@
     }
 }
 
+/*
+ * Whether the heartbeat is of an endpoint that may get work, or has had some:
+ * its service is in the configuration, or it is known by this service, or
+ * there were flows for it.
+ */
+static bool
+names_known_service(struct mw_flows *flows,
+                    const struct mw_flow_heartbeat *heartbeat)
+{
+    const struct mw_flow_config *config = mw_get_flow_config(&flows->configs);
+    const struct mw_flow_endpoint *endpoint =
+        mw_find_flow_endpoint(flows, &heartbeat->id);
+
+    return !config ||
+           mw_flow_config_has_service(config, &heartbeat->service) ||
+           (endpoint && endpoint->registered &&
+            mw_name_equal(&endpoint->heartbeat.service,
+                          &heartbeat->service)) ||
+           mw_has_account_of_service(flows->accounts, &heartbeat->service);
+}
+
 int
 mw_flows_handle_heartbeat(struct mw_flows *flows, int64_t now_us,
                           const struct mw_flow_heartbeat *heartbeat,
@@ -502,6 +602,10 @@
         handle_leave(flows, now_us, &heartbeat->id);
         return 0;
     }
+    if (!names_known_service(flows, heartbeat)) {
+        flows->counters.foreign_heartbeats++;
+        return 0;
+    }
     mw_register_flow_endpoint(flows, now_us, heartbeat, "known");
     endpoint = mw_find_flow_endpoint(flows, &heartbeat->id);
     if (!endpoint || endpoint->deregistered ||
--- a/source/core/flow/flow-endpoint.h
+++ b/source/core/flow/flow-endpoint.h
@@ -60,6 +60,18 @@
 void mw_contest_flow_endpoint(struct mw_flows *flows, int64_t now_us,
                               struct mw_flow_endpoint *endpoint,
                               const char *evidence);
+/*
+ * mw_confirm_flow_endpoint: a list of the endpoint has been read at its
+ * address, so no other one is there.
+ */
+void mw_confirm_flow_endpoint(struct mw_flows *flows, int64_t now_us,
+                              struct mw_flow_endpoint *endpoint);
+/*
+ * mw_settle_held_heartbeat: after a response of the endpoint, decides about
+ * the heartbeat of another one at its address.
+ */
+void mw_settle_held_heartbeat(struct mw_flows *flows, int64_t now_us,
+                              struct mw_flow_endpoint *endpoint);
 /*
  * mw_deregister_flow_endpoint: this incarnation has gone; a later one may
  * register again.
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -245,6 +245,7 @@
         identify_process(flows, now_us, endpoint);
     }
     endpoint->listed_generation = endpoint->generation;
+    mw_confirm_flow_endpoint(flows, now_us, endpoint);
     endpoint->list_requested_us = renewal->sent_us;
     endpoint->list_read_us = now_us;
 }
@@ -334,12 +335,14 @@
         response->incarnation != endpoint->incarnation) {
         mw_flow_endpoint_restarted(flows, now_us, endpoint,
                                    response->incarnation);
+        mw_settle_held_heartbeat(flows, now_us, endpoint);
         return;
     }
     if (response->result == MW_FLOW_OTHER_INCARNATION) {
         mw_void_outstanding_starts(endpoint);
         mw_deregister_flow_endpoint(flows, now_us, endpoint,
                                     "other_incarnation");
+        mw_settle_held_heartbeat(flows, now_us, endpoint);
         return;
     }
     if (contradicts_clock(endpoint, now_us, pending, response)) {
@@ -358,6 +361,7 @@
             handle_renewal_response(flows, now_us, endpoint, response,
                                     pending);
             mw_settle_leave(flows, now_us, endpoint, response->result);
+            mw_settle_held_heartbeat(flows, now_us, endpoint);
         }
         return;
     }
--- a/source/run/flow-metrics.c
+++ b/source/run/flow-metrics.c
@@ -150,6 +150,7 @@
     COUNTER(endpoint_crashes);
     COUNTER(crashing_flows);
     COUNTER(contests);
+    COUNTER(foreign_heartbeats);
     COUNTER(neighbours_avoided);
     g_string_append_printf(
         out,
--- a/tests/platform-script.c
+++ b/tests/platform-script.c
@@ -263,6 +263,10 @@
                          decoded.response.run_count,
                          decoded.response.has_list ? "" : ", no list");
     }
+    if (err && (decoded.response.has_clock || decoded.response.incarnation ||
+                decoded.response.run_count)) {
+        mw_script_printf(s, "  a part of it is believed");
+    }
     for (uint32_t i = 0; !err && i < decoded.response.run_count; i++) {
         const struct mw_listed_run *run = &decoded.response.runs[i];
 
