A paused leader's refusal of a zone order is sent again by its forwarder

Cause: since a leader that had stood still refused a forwarded order for a zone as outdated, with Retry-After 1, which goes to the operator at once. Before, it said that it does not lead, and the process that forwarded the order sent it again with the next heartbeat, inside the operator's second.

Change: the refusal after a pause is as before. An order that is refused since a newer one may have been taken carries no Retry-After: it may be sent again at once.

--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -255,11 +255,17 @@
     return is_zone_order(kind) && mw_may_have_paused(&control->pauses, now_us);
 }
 
-/* Nothing was done; the order may be sent again. */
+/* Nothing was done; the process that forwarded the order sends it again. */
+static const struct mw_flow_reply paused_reply = {
+    .kind = MW_REPLY_ERROR,
+    .error = MW_ERR_NOT_LEADER,
+    .retry_after_us = MW_RETRY_AFTER_MIN_US,
+};
+
+/* Nothing was done; the operator may send the order again at once. */
 static const struct mw_flow_reply outdated_reply = {
     .kind = MW_REPLY_ERROR,
     .error = MW_ERR_OUTDATED,
-    .retry_after_us = MW_RETRY_AFTER_MIN_US,
 };
 
 static const struct mw_flow_reply in_force_reply = {.kind = MW_REPLY_DONE};
@@ -324,7 +330,7 @@
     };
     const struct mw_flow_reply *reply =
         may_have_waited(control, now_us, msg->kind)
-            ? &outdated_reply
+            ? &paused_reply
             : judge_old_order(control, &request);
 
     if (reply) {
@@ -480,7 +486,7 @@
     struct mw_flow_request numbered = *request;
 
     if (may_have_waited(control, now_us, request->kind)) {
-        reply_directly(control, request, &outdated_reply);
+        reply_directly(control, request, &paused_reply);
         return;
     }
     mw_update_leadership(ctx, control, now_us);
