A change of a zone that a link held back no longer undoes a newer one

Change: the entry process adds the number of the zone's last change that it knows by the heartbeats of the zone's processes. The zone's leader refuses a change with 503 outdated if one that says the opposite has been recorded since. Changes that are requested at the same time are ordered by the zone's log, as before (world/operators-race).

--- a/include/mimosawind/message.h
+++ b/include/mimosawind/message.h
@@ -94,6 +94,8 @@
     uint64_t applied_index;
     /* the leader's reading of the flow clock */
     int64_t clock_us;
+    /* of a zone's leader: the number of the last change of the zone's state */
+    uint64_t zone_sequence;
 };
 
 struct mw_msg_log {
@@ -144,6 +146,11 @@
     struct mw_document *document;
     struct mw_name zone;
     bool out;
+    /*
+     * Of MW_CHANGE_ZONE: the number of the last change of the zone's state
+     * that was known where this one was received; a later one may be newer.
+     */
+    uint64_t known_sequence;
 };
 
 /* mw_change_result: the result of a change. */
--- a/source/core/control-change.c
+++ b/source/core/control-change.c
@@ -300,6 +300,17 @@
                  (struct mw_str){text, (size_t)len});
 }
 
+/*
+ * Whether the change waited in a connection or a process, and one that says
+ * the opposite has been recorded since it was received.
+ */
+static bool
+is_outdated(const struct mw_control *control, const struct mw_change *change)
+{
+    return change->out != mw_zone_is_out_of_service(control->zone) &&
+           change->known_sequence < control->zone_sequence;
+}
+
 static void
 receive_zone(struct mw_context *ctx, struct mw_control *control,
              int64_t now_us, const struct mw_name *from, struct mw_msg *msg)
@@ -321,6 +332,10 @@
         refuse(ctx, control, from, change, err);
         return;
     }
+    if (is_outdated(control, change)) {
+        refuse(ctx, control, from, change, MW_ERR_OUTDATED);
+        return;
+    }
     bool is_applied =
         control->zone_proposed_sequence <= control->zone_sequence;
 
--- a/source/core/control-heartbeat.c
+++ b/source/core/control-heartbeat.c
@@ -17,6 +17,7 @@
     beat->leads_region =
         mw_control_is_leader(control, MW_GROUP_REGION, now_us);
     beat->out = mw_zone_is_out_of_service(control->zone);
+    beat->zone_sequence = control->zone_sequence;
     beat->leaving = control->leaving;
     beat->epoch = view.term;
     mw_zone_get_load(control->zone, &beat->load);
--- a/source/core/entry-admission.c
+++ b/source/core/entry-admission.c
@@ -143,6 +143,7 @@
 
     msg->change = *change;
     msg->change.document = mw_keep_document(change->document);
+    msg->change.known_sequence = mw_zone_sequence(entry->peers, &change->zone);
     mw_send_request(entry, now_us,
                     mw_add_request(entry, handle, MW_REQUEST_CHANGE, msg,
                                    now_us + CHANGE_TIMEOUT_US));
--- a/source/core/peer.c
+++ b/source/core/peer.c
@@ -30,6 +30,25 @@
            now_us - peer->last_heartbeat_us <= MW_PEER_TIMEOUT_US;
 }
 
+uint64_t
+mw_zone_sequence(GHashTable *peers, const struct mw_name *zone)
+{
+    uint64_t sequence = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct mw_heartbeat *heartbeat =
+            &((struct mw_peer *)value)->heartbeat;
+
+        if (mw_name_equal(&heartbeat->zone, zone)) {
+            sequence = MAX(sequence, heartbeat->zone_sequence);
+        }
+    }
+    return sequence;
+}
+
 struct mw_peer *
 mw_zone_leader(GHashTable *peers, int64_t now_us, const struct mw_name *zone)
 {
--- a/source/core/peer.h
+++ b/source/core/peer.h
@@ -30,6 +30,10 @@
 /* mw_peer_is_live: connected, with a heartbeat in MW_PEER_TIMEOUT_US. */
 bool mw_peer_is_live(const struct mw_peer *peer, int64_t now_us);
 
+/* mw_zone_sequence: the highest number of a change of the zone's state that a
+ * process of the zone has told of; 0 for none. */
+uint64_t mw_zone_sequence(GHashTable *peers, const struct mw_name *zone);
+
 /* mw_zone_leader: the zone's live leader with the highest epoch, or NULL. */
 struct mw_peer *mw_zone_leader(GHashTable *peers, int64_t now_us,
                                const struct mw_name *zone);
--- a/source/wire/frame-decode.c
+++ b/source/wire/frame-decode.c
@@ -52,6 +52,7 @@
     heartbeat->protocol = wire->protocol;
     heartbeat->applied_index = wire->applied_index;
     heartbeat->clock_us = wire->clock_us;
+    heartbeat->zone_sequence = wire->zone_sequence;
     heartbeat->load.queued = wire->queued;
     heartbeat->load.free_accelerators = wire->free_accelerators;
     heartbeat->version[MW_TRIAL] = wire->trial_version;
@@ -175,6 +176,7 @@
     change->kind = (enum mw_change_kind)wire->kind;
     change->version = wire->version;
     change->out = wire->out;
+    change->known_sequence = wire->known_sequence;
     if (!err && change->kind == MW_CHANGE_TRY) {
         change->document = parse_document(ctx, wire->document, &err);
     }
--- a/source/wire/frame-encode.c
+++ b/source/wire/frame-encode.c
@@ -28,6 +28,7 @@
     wire->heartbeat->protocol = heartbeat->protocol;
     wire->heartbeat->applied_index = heartbeat->applied_index;
     wire->heartbeat->clock_us = heartbeat->clock_us;
+    wire->heartbeat->zone_sequence = heartbeat->zone_sequence;
     wire->heartbeat->n_members = heartbeat->member_count;
     wire->heartbeat->members =
         mw_scratch_alloc(scratch, (heartbeat->member_count + 1) *
@@ -124,6 +125,7 @@
     }
     wire->change->zone = mw_pack_name(&change->zone);
     wire->change->out = change->out;
+    wire->change->known_sequence = change->known_sequence;
 }
 
 static void
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -3311,7 +3311,7 @@
   (ProtobufCMessageInit) mw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor mw__wire__heartbeat__field_descriptors[16] =
 {
   {
     "role",
@@ -3493,6 +3493,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone_sequence",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Heartbeat, zone_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__heartbeat__field_indices_by_name[] = {
   13,   /* field[13] = applied_index */
@@ -3510,11 +3522,12 @@
   0,   /* field[0] = role */
   7,   /* field[7] = trial_version */
   1,   /* field[1] = zone */
+  15,   /* field[15] = zone_sequence */
 };
 static const ProtobufCIntRange mw__wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor mw__wire__heartbeat__descriptor =
 {
@@ -3524,7 +3537,7 @@
   "Mw__Wire__Heartbeat",
   "mw.wire",
   sizeof(Mw__Wire__Heartbeat),
-  15,
+  16,
   mw__wire__heartbeat__field_descriptors,
   mw__wire__heartbeat__field_indices_by_name,
   1,  mw__wire__heartbeat__number_ranges,
@@ -4239,7 +4252,7 @@
   (ProtobufCMessageInit) mw__wire__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__change__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mw__wire__change__field_descriptors[8] =
 {
   {
     "ref",
@@ -4325,10 +4338,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_sequence",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Change, known_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__change__field_indices_by_name[] = {
   4,   /* field[4] = document */
   1,   /* field[1] = kind */
+  7,   /* field[7] = known_sequence */
   2,   /* field[2] = operator_name */
   6,   /* field[6] = out */
   0,   /* field[0] = ref */
@@ -4338,7 +4364,7 @@
 static const ProtobufCIntRange mw__wire__change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mw__wire__change__descriptor =
 {
@@ -4348,7 +4374,7 @@
   "Mw__Wire__Change",
   "mw.wire",
   sizeof(Mw__Wire__Change),
-  7,
+  8,
   mw__wire__change__field_descriptors,
   mw__wire__change__field_indices_by_name,
   1,  mw__wire__change__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -386,10 +386,14 @@
    * the leader's reading of the flow clock
    */
   int64_t clock_us;
+  /*
+   * of a zone's leader: the number of the last change of the zone's state
+   */
+  uint64_t zone_sequence;
 };
 #define MW__WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__heartbeat__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -532,10 +536,14 @@
   ProtobufCBinaryData document;
   ProtobufCBinaryData zone;
   protobuf_c_boolean out;
+  /*
+   * the last change of the zone's state known where this one was received
+   */
+  uint64_t known_sequence;
 };
 #define MW__WIRE__CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__change__descriptor) \
-    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, 0 }
+    , 0, 0, {0,NULL}, 0, {0,NULL}, {0,NULL}, 0, 0 }
 
 
 /*
--- a/tests/world-script.c
+++ b/tests/world-script.c
@@ -92,6 +92,8 @@
     struct node nodes[NODES_MAX];
     /* whether messages from one node to another are dropped */
     bool cut[NODES_MAX][NODES_MAX];
+    /* links that hold back what is sent, until they are released */
+    bool held[NODES_MAX][NODES_MAX];
     /* of the connections from entry processes to control processes */
     int64_t last_connected_us[NODES_MAX][NODES_MAX];
     bool disconnected[NODES_MAX][NODES_MAX];
@@ -583,7 +585,8 @@
         struct packet *packet = cluster->packets->pdata[i];
         struct node *to = &cluster->nodes[packet->to];
 
-        if (packet->arrival_us > cluster->now_us || to->frozen) {
+        if (packet->arrival_us > cluster->now_us || to->frozen ||
+            cluster->held[packet->from][packet->to]) {
             i++;
             continue;
         }
@@ -1171,6 +1174,20 @@
     }
 }
 
+/* hold A B on|off: the link of two nodes holds messages back, then passes them
+ * on */
+static void
+cmd_hold(struct mw_script *s)
+{
+    struct cluster *cluster = s->state;
+    const struct node *a = node_at_word(s, 1);
+    const struct node *b = node_at_word(s, 2);
+    bool held = strcmp(mw_script_word(s, 3), "on") == 0;
+
+    cluster->held[a->index][b->index] = held;
+    cluster->held[b->index][a->index] = held;
+}
+
 static void
 cmd_heal(struct mw_script *s)
 {
@@ -1463,6 +1480,7 @@
     {"freeze", 1, cmd_freeze},
     {"thaw", 1, cmd_thaw},
     {"cut", 2, cmd_cut},
+    {"hold", 3, cmd_hold},
     {"heal", 0, cmd_heal},
     {"drain", 1, cmd_drain},
     {"show", 0, cmd_show},
