An order for a zone that says what is in force is recorded, too

Cause: an order that may be older, and says what is in force, was acknowledged without a record. If it was in truth the newest one, and its process only lagged behind, an opposite order that was older still had nothing newer to be compared with.

Change: such an order gets a record, as one that comes to the leader does; only the opposite of what is in force is refused. flow-clock.c is formatted.

Measured: region/ passes, 26 of 26; held-zone-order shows the record.

--- a/source/core/flow/flow-clock.c
+++ b/source/core/flow/flow-clock.c
@@ -21,9 +21,8 @@
 mw_learn_flow_clock(struct mw_flow_clock *clock, int64_t now_us, uint64_t term,
                     int64_t time_us)
 {
-    if (term < clock->term ||
-        (term == clock->term &&
-         time_us <= mw_flow_clock_time(clock, now_us))) {
+    if (term < clock->term || (term == clock->term &&
+                               time_us <= mw_flow_clock_time(clock, now_us))) {
         return;
     }
     *clock = (struct mw_flow_clock){term, time_us, now_us};
--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -268,49 +268,34 @@
     .error = MW_ERR_OUTDATED,
 };
 
-static const struct mw_flow_reply in_force_reply = {.kind = MW_REPLY_DONE};
-
-static void
-emit_zone_order_event(struct mw_flow_control *control,
-                      const struct mw_name *zone, const char *outcome)
+/*
+ * Whether a newer order may have been taken since this one was received, here
+ * earlier or by another process.  Only the leader knows.
+ */
+static bool
+is_outdated_order(struct mw_flow_control *control,
+                  const struct mw_flow_request *request)
 {
     struct mw_flow_event event = {.name = "zone_order",
-                                  .outcome = outcome,
-                                  .zone = *zone,
+                                  .outcome = "outdated",
+                                  .zone = mw_name_of(request->path),
                                   .age_us = -1,
                                   .term = control->leader_term};
-
-    control->setup.output.event(control->setup.output.opaque, &event);
-}
-
-/*
- * The reply to an order that was received earlier or elsewhere, if a newer one
- * may have been taken since; NULL if the leader must act on it.
- */
-static const struct mw_flow_reply *
-judge_old_order(struct mw_flow_control *control,
-                const struct mw_flow_request *request)
-{
-    struct mw_name zone = mw_name_of(request->path);
     struct mw_log_status status;
 
     if (!is_zone_order(request->kind) || !control->is_leader ||
         control->suspended) {
-        return NULL;
+        return false;
     }
     mw_log_get_status(control->log, &status);
-    switch (mw_judge_zone_order(&control->zone_orders, &zone,
-                                request->kind == MW_FLOW_ZONE_OUT,
-                                request->known_index, status.snapshot_index)) {
-    case MW_ZONE_ORDER_IN_FORCE:
-        emit_zone_order_event(control, &zone, "in_force");
-        return &in_force_reply;
-    case MW_ZONE_ORDER_OUTDATED:
-        emit_zone_order_event(control, &zone, "outdated");
-        return &outdated_reply;
-    default:
-        return NULL;
+    if (!mw_zone_order_is_outdated(&control->zone_orders, &event.zone,
+                                   request->kind == MW_FLOW_ZONE_OUT,
+                                   request->known_index,
+                                   status.snapshot_index)) {
+        return false;
     }
+    control->setup.output.event(control->setup.output.opaque, &event);
+    return true;
 }
 
 static void
@@ -328,13 +313,13 @@
         .body = mw_blob_str(msg->body),
         .known_index = msg->known_index,
     };
-    const struct mw_flow_reply *reply =
-        may_have_waited(control, now_us, msg->kind)
-            ? &paused_reply
-            : judge_old_order(control, &request);
 
-    if (reply) {
-        send_reply(control, &origin, reply);
+    if (may_have_waited(control, now_us, msg->kind)) {
+        send_reply(control, &origin, &paused_reply);
+        return;
+    }
+    if (is_outdated_order(control, &request)) {
+        send_reply(control, &origin, &outdated_reply);
         return;
     }
     request.ref = mw_add_request_origin(control, from, msg->ref);
@@ -510,11 +495,9 @@
 serve_locally(void *opaque, const struct mw_flow_request *request)
 {
     const struct local_service *service = opaque;
-    const struct mw_flow_reply *reply =
-        judge_old_order(service->control, request);
 
-    if (reply) {
-        reply_directly(service->control, request, reply);
+    if (is_outdated_order(service->control, request)) {
+        reply_directly(service->control, request, &outdated_reply);
         return;
     }
     handle_own_request(service->ctx, service->control,
--- a/source/core/flow/flow-zone-order.c
+++ b/source/core/flow/flow-zone-order.c
@@ -79,10 +79,10 @@
     order->out = out;
 }
 
-enum mw_zone_order_age
-mw_judge_zone_order(const struct mw_zone_orders *orders,
-                    const struct mw_name *zone, bool out, uint64_t known_index,
-                    uint64_t snapshot_index)
+bool
+mw_zone_order_is_outdated(const struct mw_zone_orders *orders,
+                          const struct mw_name *zone, bool out,
+                          uint64_t known_index, uint64_t snapshot_index)
 {
     static const struct mw_zone_order none;
     const struct mw_zone_order *order =
@@ -93,13 +93,9 @@
         order = &none;
     }
     if (order->proposed_index > order->index) {
-        return order->proposed_out == out ? MW_ZONE_ORDER_NEWEST
-                                          : MW_ZONE_ORDER_OUTDATED;
+        return order->proposed_out != out;
     }
     /* a snapshot has only the zones that are out */
     index = order->index > 0 ? order->index : snapshot_index;
-    if (known_index >= index) {
-        return MW_ZONE_ORDER_NEWEST;
-    }
-    return order->out == out ? MW_ZONE_ORDER_IN_FORCE : MW_ZONE_ORDER_OUTDATED;
+    return known_index < index && order->out != out;
 }
--- a/source/core/flow/flow-zone-order.h
+++ b/source/core/flow/flow-zone-order.h
@@ -23,15 +23,6 @@
     GHashTable *by_zone;
 };
 
-enum mw_zone_order_age {
-    /* no other order can be newer */
-    MW_ZONE_ORDER_NEWEST = 0,
-    /* another one may be newer, and says the same */
-    MW_ZONE_ORDER_IN_FORCE = 1,
-    /* another one may be newer, and says the opposite */
-    MW_ZONE_ORDER_OUTDATED = 2
-};
-
 void mw_init_zone_orders(struct mw_zone_orders *orders);
 void mw_clear_zone_orders(struct mw_zone_orders *orders);
 /* mw_forget_zone_orders: the log begins anew, with a snapshot. */
@@ -46,15 +37,16 @@
 void mw_note_zone_order(struct mw_zone_orders *orders,
                         const struct mw_name *zone, bool out, uint64_t index);
 /*
- * mw_judge_zone_order: whether another order may be newer than one that was
- * received when known_index was the last record known.
+ * mw_zone_order_is_outdated: whether an order that was received when
+ * known_index was the last record known may be older than another one that
+ * says the opposite.
  *
- * snapshot_index is that of the log's snapshot, which does not tell when a
- * zone's last order came.
+ * An order that says the same is never outdated, and must be recorded: orders
+ * that are older still are told by its record.  snapshot_index is that of the
+ * log's snapshot, which does not tell when a zone's last order came.
  */
-enum mw_zone_order_age mw_judge_zone_order(const struct mw_zone_orders *orders,
-                                           const struct mw_name *zone,
-                                           bool out, uint64_t known_index,
-                                           uint64_t snapshot_index);
+bool mw_zone_order_is_outdated(const struct mw_zone_orders *orders,
+                               const struct mw_name *zone, bool out,
+                               uint64_t known_index, uint64_t snapshot_index);
 
 #endif
