Starts of an earlier leader were sent before this one leads

Cause: a leader took the starts of earlier leaders for such as may be sent until 5 s after the assignment, and so executed until 18 s after it. None was sent after the earlier leader's lease had ended. If it ended before its start was executed, and the next leader's start of the same run has failed, the task waited longer than callers are promised.

Change: the 13 s in which such a start may be executed are reckoned from the takeover, if that is earlier.

--- a/source/core/flow/flow-late-start.c
+++ b/source/core/flow/flow-late-start.c
@@ -122,8 +122,10 @@
 {
     placement->starts_sent = placement->group->tasks[placement->index].starts;
     placement->starts_outstanding = placement->starts_sent;
+    /* the earlier leader has sent none since this one leads */
     placement->execution_deadline_us =
-        mw_start_deadline(flows, placement, now_us) + MW_LATE_EXECUTION_US;
+        MIN(mw_start_deadline(flows, placement, now_us), now_us) +
+        MW_LATE_EXECUTION_US;
     mw_note_unidentified_grant(placement->endpoint,
                                now_us + MW_LATE_EXECUTION_US);
     placement->was_identified =
