Starts are not sent again while a run without a placement is being stopped

Cause: a start that had no response was sent again though the endpoint's list had just shown a run without a placement. Such a run is stopped, and takes its place until then; a new run was not placed there, a repeated start was not held back.

Change: it waits for a list without such runs.

--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -72,12 +72,16 @@
            !mw_flow_zone_is_out(flows, &placement->endpoint->heartbeat.zone);
 }
 
-/* Whether it isn't known which process a start would reach, or what it has. */
+/*
+ * Whether it isn't known which process a start would reach, or what it has, or
+ * whether it has room: runs without a placement are being stopped there.
+ */
 static bool
 must_await_list(const struct mw_flow_endpoint *endpoint)
 {
     return endpoint->renewal_failures > 0 || endpoint->is_contested ||
-           !endpoint->list_read || endpoint->awaiting_heartbeat;
+           !endpoint->list_read || endpoint->awaiting_heartbeat ||
+           endpoint->unknown_runs > 0;
 }
 
 static void
