A slot of the log that is given away takes the former member's vote

The record that took a founding member's vote names a member that has no slot any more, once its slot was given away, so that the vote was back: four voters, of which one does not exist.

Evidence: log/replaced-six-times says voters=4 and has no leader.

Change: the record that gives a slot away clears the vote in it.

--- a/source/core/log/log-quorum.c
+++ b/source/core/log/log-quorum.c
@@ -200,6 +200,20 @@
     log->pending_config_count++;
 }
 
+/*
+ * The slot's former member has no vote: a slot is given away only once that is
+ * committed.  The ADMIT record that took the vote names a member that has no
+ * slot any more, and finds none when it is read again.
+ */
+static void
+clear_vote(struct mw_log *log, uint32_t slot)
+{
+    log->config[slot] = 0;
+    for (uint32_t i = 0; i < log->pending_config_count; i++) {
+        log->pending_configs[i].incarnations[slot] = 0;
+    }
+}
+
 void
 mw_log_rebuild_config(struct mw_log *log)
 {
@@ -211,6 +225,7 @@
 
         if (record->kind == MW_RECORD_MEMBER) {
             mw_log_set_slot(log, record->member.slot, &record->member.name);
+            clear_vote(log, record->member.slot);
         }
         if (record->kind != MW_RECORD_ADMIT) {
             continue;
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -12,7 +12,7 @@
 #include "mimosawind/link-choice.h"
 #include "script.h"
 
-#define MEMBERS_MAX 5
+#define MEMBERS_MAX 10
 #define STEP_US 10000
 #define LATENCY_US 1000
 #define US_PER_S 1000000
@@ -259,7 +259,7 @@
 
     return founding_member_count > 0 && m->index < founding_member_count
                ? founding_member_count
-               : m->cluster->count;
+               : MIN(m->cluster->count, MW_MEMBERS_MAX);
 }
 
 /*
@@ -270,7 +270,7 @@
 must_fill_slots(const struct cluster *cluster)
 {
     return cluster->founding_member_count > 0 && cluster->now_us > START_US &&
-           !cluster->chaos;
+           !cluster->chaos && cluster->count <= MW_MEMBERS_MAX;
 }
 
 static void
@@ -341,8 +341,9 @@
 static struct member *find_leader(struct cluster *cluster);
 
 /*
- * Whether a member that joins later has a slot.  In seeds it is told by the
- * leader: slots that no record gives must not be known to it.
+ * Whether a member that joins later has a slot.  In seeds, and with more
+ * members than slots, it is told by the leader: slots that no record gives
+ * must not be known to it.
  */
 static bool
 has_slot(struct member *m)
@@ -351,7 +352,8 @@
     struct member *leader;
     uint32_t own;
 
-    if (!cluster->chaos || m->index < cluster->founding_member_count ||
+    if ((!cluster->chaos && cluster->count <= MW_MEMBERS_MAX) ||
+        m->index < cluster->founding_member_count ||
         cluster->founding_member_count == 0 || m->slot_count > 0) {
         return true;
     }
