Leases at silent endpoints are reckoned from the silence, not the takeover

Callers saw a job have nothing running for longer than promised when its endpoint was lost while the core was restarted in turn: each new leader waited 10.8 s for leases of the one before, which had not heard of the endpoint either.

Change: a leader that gets no answer from an endpoint with runs for a second records since when, on the flow clock, it has granted no lease there. It grants none, and starts nothing there, before a record says that the endpoint was heard of again. The next leader reckons the leases, and the calls that may be executed late, from that time.

--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -151,6 +151,13 @@
     /* it shut down, was replaced, or sent no heartbeat for a long time */
     bool gone;
     struct mw_speed_record speed;
+    /*
+     * No lease was granted there since then, on the flow clock, and none will
+     * be before a record that ends this silence; 0 if that is not known.
+     */
+    int64_t silent_since_us;
+    /* the silence that this record ends, by its time; 0 for none */
+    int64_t ended_silence_us;
 };
 
 struct mw_record_config {
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -17,6 +17,7 @@
 #include "flow-reconcile.h"
 #include "flow-schedule.h"
 #include "flow-scheduler-state.h"
+#include "flow-silence.h"
 #include "flow-speed.h"
 #include "flow-state.h"
 #include "flow-task-state.h"
@@ -84,7 +85,9 @@
 mw_last_lease_expiry(const struct mw_flows *flows,
                      const struct mw_flow_endpoint *endpoint)
 {
-    return MAX(endpoint->lease_expiry_us, flows->earlier_leases_deadline_us);
+    return MAX(endpoint->lease_expiry_us,
+               mw_earlier_calls_us(flows, endpoint) +
+                   mw_lease_duration(flows->limits.lease_max_us));
 }
 
 /*
@@ -99,6 +102,7 @@
     int64_t drift_us = (now_us - endpoint->clock_read_us) / 32;
     int64_t expiry_us = now_us + mw_lease_duration(lease_us) + drift_us;
 
+    endpoint->granted_us = now_us;
     endpoint->lease_expiry_us = MAX(endpoint->lease_expiry_us, expiry_us);
     return mw_flow_endpoint_clock(endpoint, now_us) + lease_us;
 }
@@ -289,7 +293,8 @@
             now_us >= mw_start_deadline(flows, placement, now_us)) {
             withdraw_start(flows, now_us, placement, "queue_timeout");
         }
-        else if (placement->endpoint->is_contested) {
+        else if (placement->endpoint->is_contested ||
+                 mw_is_muted(placement->endpoint)) {
             /* its list decides which process this start would reach */
             placement->command_pending = false;
             placement->retry_deadline_us = now_us;
@@ -466,11 +471,12 @@
         command.acknowledged_end = endpoint->committed_end;
     }
     /* a lease that may not arrive would only delay the loss of the runs */
-    if (reachable && endpoint->placements->len > 0) {
+    if (reachable && endpoint->placements->len > 0 && !mw_is_muted(endpoint)) {
         command.lease_deadline_us =
             grant_lease(endpoint, now_us, renewal_lease(flows));
     }
     if (reachable && endpoint->list_read && mw_may_long_poll(endpoint) &&
+        !mw_is_muted(endpoint) &&
         endpoint->acknowledged_end == endpoint->committed_end) {
         int64_t next_us =
             MIN(mw_next_stall_us(endpoint), mw_next_trial_us(endpoint));
--- a/source/core/flow/flow-endpoint-state.h
+++ b/source/core/flow/flow-endpoint-state.h
@@ -60,6 +60,20 @@
      * clock grants the longest lease there.
      */
     int64_t grant_deadline_us;
+    /*
+     * No lease was granted there since then, on the flow clock, and none may
+     * be now; 0 if one may.
+     */
+    int64_t silent_since_us;
+    /* the record that it was heard of again is not committed yet */
+    bool awaits_heard_record;
+    /* the last silence, also if it is over */
+    int64_t last_silence_us;
+    /* when this leader last granted a lease there; 0 for never */
+    int64_t granted_us;
+    /* when the last calls of earlier leaders were sent, if the log says so */
+    bool has_earlier_calls;
+    int64_t earlier_calls_us;
     bool renewal_pending;
     /* the last renewal that was sent */
     uint64_t renewal_ref;
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -15,6 +15,7 @@
 #include "flow-reconcile.h"
 #include "flow-registry.h"
 #include "flow-scheduler-state.h"
+#include "flow-silence.h"
 #include "mimosawind/flow.h"
 
 #define GENERATION_MAX ((UINT32_C(1) << MW_GENERATION_BITS) - 1)
@@ -125,9 +126,9 @@
 {
     return endpoint->registered && !endpoint->deregistered &&
            !endpoint->is_leaving && endpoint->list_read &&
-           !endpoint->awaiting_heartbeat && !endpoint->is_contested &&
-           endpoint->unknown_runs == 0 && !endpoint->heartbeat.draining &&
-           endpoint->renewal_failures == 0 &&
+           !mw_is_muted(endpoint) && !endpoint->awaiting_heartbeat &&
+           !endpoint->is_contested && endpoint->unknown_runs == 0 &&
+           !endpoint->heartbeat.draining && endpoint->renewal_failures == 0 &&
            mw_endpoint_capacity_counts(endpoint, now_us) &&
            now_us - endpoint->last_contact_us < MW_CONTACT_TIMEOUT_US &&
            now_us >= endpoint->quarantine_deadline_us &&
--- a/source/core/flow/flow-late-start.c
+++ b/source/core/flow/flow-late-start.c
@@ -28,6 +28,7 @@
 #include "flow-reconcile.h"
 #include "flow-schedule.h"
 #include "flow-scheduler-state.h"
+#include "flow-silence.h"
 #include "flow-state.h"
 #include "flow-task-state.h"
 
@@ -120,14 +121,15 @@
 mw_note_earlier_start(const struct mw_flows *flows,
                       struct mw_task_placement *placement, int64_t now_us)
 {
+    int64_t calls_us = mw_earlier_calls_us(flows, placement->endpoint);
+
     placement->starts_sent = placement->group->tasks[placement->index].starts;
     placement->starts_outstanding = placement->starts_sent;
-    /* the earlier leader has sent none since this one leads */
     placement->execution_deadline_us =
-        MIN(mw_start_deadline(flows, placement, now_us), now_us) +
+        MIN(mw_start_deadline(flows, placement, now_us), calls_us) +
         MW_LATE_EXECUTION_US;
     mw_note_unidentified_grant(placement->endpoint,
-                               now_us + MW_LATE_EXECUTION_US);
+                               calls_us + MW_LATE_EXECUTION_US);
     placement->was_identified =
         placement->group->tasks[placement->index].is_identified;
     if (placement->was_identified) {
--- a/source/core/flow/flow-registry.c
+++ b/source/core/flow/flow-registry.c
@@ -32,6 +32,7 @@
 #include "flow-event.h"
 #include "flow-registry.h"
 #include "flow-scheduler-state.h"
+#include "flow-silence.h"
 #include "flow-speed.h"
 
 /* the record of an endpoint without runs and contact is kept so long */
@@ -57,20 +58,25 @@
     return a && a->incarnation == b->incarnation && a->draining == b->draining;
 }
 
-static bool
-propose_endpoint_record(struct mw_flows *flows,
-                        const struct mw_flow_heartbeat *heartbeat,
-                        const struct mw_speed_record *speed, bool gone)
+static struct mw_record *
+new_endpoint_record(const struct mw_flow_heartbeat *heartbeat,
+                    const struct mw_speed_record *speed)
 {
     struct mw_record *record = mw_new_record(MW_RECORD_ENDPOINT);
-    int err;
 
     record->endpoint.heartbeat = g_memdup2(heartbeat, sizeof *heartbeat);
     record->endpoint.heartbeat->seq = 0;
     record->endpoint.heartbeat->clock_us = 0;
     record->endpoint.speed = *speed;
-    record->endpoint.gone = gone;
-    err = flows->output.propose(flows->output.opaque, record);
+    return record;
+}
+
+/* Proposes the record and drops it. */
+static bool
+propose(struct mw_flows *flows, struct mw_record *record)
+{
+    int err = flows->output.propose(flows->output.opaque, record);
+
     mw_drop_record(record);
     return err == 0;
 }
@@ -133,17 +139,22 @@
 }
 
 static bool
-propose_state(struct mw_flows *flows, int64_t now_us,
-              struct mw_flow_endpoint *endpoint)
+propose_state_and_silence(struct mw_flows *flows, int64_t now_us,
+                          struct mw_flow_endpoint *endpoint,
+                          int64_t silent_since_us, int64_t ended_silence_us)
 {
     struct mw_flow_heartbeat heartbeat = endpoint->heartbeat;
     struct mw_speed_record speed = mw_record_endpoint_speed(&endpoint->speed);
+    struct mw_record *record;
 
     if (now_us < endpoint->capacity_record_deadline_us ||
         !mw_endpoint_capacity_counts(endpoint, now_us)) {
         heartbeat.total = (struct mw_flow_resources){0};
     }
-    if (!propose_endpoint_record(flows, &heartbeat, &speed, false)) {
+    record = new_endpoint_record(&heartbeat, &speed);
+    record->endpoint.silent_since_us = silent_since_us;
+    record->endpoint.ended_silence_us = ended_silence_us;
+    if (!propose(flows, record)) {
         return false;
     }
     endpoint->record_pending = true;
@@ -152,6 +163,32 @@
     return true;
 }
 
+bool
+mw_propose_silence(struct mw_flows *flows, int64_t now_us,
+                   struct mw_flow_endpoint *endpoint)
+{
+    return propose_state_and_silence(flows, now_us, endpoint,
+                                     endpoint->silent_since_us, 0);
+}
+
+bool
+mw_propose_end_of_silence(struct mw_flows *flows, int64_t now_us,
+                          struct mw_flow_endpoint *endpoint)
+{
+    return propose_state_and_silence(flows, now_us, endpoint, 0,
+                                     endpoint->silent_since_us);
+}
+
+/* A record behind the one that ends the silence must not begin it again. */
+static bool
+propose_state(struct mw_flows *flows, int64_t now_us,
+              struct mw_flow_endpoint *endpoint)
+{
+    return endpoint->awaits_heard_record
+               ? mw_propose_end_of_silence(flows, now_us, endpoint)
+               : mw_propose_silence(flows, now_us, endpoint);
+}
+
 bool
 mw_propose_flow_endpoint(struct mw_flows *flows, int64_t now_us,
                          struct mw_flow_endpoint *endpoint)
@@ -280,7 +317,10 @@
         recorded_heartbeat(flows, &endpoint->id);
 
     if (heartbeat) {
-        propose_endpoint_record(flows, heartbeat, &unknown, true);
+        struct mw_record *record = new_endpoint_record(heartbeat, &unknown);
+
+        record->endpoint.gone = true;
+        propose(flows, record);
     }
 }
 
@@ -328,8 +368,15 @@
         endpoint->record_pending = false;
     }
     if (recorded && recorded->incarnation > heartbeat->incarnation) {
+        if (endpoint) {
+            /* if it was to end a silence, that is recorded again */
+            endpoint->awaits_heard_record = false;
+        }
         return;
     }
+    if (endpoint && flows->is_leader) {
+        mw_apply_silence(endpoint, &record->endpoint);
+    }
     if (record->endpoint.gone) {
         g_hash_table_remove(flows->endpoint_records, &heartbeat->id);
         return;
@@ -354,6 +401,7 @@
 {
     GHashTableIter iter;
     gpointer value;
+    struct mw_flow_endpoint *endpoint;
 
     g_hash_table_iter_init(&iter, flows->endpoint_records);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -362,6 +410,11 @@
         mw_register_flow_endpoint(flows, now_us, record->endpoint.heartbeat,
                                   "recalled");
         recall_speed(flows, now_us, record);
+        endpoint =
+            mw_find_flow_endpoint(flows, &record->endpoint.heartbeat->id);
+        if (endpoint) {
+            mw_recall_silence(flows, now_us, endpoint);
+        }
     }
 }
 
--- a/source/core/flow/flow-registry.h
+++ b/source/core/flow/flow-registry.h
@@ -24,6 +24,15 @@
 void mw_record_unheard_capacities(struct mw_flows *flows, int64_t now_us);
 /* mw_record_endpoint_speeds: proposes records of speeds that have changed. */
 void mw_record_endpoint_speeds(struct mw_flows *flows, int64_t now_us);
+/*
+ * mw_propose_silence, mw_propose_end_of_silence: records that the endpoint was
+ * not heard of, or was heard of again; see flow-silence.h.  Returns false when
+ * that is not possible.
+ */
+bool mw_propose_silence(struct mw_flows *flows, int64_t now_us,
+                        struct mw_flow_endpoint *endpoint);
+bool mw_propose_end_of_silence(struct mw_flows *flows, int64_t now_us,
+                               struct mw_flow_endpoint *endpoint);
 void mw_apply_flow_endpoint(struct mw_flows *flows, struct mw_record *record);
 /* mw_restore_flow_endpoints: registers all recorded ones at a new leader. */
 void mw_restore_flow_endpoints(struct mw_flows *flows, int64_t now_us);
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -15,6 +15,7 @@
 #include "flow-placement-state.h"
 #include "flow-reconcile.h"
 #include "flow-scheduler-state.h"
+#include "flow-silence.h"
 #include "flow-speed.h"
 #include "flow-state.h"
 #include "flow-task-state.h"
@@ -246,6 +247,7 @@
     }
     endpoint->listed_generation = endpoint->generation;
     mw_confirm_flow_endpoint(flows, now_us, endpoint);
+    mw_end_silence(flows, now_us, endpoint);
     endpoint->list_requested_us = renewal->sent_us;
     endpoint->list_read_us = now_us;
 }
@@ -272,7 +274,7 @@
         endpoint->renewal_deadline_us = now_us;
         note_list(flows, now_us, endpoint, pending);
         mw_reconcile_list(flows, now_us, endpoint, response, pending);
-        if (endpoint->unknown_runs > 0) {
+        if (endpoint->unknown_runs > 0 || mw_is_muted(endpoint)) {
             endpoint->renewal_deadline_us = now_us + MW_RENEWAL_RETRY_US;
         }
         return;
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -25,6 +25,7 @@
 #include "flow-reserve.h"
 #include "flow-schedule.h"
 #include "flow-scheduler-state.h"
+#include "flow-silence.h"
 #include "flow-speed.h"
 #include "flow-state.h"
 #include "flow-task-state.h"
@@ -81,7 +82,7 @@
 {
     return endpoint->renewal_failures > 0 || endpoint->is_contested ||
            !endpoint->list_read || endpoint->awaiting_heartbeat ||
-           endpoint->unknown_runs > 0;
+           endpoint->unknown_runs > 0 || mw_is_muted(endpoint);
 }
 
 static void
@@ -510,6 +511,7 @@
                                             task->incarnation);
         }
         endpoint->incarnation = MAX(endpoint->incarnation, task->incarnation);
+        mw_recall_silence(flows, now_us, endpoint);
         placement = mw_add_task_placement(flows, endpoint, group, i, task->run,
                                           MW_PLACEMENT_UNKNOWN);
         placement->started_us = now_us;
@@ -594,8 +596,7 @@
                             mw_flow_clock_time(&flows->clock, now_us));
     }
     flows->last_generation = 0;
-    flows->earlier_leases_deadline_us =
-        now_us + mw_lease_duration(flows->limits.lease_max_us);
+    flows->leads_since_us = now_us;
     flows->proposed_version = mw_flows_config_version(flows);
     flows->tick_deadline_us = is_leader ? now_us : INT64_MAX;
     if (is_leader) {
@@ -663,6 +664,7 @@
         mw_record_unheard_capacities(flows, now_us);
         mw_record_endpoint_speeds(flows, now_us);
         mw_record_identified_runs(flows, now_us);
+        mw_record_silences(flows, now_us);
         mw_update_interference(flows->interference, now_us);
     }
     if (now_us >= flows->pass_deadline_us) {
--- a/source/core/flow/flow-scheduler-state.h
+++ b/source/core/flow/flow-scheduler-state.h
@@ -22,6 +22,7 @@
  *   flow-admission.c    whether another flow can be held
  *   flow-endpoint.c     heartbeats and incarnations
  *   flow-registry.c     records of endpoints
+ *   flow-silence.c      endpoints that do not answer, over changes of leader
  *   flow-response.c     responses to commands
  *   flow-late-start.c   starts that endpoints may still execute
  *   flow-clock.c        time that goes on over leaders and restarts
@@ -80,8 +81,8 @@
     uint64_t fence;
     /* the last generation of an endpoint */
     uint32_t last_generation;
-    /* every lease that an earlier leader granted has expired by then */
-    int64_t earlier_leases_deadline_us;
+    /* when this leader took over */
+    int64_t leads_since_us;
     /* when long waits are looked at next */
     int64_t wait_report_deadline_us;
     GHashTable *endpoints;
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -2201,7 +2201,7 @@
   (ProtobufCMessageInit) mw__wire__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__endpoint__field_descriptors[13] =
+static const ProtobufCFieldDescriptor mw__wire__endpoint__field_descriptors[15] =
 {
   {
     "id",
@@ -2359,12 +2359,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent_since_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, silent_since_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_silence_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__Endpoint, ended_silence_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__endpoint__field_indices_by_name[] = {
   3,   /* field[3] = address */
   1,   /* field[1] = born */
   6,   /* field[6] = cpu */
   9,   /* field[9] = draining */
+  14,   /* field[14] = ended_silence_us */
   10,   /* field[10] = gone */
   8,   /* field[8] = gpus */
   0,   /* field[0] = id */
@@ -2372,13 +2397,14 @@
   11,   /* field[11] = log_speed */
   7,   /* field[7] = memory_mb */
   2,   /* field[2] = service */
+  13,   /* field[13] = silent_since_us */
   12,   /* field[12] = speed_known */
   4,   /* field[4] = zone */
 };
 static const ProtobufCIntRange mw__wire__endpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor mw__wire__endpoint__descriptor =
 {
@@ -2388,7 +2414,7 @@
   "Mw__Wire__Endpoint",
   "mw.wire",
   sizeof(Mw__Wire__Endpoint),
-  13,
+  15,
   mw__wire__endpoint__field_descriptors,
   mw__wire__endpoint__field_indices_by_name,
   1,  mw__wire__endpoint__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -200,10 +200,16 @@
    */
   int32_t log_speed;
   uint32_t speed_known;
+  /*
+   * of records: no lease was granted there since, on the flow clock, until a
+   * record that ends this silence
+   */
+  int64_t silent_since_us;
+  int64_t ended_silence_us;
 };
 #define MW__WIRE__ENDPOINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__endpoint__descriptor) \
-    , {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -126,6 +126,8 @@
         wire->endpoint->gone = record->endpoint.gone;
         wire->endpoint->log_speed = record->endpoint.speed.log_speed;
         wire->endpoint->speed_known = record->endpoint.speed.known;
+        wire->endpoint->silent_since_us = record->endpoint.silent_since_us;
+        wire->endpoint->ended_silence_us = record->endpoint.ended_silence_us;
         break;
     default:
         break;
@@ -299,6 +301,9 @@
         if (wire->endpoint) {
             record->endpoint.speed.log_speed = wire->endpoint->log_speed;
             record->endpoint.speed.known = wire->endpoint->speed_known;
+            record->endpoint.silent_since_us = wire->endpoint->silent_since_us;
+            record->endpoint.ended_silence_us =
+                wire->endpoint->ended_silence_us;
         }
         return mw_unpack_endpoint(wire->endpoint, record->endpoint.heartbeat);
     default:
