core/flow: applying records, takeovers and requests have files of their own

Functions are moved, not changed: flow-apply.c applies committed records, flow-takeover.c starts and ends leadership, flow-control-request.c handles requests and their replies.

--- a/source/core/flow/flow-control-impl.h
+++ b/source/core/flow/flow-control-impl.h
@@ -13,7 +13,8 @@
  * flow-control-impl: the state of a control process.
  *
  * FILES
- *   flow-control.c            scheduler, requests and their replies
+ *   flow-control.c            scheduler, messages and leadership
+ *   flow-control-request.c    requests and their replies
  *   flow-control-log.c        the member of the region's log
  *   flow-control-heartbeat.c  heartbeats of endpoints
  *   flow-control-status.c     status and counters
@@ -76,10 +77,24 @@
  */
 void mw_update_leadership(struct mw_context *ctx,
                           struct mw_flow_control *control, int64_t now_us);
+/* flow-control-request.c */
 /* mw_add_request_origin: returns the ref to be used with the scheduler. */
 uint64_t mw_add_request_origin(struct mw_flow_control *control,
                                const struct mw_name *process,
                                uint64_t process_ref);
+/* mw_send_request_reply: to the process that forwarded the request. */
+void mw_send_request_reply(struct mw_flow_control *control,
+                           const struct mw_request_origin *origin,
+                           const struct mw_flow_reply *reply);
+void mw_receive_forwarded_request(struct mw_context *ctx,
+                                  struct mw_flow_control *control,
+                                  int64_t now_us, int64_t wall_us,
+                                  const struct mw_name *from,
+                                  const struct mw_msg_flow_call *msg);
+/* mw_serve_waiting_requests: those that waited for a leader, if it leads. */
+void mw_serve_waiting_requests(struct mw_context *ctx,
+                               struct mw_flow_control *control,
+                               int64_t wall_us);
 
 /* flow-control-log.c */
 struct mw_log *mw_new_flow_control_log(struct mw_flow_control *control);
--- a/source/core/flow/flow-schedule.h
+++ b/source/core/flow/flow-schedule.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* flow-schedule: scheduling passes, start of leadership. */
+/* flow-schedule: scheduling passes. */
 
 /* shortest time between two scheduling passes, however much happens */
 #define MW_FLOW_PASS_US 15000
--- a/source/core/flow/flow-scheduler-state.h
+++ b/source/core/flow/flow-scheduler-state.h
@@ -27,10 +27,12 @@
  *   flow-late-start.c   starts that endpoints may still execute
  *   flow-clock.c        time that goes on over leaders and restarts
  *   flow-reconcile.c    reconciles lists of runs with placements
- *   flow-state.c        applies committed records
+ *   flow-state.c        flows and tasks, and their status
+ *   flow-apply.c        applies committed records
  *   flow-config-versions.c  the configuration in force
  *   flow-snapshot.c     records of a snapshot
- *   flow-schedule.c     scheduling passes, start of leadership
+ *   flow-schedule.c     scheduling passes
+ *   flow-takeover.c     start and end of leadership
  *   flow-guarantee.c    use of the organisations' guarantees
  *   flow-queue.c        ranks waiting work
  *   flow-capacity.c     how long a capacity counts, whether a start fits
@@ -53,7 +55,7 @@
  *   policy/quota.c      what each organisation uses, against its cap
  *   policy/fair-share.c  the order of waiting work by weighted shares
  *
- * The replicated state of tasks changes only in flow-state.c.  The state of
+ * The replicated state of tasks changes only in flow-apply.c.  The state of
  * endpoints and placements belongs to the leader; the next leader builds its
  * own from the log and from the endpoints' lists.
  */
--- a/source/core/flow/flow-state.h
+++ b/source/core/flow/flow-state.h
@@ -3,7 +3,7 @@
 
 #include "mimosawind/flow.h"
 
-/* flow-state: applies committed records. */
+/* flow-state: flows and tasks, and their records. */
 
 /* later times never come; two such times can be added up */
 #define MW_WALL_TIME_MAX_US (INT64_MAX / 4)
