--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -4,6 +4,7 @@
 #include "flow-account.h"
 #include "flow-capacity.h"
 #include "flow-command.h"
+#include "flow-endpoint-address.h"
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
 #include "flow-event.h"
@@ -262,14 +263,9 @@
     endpoint->renewal_deadline_us = MIN(endpoint->renewal_deadline_us, now_us);
 }
 
-/*
- * Whether a heartbeat that contradicts what is known of the endpoint is left
- * aside: it may be late, and incarnations are dated by clocks that jump.  The
- * endpoint's next list, which is requested now, shows what is there.
- */
-static bool
-await_list(struct mw_flows *flows, int64_t now_us,
-           struct mw_flow_endpoint *endpoint, const char *evidence)
+bool
+mw_await_list(struct mw_flows *flows, int64_t now_us,
+              struct mw_flow_endpoint *endpoint, const char *evidence)
 {
     if (endpoint->deregistered || endpoint->renewal_failures > 0) {
         return false;
@@ -278,107 +274,6 @@
     return true;
 }
 
-/* Whether a list of its present process has been read. */
-static bool
-is_confirmed(const struct mw_flow_endpoint *endpoint)
-{
-    return endpoint->listed_generation == endpoint->generation;
-}
-
-/* The endpoint that has the address, if another one than this. */
-static struct mw_flow_endpoint *
-find_other_at(const struct mw_flows *flows, const struct mw_name *address,
-              const struct mw_name *id)
-{
-    struct mw_flow_endpoint *other =
-        g_hash_table_lookup(flows->by_address, address);
-
-    if (!other || !other->registered || other->deregistered ||
-        mw_name_equal(&other->id, id)) {
-        return NULL;
-    }
-    return other;
-}
-
-/*
- * Whether the heartbeat is left aside for another endpoint at the same
- * address: one whose list was read there and that is later, or one that
- * answers, so that its list decides.
- */
-static bool
-is_superseded(struct mw_flows *flows, int64_t now_us,
-              const struct mw_flow_heartbeat *heartbeat)
-{
-    struct mw_flow_endpoint *other =
-        find_other_at(flows, &heartbeat->address, &heartbeat->id);
-
-    if (!other) {
-        return false;
-    }
-    if (is_confirmed(other) && other->incarnation > heartbeat->incarnation) {
-        return true;
-    }
-    if (!await_list(flows, now_us, other, "address")) {
-        return false;
-    }
-    g_free(other->held_heartbeat);
-    other->held_heartbeat = g_memdup2(heartbeat, sizeof *heartbeat);
-    return true;
-}
-
-/* An address in use stays that of the other endpoint. */
-static void
-set_address(struct mw_flows *flows, struct mw_flow_endpoint *endpoint,
-            const struct mw_name *address)
-{
-    if (g_hash_table_lookup(flows->by_address, &endpoint->heartbeat.address) ==
-        endpoint) {
-        g_hash_table_remove(flows->by_address, &endpoint->heartbeat.address);
-    }
-    endpoint->heartbeat.address = *address;
-    if (!find_other_at(flows, address, &endpoint->id)) {
-        g_hash_table_replace(flows->by_address, &endpoint->heartbeat.address,
-                             endpoint);
-    }
-}
-
-void
-mw_confirm_flow_endpoint(struct mw_flows *flows, int64_t now_us,
-                         struct mw_flow_endpoint *endpoint)
-{
-    struct mw_flow_endpoint *other =
-        find_other_at(flows, &endpoint->heartbeat.address, &endpoint->id);
-
-    if (other) {
-        mw_void_outstanding_starts(other);
-        mw_deregister_flow_endpoint(flows, now_us, other,
-                                    "address_taken_over");
-    }
-    if (endpoint->registered &&
-        g_hash_table_lookup(flows->by_address, &endpoint->heartbeat.address) !=
-            endpoint) {
-        set_address(flows, endpoint, &endpoint->heartbeat.address);
-    }
-}
-
-void
-mw_settle_held_heartbeat(struct mw_flows *flows, int64_t now_us,
-                         struct mw_flow_endpoint *endpoint)
-{
-    struct mw_flow_heartbeat *held;
-
-    if (!endpoint->held_heartbeat ||
-        (endpoint->is_contested && !endpoint->deregistered &&
-         endpoint->renewal_failures == 0)) {
-        return;
-    }
-    held = g_steal_pointer(&endpoint->held_heartbeat);
-    if (endpoint->deregistered || endpoint->renewal_failures > 0) {
-        mw_register_flow_endpoint(flows, now_us, held, "known");
-    }
-    g_free(held);
-}
-
 /*
  * Whether its present process was only announced, and no such process was
  * found: an earlier heartbeat may be that of the true one.
@@ -386,7 +281,7 @@
 static bool
 is_unproven(const struct mw_flow_endpoint *endpoint)
 {
-    return !is_confirmed(endpoint) && endpoint->placements->len == 0 &&
+    return !mw_is_confirmed(endpoint) && endpoint->placements->len == 0 &&
            !endpoint->heartbeat.draining &&
            (endpoint->deregistered || endpoint->renewal_failures > 0);
 }
@@ -406,20 +301,20 @@
         if (is_unproven(endpoint)) {
             return false;
         }
-        await_list(flows, now_us, endpoint, "earlier_heartbeat");
+        mw_await_list(flows, now_us, endpoint, "earlier_heartbeat");
         return true;
     }
     if (heartbeat->incarnation > endpoint->incarnation &&
         !endpoint->registered && endpoint->placements->len > 0) {
         /* known from its runs alone; a list can be requested there now */
-        set_address(flows, endpoint, &heartbeat->address);
+        mw_set_address(flows, endpoint, &heartbeat->address);
         endpoint->registered = true;
-        await_list(flows, now_us, endpoint, "later_heartbeat");
+        mw_await_list(flows, now_us, endpoint, "later_heartbeat");
         return true;
     }
     if (heartbeat->incarnation > endpoint->incarnation) {
         return endpoint->placements->len > 0 &&
-               await_list(flows, now_us, endpoint, "later_heartbeat");
+               mw_await_list(flows, now_us, endpoint, "later_heartbeat");
     }
     if (endpoint->deregistered &&
         (!endpoint->has_left || heartbeat->draining)) {
@@ -467,7 +362,7 @@
 {
     bool was_draining = endpoint->heartbeat.draining;
 
-    set_address(flows, endpoint, &heartbeat->address);
+    mw_set_address(flows, endpoint, &heartbeat->address);
     endpoint->heartbeat = *heartbeat;
     /* an earlier heartbeat may come later: a record does not number it */
     endpoint->heartbeat.draining |= was_draining;
@@ -497,7 +392,7 @@
     if (endpoint && is_outdated(flows, now_us, endpoint, heartbeat)) {
         return;
     }
-    if (is_superseded(flows, now_us, heartbeat)) {
+    if (mw_is_superseded(flows, now_us, heartbeat)) {
         return;
     }
     if (!endpoint) {
--- a/source/core/flow/flow-endpoint.h
+++ b/source/core/flow/flow-endpoint.h
@@ -61,17 +61,13 @@
                               struct mw_flow_endpoint *endpoint,
                               const char *evidence);
 /*
- * mw_confirm_flow_endpoint: a list of the endpoint has been read at its
- * address, so no other one is there.
+ * mw_await_list: whether a heartbeat that contradicts what is known of the
+ * endpoint is left aside: it may be late, and incarnations are dated by clocks
+ * that jump.  The endpoint's next list, which is requested now, shows what is
+ * there.  False if the endpoint is gone or does not answer.
  */
-void mw_confirm_flow_endpoint(struct mw_flows *flows, int64_t now_us,
-                              struct mw_flow_endpoint *endpoint);
-/*
- * mw_settle_held_heartbeat: after a response of the endpoint, decides about
- * the heartbeat of another one at its address.
- */
-void mw_settle_held_heartbeat(struct mw_flows *flows, int64_t now_us,
-                              struct mw_flow_endpoint *endpoint);
+bool mw_await_list(struct mw_flows *flows, int64_t now_us,
+                   struct mw_flow_endpoint *endpoint, const char *evidence);
 /*
  * mw_deregister_flow_endpoint: this incarnation has gone; a later one may
  * register again.
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -5,6 +5,7 @@
 #include "flow-command-queue.h"
 #include "flow-command.h"
 #include "flow-crash.h"
+#include "flow-endpoint-address.h"
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
 #include "flow-event.h"
--- a/source/core/flow/flow-scheduler-state.h
+++ b/source/core/flow/flow-scheduler-state.h
@@ -21,6 +21,7 @@
  *   flow-reply.c        replies to requests
  *   flow-admission.c    whether another flow can be held
  *   flow-endpoint.c     heartbeats and incarnations
+ *   flow-endpoint-address.c  which endpoint an address belongs to
  *   flow-registry.c     records of endpoints
  *   flow-silence.c      endpoints that do not answer, over changes of leader
  *   flow-response.c     responses to commands
