An endpoint at a former one's address counts, whichever is dated later

Cause: a heartbeat at the address of an endpoint whose process is dated later was ignored without asking for a list.

Change: the list of the former decides in that case, too.

--- a/source/core/flow/flow-endpoint-address.c
+++ b/source/core/flow/flow-endpoint-address.c
@@ -38,10 +38,6 @@
     if (!other) {
         return false;
     }
-    if (mw_is_confirmed(other) &&
-        other->incarnation > heartbeat->incarnation) {
-        return true;
-    }
     if (!mw_await_list(flows, now_us, other, "address")) {
         return false;
     }
--- a/source/core/flow/flow-endpoint-address.h
+++ b/source/core/flow/flow-endpoint-address.h
@@ -19,8 +19,8 @@
 bool mw_is_confirmed(const struct mw_flow_endpoint *endpoint);
 /*
  * mw_is_superseded: whether the heartbeat is left aside for another endpoint
- * at the same address: one whose list was read there and that is later, or one
- * that answers, so that its list decides.
+ * at the same address that answers, as far as is known: its list, which is
+ * requested now, decides.
  */
 bool mw_is_superseded(struct mw_flows *flows, int64_t now_us,
                       const struct mw_flow_heartbeat *heartbeat);
--- a/source/core/flow/flow-silence.c
+++ b/source/core/flow/flow-silence.c
@@ -59,8 +59,7 @@
            g_hash_table_contains(flows->endpoint_records, &endpoint->id);
 }
 
-/* Mutes it at once: the record may be committed, whatever becomes of it here.
- */
+/* It is muted before its record is committed, which can't be taken back. */
 static void
 mute(struct mw_flows *flows, int64_t now_us, struct mw_flow_endpoint *endpoint)
 {
--- a/source/run/http-client.c
+++ b/source/run/http-client.c
@@ -209,6 +209,7 @@
     struct mw_client_connection *connection = opaque;
     struct mw_client_request *request = connection->request;
     struct mw_client_host *host = connection->host;
+    bool was_idle = connection->is_reused && !connection->has_response;
 
     if (!request) {
         close_connection(connection);
@@ -223,12 +224,11 @@
         return;
     }
     request->was_cut_off |= connection->is_taken;
-    if (connection->is_reused && !connection->has_response) {
+    if (was_idle) {
         /* others that have been idle may have ended with it */
         close_idle_connections(host);
     }
-    if (connection->is_reused && !connection->has_response &&
-        !request->was_repeated && !request->is_single) {
+    if (was_idle && !request->was_repeated && !request->is_single) {
         repeat_request(request);
     }
     else {
--- a/source/run/http-client.h
+++ b/source/run/http-client.h
@@ -8,10 +8,10 @@
  *
  * Connections are kept and reused.  A request that fails on a reused
  * connection before any byte of the response arrived is sent once more on a
- * new one, unless is_single says otherwise, so requests must be idempotent.  A
- * connection without a response by
- * the deadline is closed, and the other connections to the address as well:
- * established connections can stop carrying data while new ones still work.
+ * new one, unless is_single says otherwise, so requests must be idempotent.
+ * A connection without a response by the deadline is closed, and the other
+ * connections to the address as well: established connections can stop
+ * carrying data while new ones still work.
  *
  * A response that is too long, or for which there is no room beside others
  * that are received, counts as none, and its connection is closed.
