--- a/source/core/flow/flow-clock.h
+++ b/source/core/flow/flow-clock.h
@@ -1,5 +1,5 @@
-#ifndef MW_CORE_FLOW_FLOW_CLOCK_H
-#define MW_CORE_FLOW_FLOW_CLOCK_H
+#ifndef MW_CORE_FLOW_CLOCK_H
+#define MW_CORE_FLOW_CLOCK_H
 
 #include <stdint.h>
 
--- a/source/core/flow/flow-silence.h
+++ b/source/core/flow/flow-silence.h
@@ -1,5 +1,5 @@
-#ifndef MW_CORE_FLOW_FLOW_SILENCE_H
-#define MW_CORE_FLOW_FLOW_SILENCE_H
+#ifndef MW_CORE_FLOW_SILENCE_H
+#define MW_CORE_FLOW_SILENCE_H
 
 #include "mimosawind/flow.h"
 
