A configuration names the members of its slots; no slot is read for another

A slot that two successors had had since was given to the first one and then to the second one again, each time, so that all that was known of its present member was reset. Where that is the process itself, its own incarnation became 0 for good: it was no voter in its own eyes, didn't stand and lost its lease.

Evidence: log/replaced-sixteen-times says "no leader" from the eleventh replacement on, on.

The peers take the slots of the latest configuration at the end; only one whose slot has another member is reset. A truncated MEMBER record gives the slot back. A vote is read through mw_log_admitted_incarnation, which knows none for a member that has given away its slot since; that replaces the clearing of votes. A process without a slot has none instead of a former one.

--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -87,6 +87,19 @@
     bool disk;
 };
 
+/*
+ * mw_log_slot: the member of a slot, and the incarnation under which it has a
+ * vote; 0 for none.
+ */
+struct mw_log_slot {
+    struct mw_name member;
+    uint64_t incarnation;
+};
+
+struct mw_log_config {
+    struct mw_log_slot slots[MW_MEMBERS_MAX];
+};
+
 enum mw_log_msg_kind {
     MW_LOG_PREVOTE = 0,
     MW_LOG_PREVOTE_REPLY = 1,
@@ -353,6 +366,9 @@
 /* mw_log_deadline: time of the next call of mw_log_tick; 0 for at once. */
 int64_t mw_log_deadline(const struct mw_log *log);
 
+/* mw_log_get_config: the configuration at the commit index; borrowed. */
+const struct mw_log_config *mw_log_get_config(const struct mw_log *log);
+
 /* mw_log_get_status: copy the state. */
 void mw_log_get_status(const struct mw_log *log, struct mw_log_status *view);
 
--- a/source/core/log/log-admit.c
+++ b/source/core/log/log-admit.c
@@ -1,8 +1,6 @@
 /*
  * log-admit: membership changes and the slots of members.
  */
-#include <string.h>
-
 #include "log-impl.h"
 
 /* number of entries that a member may lack when it is admitted */
@@ -50,14 +48,24 @@
 may_change_voter(const struct mw_log *log, unsigned peer)
 {
     uint32_t n = log->pending_config_count;
-    const uint64_t *before;
+    const struct mw_log_config *before;
+    const struct mw_log_config *after;
 
     if (n == 0) {
         return true;
     }
-    before = n > 1 ? log->pending_configs[n - 2].incarnations : log->config;
+    before = n > 1 ? &log->pending_configs[n - 2].config : &log->config;
+    after = &log->pending_configs[n - 1].config;
     return n < MW_LOG_PENDING_CONFIGS_MAX &&
-           log->pending_configs[n - 1].incarnations[peer] != before[peer];
+           mw_log_admitted_incarnation(log, after, peer) !=
+               mw_log_admitted_incarnation(log, before, peer);
+}
+
+/* Whether the peer has a vote in the latest configuration. */
+static bool
+has_vote(const struct mw_log *log, unsigned peer)
+{
+    return mw_log_admitted_incarnation(log, &log->latest_config, peer) != 0;
 }
 
 /* Members of the latest configuration. */
@@ -67,7 +75,7 @@
     uint32_t count = 0;
 
     for (unsigned i = 0; i < log->peer_count; i++) {
-        count += mw_log_latest_config(log)[i] != 0;
+        count += has_vote(log, i);
     }
     return count;
 }
@@ -86,8 +94,7 @@
         int64_t contact_us =
             MAX(log->peers[i].acked_sent_us, log->leader_since_us);
 
-        if (i != log->self && mw_log_latest_config(log)[i] != 0 &&
-            contact_us < oldest_us) {
+        if (i != log->self && has_vote(log, i) && contact_us < oldest_us) {
             found = (int)i;
             oldest_us = contact_us;
         }
@@ -102,8 +109,7 @@
 static bool
 should_admit(const struct mw_log *log, unsigned peer, int64_t now_us)
 {
-    if (log->target_member_count == 0 ||
-        mw_log_latest_config(log)[peer] != 0) {
+    if (log->target_member_count == 0 || has_vote(log, peer)) {
         return true;
     }
     return count_voters(log) < log->target_member_count ||
@@ -122,7 +128,7 @@
             return;
         }
         if (i == log->self || peer->incarnation == 0 ||
-            mw_log_latest_config(log)[i] == peer->incarnation ||
+            mw_log_is_voter(log, &log->latest_config, i) ||
             !may_change_voter(log, i) || !is_caught_up(log, peer, now_us) ||
             !should_admit(log, i, now_us)) {
             continue;
@@ -163,8 +169,8 @@
         struct mw_log_peer *peer = &log->peers[i];
         int64_t contact_us = MAX(peer->acked_sent_us, log->leader_since_us);
 
-        if (i == log->self || peer->disk ||
-            mw_log_latest_config(log)[i] == 0 || !may_change_voter(log, i) ||
+        if (i == log->self || peer->disk || !has_vote(log, i) ||
+            !may_change_voter(log, i) ||
             now_us - contact_us < MW_UNRESPONSIVE_US) {
             continue;
         }
@@ -174,45 +180,6 @@
     }
 }
 
-void
-mw_log_set_slot(struct mw_log *log, uint32_t slot, const struct mw_name *name)
-{
-    struct mw_log_peer *peer = &log->peers[slot];
-    struct mw_log_peer *former;
-
-    log->peer_count = MAX(log->peer_count, slot + 1);
-    if (mw_name_equal(&peer->name, name)) {
-        return;
-    }
-    former = mw_log_find_peer(log, name);
-    if (former) {
-        former->name = (struct mw_name){0};
-    }
-    g_clear_pointer(&peer->snapshot_records, g_ptr_array_unref);
-    memset(peer, 0, sizeof *peer);
-    peer->name = *name;
-    peer->disk = true;
-    peer->next_index = 1;
-}
-
-/* A snapshot replaces the MEMBER records that gave the slots. */
-void
-mw_log_collect_slots(const struct mw_log *log, GPtrArray *records)
-{
-    for (unsigned i = 0; log->target_member_count > 0 && i < log->peer_count;
-         i++) {
-        struct mw_record *record;
-
-        if (log->peers[i].name.len == 0) {
-            continue;
-        }
-        record = mw_new_record(MW_RECORD_MEMBER);
-        record->member.slot = i;
-        record->member.name = log->peers[i].name;
-        g_ptr_array_add(records, record);
-    }
-}
-
 /* A new slot, or one whose member has no vote; -1 for none. */
 static int
 find_free_slot(const struct mw_log *log)
@@ -221,8 +188,8 @@
         return (int)log->peer_count;
     }
     for (unsigned i = 0; i < log->peer_count; i++) {
-        if (i != log->self && log->config[i] == 0 &&
-            mw_log_latest_config(log)[i] == 0) {
+        if (i != log->self && !has_vote(log, i) &&
+            mw_log_admitted_incarnation(log, &log->config, i) == 0) {
             return (int)i;
         }
     }
@@ -238,7 +205,7 @@
     for (unsigned i = 0; i < log->peer_count; i++) {
         const struct mw_log_peer *peer = &log->peers[i];
 
-        count += mw_log_latest_config(log)[i] == 0 && peer->name.len > 0 &&
+        count += !has_vote(log, i) && peer->name.len > 0 &&
                  now_us - MAX(peer->acked_sent_us, peer->learner_since_us) <
                      MW_UNRESPONSIVE_US;
     }
@@ -274,23 +241,3 @@
     mw_emit_event(ctx, MW_SEVERITY_NOTICE, "event=slot group=%.*s member=%.*s",
                   MW_FMT(mw_name_str(&log->group)), MW_FMT(mw_name_str(name)));
 }
-
-uint32_t
-mw_log_get_members(const struct mw_log *log,
-                   struct mw_name members[MW_MEMBERS_MAX])
-{
-    for (unsigned i = 0; i < log->peer_count; i++) {
-        members[i] = log->peers[i].name;
-    }
-    return log->peer_count;
-}
-
-void
-mw_log_fill_slot(struct mw_log *log, uint32_t slot, const struct mw_name *name)
-{
-    bool known = slot < log->peer_count && log->peers[slot].name.len > 0;
-
-    if (!known && name->len > 0 && !mw_log_find_peer(log, name)) {
-        mw_log_set_slot(log, slot, name);
-    }
-}
--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -1,8 +1,6 @@
 /*
  * log-compact: taking snapshots, and sending them in chunks.
  */
-#include <string.h>
-
 #include "log-impl.h"
 
 static void
@@ -62,7 +60,7 @@
     if (!log->restoring) {
         mw_log_retain_applied(log);
     }
-    memcpy(log->snapshot_config, log->config, sizeof log->snapshot_config);
+    log->snapshot_config = log->config;
     g_array_remove_range(log->entries, 0,
                          (guint)(log->applied_index - log->snapshot_index));
     log->snapshot_index = log->applied_index;
@@ -108,16 +106,11 @@
     log->output.reset(log->output.opaque);
     note_snapshot_size(log);
     for (guint i = 0; i < log->snapshot_records->len; i++) {
-        struct mw_record *record = log->snapshot_records->pdata[i];
-
-        if (record->kind == MW_RECORD_MEMBER) {
-            mw_log_set_slot(log, record->member.slot, &record->member.name);
-        }
-        log->output.apply(log->output.opaque, log->snapshot_index, record);
+        log->output.apply(log->output.opaque, log->snapshot_index,
+                          log->snapshot_records->pdata[i]);
     }
     log->commit_index = log->snapshot_index;
     log->applied_index = log->snapshot_index;
-    memcpy(log->config, log->snapshot_config, sizeof log->config);
     mw_log_rebuild_config(log);
 }
 
@@ -139,8 +132,7 @@
     peer->snapshot_records = g_ptr_array_ref(log->snapshot_records);
     peer->snapshot_index = log->snapshot_index;
     peer->snapshot_term = log->snapshot_term;
-    memcpy(peer->snapshot_config, log->snapshot_config,
-           sizeof peer->snapshot_config);
+    peer->snapshot_config = log->snapshot_config;
     peer->snapshot_offset = 0;
     peer->is_chunk_in_flight = false;
     log->counters.snapshots_sent++;
@@ -180,7 +172,7 @@
     msg->commit = log->commit_index;
     msg->total = peer->snapshot_records->len;
     msg->sent_us = now_us;
-    memcpy(msg->config, peer->snapshot_config, sizeof msg->config);
+    mw_log_copy_incarnations(&peer->snapshot_config, msg->config);
     mw_log_send(log, &peer->name, msg);
     peer->probe_deadline_us = now_us + MW_HEARTBEAT_INTERVAL_US;
 }
@@ -252,9 +244,9 @@
     mw_log_clear_retained(log);
     log->snapshot_index = msg->index;
     log->snapshot_term = msg->log_term;
-    memcpy(log->snapshot_config, msg->config, sizeof log->snapshot_config);
     g_ptr_array_unref(log->snapshot_records);
     log->snapshot_records = g_steal_pointer(&log->incoming_records);
+    mw_log_read_snapshot_config(log, msg->config);
     mw_log_mark_unsynced(log, 0);
     log->counters.snapshots_received++;
     mw_log_apply_snapshot(log);
--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -148,8 +148,9 @@
 
     log->counters.terms_won++;
     set_role(ctx, log, MW_LEADER);
-    log->leader = log->peers[log->self].name;
+    log->leader = log->name;
     log->leader_since_us = now_us;
+    mw_log_clear_reported_slots(log);
     mw_log_count_uncommitted(log);
     for (unsigned i = 0; i < log->peer_count; i++) {
         struct mw_log_peer *peer = &log->peers[i];
@@ -188,7 +189,7 @@
     log->counters.elections++;
     mw_log_become_follower(ctx, log, now_us, log->term + 1);
     set_role(ctx, log, MW_CANDIDATE);
-    log->vote = log->peers[log->self].name;
+    log->vote = log->name;
     log->vote_requested_us = now_us;
     mw_log_store_meta(log);
     request_votes(log, now_us, MW_LOG_VOTE, transfer);
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -42,7 +42,7 @@
     GPtrArray *snapshot_records;
     uint64_t snapshot_index;
     uint64_t snapshot_term;
-    uint64_t snapshot_config[MW_MEMBERS_MAX];
+    struct mw_log_config snapshot_config;
     int64_t acked_sent_us;
     /* when this leader gave it the slot */
     int64_t learner_since_us;
@@ -55,10 +55,11 @@
 
 #define MW_LOG_PENDING_CONFIGS_MAX 4
 
-/* mw_log_config: admitted incarnations from the ADMIT record at index on. */
-struct mw_log_config {
+/* mw_log_pending_config: what an uncommitted ADMIT record at index leads to.
+ */
+struct mw_log_pending_config {
     uint64_t index;
-    uint64_t incarnations[MW_MEMBERS_MAX];
+    struct mw_log_config config;
 };
 
 struct mw_log {
@@ -67,12 +68,14 @@
     uint32_t compact_after;
     uint64_t compact_bytes;
     GRand *rand;
-    /* slot of this member */
+    struct mw_name name;
+    /* slot of this member; MW_MEMBERS_MAX as long as it has none */
     unsigned self;
     unsigned peer_count;
     uint32_t founding_count;
     uint32_t target_member_count;
-    struct mw_log_peer peers[MW_MEMBERS_MAX];
+    /* by slot of latest_config; the last one is of a member without a slot */
+    struct mw_log_peer peers[MW_MEMBERS_MAX + 1];
     uint64_t incarnation;
 
     uint64_t term;
@@ -86,7 +89,7 @@
     GArray *entries;
     uint64_t snapshot_index;
     uint64_t snapshot_term;
-    uint64_t snapshot_config[MW_MEMBERS_MAX];
+    struct mw_log_config snapshot_config;
     GPtrArray *snapshot_records;
     /* retained[i] has index mw_log_first_index + i; see log-retain */
     GArray *retained;
@@ -101,10 +104,14 @@
     /* first entry of this leader's own term */
     uint64_t term_start_index;
 
-    /* the committed configuration, and the uncommitted ones in log order */
-    uint64_t config[MW_MEMBERS_MAX];
+    /* the configuration at commit_index, and the one after the last entry */
+    struct mw_log_config config;
+    struct mw_log_config latest_config;
+    /* those of the uncommitted ADMIT records, in log order */
     uint32_t pending_config_count;
-    struct mw_log_config pending_configs[MW_LOG_PENDING_CONFIGS_MAX];
+    struct mw_log_pending_config pending_configs[MW_LOG_PENDING_CONFIGS_MAX];
+    /* the first uncommitted ADMIT or MEMBER record; 0 for none */
+    uint64_t uncommitted_change_index;
 
     /* last item stored, last item synced, last entry synced */
     uint64_t store_sequence;
@@ -200,13 +207,25 @@
 struct mw_log_peer *mw_log_find_peer(struct mw_log *log,
                                      const struct mw_name *name);
 
+/*
+ * mw_log_admitted_incarnation: incarnation under which the member in a peer's
+ * slot has a vote in a configuration; 0 if it has none.
+ *
+ * The slot may have had another member in that configuration.  That one has
+ * no vote: a slot is given away only once the removal of its member is
+ * committed.
+ */
+uint64_t mw_log_admitted_incarnation(const struct mw_log *log,
+                                     const struct mw_log_config *config,
+                                     unsigned peer);
+
 /*
  * mw_log_is_voter: whether a peer has a vote in a configuration.
  *
  * Its latest known incarnation must be the admitted one.
  */
-bool mw_log_is_voter(const struct mw_log *log, const uint64_t *config,
-                     unsigned peer);
+bool mw_log_is_voter(const struct mw_log *log,
+                     const struct mw_log_config *config, unsigned peer);
 
 /*
  * mw_log_has_election_quorum: whether the peers in mask can elect a leader,
@@ -227,18 +246,54 @@
 bool mw_log_has_commit_quorum(const struct mw_log *log, uint32_t mask,
                               uint64_t index);
 
-/* mw_log_latest_config: the latest configuration, committed or not. */
-const uint64_t *mw_log_latest_config(const struct mw_log *log);
-
 /* mw_log_is_admitted: whether this member is a voter. */
 bool mw_log_is_admitted(const struct mw_log *log);
 
+/* mw_log_changes_config: whether a record changes the configuration. */
+bool mw_log_changes_config(const struct mw_record *record);
+
 /*
- * mw_log_rebuild_config: compute slots, the committed configuration and the
- * pending ones from the snapshot and the entries after it.
+ * mw_log_rebuild_config: compute the configurations from the snapshot's and
+ * the entries after it, and update the peers.
+ *
+ * A record applies to the configuration before it, so that all members with
+ * the same log compute the same ones.
  */
 void mw_log_rebuild_config(struct mw_log *log);
 
+/*
+ * mw_log_found_config: set the configuration before the first entry.
+ *
+ * It has the founding members, and admits those of them that have a disk.
+ */
+void mw_log_found_config(struct mw_log *log);
+
+/*
+ * mw_log_read_snapshot_config: set the snapshot's configuration from its
+ * MEMBER records and the incarnations that it admits, by slot.
+ */
+void mw_log_read_snapshot_config(struct mw_log *log,
+                                 const uint64_t incarnations[MW_MEMBERS_MAX]);
+
+/* mw_log_copy_incarnations: what a snapshot's configuration admits, by slot.
+ */
+void mw_log_copy_incarnations(const struct mw_log_config *config,
+                              uint64_t incarnations[MW_MEMBERS_MAX]);
+
+/*
+ * mw_log_update_peers: give the peers the slots of latest_config.
+ *
+ * A peer whose slot has another member now is reset; the others stay as they
+ * are.  Slots without a member keep what mw_log_fill_slot has set.
+ */
+void mw_log_update_peers(struct mw_log *log);
+
+/*
+ * mw_log_clear_reported_slots: drop what mw_log_fill_slot has set, as
+ * leadership begins: a leader's log has all slots.
+ */
+void mw_log_clear_reported_slots(struct mw_log *log);
+
 /* write one item to storage; see enum mw_stored_kind */
 void mw_log_store_meta(struct mw_log *log);
 void mw_log_store_entry(struct mw_log *log, uint64_t index);
@@ -377,14 +432,6 @@
 /* mw_log_apply_snapshot: reset the owner's state to the snapshot. */
 void mw_log_apply_snapshot(struct mw_log *log);
 
-/*
- * mw_log_set_slot: set the member of a slot.
- *
- * Resets the state of the peer, and clears the member's former slot.
- */
-void mw_log_set_slot(struct mw_log *log, uint32_t slot,
-                     const struct mw_name *name);
-
 /* mw_log_collect_slots: add a MEMBER record for each slot to a snapshot. */
 void mw_log_collect_slots(const struct mw_log *log, GPtrArray *records);
 
--- a/source/core/log/log-quorum.c
+++ b/source/core/log/log-quorum.c
@@ -1,31 +1,34 @@
 /*
  * log-quorum: configurations, voters and quorums.
  */
-#include <string.h>
-
 #include "log-impl.h"
 
-bool
-mw_log_is_voter(const struct mw_log *log, const uint64_t *config,
-                unsigned peer)
+uint64_t
+mw_log_admitted_incarnation(const struct mw_log *log,
+                            const struct mw_log_config *config, unsigned peer)
 {
-    return config[peer] != 0 && config[peer] == log->peers[peer].incarnation;
+    const struct mw_log_slot *slot = &config->slots[peer];
+
+    if (peer == MW_MEMBERS_MAX ||
+        !mw_name_equal(&slot->member, &log->peers[peer].name)) {
+        return 0;
+    }
+    return slot->incarnation;
 }
 
-const uint64_t *
-mw_log_latest_config(const struct mw_log *log)
+bool
+mw_log_is_voter(const struct mw_log *log, const struct mw_log_config *config,
+                unsigned peer)
 {
-    if (log->pending_config_count > 0) {
-        return log->pending_configs[log->pending_config_count - 1]
-            .incarnations;
-    }
-    return log->config;
+    uint64_t incarnation = mw_log_admitted_incarnation(log, config, peer);
+
+    return incarnation != 0 && incarnation == log->peers[peer].incarnation;
 }
 
 bool
 mw_log_is_admitted(const struct mw_log *log)
 {
-    return mw_log_latest_config(log)[log->self] == log->incarnation;
+    return mw_log_is_voter(log, &log->latest_config, log->self);
 }
 
 /*
@@ -34,9 +37,12 @@
  * member has not heard from the admitted one yet.
  */
 static bool
-is_superseded(const struct mw_log *log, const uint64_t *config, unsigned peer)
+is_superseded(const struct mw_log *log, const struct mw_log_config *config,
+              unsigned peer)
 {
-    return config[peer] != 0 && log->peers[peer].incarnation > config[peer];
+    uint64_t incarnation = mw_log_admitted_incarnation(log, config, peer);
+
+    return incarnation != 0 && log->peers[peer].incarnation > incarnation;
 }
 
 /*
@@ -52,12 +58,13 @@
 };
 
 static struct config_tally
-tally_config(const struct mw_log *log, const uint64_t *config, uint32_t mask)
+tally_config(const struct mw_log *log, const struct mw_log_config *config,
+             uint32_t mask)
 {
     struct config_tally t = {0};
 
     for (unsigned i = 0; i < log->peer_count; i++) {
-        if (config[i] == 0) {
+        if (mw_log_admitted_incarnation(log, config, i) == 0) {
             continue;
         }
         t.voters++;
@@ -73,8 +80,8 @@
 
 /* Whether nothing can have been committed without this member. */
 static bool
-holds_all_committed(const struct mw_log *log, const uint64_t *config,
-                    struct config_tally t)
+holds_all_committed(const struct mw_log *log,
+                    const struct mw_log_config *config, struct config_tally t)
 {
     if (!mw_log_is_voter(log, config, log->self)) {
         return false;
@@ -84,7 +91,8 @@
 }
 
 static bool
-config_elects(const struct mw_log *log, const uint64_t *config, uint32_t mask)
+config_elects(const struct mw_log *log, const struct mw_log_config *config,
+              uint32_t mask)
 {
     struct config_tally t = tally_config(log, config, mask);
 
@@ -102,7 +110,8 @@
 }
 
 static bool
-config_commits(const struct mw_log *log, const uint64_t *config, uint32_t mask)
+config_commits(const struct mw_log *log, const struct mw_log_config *config,
+               uint32_t mask)
 {
     struct config_tally t = tally_config(log, config, mask);
 
@@ -115,21 +124,20 @@
 bool
 mw_log_has_election_quorum(const struct mw_log *log, uint32_t mask)
 {
-    bool has_quorum = config_elects(log, log->config, mask);
+    bool has_quorum = config_elects(log, &log->config, mask);
 
     for (uint32_t i = 0; has_quorum && i < log->pending_config_count; i++) {
-        has_quorum =
-            config_elects(log, log->pending_configs[i].incarnations, mask);
+        has_quorum = config_elects(log, &log->pending_configs[i].config, mask);
     }
     return has_quorum;
 }
 
 static bool
-config_has_all_votes(const struct mw_log *log, const uint64_t *config,
-                     uint32_t mask)
+config_has_all_votes(const struct mw_log *log,
+                     const struct mw_log_config *config, uint32_t mask)
 {
     for (unsigned i = 0; i < log->peer_count; i++) {
-        if (config[i] != 0 &&
+        if (mw_log_admitted_incarnation(log, config, i) != 0 &&
             (!(mask & (1u << i)) || !mw_log_is_voter(log, config, i))) {
             return false;
         }
@@ -140,11 +148,11 @@
 bool
 mw_log_has_all_votes(const struct mw_log *log, uint32_t mask)
 {
-    bool has_all = config_has_all_votes(log, log->config, mask);
+    bool has_all = config_has_all_votes(log, &log->config, mask);
 
     for (uint32_t i = 0; has_all && i < log->pending_config_count; i++) {
-        has_all = config_has_all_votes(
-            log, log->pending_configs[i].incarnations, mask);
+        has_all =
+            config_has_all_votes(log, &log->pending_configs[i].config, mask);
     }
     return has_all;
 }
@@ -158,7 +166,7 @@
 mw_log_has_commit_quorum(const struct mw_log *log, uint32_t mask,
                          uint64_t index)
 {
-    const uint64_t *config = log->config;
+    const struct mw_log_config *config = &log->config;
 
     for (uint32_t i = 0; i < log->pending_config_count; i++) {
         if (log->pending_configs[i].index > index) {
@@ -167,74 +175,7 @@
         if (!config_elects(log, config, mask)) {
             return false;
         }
-        config = log->pending_configs[i].incarnations;
+        config = &log->pending_configs[i].config;
     }
     return config_commits(log, config, mask);
 }
-
-static void
-set_incarnation(struct mw_log *log, uint64_t *config,
-                const struct mw_record_admit *admit)
-{
-    for (unsigned i = 0; i < log->peer_count; i++) {
-        if (mw_name_equal(&log->peers[i].name, &admit->member)) {
-            config[i] = admit->incarnation;
-        }
-    }
-}
-
-static void
-add_pending_config(struct mw_log *log, uint64_t index,
-                   const struct mw_record_admit *admit)
-{
-    struct mw_log_config *next;
-    const uint64_t *latest = mw_log_latest_config(log);
-
-    if (log->pending_config_count == MW_LOG_PENDING_CONFIGS_MAX) {
-        return;
-    }
-    next = &log->pending_configs[log->pending_config_count];
-    next->index = index;
-    memcpy(next->incarnations, latest, sizeof next->incarnations);
-    set_incarnation(log, next->incarnations, admit);
-    log->pending_config_count++;
-}
-
-/*
- * The slot's former member has no vote: a slot is given away only once that is
- * committed.  The ADMIT record that took the vote names a member that has no
- * slot any more, and finds none when it is read again.
- */
-static void
-clear_vote(struct mw_log *log, uint32_t slot)
-{
-    log->config[slot] = 0;
-    for (uint32_t i = 0; i < log->pending_config_count; i++) {
-        log->pending_configs[i].incarnations[slot] = 0;
-    }
-}
-
-void
-mw_log_rebuild_config(struct mw_log *log)
-{
-    memcpy(log->config, log->snapshot_config, sizeof log->config);
-    log->pending_config_count = 0;
-    for (guint i = 0; i < log->entries->len; i++) {
-        uint64_t index = log->snapshot_index + 1 + i;
-        struct mw_record *record = mw_log_entry_at(log, index)->record;
-
-        if (record->kind == MW_RECORD_MEMBER) {
-            mw_log_set_slot(log, record->member.slot, &record->member.name);
-            clear_vote(log, record->member.slot);
-        }
-        if (record->kind != MW_RECORD_ADMIT) {
-            continue;
-        }
-        if (index <= log->commit_index) {
-            set_incarnation(log, log->config, &record->admit);
-        }
-        else {
-            add_pending_config(log, index, &record->admit);
-        }
-    }
-}
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -178,16 +178,19 @@
 mw_log_commit_to(struct mw_log *log, uint64_t commit)
 {
     log->commit_index = commit;
-    if (log->pending_config_count > 0 &&
-        log->pending_configs[0].index <= commit) {
+    bool admission_committed = log->pending_config_count > 0 &&
+                               log->pending_configs[0].index <= commit;
+
+    if (log->uncommitted_change_index > 0 &&
+        log->uncommitted_change_index <= commit) {
         mw_log_rebuild_config(log);
-        /*
-         * The new configuration must be known after a restart: its voters
-         * alone may be too few for a quorum of the one before it.
-         */
-        if (!log->restoring) {
-            mw_log_store_meta(log);
-        }
+    }
+    /*
+     * The new configuration must be known after a restart: its voters alone
+     * may be too few for a quorum of the one before it.
+     */
+    if (admission_committed && !log->restoring) {
+        mw_log_store_meta(log);
     }
     while (log->applied_index < log->commit_index) {
         struct mw_log_entry *entry =
@@ -249,7 +252,7 @@
 bool
 mw_log_holds_lease(const struct mw_log *log, int64_t now_us)
 {
-    return log->config[log->self] == log->incarnation &&
+    return mw_log_is_voter(log, &log->config, log->self) &&
            mw_log_is_lease_valid(log, now_us);
 }
 
--- a/source/core/log/log-state.c
+++ b/source/core/log/log-state.c
@@ -2,7 +2,6 @@
  * log-state: entries, writes to storage, and messages that wait for them.
  */
 #include <inttypes.h>
-#include <string.h>
 
 #include "log-impl.h"
 
@@ -14,24 +13,13 @@
     mw_drop_record(entry->record);
 }
 
-/* Admits the founding members that have a disk. */
-static void
-init_config(struct mw_log *log)
-{
-    for (unsigned i = 0; i < log->peer_count; i++) {
-        bool is_admitted = i < log->founding_count && log->peers[i].disk;
-
-        log->snapshot_config[i] = is_admitted ? MW_FOUNDING_INCARNATION : 0;
-    }
-    memcpy(log->config, log->snapshot_config, sizeof log->config);
-}
-
 struct mw_log *
 mw_new_log(const struct mw_log_setup *setup)
 {
     struct mw_log *log = g_new0(struct mw_log, 1);
 
     log->group = setup->group;
+    log->name = setup->self;
     log->output = setup->output;
     log->compact_after = setup->compact_after;
     log->compact_bytes = setup->compact_bytes;
@@ -46,7 +34,6 @@
         log->peers[i].name = setup->members[i].name;
         log->peers[i].disk = setup->members[i].disk;
         if (mw_name_equal(&setup->members[i].name, &setup->self)) {
-            log->self = i;
             log->peers[i].incarnation = setup->incarnation;
         }
     }
@@ -58,7 +45,7 @@
         g_ptr_array_new_with_free_func((GDestroyNotify)mw_drop_record);
     g_queue_init(&log->deferred);
     g_queue_init(&log->pending_writes);
-    init_config(log);
+    mw_log_found_config(log);
     log->holdoff_deadline_us = setup->now_us + MW_ELECTION_TIMEOUT_US;
     mw_log_reset_election_timer(log, setup->now_us);
     mw_log_schedule_early(log, setup->now_us);
@@ -201,7 +188,7 @@
         .records = (struct mw_record **)log->snapshot_records->pdata,
     };
 
-    memcpy(item.config, log->snapshot_config, sizeof item.config);
+    mw_log_copy_incarnations(&log->snapshot_config, item.config);
     store_item(log, &item, log->snapshot_index);
     log->snapshot_sequence = log->store_sequence;
 }
@@ -215,7 +202,7 @@
     g_array_append_val(log->entries, entry);
     log->uncommitted_bytes += mw_record_size(record);
     mw_log_store_entry(log, mw_log_last_index(log));
-    if (record->kind == MW_RECORD_ADMIT || record->kind == MW_RECORD_MEMBER) {
+    if (mw_log_changes_config(record)) {
         mw_log_rebuild_config(log);
     }
     return mw_log_last_index(log);
@@ -268,12 +255,12 @@
     }
     log->snapshot_index = item->index;
     log->snapshot_term = item->term;
-    memcpy(log->snapshot_config, item->config, sizeof log->snapshot_config);
     g_ptr_array_set_size(log->snapshot_records, 0);
     for (uint32_t i = 0; i < item->record_count; i++) {
         g_ptr_array_add(log->snapshot_records,
                         mw_keep_record(item->records[i]));
     }
+    mw_log_read_snapshot_config(log, item->config);
     mw_log_apply_snapshot(log);
 }
 
@@ -435,6 +422,12 @@
     }
 }
 
+const struct mw_log_config *
+mw_log_get_config(const struct mw_log *log)
+{
+    return &log->config;
+}
+
 void
 mw_log_get_status(const struct mw_log *log, struct mw_log_status *view)
 {
@@ -451,8 +444,10 @@
         .counters = &log->counters,
     };
     for (unsigned i = 0; i < log->peer_count; i++) {
-        view->voter_count += log->config[i] != 0;
-        view->disk_voter_count += log->config[i] != 0 && log->peers[i].disk;
+        bool is_voter = mw_log_admitted_incarnation(log, &log->config, i) != 0;
+
+        view->voter_count += is_voter;
+        view->disk_voter_count += is_voter && log->peers[i].disk;
     }
 }
 
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -199,7 +199,7 @@
     for (unsigned i = 0; i < log->peer_count; i++) {
         struct mw_log_peer *peer = &log->peers[i];
 
-        if (i != log->self && mw_log_is_voter(log, log->config, i) &&
+        if (i != log->self && mw_log_is_voter(log, &log->config, i) &&
             (!best || peer->match_index > best->match_index)) {
             best = peer;
         }
--- a/tests/log-script.c
+++ b/tests/log-script.c
@@ -12,7 +12,7 @@
 #include "mimosawind/link-choice.h"
 #include "script.h"
 
-#define MEMBERS_MAX 10
+#define MEMBERS_MAX 24
 #define STEP_US 10000
 #define LATENCY_US 1000
 #define US_PER_S 1000000
