A joining process takes entries from a leader whose slot it doesn't know yet

Callers saw no leader for good (CONFIG, LOST): a successor never caught up, and the next replaced machine was one too many.

Cause: a process that joins reads the log from its start, one message of at most 512 records after the other. A record there gives the present leader's slot to a former member. From then on the leader was a process without a slot, and the rest of the log was ignored. The reply to that very message went to the slot's new name, too.

Requests are answered to the name that they came from, not to a peer whose slot may have changed meanwhile. A group with a fixed list ignores others as before.

--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -272,8 +272,9 @@
 /*
  * mw_log_receive: handle a message from another member.
  *
- * Messages from processes without a slot are ignored; those of an older
- * incarnation are counted and dropped.
+ * Messages from processes without a slot are ignored, except that a group
+ * with a target takes entries, snapshots and requests for votes from them.
+ * Those of an older incarnation are counted and dropped.
  */
 void mw_log_receive(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
                     const struct mw_name *from, const struct mw_log_msg *msg);
--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -222,7 +222,7 @@
 
 /* offset is the number of records received so far. */
 static void
-reply_snapshot(struct mw_log *log, const struct mw_log_peer *peer,
+reply_snapshot(struct mw_log *log, const struct mw_name *from,
                const struct mw_log_msg *msg, uint64_t offset, bool done)
 {
     struct mw_log_msg reply = {
@@ -233,7 +233,7 @@
         .sent_us = msg->sent_us,
     };
 
-    mw_log_send_after_sync(log, &peer->name, &reply);
+    mw_log_send_after_sync(log, from, &reply);
 }
 
 /* Replaces the whole log by the snapshot that has been received. */
@@ -255,13 +255,13 @@
 
 void
 mw_log_on_snapshot(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
-                   struct mw_log_peer *peer, const struct mw_log_msg *msg)
+                   const struct mw_name *from, const struct mw_log_msg *msg)
 {
     if (msg->term < log->term) {
         return;
     }
     mw_log_become_follower(ctx, log, now_us, msg->term);
-    log->leader = peer->name;
+    log->leader = *from;
     log->leader_contact_us = now_us;
     if (mw_log_term_at(log, msg->index) == msg->log_term &&
         msg->index > log->commit_index) {
@@ -272,7 +272,7 @@
         mw_log_commit_to(log, msg->index);
     }
     if (msg->index <= log->commit_index) {
-        reply_snapshot(log, peer, msg, msg->total, true);
+        reply_snapshot(log, from, msg, msg->total, true);
         return;
     }
     if (log->incoming_index != msg->index || log->incoming_term != msg->term) {
@@ -283,7 +283,7 @@
         log->incoming_term = msg->term;
     }
     if (!log->incoming_records || msg->offset != log->incoming_records->len) {
-        reply_snapshot(log, peer, msg,
+        reply_snapshot(log, from, msg,
                        log->incoming_records ? log->incoming_records->len : 0,
                        false);
         return;
@@ -296,10 +296,10 @@
 
     if (received >= msg->total) {
         install_snapshot(log, msg);
-        reply_snapshot(log, peer, msg, received, true);
+        reply_snapshot(log, from, msg, received, true);
         return;
     }
-    reply_snapshot(log, peer, msg, received, false);
+    reply_snapshot(log, from, msg, received, false);
 }
 
 /*
--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -296,7 +296,7 @@
 }
 
 static void
-on_prevote(struct mw_log *log, int64_t now_us, struct mw_log_peer *peer,
+on_prevote(struct mw_log *log, int64_t now_us, const struct mw_name *from,
            const struct mw_log_msg *msg)
 {
     struct mw_log_msg reply = {.kind = MW_LOG_PREVOTE_REPLY,
@@ -313,7 +313,7 @@
         log->early_deadline_us =
             MIN(log->early_deadline_us, now_us + early_jitter_us(log));
     }
-    mw_log_send(log, &peer->name, &reply);
+    mw_log_send(log, from, &reply);
 }
 
 /*
@@ -324,10 +324,10 @@
  */
 static void
 note_vote(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
-          const struct mw_log_peer *peer, bool early)
+          const struct mw_name *candidate, bool early)
 {
     if (log->vote.len == 0) {
-        log->vote = peer->name;
+        log->vote = *candidate;
         mw_log_store_meta(log);
     }
     if (early) {
@@ -342,7 +342,7 @@
 
 void
 mw_log_on_vote_request(struct mw_context *ctx, struct mw_log *log,
-                       int64_t now_us, struct mw_log_peer *peer,
+                       int64_t now_us, const struct mw_name *from,
                        const struct mw_log_msg *msg)
 {
     struct mw_log_msg reply = {.kind = MW_LOG_VOTE_REPLY, .index = msg->term};
@@ -351,22 +351,21 @@
         return;
     }
     if (msg->kind == MW_LOG_PREVOTE) {
-        on_prevote(log, now_us, peer, msg);
+        on_prevote(log, now_us, from, msg);
         return;
     }
     if (msg->term > log->term) {
         mw_log_become_follower(ctx, log, now_us, msg->term);
     }
-    bool may_vote =
-        log->vote.len == 0 || mw_name_equal(&log->vote, &peer->name);
+    bool may_vote = log->vote.len == 0 || mw_name_equal(&log->vote, from);
 
     set_granted(log, now_us, msg,
                 msg->term == log->term && may_vote && is_up_to_date(log, msg),
                 &reply);
     if (reply.ok || reply.early) {
-        note_vote(ctx, log, now_us, peer, reply.early);
+        note_vote(ctx, log, now_us, from, reply.early);
     }
-    mw_log_send_after_sync(log, &peer->name, &reply);
+    mw_log_send_after_sync(log, from, &reply);
 }
 
 void
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -358,8 +358,13 @@
                                 int64_t now_us);
 void mw_log_start_election(struct mw_context *ctx, struct mw_log *log,
                            int64_t now_us);
+
+/*
+ * Requests are answered to the process that they came from, also one without
+ * a slot; the slots may have other members once a request has been handled.
+ */
 void mw_log_on_vote_request(struct mw_context *ctx, struct mw_log *log,
-                            int64_t now_us, struct mw_log_peer *peer,
+                            int64_t now_us, const struct mw_name *from,
                             const struct mw_log_msg *msg);
 void mw_log_on_vote_reply(struct mw_context *ctx, struct mw_log *log,
                           int64_t now_us, struct mw_log_peer *peer,
@@ -373,7 +378,7 @@
  */
 void mw_log_replicate(struct mw_log *log, int64_t now_us, unsigned peer);
 void mw_log_on_append(struct mw_context *ctx, struct mw_log *log,
-                      int64_t now_us, struct mw_log_peer *peer,
+                      int64_t now_us, const struct mw_name *from,
                       const struct mw_log_msg *msg);
 void mw_log_on_append_reply(struct mw_context *ctx, struct mw_log *log,
                             int64_t now_us, struct mw_log_peer *peer,
@@ -423,7 +428,7 @@
  */
 void mw_log_send_snapshot(struct mw_log *log, int64_t now_us, unsigned peer);
 void mw_log_on_snapshot(struct mw_context *ctx, struct mw_log *log,
-                        int64_t now_us, struct mw_log_peer *peer,
+                        int64_t now_us, const struct mw_name *from,
                         const struct mw_log_msg *msg);
 void mw_log_on_snapshot_reply(struct mw_context *ctx, struct mw_log *log,
                               int64_t now_us, struct mw_log_peer *peer,
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -321,7 +321,7 @@
 
 /* index: the last entry that matches, or a hint where one may match. */
 static void
-reply_append(struct mw_log *log, const struct mw_log_peer *peer,
+reply_append(struct mw_log *log, const struct mw_name *from,
              const struct mw_log_msg *msg, bool ok, uint64_t index)
 {
     struct mw_log_msg reply = {
@@ -331,7 +331,7 @@
         .sent_us = msg->sent_us,
     };
 
-    mw_log_send_after_sync(log, &peer->name, &reply);
+    mw_log_send_after_sync(log, from, &reply);
 }
 
 /* Appends what is missing; entries of another term are replaced. */
@@ -356,14 +356,14 @@
 
 void
 mw_log_on_append(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
-                 struct mw_log_peer *peer, const struct mw_log_msg *msg)
+                 const struct mw_name *from, const struct mw_log_msg *msg)
 {
     if (msg->term < log->term) {
-        reply_append(log, peer, msg, false, 0);
+        reply_append(log, from, msg, false, 0);
         return;
     }
     mw_log_become_follower(ctx, log, now_us, msg->term);
-    log->leader = peer->name;
+    log->leader = *from;
     log->leader_contact_us = now_us;
     bool is_gap = msg->index > mw_log_last_index(log);
     bool in_snapshot = msg->index < log->snapshot_index;
@@ -372,7 +372,7 @@
         (!in_snapshot && mw_log_term_at(log, msg->index) != msg->log_term)) {
         uint64_t hint = is_gap ? mw_log_last_index(log) : msg->index - 1;
 
-        reply_append(log, peer, msg, false, MAX(hint, log->commit_index));
+        reply_append(log, from, msg, false, MAX(hint, log->commit_index));
         return;
     }
     merge_entries(log, msg);
@@ -385,7 +385,7 @@
             mw_log_commit_to(log, commit);
         }
     }
-    reply_append(log, peer, msg, true, match);
+    reply_append(log, from, msg, true, match);
 }
 
 void
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -58,14 +58,34 @@
     }
 }
 
+/*
+ * Whether the message may come from a process without a slot.  One that is
+ * behind doesn't know the slots that have been given since; a leader or a
+ * candidate can have one of these.
+ */
+static bool
+may_be_unknown(const struct mw_log *log, const struct mw_log_msg *msg)
+{
+    switch (msg->kind) {
+    case MW_LOG_PREVOTE:
+    case MW_LOG_VOTE:
+    case MW_LOG_APPEND:
+    case MW_LOG_SNAPSHOT:
+        return log->target_member_count > 0;
+    default:
+        return false;
+    }
+}
+
 void
 mw_log_receive(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
                const struct mw_name *from, const struct mw_log_msg *msg)
 {
     struct mw_log_peer *peer = mw_log_find_peer(log, from);
 
-    if (!peer || peer == &log->peers[log->self] ||
-        !accept_incarnation(log, peer, msg)) {
+    if (mw_name_equal(from, &log->name) ||
+        (peer ? !accept_incarnation(log, peer, msg)
+              : !may_be_unknown(log, msg))) {
         return;
     }
     if (!log->writable && must_store(msg)) {
@@ -84,20 +104,20 @@
     switch (msg->kind) {
     case MW_LOG_PREVOTE:
     case MW_LOG_VOTE:
-        mw_log_on_vote_request(ctx, log, now_us, peer, msg);
+        mw_log_on_vote_request(ctx, log, now_us, from, msg);
         break;
     case MW_LOG_PREVOTE_REPLY:
     case MW_LOG_VOTE_REPLY:
         mw_log_on_vote_reply(ctx, log, now_us, peer, msg);
         break;
     case MW_LOG_APPEND:
-        mw_log_on_append(ctx, log, now_us, peer, msg);
+        mw_log_on_append(ctx, log, now_us, from, msg);
         break;
     case MW_LOG_APPEND_REPLY:
         mw_log_on_append_reply(ctx, log, now_us, peer, msg);
         break;
     case MW_LOG_SNAPSHOT:
-        mw_log_on_snapshot(ctx, log, now_us, peer, msg);
+        mw_log_on_snapshot(ctx, log, now_us, from, msg);
         break;
     case MW_LOG_SNAPSHOT_REPLY:
         mw_log_on_snapshot_reply(ctx, log, now_us, peer, msg);
