--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -42,11 +42,24 @@
     return n;
 }
 
+/*
+ * Whether the peer's log must begin with a snapshot: only the founding members
+ * know the configuration before the first entry.
+ */
+static bool
+needs_first_snapshot(const struct mw_log *log, const struct mw_log_peer *peer)
+{
+    return log->target_member_count > 0 && log->snapshot_index == 0 &&
+           peer->next_index == 1 &&
+           peer->incarnation != MW_FOUNDING_INCARNATION;
+}
+
 /* Whether there are entries to send, and few are in flight. */
 static bool
 may_send_entries(const struct mw_log *log, const struct mw_log_peer *peer)
 {
-    return peer->next_index <= mw_log_last_index(log) &&
+    return !needs_first_snapshot(log, peer) &&
+           peer->next_index <= mw_log_last_index(log) &&
            peer->next_index <= peer->match_index + INFLIGHT_ENTRIES_MAX &&
            peer->inflight_bytes < INFLIGHT_BYTES_MAX;
 }
@@ -79,6 +92,11 @@
 {
     struct mw_log_peer *peer = &log->peers[i];
 
+    /* until its incarnation is known, the peer may be a founding member */
+    if (needs_first_snapshot(log, peer) && peer->incarnation != 0 &&
+        log->applied_index > 0) {
+        mw_log_compact(log);
+    }
     if (!mw_log_has_entries_from(log, peer->next_index) ||
         peer->snapshot_records) {
         mw_log_send_snapshot(log, now_us, i);
@@ -446,7 +464,7 @@
         mw_log_note_match(log, peer, msg->index);
         mw_log_advance_commit(ctx, log, now_us);
     }
-    if (may_send_entries(log, peer)) {
+    if (may_send_entries(log, peer) || needs_first_snapshot(log, peer)) {
         mw_log_replicate(log, now_us, (unsigned)(peer - log->peers));
     }
     mw_log_admit_caught_up(ctx, log, now_us);
