The log says who stands, who is refused and why, by which configuration

Why two live members elected nobody couldn't be read from any log: none said whether one had stood, or who had refused.

Change (log-report.c): "stands" and "not_elected" at a candidate, with term, last index, commit index, the voters and their incarnations in the committed configuration and in each pending one ("?" where another incarnation is known), and the votes of the last attempt; "vote_refused" at a voter with the reason: lease, older_term, older_log, other_vote or disk.

--- a/source/core/log/log-compact.c
+++ b/source/core/log/log-compact.c
@@ -261,8 +261,7 @@
         return;
     }
     mw_log_become_follower(ctx, log, now_us, msg->term);
-    log->leader = *from;
-    log->leader_contact_us = now_us;
+    mw_log_note_leader(log, now_us, from);
     if (mw_log_term_at(log, msg->index) == msg->log_term &&
         msg->index > log->commit_index) {
         /*
--- a/source/core/log/log-elect.c
+++ b/source/core/log/log-elect.c
@@ -85,9 +85,18 @@
     mw_log_reset_election_timer(log, now_us);
 }
 
-/* This member, and the peers that have granted their vote. */
-static uint32_t
-granted_mask(const struct mw_log *log)
+void
+mw_log_note_leader(struct mw_log *log, int64_t now_us,
+                   const struct mw_name *leader)
+{
+    log->leader = *leader;
+    log->leader_contact_us = now_us;
+    log->report.stand_us = 0;
+    log->report.failure_us = 0;
+}
+
+uint32_t
+mw_log_granted_mask(const struct mw_log *log)
 {
     uint32_t mask = 1u << log->self;
 
@@ -103,7 +112,7 @@
 static bool
 has_won(const struct mw_log *log)
 {
-    uint32_t mask = granted_mask(log);
+    uint32_t mask = mw_log_granted_mask(log);
     bool early = log->is_own_vote_early;
 
     for (unsigned i = 0; i < log->peer_count; i++) {
@@ -148,6 +157,7 @@
 
     log->counters.terms_won++;
     set_role(ctx, log, MW_LEADER);
+    log->report = (struct mw_log_report){0};
     log->leader = log->name;
     log->leader_since_us = now_us;
     mw_log_clear_reported_slots(log);
@@ -217,6 +227,9 @@
 {
     bool admitted = mw_log_is_admitted(log);
 
+    if (admitted && log->writable) {
+        mw_log_report_attempt(ctx, log, now_us);
+    }
     if (log->refused_term > log->term) {
         /* the last pre-vote may have failed for its term */
         mw_log_become_follower(ctx, log, now_us, log->refused_term);
@@ -296,8 +309,28 @@
 }
 
 static void
-on_prevote(struct mw_log *log, int64_t now_us, const struct mw_name *from,
-           const struct mw_log_msg *msg)
+report_unless_granted(struct mw_context *ctx, struct mw_log *log,
+                      int64_t now_us, const struct mw_name *from,
+                      const struct mw_log_msg *msg,
+                      const struct mw_log_msg *reply)
+{
+    enum mw_log_refusal reason = MW_LOG_REFUSED_OTHER_VOTE;
+
+    if (reply->ok || reply->early) {
+        return;
+    }
+    if (msg->term < log->term) {
+        reason = MW_LOG_REFUSED_OLDER_TERM;
+    }
+    else if (!is_up_to_date(log, msg)) {
+        reason = MW_LOG_REFUSED_OLDER_LOG;
+    }
+    mw_log_report_refusal(ctx, log, now_us, from, msg, reason);
+}
+
+static void
+on_prevote(struct mw_context *ctx, struct mw_log *log, int64_t now_us,
+           const struct mw_name *from, const struct mw_log_msg *msg)
 {
     struct mw_log_msg reply = {.kind = MW_LOG_PREVOTE_REPLY,
                                .index = msg->term};
@@ -313,6 +346,7 @@
         log->early_deadline_us =
             MIN(log->early_deadline_us, now_us + early_jitter_us(log));
     }
+    report_unless_granted(ctx, log, now_us, from, msg, &reply);
     mw_log_send(log, from, &reply);
 }
 
@@ -348,10 +382,12 @@
     struct mw_log_msg reply = {.kind = MW_LOG_VOTE_REPLY, .index = msg->term};
 
     if (must_protect_lease(log, now_us) && !msg->ok) {
+        mw_log_report_refusal(ctx, log, now_us, from, msg,
+                              MW_LOG_REFUSED_LEASE);
         return;
     }
     if (msg->kind == MW_LOG_PREVOTE) {
-        on_prevote(log, now_us, from, msg);
+        on_prevote(ctx, log, now_us, from, msg);
         return;
     }
     if (msg->term > log->term) {
@@ -365,6 +401,7 @@
     if (reply.ok || reply.early) {
         note_vote(ctx, log, now_us, from, reply.early);
     }
+    report_unless_granted(ctx, log, now_us, from, msg, &reply);
     mw_log_send_after_sync(log, from, &reply);
 }
 
--- a/source/core/log/log-impl.h
+++ b/source/core/log/log-impl.h
@@ -62,6 +62,27 @@
     struct mw_log_config config;
 };
 
+enum mw_log_refusal {
+    /* of a leader that may have a valid lease */
+    MW_LOG_REFUSED_LEASE = 0,
+    MW_LOG_REFUSED_OLDER_TERM = 1,
+    MW_LOG_REFUSED_OLDER_LOG = 2,
+    MW_LOG_REFUSED_OTHER_VOTE = 3,
+    MW_LOG_REFUSED_DISK = 4
+};
+
+/* mw_log_report: when the lines about elections may be written again. */
+struct mw_log_report {
+    int64_t stand_us;
+    int64_t failure_us;
+    /* the same refusal, and another one */
+    int64_t refusal_us;
+    int64_t other_refusal_us;
+    /* of the last line about a refusal */
+    enum mw_log_refusal refusal;
+    struct mw_name candidate;
+};
+
 struct mw_log {
     struct mw_name group;
     struct mw_log_output output;
@@ -161,6 +182,7 @@
     bool writable;
     /* whether the lease was valid on the last tick */
     bool lease_valid;
+    struct mw_log_report report;
     struct mw_log_counters counters;
 };
 
@@ -338,12 +360,36 @@
 void mw_log_become_follower(struct mw_context *ctx, struct mw_log *log,
                             int64_t now_us, uint64_t term);
 
+/* mw_log_note_leader: a leader of the present term has sent a message. */
+void mw_log_note_leader(struct mw_log *log, int64_t now_us,
+                        const struct mw_name *leader);
+
 /* mw_log_reset_election_timer: set a random election deadline. */
 void mw_log_reset_election_timer(struct mw_log *log, int64_t now_us);
 
 /* mw_log_schedule_early: set the deadline of the next early attempt. */
 void mw_log_schedule_early(struct mw_log *log, int64_t now_us);
 
+/* mw_log_granted_mask: this member, and the peers that granted their vote. */
+uint32_t mw_log_granted_mask(const struct mw_log *log);
+
+/*
+ * mw_log_report_attempt: write a line before this member stands for election.
+ *
+ * "stands" at the first attempt, "not_elected" when the last one has failed,
+ * with the configurations that ask for a quorum and the votes of the last
+ * attempt.  A "?" marks a voter whose admitted incarnation is not the latest
+ * one known.  To be called before the votes are cleared.
+ */
+void mw_log_report_attempt(struct mw_context *ctx, struct mw_log *log,
+                           int64_t now_us);
+
+/* mw_log_report_refusal: write a line about a vote that is not granted. */
+void mw_log_report_refusal(struct mw_context *ctx, struct mw_log *log,
+                           int64_t now_us, const struct mw_name *candidate,
+                           const struct mw_log_msg *msg,
+                           enum mw_log_refusal reason);
+
 /* elections */
 void mw_log_start_prevote(struct mw_context *ctx, struct mw_log *log,
                           int64_t now_us);
--- a/source/core/log/log-replicate.c
+++ b/source/core/log/log-replicate.c
@@ -381,8 +381,7 @@
         return;
     }
     mw_log_become_follower(ctx, log, now_us, msg->term);
-    log->leader = *from;
-    log->leader_contact_us = now_us;
+    mw_log_note_leader(log, now_us, from);
     bool is_gap = msg->index > mw_log_last_index(log);
     bool in_snapshot = msg->index < log->snapshot_index;
 
--- a/source/core/log/log-step.c
+++ b/source/core/log/log-step.c
@@ -88,10 +88,15 @@
               : !may_be_unknown(log, msg))) {
         return;
     }
+    bool is_request = msg->kind == MW_LOG_PREVOTE || msg->kind == MW_LOG_VOTE;
+
     if (!log->writable && must_store(msg)) {
+        if (is_request) {
+            mw_log_report_refusal(ctx, log, now_us, from, msg,
+                                  MW_LOG_REFUSED_DISK);
+        }
         return;
     }
-    bool is_request = msg->kind == MW_LOG_PREVOTE || msg->kind == MW_LOG_VOTE;
     bool is_prevote_reply = msg->kind == MW_LOG_PREVOTE_REPLY;
 
     /*
