A former member whose slot was given away becomes a learner again

Callers would see no leader for good (CONFIG, LOST), with a process to spare.

Cause: a leader gave slots to processes that say they know no member, which are standbys. A member that stands still while it is replaced, and whose slot is given away, has its data and knows members. It believed that it was a voter, got no message, and never had a slot again.

Evidence: region/former-member-returns: c9 loses its lease at 57.8 s and refuses a configuration with no_leader, while c1 runs.

Change: the leader offers a slot to each control process that has none and is not leaving. mw_log_add_learner decides on need, as before.

Tests: the simulated processes keep the list of members with which they joined, as the product does (they had the latest one). In region/two-disks another process leads from 19.6 s on; replies, and what survives, are the same.

--- a/source/core/flow/flow-control.c
+++ b/source/core/flow/flow-control.c
@@ -227,8 +227,11 @@
                              heartbeat->clock_us);
     }
     if (control->log && heartbeat->role == MW_ROLE_CONTROL &&
-        heartbeat->member_count == 0) {
-        /* a standby, which may become a member */
+        !heartbeat->leaving) {
+        /*
+         * Without a slot it is a standby, or a former member whose slot was
+         * given away while it was silent; either may become a member.
+         */
         mw_log_add_learner(control->ctx, control->log, now_us, from);
     }
     for (uint32_t i = 0; control->log && heartbeat->leads_region &&
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -80,6 +80,24 @@
     script_region(s)->quiet = strcmp(mw_script_word(s, 1), "on") == 0;
 }
 
+/* slots NAME: the log's members by slot, as a control process knows them */
+static void
+cmd_slots(struct mw_script *s)
+{
+    struct mw_region_node *node = node_word(s, 1);
+    struct mw_name members[MW_MEMBERS_MAX] = {{0}};
+    uint32_t count = mw_flow_control_get_members(node->control, members);
+    GString *line = g_string_new(NULL);
+
+    for (uint32_t i = 0; i < count; i++) {
+        g_string_append_printf(line, " %.*s",
+                               MW_FMT(mw_name_str(&members[i])));
+    }
+    mw_script_printf(s, "  %.*s knows slots of%s",
+                     MW_FMT(mw_name_str(&node->name)), line->str);
+    g_string_free(line, TRUE);
+}
+
 static void
 cmd_freeze(struct mw_script *s)
 {
@@ -416,6 +434,7 @@
     {"region", 2, cmd_region},
     {"run", 1, cmd_run},
     {"quiet", 1, cmd_quiet},
+    {"slots", 1, cmd_slots},
     {"freeze", 1, cmd_freeze},
     {"thaw", 1, cmd_thaw},
     {"crash", 1, cmd_crash},
--- a/tests/region.c
+++ b/tests/region.c
@@ -358,8 +358,8 @@
     node->member_count = 0;
 }
 
-/* Remembers the members that the process knows.  A process with an empty disk
- * becomes a member once it is among them. */
+/* A process with an empty disk becomes a member once it is among those that it
+ * knows, and remembers them. */
 static void
 update_membership(struct mw_region_node *node)
 {
@@ -369,12 +369,10 @@
     if (!node->is_control) {
         return;
     }
-    count = mw_flow_control_get_members(node->control, members);
     if (node->stored->len > 0) {
-        node->member_count = MAX(node->member_count, count);
-        memcpy(node->members, members, sizeof node->members);
         return;
     }
+    count = mw_flow_control_get_members(node->control, members);
     for (uint32_t i = 0; i < count; i++) {
         if (mw_name_equal(&members[i], &node->name)) {
             node->member_count = count;
