Soak: core machines are replaced one after the other, beside other faults

The soak lost disks, and never replaced a machine. A core machine is now also removed for good, killed or with SIGTERM, and an empty one starts at another address 2 s later, at most one loss at a time. A machine keeps the seeds that it was set up with.

--- a/tests/soak/address.c
+++ b/tests/soak/address.c
@@ -4,8 +4,14 @@
 #include "soak.h"
 
 #define FIRST_NETWORK 40
+/* hosts of core machines that have replaced others; one that was removed keeps
+ * its address until many others have gone, too */
+#define FIRST_SUCCESSOR_HOST 21
+#define LAST_SUCCESSOR_HOST 99
 
 static int network = FIRST_NETWORK;
+static int core_hosts[SOAK_CORES];
+static int next_successor_host;
 
 void
 soak_use_network(int index)
@@ -13,6 +19,30 @@
     network = FIRST_NETWORK + 2 * index;
 }
 
+void
+soak_reset_cores(void)
+{
+    for (int i = 0; i < SOAK_CORES; i++) {
+        core_hosts[i] = 1 + i;
+    }
+    next_successor_host = FIRST_SUCCESSOR_HOST;
+}
+
+void
+soak_move_core(int core)
+{
+    core_hosts[core] = next_successor_host++;
+    if (next_successor_host > LAST_SUCCESSOR_HOST) {
+        next_successor_host = FIRST_SUCCESSOR_HOST;
+    }
+}
+
+const char *
+soak_core_ip(int core)
+{
+    return soak_ip(core_hosts[core], false);
+}
+
 const char *
 soak_ip(int host, bool proxy)
 {
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -201,7 +201,7 @@
     if (kind == REQUEST_PUT_CONFIG || kind == REQUEST_GET_CONFIG) {
         return g_strdup_printf(
             "http://%s:%d" MW_PATH_CONFIG,
-            soak_ip(g_rand_int_range(clients->rand, 1, 1 + SOAK_CORES), false),
+            soak_core_ip(g_rand_int_range(clients->rand, 0, SOAK_CORES)),
             SOAK_CONTROL_PORT);
     }
     return g_strdup_printf(
--- a/tests/soak/configs.c
+++ b/tests/soak/configs.c
@@ -345,7 +345,7 @@
     }
     return g_strdup_printf(
         "http://%s:%d" MW_PATH_CONFIG,
-        soak_ip(1 + (request->version + request->attempt) % SOAK_CORES, false),
+        soak_core_ip((request->version + request->attempt) % SOAK_CORES),
         SOAK_CONTROL_PORT);
 }
 
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -304,9 +304,8 @@
 static void
 send_heartbeat(struct endpoint *endpoint)
 {
-    char *own =
-        g_strdup_printf("%s:%d", soak_ip(1 + endpoint->control_index, false),
-                        SOAK_CONTROL_PORT);
+    char *own = g_strdup_printf("%s:%d", soak_core_ip(endpoint->control_index),
+                                SOAK_CONTROL_PORT);
     char *url = g_strdup_printf(
         "http://%s" MW_PATH_INSTANCES "%.*s",
         endpoint->heartbeat_address ? endpoint->heartbeat_address : own,
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -1,7 +1,8 @@
 /*
  * run-soak FIRST COUNT SECONDS [NETWORK [LOAD]]: runs COUNT seeds, each with
  * faults for SECONDS; concurrent runs need different NETWORK indexes.  LOAD is
- * "flows", or "configs" for large configurations that change quickly.
+ * "flows", "replacements" for flows while core machines are replaced one after
+ * the other, or "configs" for large configurations that change quickly.
  *
  * EXIT STATUS  0 if no violation was observed, 1 otherwise
  */
@@ -15,6 +16,9 @@
 #define REQUEST_INTERVAL_US 60000
 /* after the faults, all accepted flows must end within this time */
 #define FLOW_END_TIMEOUT_US 60000000
+/* a replacement, time with other faults, and time without until the next */
+#define REPLACEMENT_FAULTS_US 3000000
+#define REPLACEMENT_INTERVAL_US 10500000
 
 void
 soak_run_main_loop_until(int64_t until_us)
@@ -48,6 +52,49 @@
     }
 }
 
+/*
+ * Core machines are replaced one after the other, and other faults overlap
+ * with each replacement.  Returns when the next fault is due.
+ */
+static int64_t
+inject_replacement_fault(struct soak_processes *processes,
+                         struct soak_endpoints *endpoints, GRand *rand,
+                         int64_t *replaced_us)
+{
+    if (soak_now_us() - *replaced_us >= REPLACEMENT_INTERVAL_US &&
+        soak_replace_core(processes, rand)) {
+        *replaced_us = soak_now_us();
+    }
+    else if (soak_now_us() - *replaced_us < REPLACEMENT_FAULTS_US) {
+        soak_inject_fault(processes, rand);
+    }
+    else {
+        inject_endpoint_fault(endpoints, rand);
+        soak_end_faults(processes);
+    }
+    return soak_now_us() + g_rand_int_range(rand, 100, 1000) * 1000;
+}
+
+static void
+inject_replacements(struct soak_processes *processes,
+                    struct soak_endpoints *endpoints,
+                    struct soak_clients *clients, GRand *rand,
+                    int64_t duration_us)
+{
+    int64_t until_us = soak_now_us() + duration_us;
+    int64_t next_us = soak_now_us();
+    int64_t replaced_us = 0;
+
+    while (soak_now_us() < until_us) {
+        soak_run_main_loop_until(soak_now_us() + REQUEST_INTERVAL_US);
+        soak_send_random_request(clients);
+        if (soak_now_us() >= next_us) {
+            next_us = inject_replacement_fault(processes, endpoints, rand,
+                                               &replaced_us);
+        }
+    }
+}
+
 static void
 inject_faults(struct soak_processes *processes,
               struct soak_endpoints *endpoints, struct soak_clients *clients,
@@ -95,7 +142,7 @@
 }
 
 static bool
-run_seed(uint32_t seed, int64_t duration_us)
+run_seed(uint32_t seed, int64_t duration_us, bool replacements)
 {
     GString *violations = g_string_new(NULL);
     GRand *rand = g_rand_new_with_seed(seed);
@@ -106,19 +153,27 @@
     unsigned accepted;
     unsigned refused;
     unsigned versions;
+    unsigned replaced;
     bool passed;
 
     soak_on_acknowledged(clients, processes, soak_kill_after_acknowledgement);
     soak_run_main_loop_until(soak_now_us() + SOAK_STARTUP_US);
-    inject_faults(processes, endpoints, clients, rand, duration_us);
+    if (replacements) {
+        inject_replacements(processes, endpoints, clients, rand, duration_us);
+    }
+    else {
+        inject_faults(processes, endpoints, clients, rand, duration_us);
+    }
     await_flow_ends(processes, endpoints, clients);
     soak_count_replies(clients, &accepted, &refused, &versions);
+    replaced = soak_count_replaced(processes);
     soak_drop_clients(clients);
     soak_drop_processes(processes);
     soak_drop_endpoints(endpoints);
     passed = violations->len == 0;
-    printf("seed %u: %u accepted, %u refused, version %u: %.600s%s%s\n", seed,
-           accepted, refused, versions,
+    printf("seed %u: %u accepted, %u refused, version %u, %u replaced: "
+           "%.600s%s%s\n",
+           seed, accepted, refused, versions, replaced,
            passed ? "no violations" : violations->str,
            passed ? "" : " logs in ", passed ? "" : folder);
     fflush(stdout);
@@ -135,6 +190,7 @@
     int count = argc > 2 ? atoi(argv[2]) : 1;
     int seconds = argc > 3 ? atoi(argv[3]) : 20;
     bool configs = argc > 5 && strcmp(argv[5], "configs") == 0;
+    bool replacements = argc > 5 && strcmp(argv[5], "replacements") == 0;
     int passed_count = 0;
 
     mw_add_uv_source();
@@ -142,8 +198,9 @@
     for (int seed = first; seed < first + count; seed++) {
         int64_t duration_us = seconds * INT64_C(1000000);
 
-        passed_count += configs ? soak_run_configs((uint32_t)seed, duration_us)
-                                : run_seed((uint32_t)seed, duration_us);
+        passed_count +=
+            configs ? soak_run_configs((uint32_t)seed, duration_us)
+                    : run_seed((uint32_t)seed, duration_us, replacements);
     }
     printf("soak: %d seeds, %d with violations\n", count,
            count - passed_count);
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -18,6 +18,8 @@
 #define CATCH_UP_US 5000000
 #define SHUTDOWN_TIMEOUT_US 12000000
 #define RESTART_DELAY_US 500000
+/* until the successor of a machine that was removed starts */
+#define SUCCESSOR_DELAY_US 2000000
 /* quarters of a tenth of a second in which a process does not run */
 #define QUARTER_MS 25
 #define CORE_STOPPED_QUARTERS 2
@@ -30,9 +32,13 @@
     char *folder;
     bool core;
     char ip[24];
+    /* of core machines, as they were when this machine was set up */
+    char *seeds;
     GPid pid;
     bool suspended;
     bool terminating;
+    /* its successor starts once it has ended */
+    bool replaced;
     bool started_once;
     /* stopped for its share of the processor */
     bool throttled;
@@ -45,6 +51,7 @@
     struct process processes[PROCESSES];
     struct soak_proxy *proxies[SOAK_ENTRIES];
     int64_t healthy_since_us;
+    unsigned replaced_count;
     /* after the next acknowledgement all core processes are killed */
     bool kill_on_acknowledgement;
     guint timer;
@@ -55,6 +62,25 @@
     bool shutting_down;
 };
 
+/* The machine in this place is new: it takes its address and the seeds. */
+static void
+set_up(struct process *process)
+{
+    int index = (int)(process - process->all->processes);
+    GString *seeds = g_string_new("seeds:\n");
+
+    g_strlcpy(process->ip,
+              process->core ? soak_core_ip(index)
+                            : soak_ip(11 + index - SOAK_CORES, false),
+              sizeof process->ip);
+    for (int i = 0; i < SOAK_CORES; i++) {
+        g_string_append_printf(seeds, "  - \"%s:%d\"\n", soak_core_ip(i),
+                               SOAK_CONTROL_PORT);
+    }
+    g_free(process->seeds);
+    process->seeds = g_string_free(seeds, FALSE);
+}
+
 static void
 write_settings(const struct process *process)
 {
@@ -63,13 +89,9 @@
 
     g_string_append_printf(text,
                            "node-name: \"%s\"\nip: \"%s\"\nzone: \"z0\"\n"
-                           "internal-ports: [%d, %d]\nseeds:\n",
+                           "internal-ports: [%d, %d]\n%s",
                            process->name, process->ip, SOAK_LINK_PORT,
-                           SOAK_LINK_PORT + 15);
-    for (int i = 1; i <= SOAK_CORES; i++) {
-        g_string_append_printf(text, "  - \"%s:%d\"\n", soak_ip(i, false),
-                               SOAK_CONTROL_PORT);
-    }
+                           SOAK_LINK_PORT + 15, process->seeds);
     if (process->core) {
         g_string_append_printf(
             text,
@@ -223,6 +245,15 @@
     }
 }
 
+static void
+replace_ended(struct process *process)
+{
+    process->replaced = false;
+    remove_data(process);
+    soak_move_core((int)(process - process->all->processes));
+    set_up(process);
+}
+
 /* Restarts and resumes the processes that are due. */
 static gboolean
 supervise(gpointer data)
@@ -241,7 +272,13 @@
         if (all->shutting_down || now_us < process->resume_us) {
             continue;
         }
+        if (process->pid == 0 && process->replaced) {
+            replace_ended(process);
+        }
         if (process->pid == 0) {
+            if (!process->core) {
+                set_up(process);
+            }
             start(process);
         }
         else if (process->suspended) {
@@ -312,6 +349,7 @@
     struct soak_processes *all = g_new0(struct soak_processes, 1);
 
     all->violations = violations;
+    soak_reset_cores();
     for (int i = 0; i < PROCESSES; i++) {
         struct process *process = &all->processes[i];
         char *data;
@@ -320,9 +358,7 @@
         process->core = i < SOAK_CORES;
         g_snprintf(process->name, sizeof process->name, "%c%d",
                    process->core ? 'c' : 'e', i + 1);
-        g_strlcpy(process->ip,
-                  soak_ip(process->core ? i + 1 : 11 + i - SOAK_CORES, false),
-                  sizeof process->ip);
+        set_up(process);
         process->folder = g_strconcat(folder, "/", process->name, NULL);
         data = g_strconcat(process->folder, "/data", NULL);
         g_mkdir_with_parents(data, 0755);
@@ -355,6 +391,31 @@
     all->healthy_since_us = soak_now_us();
 }
 
+bool
+soak_replace_core(struct soak_processes *all, GRand *rand)
+{
+    struct process *process =
+        &all->processes[g_rand_int_range(rand, 0, SOAK_CORES)];
+    bool by_signal = g_rand_boolean(rand);
+
+    if (soak_now_us() - all->healthy_since_us < CATCH_UP_US) {
+        return false;
+    }
+    process->replaced = true;
+    process->terminating = by_signal;
+    process->resume_us = soak_now_us() + SUCCESSOR_DELAY_US;
+    send_signal(process, by_signal ? SIGTERM : SIGKILL);
+    all->healthy_since_us = soak_now_us();
+    all->replaced_count++;
+    return true;
+}
+
+unsigned
+soak_count_replaced(const struct soak_processes *all)
+{
+    return all->replaced_count;
+}
+
 void
 soak_restart_all(struct soak_processes *all, bool lose_disk, GRand *rand)
 {
@@ -379,7 +440,10 @@
     int proxy = g_rand_int_range(rand, 0, SOAK_ENTRIES);
     int64_t duration_us = g_rand_int_range(rand, 100, 3000) * 1000;
 
-    switch (g_rand_int_range(rand, 0, 9)) {
+    switch (g_rand_int_range(rand, 0, 10)) {
+    case 9:
+        soak_replace_core(all, rand);
+        break;
     case 8:
         all->kill_on_acknowledgement = true;
         break;
@@ -481,6 +545,7 @@
     }
     for (int i = 0; i < PROCESSES; i++) {
         g_free(all->processes[i].folder);
+        g_free(all->processes[i].seeds);
     }
     g_free(all);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -34,6 +34,13 @@
 void soak_use_network(int index);
 /* soak_ip: the address of a process or endpoint, or of its proxy. */
 const char *soak_ip(int host, bool proxy);
+/* soak_reset_cores: the core machines have their first addresses again. */
+void soak_reset_cores(void);
+/* soak_move_core: another machine takes a core machine's place, at a new
+ * address. */
+void soak_move_core(int core);
+/* soak_core_ip: the present address of a core machine. */
+const char *soak_core_ip(int core);
 
 /* how a proxy treats its connections */
 enum soak_proxy_mode {
@@ -136,6 +143,11 @@
 /* soak_drop_processes: shuts all down gracefully; a process that does not
  * exit is a violation. */
 void soak_drop_processes(struct soak_processes *processes);
+/* soak_replace_core: a core machine is removed for good, with SIGTERM or
+ * without, and another one with an empty disk starts at a new address; returns
+ * false if another loss would be one too many now. */
+bool soak_replace_core(struct soak_processes *processes, GRand *rand);
+unsigned soak_count_replaced(const struct soak_processes *processes);
 /* soak_inject_fault: injects one random fault. */
 void soak_inject_fault(struct soak_processes *processes, GRand *rand);
 /* soak_kill_after_acknowledgement: kills all core processes if that fault
