Machines that were removed give way in the list of those to dial

Cause: a process remembered 48 processes to dial and dialed each of them for good; a further one was ignored without a word. After 45 core machines had been replaced, an entry process that had run since couldn't reach their successors, so that its requests would find no leader.

Evidence: links/dial-after-many-removed says "not dialed" without the change.

Change: a process is named again by each heartbeat that lists it. Where the list is full, the one without a connection that was named least recently gives way.

--- a/source/run/link-dial.c
+++ b/source/run/link-dial.c
@@ -16,17 +16,54 @@
     return target;
 }
 
-void
-mw_links_dial(struct mw_links *links, const struct mw_dial_target *target)
+static struct mw_dial_state *
+find_dial(struct mw_links *links, const struct mw_name *name)
 {
     for (uint32_t i = 0; i < links->dial_count; i++) {
-        if (mw_name_equal(&links->dials[i].target.name, &target->name)) {
-            return;
+        if (mw_name_equal(&links->dials[i].target.name, name)) {
+            return &links->dials[i];
         }
     }
+    return NULL;
+}
+
+/*
+ * A new one, or the one without a connection whose process has not been named
+ * for the longest: a machine that was removed.  NULL if all are in use.
+ */
+static struct mw_dial_state *
+find_free_dial(struct mw_links *links)
+{
+    struct mw_dial_state *oldest = NULL;
+
     if (links->dial_count < G_N_ELEMENTS(links->dials)) {
-        links->dials[links->dial_count++].target = *target;
+        return &links->dials[links->dial_count++];
+    }
+    for (uint32_t i = 0; i < links->dial_count; i++) {
+        struct mw_dial_state *state = &links->dials[i];
+
+        if (!state->active &&
+            (!oldest || state->named_us < oldest->named_us) &&
+            !g_hash_table_contains(links->by_process, &state->target.name)) {
+            oldest = state;
+        }
+    }
+    return oldest;
+}
+
+void
+mw_links_dial(struct mw_links *links, const struct mw_dial_target *target)
+{
+    struct mw_dial_state *state = find_dial(links, &target->name);
+
+    if (!state) {
+        state = find_free_dial(links);
+        if (!state) {
+            return;
+        }
+        *state = (struct mw_dial_state){.target = *target};
     }
+    state->named_us = mw_now();
 }
 
 void
--- a/source/run/link-impl.h
+++ b/source/run/link-impl.h
@@ -44,6 +44,8 @@
     /* connecting or connected */
     bool active;
     int64_t redial_deadline_us;
+    /* when mw_links_dial was last called for it */
+    int64_t named_us;
 };
 
 struct mw_links {
--- a/source/run/link.h
+++ b/source/run/link.h
@@ -82,8 +82,9 @@
 /*
  * mw_links_dial: keep a connection to one more process.
  *
- * Call it in the thread of the links.  A process that is already listed is
- * ignored.
+ * Call it in the thread of the links, and again as long as the process is
+ * known: where the list is full, the process without a connection that was
+ * named least recently gives way.
  */
 void mw_links_dial(struct mw_links *links,
                    const struct mw_dial_target *target);
--- a/tests/links-script.c
+++ b/tests/links-script.c
@@ -71,8 +71,7 @@
     struct state *st = opaque;
 
     if (task_msg->kind == MW_TASK_MSG_DIAL) {
-        struct mw_dial_target target = {mw_name_from("peer"),
-                                        task_msg->process};
+        struct mw_dial_target target = {task_msg->process, task_msg->process};
 
         mw_links_dial(st->links, &target);
     }
@@ -455,6 +454,34 @@
     close(listener);
 }
 
+/*
+ * dial-after COUNT: the process dials so many others that refuse it, and then
+ * the peer
+ */
+static void
+cmd_dial_after(struct mw_script *s)
+{
+    struct state *st = s->state;
+    struct sockaddr_in address;
+    struct pollfd ready = {.events = POLLIN};
+    struct mw_name name;
+    char text[32];
+
+    ready.fd = listen_without_queue(&address);
+    for (int i = 0; i < atoi(mw_script_word(s, 1)); i++) {
+        g_snprintf(text, sizeof text, "127.0.1.%d:1", 1 + i);
+        name = mw_name_from(text);
+        mw_post_dial(st->task, &name);
+    }
+    g_snprintf(text, sizeof text, "127.0.0.1:%u", ntohs(address.sin_port));
+    name = mw_name_from(text);
+    mw_post_dial(st->task, &name);
+    mw_script_printf(s, "  %s",
+                     poll(&ready, 1, REDIAL_WAIT_MS) > 0 ? "dialed"
+                                                         : "not dialed");
+    close(ready.fd);
+}
+
 /* close: the peer closes the connection */
 static void
 cmd_close(struct mw_script *s)
@@ -474,6 +501,7 @@
     {"unread", 3, cmd_unread},
     {"close", 0, cmd_close},
     {"dial-unanswered", 0, cmd_dial_unanswered},
+    {"dial-after", 1, cmd_dial_after},
     {NULL, 0, NULL},
 };
 
