A control process dials the members that any other one lists

Cause: a standby dialed its three seeds, and the members that a leader lists. Where none of its seeds leads, it heard of no leader; the leader dials members only, and didn't hear of it.

Change: the control task dials what each heartbeat lists. Soak: even seeds of LOAD=replacements have five core machines, and a new one is told of one of them, as if two of its three seeds were down.

--- a/source/run/flow-control-task.c
+++ b/source/run/flow-control-task.c
@@ -47,6 +47,19 @@
     mw_flush_event_log(t->process.log, mw_now());
 }
 
+/*
+ * Any member's list is used: a standby whose seeds have all been replaced, or
+ * do not lead, reaches the leader only through them.
+ */
+static void
+dial_listed_members(struct mw_flow_control_task *t,
+                    const struct mw_heartbeat *heartbeat)
+{
+    for (uint32_t i = 0; i < heartbeat->member_count; i++) {
+        mw_dial_process(t, &heartbeat->members[i]);
+    }
+}
+
 static void
 handle_message(struct mw_flow_control_task *t, struct mw_task_msg *task_msg)
 {
@@ -56,6 +69,7 @@
         task_msg->msg->heartbeat.member_count > 0) {
         mw_check_membership(t);
         mw_dial_known_processes(t);
+        dial_listed_members(t, &task_msg->msg->heartbeat);
     }
 }
 
--- a/tests/soak/address.c
+++ b/tests/soak/address.c
@@ -10,8 +10,9 @@
 #define LAST_SUCCESSOR_HOST 99
 
 static int network = FIRST_NETWORK;
-static int core_hosts[SOAK_CORES];
+static int core_hosts[SOAK_CORES_MAX];
 static int next_successor_host;
+static int core_count;
 
 void
 soak_use_network(int index)
@@ -19,10 +20,17 @@
     network = FIRST_NETWORK + 2 * index;
 }
 
+int
+soak_core_count(void)
+{
+    return core_count;
+}
+
 void
-soak_reset_cores(void)
+soak_use_cores(int count)
 {
-    for (int i = 0; i < SOAK_CORES; i++) {
+    core_count = count;
+    for (int i = 0; i < count; i++) {
         core_hosts[i] = 1 + i;
     }
     next_successor_host = FIRST_SUCCESSOR_HOST;
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -199,10 +199,10 @@
 make_url(struct soak_clients *clients, enum request_kind kind, int number)
 {
     if (kind == REQUEST_PUT_CONFIG || kind == REQUEST_GET_CONFIG) {
-        return g_strdup_printf(
-            "http://%s:%d" MW_PATH_CONFIG,
-            soak_core_ip(g_rand_int_range(clients->rand, 0, SOAK_CORES)),
-            SOAK_CONTROL_PORT);
+        return g_strdup_printf("http://%s:%d" MW_PATH_CONFIG,
+                               soak_core_ip(g_rand_int_range(
+                                   clients->rand, 0, soak_core_count())),
+                               SOAK_CONTROL_PORT);
     }
     return g_strdup_printf(
         "http://%s:%d/b/%016d",
--- a/tests/soak/config-run.c
+++ b/tests/soak/config-run.c
@@ -6,6 +6,7 @@
 
 #include "soak.h"
 
+#define CORES 3
 #define CONFIG_INTERVAL_US 30000
 /* after faults, before another disk may be lost */
 #define CATCH_UP_US 5000000
@@ -116,6 +117,8 @@
     GString *violations = g_string_new(NULL);
     GRand *rand = g_rand_new_with_seed(seed);
     char *folder = g_strdup_printf("%s/%u", SOAK_FOLDER, seed);
+
+    soak_use_cores(CORES);
     struct soak_processes *processes = soak_new_processes(folder, violations);
     int route_count = ROUTES * (1 + (int)(seed % 3));
     struct soak_configs *configs =
--- a/tests/soak/configs.c
+++ b/tests/soak/configs.c
@@ -343,10 +343,10 @@
             soak_ip(g_rand_int_range(rand, 11, 11 + SOAK_ENTRIES), true),
             SOAK_FRONTEND_PORT, request->route, request->route);
     }
-    return g_strdup_printf(
-        "http://%s:%d" MW_PATH_CONFIG,
-        soak_core_ip((request->version + request->attempt) % SOAK_CORES),
-        SOAK_CONTROL_PORT);
+    return g_strdup_printf("http://%s:%d" MW_PATH_CONFIG,
+                           soak_core_ip((request->version + request->attempt) %
+                                        soak_core_count()),
+                           SOAK_CONTROL_PORT);
 }
 
 static void
@@ -418,7 +418,7 @@
 {
     struct request *request = new_request(configs, REQUEST_GET);
 
-    request->attempt = g_rand_int_range(configs->rand, 0, SOAK_CORES);
+    request->attempt = g_rand_int_range(configs->rand, 0, soak_core_count());
     send_request(request);
 }
 
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -291,7 +291,7 @@
     else {
         /* try the next control process */
         heartbeat->endpoint->control_index =
-            (heartbeat->endpoint->control_index + 1) % SOAK_CORES;
+            (heartbeat->endpoint->control_index + 1) % soak_core_count();
         g_clear_pointer(&heartbeat->endpoint->heartbeat_address, g_free);
         heartbeat->endpoint->heartbeat_deadline_us =
             soak_now_us() + HEARTBEAT_INTERVAL_US / 5;
@@ -371,7 +371,7 @@
     endpoint->fake = &all->fakes->all[index];
     endpoint->pending_replies =
         g_array_new(FALSE, FALSE, sizeof(struct pending_reply));
-    endpoint->control_index = index % SOAK_CORES;
+    endpoint->control_index = index % soak_core_count();
     g_strlcpy(endpoint->ip, soak_ip(101 + index, false), sizeof endpoint->ip);
     setup.address = mw_name_of(mw_str_from(endpoint->ip));
     setup.address.len =
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -2,7 +2,8 @@
  * run-soak FIRST COUNT SECONDS [NETWORK [LOAD]]: runs COUNT seeds, each with
  * faults for SECONDS; concurrent runs need different NETWORK indexes.  LOAD is
  * "flows", "replacements" for flows while core machines are replaced one after
- * the other, or "configs" for large configurations that change quickly.
+ * the other, of three in odd seeds and of five in even ones, or "configs" for
+ * large configurations that change quickly.
  *
  * EXIT STATUS  0 if no violation was observed, 1 otherwise
  */
@@ -16,6 +17,9 @@
 #define REQUEST_INTERVAL_US 60000
 /* after the faults, all accepted flows must end within this time */
 #define FLOW_END_TIMEOUT_US 60000000
+/* of a small deployment, and of one in which two may be lost */
+#define FEW_CORES 3
+#define MANY_CORES 5
 /* a replacement, time with other faults, and time without until the next */
 #define REPLACEMENT_FAULTS_US 3000000
 #define REPLACEMENT_INTERVAL_US 10500000
@@ -146,7 +150,9 @@
 {
     GString *violations = g_string_new(NULL);
     GRand *rand = g_rand_new_with_seed(seed);
+    bool many_cores = replacements && seed % 2 == 0;
     char *folder = g_strdup_printf("%s/%u", SOAK_FOLDER, seed);
+    soak_use_cores(many_cores ? MANY_CORES : FEW_CORES);
     struct soak_endpoints *endpoints = soak_new_endpoints(violations);
     struct soak_processes *processes = soak_new_processes(folder, violations);
     struct soak_clients *clients = soak_new_clients(seed, violations);
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -11,11 +11,15 @@
 
 #include "soak.h"
 
-#define PROCESSES (SOAK_CORES + SOAK_ENTRIES)
+#define PROCESSES_MAX (SOAK_CORES_MAX + SOAK_ENTRIES)
 #define PROGRAM "build/mwplatformd"
 /* a disk may be lost once all core processes have run without suspension for
  * this long */
 #define CATCH_UP_US 5000000
+/* core machines that each machine is told of */
+#define SEEDS 3
+/* where two machines may be lost, a new one may find two of its seeds down */
+#define SUCCESSOR_SEEDS 1
 #define SHUTDOWN_TIMEOUT_US 12000000
 #define RESTART_DELAY_US 500000
 /* until the successor of a machine that was removed starts */
@@ -48,7 +52,7 @@
 
 struct soak_processes {
     GString *violations;
-    struct process processes[PROCESSES];
+    struct process processes[PROCESSES_MAX];
     struct soak_proxy *proxies[SOAK_ENTRIES];
     int64_t healthy_since_us;
     unsigned replaced_count;
@@ -62,19 +66,30 @@
     bool shutting_down;
 };
 
+static int
+process_count(void)
+{
+    return soak_core_count() + SOAK_ENTRIES;
+}
+
 /* The machine in this place is new: it takes its address and the seeds. */
 static void
 set_up(struct process *process)
 {
     int index = (int)(process - process->all->processes);
     GString *seeds = g_string_new("seeds:\n");
+    /* at the first start all machines are told of the same ones */
+    int first = process->started_once ? index + 1 : 0;
+    bool few = process->core && process->started_once &&
+               soak_core_count() == SOAK_CORES_MAX;
 
     g_strlcpy(process->ip,
               process->core ? soak_core_ip(index)
-                            : soak_ip(11 + index - SOAK_CORES, false),
+                            : soak_ip(11 + index - soak_core_count(), false),
               sizeof process->ip);
-    for (int i = 0; i < SOAK_CORES; i++) {
-        g_string_append_printf(seeds, "  - \"%s:%d\"\n", soak_core_ip(i),
+    for (int i = 0; i < (few ? SUCCESSOR_SEEDS : SEEDS); i++) {
+        g_string_append_printf(seeds, "  - \"%s:%d\"\n",
+                               soak_core_ip((first + i) % soak_core_count()),
                                SOAK_CONTROL_PORT);
     }
     g_free(process->seeds);
@@ -108,8 +123,9 @@
                                process->ip, SOAK_FRONTEND_PORT, process->ip,
                                SOAK_READINESS_PORT);
     }
-    g_string_append(text, "fault-tolerance:\n  machines: 1\n"
-                          "heartbeat-ms: 500\nbounds:\n  grace-s: 6\n"
+    g_string_append_printf(text, "fault-tolerance:\n  machines: %d\n",
+                           (soak_core_count() - 1) / 2);
+    g_string_append(text, "heartbeat-ms: 500\nbounds:\n  grace-s: 6\n"
                           "  hold-max-ms: 10000\n  stop-timeout-ms: 900\n");
     g_file_set_contents(path, text->str, -1, NULL);
     g_string_free(text, TRUE);
@@ -262,7 +278,7 @@
     int64_t now_us = soak_now_us();
     bool healthy = true;
 
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         struct process *process = &all->processes[i];
 
         if (process->core) {
@@ -298,7 +314,7 @@
 {
     struct soak_processes *all = data;
 
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         struct process *process = &all->processes[i];
         char *folder = g_strconcat(process->folder, "/data", NULL);
 
@@ -327,7 +343,7 @@
     struct soak_processes *all = data;
 
     all->quarter = (all->quarter + 1) % 4;
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         struct process *process = &all->processes[i];
         unsigned stopped =
             process->core ? CORE_STOPPED_QUARTERS : ENTRY_STOPPED_QUARTERS;
@@ -349,13 +365,12 @@
     struct soak_processes *all = g_new0(struct soak_processes, 1);
 
     all->violations = violations;
-    soak_reset_cores();
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         struct process *process = &all->processes[i];
         char *data;
 
         process->all = all;
-        process->core = i < SOAK_CORES;
+        process->core = i < soak_core_count();
         g_snprintf(process->name, sizeof process->name, "%c%d",
                    process->core ? 'c' : 'e', i + 1);
         set_up(process);
@@ -367,9 +382,9 @@
         start(process);
     }
     for (int i = 0; i < SOAK_ENTRIES; i++) {
-        all->proxies[i] = soak_new_proxy(soak_ip(11 + i, true),
-                                         all->processes[SOAK_CORES + i].ip,
-                                         SOAK_FRONTEND_PORT);
+        all->proxies[i] = soak_new_proxy(
+            soak_ip(11 + i, true), all->processes[soak_core_count() + i].ip,
+            SOAK_FRONTEND_PORT);
     }
     all->healthy_since_us = soak_now_us();
     all->timer = g_timeout_add(20, supervise, all);
@@ -381,7 +396,7 @@
 lose_disk(struct soak_processes *all, GRand *rand)
 {
     struct process *process =
-        &all->processes[g_rand_int_range(rand, 0, SOAK_CORES)];
+        &all->processes[g_rand_int_range(rand, 0, soak_core_count())];
 
     if (soak_now_us() - all->healthy_since_us < CATCH_UP_US) {
         return;
@@ -395,7 +410,7 @@
 soak_replace_core(struct soak_processes *all, GRand *rand)
 {
     struct process *process =
-        &all->processes[g_rand_int_range(rand, 0, SOAK_CORES)];
+        &all->processes[g_rand_int_range(rand, 0, soak_core_count())];
     bool by_signal = g_rand_boolean(rand);
 
     if (soak_now_us() - all->healthy_since_us < CATCH_UP_US) {
@@ -420,9 +435,9 @@
 soak_restart_all(struct soak_processes *all, bool lose_disk, GRand *rand)
 {
     struct process *process =
-        &all->processes[g_rand_int_range(rand, 0, SOAK_CORES)];
+        &all->processes[g_rand_int_range(rand, 0, soak_core_count())];
 
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         send_signal(&all->processes[i], SIGKILL);
         all->processes[i].resume_us = soak_now_us() + SOAK_RESTART_US;
     }
@@ -436,7 +451,7 @@
 soak_inject_fault(struct soak_processes *all, GRand *rand)
 {
     struct process *process =
-        &all->processes[g_rand_int_range(rand, 0, PROCESSES)];
+        &all->processes[g_rand_int_range(rand, 0, process_count())];
     int proxy = g_rand_int_range(rand, 0, SOAK_ENTRIES);
     int64_t duration_us = g_rand_int_range(rand, 100, 3000) * 1000;
 
@@ -488,7 +503,8 @@
 {
     struct soak_processes *all = processes;
 
-    for (int i = 0; i < SOAK_CORES && all->kill_on_acknowledgement; i++) {
+    for (int i = 0; i < soak_core_count() && all->kill_on_acknowledgement;
+         i++) {
         send_signal(&all->processes[i], SIGKILL);
     }
     all->kill_on_acknowledgement = false;
@@ -502,7 +518,7 @@
         soak_reset_connections(all->proxies[i]);
     }
     all->kill_on_acknowledgement = false;
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         all->processes[i].resume_us = 0;
     }
     supervise(all);
@@ -519,13 +535,13 @@
         share_processor(all);
         g_source_remove(all->share_timer);
     }
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         all->processes[i].terminating = all->processes[i].pid > 0;
         send_signal(&all->processes[i], SIGTERM);
     }
     while (!all_exited) {
         all_exited = true;
-        for (int i = 0; i < PROCESSES; i++) {
+        for (int i = 0; i < process_count(); i++) {
             struct process *process = &all->processes[i];
 
             all_exited &= process->pid == 0;
@@ -543,7 +559,7 @@
     for (int i = 0; i < SOAK_ENTRIES; i++) {
         soak_drop_proxy(all->proxies[i]);
     }
-    for (int i = 0; i < PROCESSES; i++) {
+    for (int i = 0; i < process_count(); i++) {
         g_free(all->processes[i].folder);
         g_free(all->processes[i].seeds);
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -20,7 +20,7 @@
 #define SOAK_STARTUP_US 4000000
 /* after all processes were killed */
 #define SOAK_RESTART_US 800000
-#define SOAK_CORES 3
+#define SOAK_CORES_MAX 5
 #define SOAK_ENTRIES 2
 #define SOAK_ENDPOINTS 6
 #define SOAK_CONTROL_PORT 18526
@@ -34,8 +34,10 @@
 void soak_use_network(int index);
 /* soak_ip: the address of a process or endpoint, or of its proxy. */
 const char *soak_ip(int host, bool proxy);
-/* soak_reset_cores: the core machines have their first addresses again. */
-void soak_reset_cores(void);
+/* soak_use_cores: sets the number of core machines, which have their first
+ * addresses again. */
+void soak_use_cores(int count);
+int soak_core_count(void);
 /* soak_move_core: another machine takes a core machine's place, at a new
  * address. */
 void soak_move_core(int core);
