A leader fills no slot from another process's heartbeat

Suspected, not seen: a former leader that was paused may list members by records that were never committed. A leader that took such a name for an empty slot would give that process no slot of its own until it steps down.

Change: mw_log_fill_slot does nothing in a leader, whose log has all slots. Measured: build/check log/ region/: no failure.

--- a/source/core/log/log-config.c
+++ b/source/core/log/log-config.c
@@ -214,8 +214,9 @@
 {
     bool known = slot < log->peer_count && log->peers[slot].name.len > 0;
 
-    if (known || name->len == 0 || slot >= MW_MEMBERS_MAX ||
-        mw_log_find_peer(log, name)) {
+    /* a leader's slots are those of its log */
+    if (log->role == MW_LEADER || known || name->len == 0 ||
+        slot >= MW_MEMBERS_MAX || mw_log_find_peer(log, name)) {
         return;
     }
     assign_peer(log, slot, name);
