--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -165,6 +165,8 @@
     soak_on_acknowledged(clients, processes, soak_kill_after_acknowledgement);
     soak_run_main_loop_until(soak_now_us() + SOAK_STARTUP_US);
     if (replacements) {
+        soak_set_order(processes,
+                       (enum soak_order)(seed / 2 % SOAK_ORDER_COUNT));
         inject_replacements(processes, endpoints, clients, rand, duration_us);
     }
     else {
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -5,6 +5,7 @@
  */
 #include <fcntl.h>
 #include <glib/gstdio.h>
+#include <libsoup/soup.h>
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -29,6 +30,8 @@
 #define CORE_STOPPED_QUARTERS 2
 #define ENTRY_STOPPED_QUARTERS 3
 #define LIMITS_INTERVAL_MS 200
+#define METRICS_PORT 7015
+#define LEADS_LINE "mimosawind_leads 1"
 
 struct process {
     struct soak_processes *all;
@@ -43,6 +46,8 @@
     bool terminating;
     /* its successor starts once it has ended */
     bool replaced;
+    /* number of this replacement; 0 for the first machine in this place */
+    unsigned generation;
     bool started_once;
     /* stopped for its share of the processor */
     bool throttled;
@@ -56,6 +61,7 @@
     struct soak_proxy *proxies[SOAK_ENTRIES];
     int64_t healthy_since_us;
     unsigned replaced_count;
+    enum soak_order order;
     /* after the next acknowledgement all core processes are killed */
     bool kill_on_acknowledgement;
     guint timer;
@@ -406,22 +412,67 @@
     all->healthy_since_us = soak_now_us();
 }
 
+void
+soak_set_order(struct soak_processes *all, enum soak_order order)
+{
+    all->order = order;
+}
+
+/* Whether the process says so on its metrics address. */
+static bool
+leads(const struct process *process)
+{
+    char *url =
+        g_strdup_printf("http://%s:%d/metrics", process->ip, METRICS_PORT);
+    SoupSession *session = soup_session_new_with_options("timeout", 1, NULL);
+    SoupMessage *message = soup_message_new("GET", url);
+    GBytes *body = soup_session_send_and_read(session, message, NULL, NULL);
+    bool is_leader =
+        body && g_strstr_len(g_bytes_get_data(body, NULL),
+                             (gssize)g_bytes_get_size(body), LEADS_LINE);
+
+    g_clear_pointer(&body, g_bytes_unref);
+    g_object_unref(message);
+    g_object_unref(session);
+    g_free(url);
+    return is_leader;
+}
+
+static struct process *
+pick_core(struct soak_processes *all, GRand *rand)
+{
+    struct process *picked =
+        &all->processes[g_rand_int_range(rand, 0, soak_core_count())];
+
+    for (int i = 0; all->order != SOAK_ANY && i < soak_core_count(); i++) {
+        struct process *process = &all->processes[i];
+
+        if (all->order == SOAK_LEADER
+                ? leads(process)
+                : (process->generation < picked->generation) ==
+                      (all->order == SOAK_OLDEST)) {
+            picked = process;
+        }
+    }
+    return picked;
+}
+
 bool
 soak_replace_core(struct soak_processes *all, GRand *rand)
 {
-    struct process *process =
-        &all->processes[g_rand_int_range(rand, 0, soak_core_count())];
+    struct process *process;
     bool by_signal = g_rand_boolean(rand);
 
     if (soak_now_us() - all->healthy_since_us < CATCH_UP_US) {
         return false;
     }
+    process = pick_core(all, rand);
     process->replaced = true;
+    process->generation = ++all->replaced_count;
     process->terminating = by_signal;
     process->resume_us = soak_now_us() + SUCCESSOR_DELAY_US;
     send_signal(process, by_signal ? SIGTERM : SIGKILL);
     all->healthy_since_us = soak_now_us();
-    all->replaced_count++;
     return true;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -145,6 +145,18 @@
 /* soak_drop_processes: shuts all down gracefully; a process that does not
  * exit is a violation. */
 void soak_drop_processes(struct soak_processes *processes);
+/* which core machine is replaced next */
+enum soak_order {
+    SOAK_ANY = 0,
+    /* the one that has been there for the longest, or the shortest time */
+    SOAK_OLDEST = 1,
+    SOAK_NEWEST = 2,
+    /* the one that leads, if its metrics say so */
+    SOAK_LEADER = 3,
+    SOAK_ORDER_COUNT = 4
+};
+
+void soak_set_order(struct soak_processes *processes, enum soak_order order);
 /* soak_replace_core: a core machine is removed for good, with SIGTERM or
  * without, and another one with an empty disk starts at a new address; returns
  * false if another loss would be one too many now. */
