--- a/include/mimosawind/log.h
+++ b/include/mimosawind/log.h
@@ -36,6 +36,11 @@
  *               only when a voter has not responded for MW_REPLACE_AFTER_US,
  *               and that voter is removed afterwards, in a second change.
  *
+ *               The log of a process that joins begins with a snapshot.  A
+ *               slot is given to another process once the removal of its
+ *               member is committed; docs/design/membership.md lists what
+ *               keeps a slot's number.
+ *
  * QUORUMS       A commit needs a majority and, where a member with a disk is
  *               admitted, one such member.  A member that must hold every
  *               committed record (the only one with a disk, or one of a
