A member's files are complete by one durable step; damage gives up membership

With the next lost disk no accepted job was answered any more.

Cause: a process that joined wrote "members" first, and one that was founded wrote it last. A later start took the list for "the files are complete", so each prefix of creating two files, of any length, was taken for damage.

Change: the name "members" is the one durable step, for founding and joining, after both files are whole and their names persist (run/member.c). Without it everything is created anew. With it nothing is created anew under the incarnation that has acknowledged: missing or damaged files are set aside, "members" last, and the process joins under a new incarnation, as after a lost disk; such a directory never founds again. A list that can't be read is an error of the disk and no longer "no member". mw init and mwcontrold use region.log in its place, created last. A directory that can't be used for good no longer ends the process again and again: it forwards requests and says so. All changes of names go through struct mw_disk_io.

tests/scripts/input/disks.out: a header with a flipped bit in its name is "damaged", by its checksum, and no longer "belongs to another member"; a whole file of another member is checked two lines below, as before.

--- a/source/run/disk-format.c
+++ b/source/run/disk-format.c
@@ -64,3 +64,10 @@
     mw_put_le32(header + HEADER_LEN - 4,
                 (uint32_t)crc32(0, header, HEADER_LEN - 4));
 }
+
+bool
+mw_disk_header_is_whole(const uint8_t *header)
+{
+    return mw_get_le32(header + HEADER_LEN - 4) ==
+           (uint32_t)crc32(0, header, HEADER_LEN - 4);
+}
--- a/source/run/disk-impl.h
+++ b/source/run/disk-impl.h
@@ -7,7 +7,8 @@
  * disk-impl: the data files of a member.
  *
  * FILES
- *   disk.c          creates files, writes and syncs items
+ *   disk.c          opens the directory, writes and syncs items
+ *   disk-create.c   creates the files, and sets damaged ones aside
  *   disk-format.c   encodes the header, items and sync markers
  *   disk-load.c     reads the files at the start
  *   disk-compress.c compresses the items of a snapshot
@@ -40,6 +41,8 @@
     /* length of the file when it had just been replaced; 0 if unknown */
     uint64_t snapshot_length;
     struct mw_disk_summary summary;
+    /* an item that was read states the incarnation */
+    bool has_identity;
 };
 
 struct disk_reserve {
@@ -60,6 +63,7 @@
     const struct mw_disk_io *io;
     struct data_file files[MW_GROUPS];
     struct disk_reserve reserve;
+    bool is_complete;
     /* files whose damaged end was cut off while loading */
     uint64_t truncated_tails;
     /* the last write was refused */
@@ -68,12 +72,37 @@
 };
 
 /* disk.c */
+/* mw_new_disk: free with mw_drop_disk; opens nothing. */
+struct mw_disk *mw_new_disk(const struct mw_disk_setup *setup);
+/* mw_lock_data_dir: creates the directory if there is none, and locks it. */
+int mw_lock_data_dir(struct mw_context *ctx, struct mw_disk *disk);
+/* mw_write_to_disk: writes all of it; returns 0, or MW_ERR_DISK with errno. */
+int mw_write_to_disk(const struct mw_disk *disk, int fd, const uint8_t *data,
+                     size_t len);
+/* mw_sync_data_dir: returns 0, or MW_ERR_DISK with errno. */
+int mw_sync_data_dir(const struct mw_disk *disk);
 /* mw_disk_path: of a group's file, with a suffix; free with g_free. */
 char *mw_disk_path(const struct mw_disk *disk, enum mw_group group,
                    const char *suffix);
 /* mw_disk_error: fails with MW_ERR_DISK, the path and the text of errno. */
 int mw_disk_error(struct mw_context *ctx, const char *path);
 
+/* mw_is_disk_full: whether this errno says so. */
+bool mw_is_disk_full(int cause);
+
+/* disk-create.c */
+/* mw_remove_set_aside_files: to make room; returns whether there were any. */
+bool mw_remove_set_aside_files(const struct mw_disk *disk);
+
+/*
+ * mw_create_missing_files: if a creation was interrupted, or there was none.
+ *
+ * region.log is created last, so the directory is complete if it exists.
+ * Without it, fails with MW_ERR_DAMAGED if zone.log holds more than a new one.
+ */
+int mw_create_missing_files(struct mw_context *ctx, const struct mw_disk *disk,
+                            uint64_t incarnation);
+
 /* disk-format.c */
 void mw_put_le32(uint8_t *at, uint32_t value);
 uint32_t mw_get_le32(const uint8_t *at);
@@ -82,6 +111,9 @@
 void mw_encode_disk_header(const struct mw_disk *disk, enum mw_group group,
                            uint8_t version, uint8_t *header);
 
+/* mw_disk_header_is_whole: by its checksum. */
+bool mw_disk_header_is_whole(const uint8_t *header);
+
 /* mw_encode_disk_marker: into MARKER_LEN bytes; offset is how far was synced.
  */
 void mw_encode_disk_marker(uint8_t *marker, uint64_t offset);
--- a/source/run/disk-io.c
+++ b/source/run/disk-io.c
@@ -9,6 +9,13 @@
 
 #include "disk.h"
 
+static int
+system_create(void *opaque, const char *path)
+{
+    (void)opaque;
+    return open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+}
+
 static ssize_t
 system_write(void *opaque, int fd, const void *data, size_t len)
 {
@@ -69,6 +76,7 @@
 }
 
 const struct mw_disk_io mw_system_disk_io = {
+    .create = system_create,
     .write = system_write,
     .sync = system_sync,
     .rename = system_rename,
--- a/source/run/disk-load.c
+++ b/source/run/disk-load.c
@@ -190,14 +190,19 @@
     struct mw_stored_item item;
     int err = mw_decode_stored(ctx, payload, &item);
 
+    /* its checksum is valid, so another version has written it */
     if (err) {
-        return MW_ERR_DAMAGED;
+        return MW_ERR_VERSION;
     }
     if (item.kind == MW_STORED_META) {
         *incarnation = item.incarnation;
+        disk->files[group].has_identity = true;
     }
     summarise_item(&disk->files[group].summary, &item);
-    err = loader->load(loader->opaque, ctx, group, &item);
+    /* what was synced is all there, and an operator may still recover it */
+    if (loader->load(loader->opaque, ctx, group, &item)) {
+        err = MW_ERR_INVALID;
+    }
     mw_clear_stored(&item);
     return err;
 }
@@ -209,17 +214,23 @@
     uint8_t header[HEADER_LEN];
     uint8_t data[HEADER_LEN];
 
-    if (reader->length < HEADER_LEN ||
-        !read_at(reader, 0, data, sizeof data) ||
-        memcmp(data, HEADER_MAGIC, 6) != 0) {
+    if (reader->length >= HEADER_LEN &&
+        !read_at(reader, 0, data, sizeof data)) {
+        return mw_disk_error(ctx, path);
+    }
+    if (reader->length < HEADER_LEN || memcmp(data, HEADER_MAGIC, 6) != 0) {
         return mw_fail(ctx, MW_ERR_DAMAGED, "%s: missing or invalid header",
                        path);
     }
+    /* another version may have another header */
     if (data[6] != MW_DISK_VERSION && data[6] != MW_DISK_VERSION_COMPRESSED) {
         return mw_fail(ctx, MW_ERR_VERSION,
                        "%s: format version %d, expected %d", path, data[6],
                        MW_DISK_VERSION);
     }
+    if (!mw_disk_header_is_whole(data)) {
+        return mw_fail(ctx, MW_ERR_DAMAGED, "%s: invalid header", path);
+    }
     mw_encode_disk_header(disk, group, data[6], header);
     if (memcmp(data, header, HEADER_LEN) != 0) {
         return mw_fail(ctx, MW_ERR_INVALID,
@@ -285,11 +296,12 @@
 
 /* Cuts off the damaged end, and syncs what an earlier process wrote. */
 static int
-prepare_file(struct mw_context *ctx, const struct data_file *file,
-             const char *path)
+prepare_file(struct mw_context *ctx, const struct mw_disk *disk,
+             const struct data_file *file, const char *path)
 {
     if (ftruncate(file->fd, (off_t)file->length) != 0 ||
-        lseek(file->fd, 0, SEEK_END) < 0 || fsync(file->fd) != 0) {
+        lseek(file->fd, 0, SEEK_END) < 0 ||
+        disk->io->sync(disk->io->opaque, file->fd) != 0) {
         return mw_disk_error(ctx, path);
     }
     return 0;
@@ -323,9 +335,11 @@
     disk->files[group].summary.begin_us = mw_now();
     reader.payload = g_byte_array_new();
     disk->files[group].fd = reader.fd;
-    if (reader.fd < 0 || fstat(reader.fd, &status) != 0) {
-        err = mw_fail(ctx, MW_ERR_DAMAGED, "%s is missing or can't be read",
-                      path);
+    if (reader.fd < 0 && errno == ENOENT) {
+        err = mw_fail(ctx, MW_ERR_DAMAGED, "%s is missing", path);
+    }
+    else if (reader.fd < 0 || fstat(reader.fd, &status) != 0) {
+        err = mw_disk_error(ctx, path);
     }
     if (!err) {
         reader.length = (uint64_t)status.st_size;
@@ -334,8 +348,12 @@
     if (!err) {
         err = load_items(ctx, disk, group, &reader, path, loader, incarnation);
     }
+    /* a new file has one, and each snapshot is followed by one */
+    if (!err && !disk->files[group].has_identity) {
+        err = mw_fail(ctx, MW_ERR_DAMAGED, "%s: no incarnation", path);
+    }
     if (!err) {
-        err = prepare_file(ctx, &disk->files[group], path);
+        err = prepare_file(ctx, disk, &disk->files[group], path);
     }
     if (!err) {
         disk->files[group].summary.bytes = disk->files[group].length;
--- a/source/run/disk.c
+++ b/source/run/disk.c
@@ -20,8 +20,9 @@
                            suffix);
 }
 
-static int
-write_all(const struct mw_disk *disk, int fd, const uint8_t *data, size_t len)
+int
+mw_write_to_disk(const struct mw_disk *disk, int fd, const uint8_t *data,
+                 size_t len)
 {
     while (len > 0) {
         ssize_t n = disk->io->write(disk->io->opaque, fd, data, len);
@@ -44,8 +45,8 @@
     return disk->io->sync(disk->io->opaque, fd);
 }
 
-static int
-sync_dir(const struct mw_disk *disk)
+int
+mw_sync_data_dir(const struct mw_disk *disk)
 {
     return disk->io->sync_dir(disk->io->opaque, disk->data_dir) == 0
                ? 0
@@ -59,75 +60,7 @@
 }
 
 static int
-create_file(struct mw_context *ctx, const struct mw_disk *disk,
-            enum mw_group group, uint64_t incarnation)
-{
-    char *path = mw_disk_path(disk, group, "");
-    struct mw_stored_item item = {.kind = MW_STORED_META,
-                                  .incarnation = incarnation};
-    struct mw_blob *payload = mw_encode_stored(&item);
-    GByteArray *out = g_byte_array_new();
-    uint8_t header[HEADER_LEN];
-    int err = 0;
-    int fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
-
-    mw_encode_disk_header(disk, group, MW_DISK_VERSION, header);
-    g_byte_array_append(out, header, sizeof header);
-    mw_append_disk_blob(out, payload);
-    if (fd < 0 || write_all(disk, fd, out->data, out->len) || fsync(fd) != 0) {
-        err = mw_disk_error(ctx, path);
-    }
-    if (fd >= 0) {
-        close(fd);
-    }
-    if (fd >= 0 && err) {
-        unlink(path);
-    }
-    g_byte_array_unref(out);
-    mw_drop_blob(payload);
-    g_free(path);
-    return err;
-}
-
-static void
-remove_file(const struct mw_disk *disk, enum mw_group group)
-{
-    char *path = mw_disk_path(disk, group, "");
-
-    unlink(path);
-    g_free(path);
-}
-
-/* Creates all files or, on failure, none. */
-static int
-create_files(struct mw_context *ctx, const struct mw_disk *disk,
-             uint64_t incarnation)
-{
-    for (int group = 0; group < MW_GROUPS; group++) {
-        int err = create_file(ctx, disk, (enum mw_group)group, incarnation);
-
-        if (err) {
-            while (--group >= 0) {
-                remove_file(disk, (enum mw_group)group);
-            }
-            return err;
-        }
-    }
-    return sync_dir(disk);
-}
-
-static bool
-file_exists(const struct mw_disk *disk, enum mw_group group)
-{
-    char *path = mw_disk_path(disk, group, "");
-    bool exists = g_file_test(path, G_FILE_TEST_EXISTS);
-
-    g_free(path);
-    return exists;
-}
-
-static int
-lock_data_dir(struct mw_context *ctx, struct mw_disk *disk)
+lock_file(struct mw_context *ctx, struct mw_disk *disk)
 {
     char *path = g_strdup_printf("%s/LOCK", disk->data_dir);
     int err = 0;
@@ -143,8 +76,8 @@
     return err;
 }
 
-static struct mw_disk *
-new_disk(const struct mw_disk_setup *setup)
+struct mw_disk *
+mw_new_disk(const struct mw_disk_setup *setup)
 {
     struct mw_disk *disk = g_new0(struct mw_disk, 1);
 
@@ -153,6 +86,7 @@
     disk->owner = setup->owner;
     disk->ctx = setup->ctx;
     disk->io = setup->io ? setup->io : &mw_system_disk_io;
+    disk->is_complete = setup->is_complete;
     disk->lock_fd = -1;
     disk->reserve.fd = -1;
     for (int group = 0; group < MW_GROUPS; group++) {
@@ -162,45 +96,29 @@
     return disk;
 }
 
+/* Returns 0, or MW_ERR_DISK with errno. */
 static int
-prepare_data_dir(struct mw_context *ctx, struct mw_disk *disk)
-{
-    if (g_mkdir_with_parents(disk->data_dir, 0700) != 0) {
-        return mw_disk_error(ctx, disk->data_dir);
-    }
-    return lock_data_dir(ctx, disk);
-}
-
-void
-mw_remove_data_files(struct mw_str data_dir)
+create_data_dir(const struct mw_disk *disk)
 {
-    for (int group = 0; group < MW_GROUPS; group++) {
-        char *path =
-            g_strdup_printf("%.*s/%s", MW_FMT(data_dir), group_files[group]);
+    char *parent = g_path_get_dirname(disk->data_dir);
+    int err = 0;
 
-        unlink(path);
-        g_free(path);
+    if (g_mkdir_with_parents(disk->data_dir, 0700) != 0 ||
+        disk->io->sync_dir(disk->io->opaque, parent) != 0) {
+        err = MW_ERR_DISK;
     }
+    g_free(parent);
+    return err;
 }
 
 int
-mw_init_data_dir(struct mw_context *ctx, struct mw_str data_dir,
-                 const struct mw_name *member, uint64_t incarnation)
+mw_lock_data_dir(struct mw_context *ctx, struct mw_disk *disk)
 {
-    struct mw_disk_setup setup = {.data_dir = data_dir, .member = *member};
-    struct mw_disk *disk = new_disk(&setup);
-    int err = prepare_data_dir(ctx, disk);
-
-    if (!err && (file_exists(disk, MW_GROUP_REGION) ||
-                 file_exists(disk, MW_GROUP_ZONE))) {
-        err = mw_fail(ctx, MW_ERR_DUPLICATE, "%s already contains data",
-                      disk->data_dir);
-    }
-    if (!err) {
-        err = create_files(ctx, disk, incarnation);
+    if (!g_file_test(disk->data_dir, G_FILE_TEST_IS_DIR) &&
+        create_data_dir(disk)) {
+        return mw_disk_error(ctx, disk->data_dir);
     }
-    mw_drop_disk(disk);
-    return err;
+    return lock_file(ctx, disk);
 }
 
 /* Removes a new file that an earlier process could not complete. */
@@ -217,13 +135,10 @@
 load_files(struct mw_context *ctx, struct mw_disk *disk, uint64_t *incarnation,
            const struct mw_disk_loader *loader)
 {
-    bool region = file_exists(disk, MW_GROUP_REGION);
-    bool zone = file_exists(disk, MW_GROUP_ZONE);
-    int err = 0;
+    int err = disk->is_complete
+                  ? 0
+                  : mw_create_missing_files(ctx, disk, *incarnation);
 
-    if (!region && !zone) {
-        err = create_files(ctx, disk, *incarnation);
-    }
     for (int group = 0; group < MW_GROUPS && !err; group++) {
         remove_new_file(disk, (enum mw_group)group);
         err = mw_load_data_file(ctx, disk, (enum mw_group)group, loader,
@@ -237,9 +152,9 @@
              uint64_t *incarnation, const struct mw_disk_loader *loader,
              int *error)
 {
-    struct mw_disk *disk = new_disk(setup);
+    struct mw_disk *disk = mw_new_disk(setup);
 
-    *error = prepare_data_dir(ctx, disk);
+    *error = mw_lock_data_dir(ctx, disk);
     if (!*error) {
         *error = load_files(ctx, disk, incarnation, loader);
     }
@@ -326,9 +241,9 @@
 static int
 write_new_file(struct mw_disk *disk, const GByteArray *data, const char *path)
 {
-    int fd = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    int fd = disk->io->create(disk->io->opaque, path);
 
-    if (fd >= 0 && (write_all(disk, fd, data->data, data->len) ||
+    if (fd >= 0 && (mw_write_to_disk(disk, fd, data->data, data->len) ||
                     sync_file_data(disk, fd) != 0)) {
         int cause = errno;
 
@@ -341,8 +256,8 @@
     return fd;
 }
 
-static bool
-is_disk_full(int cause)
+bool
+mw_is_disk_full(int cause)
 {
     return cause == ENOSPC || cause == EDQUOT || cause == EFBIG;
 }
@@ -365,6 +280,9 @@
         GByteArray *less = mw_compress_data_file(disk, group, data);
 
         fd = write_new_file(disk, less, path);
+        if (fd < 0 && mw_remove_set_aside_files(disk)) {
+            fd = write_new_file(disk, less, path);
+        }
         *length = less->len;
         g_byte_array_unref(less);
     }
@@ -382,11 +300,11 @@
     int fd = write_new_file(disk, file->unsynced, from);
     int err = 0;
 
-    if (fd < 0 && is_disk_full(errno)) {
+    if (fd < 0 && mw_is_disk_full(errno)) {
         fd = write_without_room(disk, group, from, &length);
     }
     if (fd < 0 || disk->io->rename(disk->io->opaque, from, to) != 0 ||
-        sync_dir(disk)) {
+        mw_sync_data_dir(disk)) {
         err = MW_ERR_DISK;
     }
     if (!err) {
@@ -426,7 +344,8 @@
 static int
 append_unsynced(const struct mw_disk *disk, struct data_file *file)
 {
-    if (write_all(disk, file->fd, file->unsynced->data, file->unsynced->len) ||
+    if (mw_write_to_disk(disk, file->fd, file->unsynced->data,
+                         file->unsynced->len) ||
         sync_file_data(disk, file->fd) != 0) {
         int cause = errno;
 
@@ -445,7 +364,7 @@
     uint8_t marker[MARKER_LEN];
 
     mw_encode_disk_marker(marker, file->length);
-    if (write_all(disk, file->fd, marker, sizeof marker) == 0) {
+    if (mw_write_to_disk(disk, file->fd, marker, sizeof marker) == 0) {
         file->length += sizeof marker;
     }
     else {
--- a/source/run/disk.h
+++ b/source/run/disk.h
@@ -6,9 +6,10 @@
 /*
  * disk: the task that owns the data directory.
  *
- * FILES   LOCK, region.log and zone.log; a new snapshot is written to
- *         NAME.log.new and renamed once it is synced; RESERVE keeps room for
- *         it, and is removed when the disk has none left
+ * FILES   LOCK, region.log and zone.log; a new file is written to NAME.log.new
+ *         and renamed once it is synced; RESERVE keeps room for a snapshot,
+ *         and is removed when the disk has none left; NAME.damaged is a file
+ *         that was set aside
  * FORMAT  header: "MWLOG", version, group, member, CRC-32; then items, each
  *         with its length, CRC-32 and payload; and sync markers, each of
  *         which states that everything before it has been synced
@@ -40,11 +41,13 @@
 /*
  * mw_disk_io: the operations that change files.
  *
- * Results and errno are those of write, fdatasync, rename and unlink; sync_dir
- * makes the names in a directory persist.
+ * Results and errno are those of open, write, fdatasync, rename and unlink;
+ * create opens an empty file for reading and writing, and sync_dir makes the
+ * names in a directory persist.
  */
 struct mw_disk_io {
     void *opaque;
+    int (*create)(void *opaque, const char *path);
     ssize_t (*write)(void *opaque, int fd, const void *data, size_t len);
     int (*sync)(void *opaque, int fd);
     int (*rename)(void *opaque, const char *from, const char *to);
@@ -63,6 +66,8 @@
     struct mw_name member;
     struct mw_task *owner;
     const struct mw_disk_io *io;
+    /* the files are known to be complete: one that is missing was lost */
+    bool is_complete;
     struct mw_context ctx;
 };
 
@@ -101,15 +106,36 @@
 int mw_init_data_dir(struct mw_context *ctx, struct mw_str data_dir,
                      const struct mw_name *member, uint64_t incarnation);
 
-/* mw_remove_data_files: of a directory that no process has opened. */
-void mw_remove_data_files(struct mw_str data_dir);
+/*
+ * mw_create_data_files: create the files of a new member.
+ *
+ * What the directory contains is removed, so the caller has to know that it is
+ * of an attempt that was interrupted.  The files are whole and persist when
+ * this returns 0; otherwise returns MW_ERR_DISK or MW_ERR_LOCKED.
+ */
+int mw_create_data_files(struct mw_context *ctx,
+                         const struct mw_disk_setup *setup,
+                         uint64_t incarnation);
+
+/*
+ * mw_set_aside_data_files: rename the files to NAME.damaged.
+ *
+ * Replaces those that were set aside before.  Returns 0, MW_ERR_DISK or
+ * MW_ERR_LOCKED.
+ */
+int mw_set_aside_data_files(struct mw_context *ctx,
+                            const struct mw_disk_setup *setup);
 
 /*
  * mw_open_disk: lock the data directory and load its files.
  *
  * A directory without data is initialised with the given incarnation, so that
- * the member has to be admitted to the log again.  *incarnation is set to the
- * one that is stored.
+ * the member has to be admitted to the log again, unless setup says that its
+ * files are complete.  *incarnation is set to the one that is stored.
+ *
+ * Fails with MW_ERR_DAMAGED if synced data were lost, with MW_ERR_DISK if a
+ * file can't be read now, and with MW_ERR_VERSION or MW_ERR_INVALID if the
+ * files are whole and can't be used.
  */
 struct mw_disk *mw_open_disk(struct mw_context *ctx,
                              const struct mw_disk_setup *setup,
--- a/source/run/flow-control-task-member.c
+++ b/source/run/flow-control-task-member.c
@@ -4,10 +4,8 @@
  */
 #include "flow-control-task-impl.h"
 
-#include <string.h>
-
 #include "first-ref.h"
-#include "member-file.h"
+#include "member.h"
 
 #define OPEN_RETRY_INTERVAL_US 1000000
 /* the platform names this many machines at the first start */
@@ -25,10 +23,12 @@
     return false;
 }
 
+/* Without members the process is a standby. */
 static void
-replace_control(struct mw_flow_control_task *t, uint64_t incarnation,
+replace_control(void *opaque, uint64_t incarnation,
                 const struct mw_name *members, uint32_t count)
 {
+    struct mw_flow_control_task *t = opaque;
     struct mw_flow_control_setup setup = {
         .name = t->setup.name,
         .zone = t->setup.zone,
@@ -44,7 +44,9 @@
         .output = mw_flow_control_task_output(t),
     };
 
-    memcpy(setup.members, members, count * sizeof *members);
+    for (uint32_t i = 0; i < count; i++) {
+        setup.members[i] = members[i];
+    }
     mw_drop_flow_control(t->control);
     t->control = mw_new_flow_control(&setup);
 }
@@ -60,94 +62,144 @@
                : 0;
 }
 
-static int
-open_disk(struct mw_flow_control_task *t, uint64_t incarnation)
+static struct mw_member_setup
+member_setup(struct mw_flow_control_task *t)
 {
-    struct mw_disk_setup setup = {
-        .data_dir = t->setup.data_dir, .member = t->setup.name, .ctx = t->ctx};
-    struct mw_disk_loader loader = {t, restore_stored};
-    int64_t begun_us = mw_now();
-    int err = 0;
+    return (struct mw_member_setup){
+        .disk = {.data_dir = t->setup.data_dir,
+                 .member = t->setup.name,
+                 .ctx = t->ctx},
+        .founding = t->setup.founding,
+        .founders = t->setup.seeds,
+        .founder_count = t->setup.seed_count,
+        .incarnation = (uint64_t)g_get_real_time(),
+        .loader = {t, replace_control, restore_stored},
+    };
+}
 
-    mw_report_store_reading(t);
-    t->disk = mw_open_disk(&t->ctx, &setup, &incarnation, &loader, &err);
+static void
+report_member(struct mw_flow_control_task *t, const char *outcome)
+{
+    mw_event_log_write_change(t->process.log, mw_now(), "member",
+                              mw_name_str(&t->setup.name), outcome);
+}
+
+/* Whether the process takes part in the log from now on. */
+static void
+start_disk(struct mw_flow_control_task *t, int64_t begun_us)
+{
     if (t->disk) {
         mw_report_store_read(t, begun_us);
         t->disk_task = mw_start_disk(t->disk, t->task);
     }
-    return err;
 }
 
-/* Creates the data of a founding member, or of one that joins later. */
-static int
-join(struct mw_flow_control_task *t, const struct mw_name *members,
-     uint32_t count, bool founding)
+/* A standby that was a member may reach the others only by their names. */
+static void
+dial_former_members(struct mw_flow_control_task *t)
 {
-    uint64_t incarnation =
-        founding ? MW_FOUNDING_INCARNATION : (uint64_t)g_get_real_time();
-    int err = 0;
+    struct mw_name members[MW_MEMBERS_MAX] = {{0}};
+    uint32_t count = mw_read_former_members(t->setup.data_dir, members);
 
-    if (founding) {
-        err = mw_found_member(&t->ctx, t->setup.data_dir, &t->setup.name,
-                              members, count);
-    }
-    else {
-        err = mw_write_members(&t->ctx, t->setup.data_dir, members, count);
-    }
-    if (!err) {
-        replace_control(t, incarnation, members, count);
-        err = open_disk(t, incarnation);
+    for (uint32_t i = 0; i < count; i++) {
+        mw_dial_process(t, &members[i]);
     }
-    if (!err) {
+}
+
+static void
+report_opened(struct mw_flow_control_task *t, enum mw_member_outcome outcome)
+{
+    switch (outcome) {
+    case MW_MEMBER_FOUNDED:
+        report_member(t, "founding");
+        break;
+    case MW_MEMBER_STANDBY:
+        report_member(t, "standby");
+        break;
+    case MW_MEMBER_GIVEN_UP:
         mw_event_log_write_change(t->process.log, mw_now(), "member",
-                                  mw_name_str(&t->setup.name),
-                                  founding ? "founding" : "joins_anew");
+                                  mw_detail(&t->ctx), "given_up");
+        mw_emit_event(&t->ctx, MW_SEVERITY_ERROR,
+                      "event=member_given_up detail=\"%.*s\"",
+                      MW_FMT(mw_detail(&t->ctx)));
+        break;
+    default:
+        break;
     }
-    return err;
 }
 
 static int
 open_state(struct mw_flow_control_task *t)
 {
-    struct mw_name members[MW_MEMBERS_MAX] = {{0}};
-    uint32_t count = mw_read_members(t->setup.data_dir, members);
+    struct mw_member_setup setup = member_setup(t);
+    enum mw_member_outcome outcome;
+    int64_t begun_us = mw_now();
+    int err;
 
-    if (count > 0) {
-        replace_control(t, (uint64_t)g_get_real_time(), members, count);
-        return open_disk(t, (uint64_t)g_get_real_time());
+    mw_report_store_reading(t);
+    err = mw_open_member(&t->ctx, &setup, &t->disk, &outcome);
+    if (err) {
+        return err;
     }
-    if (t->setup.founding &&
-        mw_contains_name(t->setup.seeds, t->setup.seed_count,
-                         &t->setup.name)) {
-        return join(t, t->setup.seeds, t->setup.seed_count, true);
+    start_disk(t, begun_us);
+    report_opened(t, outcome);
+    if (!t->disk) {
+        dial_former_members(t);
     }
-    replace_control(t, (uint64_t)g_get_real_time(), members, 0);
-    mw_event_log_write_change(t->process.log, mw_now(), "member",
-                              mw_name_str(&t->setup.name), "standby");
     return 0;
 }
 
+/* The other members list this process. */
+static int
+join(struct mw_flow_control_task *t, const struct mw_name *members,
+     uint32_t count)
+{
+    struct mw_member_setup setup = member_setup(t);
+    int64_t begun_us = mw_now();
+    int err = mw_join_member(&t->ctx, &setup, members, count, &t->disk);
+
+    if (!err) {
+        start_disk(t, begun_us);
+        report_member(t, "joins_anew");
+    }
+    return err;
+}
+
 void
 mw_report_disk(struct mw_flow_control_task *t, int error, struct mw_str detail)
 {
+    const char *outcome = "writes_again";
+
+    if (error) {
+        outcome = error == MW_ERR_DISK ? "refuses_writes" : "unusable";
+    }
     mw_event_log_write_change(t->process.log, mw_now(), "disk", detail,
-                              error ? "refuses_writes" : "writes_again");
+                              outcome);
+}
+
+/* Another process has the data directory open, and this one is not needed. */
+static bool
+must_end(int error)
+{
+    return error == MW_ERR_LOCKED;
 }
 
 /*
- * The data directory can't be opened now, because the disk is full for
- * example.  Until it can, the process only forwards requests, as a standby.
+ * The data directory can't be opened now, because the disk is full or the
+ * files are another member's, for example.  Until it can, the process only
+ * forwards requests, as a standby.
  */
 static void
-run_without_disk(struct mw_flow_control_task *t)
+run_without_disk(struct mw_flow_control_task *t, int error)
 {
-    static const struct mw_name no_members[1];
-
     if (t->open_deadline_us == 0) {
-        mw_report_disk(t, MW_ERR_DISK, mw_detail(&t->ctx));
+        mw_report_disk(t, error, mw_detail(&t->ctx));
+        mw_emit_event(&t->ctx, MW_SEVERITY_ERROR,
+                      "event=data_dir_unusable kind=%.*s detail=\"%.*s\"",
+                      MW_FMT(mw_error_str(error)), MW_FMT(mw_detail(&t->ctx)));
     }
     t->open_deadline_us = mw_now() + OPEN_RETRY_INTERVAL_US;
-    replace_control(t, (uint64_t)g_get_real_time(), no_members, 0);
+    replace_control(t, (uint64_t)g_get_real_time(), NULL, 0);
 }
 
 int
@@ -155,11 +207,11 @@
 {
     int err = open_state(t);
 
-    if (err == MW_ERR_DISK) {
-        run_without_disk(t);
-        return 0;
+    if (!err || must_end(err)) {
+        return err;
     }
-    return err;
+    run_without_disk(t, err);
+    return 0;
 }
 
 void
@@ -171,11 +223,11 @@
         return;
     }
     err = open_state(t);
-    if (err == MW_ERR_DISK) {
-        run_without_disk(t);
+    if (must_end(err)) {
+        mw_end_region_process(&t->process, err, mw_detail(&t->ctx));
     }
     else if (err) {
-        mw_end_region_process(&t->process, err, mw_detail(&t->ctx));
+        run_without_disk(t, err);
     }
     else {
         t->open_deadline_us = 0;
@@ -194,12 +246,12 @@
         !mw_contains_name(members, count, &t->setup.name)) {
         return;
     }
-    err = join(t, members, count, false);
-    if (err == MW_ERR_DISK) {
-        run_without_disk(t);
+    err = join(t, members, count);
+    if (must_end(err)) {
+        mw_end_region_process(&t->process, err, mw_detail(&t->ctx));
     }
     else if (err) {
-        mw_end_region_process(&t->process, err, mw_detail(&t->ctx));
+        run_without_disk(t, err);
     }
     mw_dial_known_processes(t);
 }
--- a/tests/check-main.c
+++ b/tests/check-main.c
@@ -127,7 +127,8 @@
         &mw_world_scripts,     &mw_flow_scripts,   &mw_platform_scripts,
         &mw_story_scripts,     &mw_region_scripts, &mw_link_scripts,
         &mw_guarantee_scripts, &mw_load_scripts,   &mw_heartbeat_scripts,
-        &mw_links_scripts,     &mw_http_scripts,   &mw_store_scripts};
+        &mw_links_scripts,     &mw_http_scripts,   &mw_store_scripts,
+        &mw_member_scripts};
     Suite *suite = suite_create("mimosawind");
     SRunner *runner;
     int failed;
--- a/tests/input-script.c
+++ b/tests/input-script.c
@@ -12,7 +12,7 @@
 
 #include "disk.h"
 #include "first-ref.h"
-#include "member-file.h"
+#include "member.h"
 #include "script.h"
 #include "settings.h"
 
@@ -388,6 +388,37 @@
     g_free(data_dir);
 }
 
+static void
+begin_no_items(void *opaque, uint64_t incarnation,
+               const struct mw_name *members, uint32_t count)
+{
+    (void)opaque;
+    (void)incarnation;
+    (void)members;
+    (void)count;
+}
+
+/* As the first start of a founding member, which is the only one. */
+static int
+found_member(struct mw_context *ctx, const char *data_dir)
+{
+    struct mw_name self = mw_name_from("c-za-1");
+    struct item_counter counter = {0};
+    struct mw_member_setup setup = {
+        .disk = {.data_dir = mw_str_from(data_dir), .member = self},
+        .founding = true,
+        .founders = &self,
+        .founder_count = 1,
+        .loader = {&counter, begin_no_items, count_item},
+    };
+    struct mw_disk *disk;
+    enum mw_member_outcome outcome;
+    int err = mw_open_member(ctx, &setup, &disk, &outcome);
+
+    mw_drop_disk(disk);
+    return err;
+}
+
 /*
  * founding: the first start of a member whose list of members the disk
  * refuses, then one whose list it takes
@@ -399,18 +430,17 @@
     char *data_dir = g_dir_make_tmp("mwdisk.XXXXXX", NULL);
     char *in_the_way = g_build_filename(data_dir, "members.new", NULL);
     char *list = g_build_filename(data_dir, "members", NULL);
-    struct mw_name self = mw_name_from("c-za-1");
     struct mw_name found[MW_MEMBERS_MAX];
+    uint32_t count;
 
     g_mkdir(in_the_way, 0700);
     for (int attempt = 0; attempt < 2; attempt++) {
-        int err =
-            mw_found_member(&st->ctx, mw_str_from(data_dir), &self, &self, 1);
+        int err = found_member(&st->ctx, data_dir);
 
         print_result(s, "founding", err,
                      strip_data_dir(mw_detail(&st->ctx), data_dir));
-        mw_script_printf(s, "  %u members",
-                         mw_read_members(mw_str_from(data_dir), found));
+        mw_read_members(&st->ctx, mw_str_from(data_dir), found, &count);
+        mw_script_printf(s, "  %u members", count);
         g_rmdir(in_the_way);
     }
     g_unlink(list);
--- a/tests/script.h
+++ b/tests/script.h
@@ -73,6 +73,7 @@
 extern const struct mw_script_kind mw_links_scripts;
 extern const struct mw_script_kind mw_load_scripts;
 extern const struct mw_script_kind mw_log_scripts;
+extern const struct mw_script_kind mw_member_scripts;
 extern const struct mw_script_kind mw_store_scripts;
 extern const struct mw_script_kind mw_zone_scripts;
 extern const struct mw_script_kind mw_world_scripts;
--- a/tests/store-disk.c
+++ b/tests/store-disk.c
@@ -4,15 +4,17 @@
 #include "store-disk.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <string.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 struct name_change {
-    /* NULL for a removed file */
+    /* NULL for a removed or a new file */
     char *from;
     char *to;
+    bool is_new;
     /* the file that had the name; may not exist */
     char *kept;
 };
@@ -98,11 +100,13 @@
 
 /* Keeps the file that is to lose its name. */
 static void
-note_change(struct store_disk *disk, const char *from, const char *to)
+note_change(struct store_disk *disk, const char *from, const char *to,
+            bool is_new)
 {
     struct name_change change = {
         .from = g_strdup(from),
         .to = g_strdup(to),
+        .is_new = is_new,
         .kept = g_strdup_printf("%s/%d", disk->attic, disk->operations),
     };
 
@@ -112,6 +116,23 @@
     g_array_append_val(disk->changes, change);
 }
 
+static int
+disk_create(void *opaque, const char *path)
+{
+    struct store_disk *disk = opaque;
+    int fd = -1;
+
+    g_mutex_lock(&disk->mutex);
+    if (has_power(disk)) {
+        if (!g_file_test(path, G_FILE_TEST_EXISTS)) {
+            note_change(disk, NULL, path, true);
+        }
+        fd = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    }
+    g_mutex_unlock(&disk->mutex);
+    return fd;
+}
+
 static int
 disk_rename(void *opaque, const char *from, const char *to)
 {
@@ -120,7 +141,7 @@
 
     g_mutex_lock(&disk->mutex);
     if (has_power(disk)) {
-        note_change(disk, from, to);
+        note_change(disk, from, to, false);
         result = rename(from, to);
     }
     g_mutex_unlock(&disk->mutex);
@@ -135,7 +156,7 @@
 
     g_mutex_lock(&disk->mutex);
     if (has_power(disk)) {
-        note_change(disk, NULL, path);
+        note_change(disk, NULL, path, false);
         result = unlink(path);
     }
     g_mutex_unlock(&disk->mutex);
@@ -189,9 +210,9 @@
     disk->changes = g_array_new(FALSE, FALSE, sizeof(struct name_change));
     g_array_set_clear_func(disk->changes, clear_change);
     g_mutex_init(&disk->mutex);
-    disk->io = (struct mw_disk_io){disk,          disk_write,  disk_sync,
-                                   disk_rename,   disk_remove, disk_sync_dir,
-                                   disk_get_space};
+    disk->io = (struct mw_disk_io){disk,          disk_create,   disk_write,
+                                   disk_sync,     disk_rename,   disk_remove,
+                                   disk_sync_dir, disk_get_space};
     return disk;
 }
 
@@ -284,6 +305,9 @@
 static void
 undo_change(const struct name_change *change)
 {
+    if (change->is_new) {
+        unlink(change->to);
+    }
     if (change->from) {
         rename(change->to, change->from);
     }
