A failed run counts once, whichever leader reads its ends

Cause: which run of a gang had been counted was known to the leader only, was noted before the record was proposed, and outlived the lead. So a failure counted twice over a change of leader, and never after a refused or lost record. A task that stays assigned for another start counted at each listing.

What is remembered of an end is set once its record was accepted. A run that was taken for lost and is listed as failed later counts, once. If the record that fails the flow is refused, the end waits to be listed again.

--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -76,8 +76,9 @@
     struct mw_task_id id;
     enum mw_task_state state;
     uint32_t run;
-    /* runs that failed */
+    /* runs that failed, and the last of them; 0 if not recorded */
     uint32_t failures;
+    uint32_t failed_run;
     /* evidence that the task crashes the endpoints that start it */
     uint32_t crash_score;
     /* of a run that is assigned: the endpoint and its incarnation */
--- a/source/core/flow/flow-apply.c
+++ b/source/core/flow/flow-apply.c
@@ -264,10 +264,14 @@
     is_new_run = task->state != MW_TASK_ASSIGNED || task->run != entry->run;
     allows_start = entry->state == MW_TASK_ASSIGNED &&
                    (is_new_run || entry->starts > task->starts);
+    if (entry->run != task->run) {
+        task->is_failure_proposed = false;
+    }
     task->state = entry->state;
     task->run = entry->run;
     task->is_identified = entry->is_identified;
     task->failures = entry->failures;
+    task->failed_run = entry->failed_run;
     task->crash_score = entry->crash_score;
     task->unrecorded_crash_score = 0;
     group->is_suspect |= mw_is_crash_suspect(entry->crash_score);
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -11,6 +11,7 @@
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
 #include "flow-event.h"
+#include "flow-failure.h"
 #include "flow-health.h"
 #include "flow-interference.h"
 #include "flow-late-start.h"
@@ -93,20 +94,6 @@
     return task->run == run && task->state != MW_TASK_DONE;
 }
 
-static uint32_t
-count_failures(const struct mw_task_group *group, uint32_t index)
-{
-    uint32_t failures = 0;
-
-    if (!group->step->gang) {
-        return group->tasks[index].failures;
-    }
-    for (uint32_t i = 0; i < group->step->count; i++) {
-        failures += group->tasks[i].failures;
-    }
-    return failures;
-}
-
 static void
 propose_flow_failure(struct mw_flows *flows, struct mw_flow *flow,
                      const char *reason)
@@ -135,23 +122,28 @@
  * record of the failed flow goes first: no leader may see only this one.
  */
 static void
-record_crash_score(struct mw_flows *flows, struct mw_task_record *entry,
-                   struct mw_task_placement *placement)
+add_crash_score(struct mw_flows *flows, struct mw_task_record *entry,
+                const struct mw_task_placement *placement)
 {
-    struct mw_task_group *group = placement->group;
-    struct mw_flow_task *task = &group->tasks[placement->index];
-
     if (placement->has_survived && placement->crash_score == 0) {
         entry->crash_score = 0;
     }
     entry->crash_score += placement->crash_score;
-    task->unrecorded_crash_score += placement->crash_score;
-    placement->crash_score = 0;
     if (mw_crash_limit_is_reached(entry->crash_score)) {
-        mw_fail_crashing_flow(flows, group->flow);
+        mw_fail_crashing_flow(flows, placement->group->flow);
     }
 }
 
+/* Records of the task contain the evidence from now on. */
+static void
+keep_crash_score(struct mw_task_placement *placement)
+{
+    struct mw_flow_task *task = &placement->group->tasks[placement->index];
+
+    task->unrecorded_crash_score += placement->crash_score;
+    placement->crash_score = 0;
+}
+
 void
 mw_lose_run(struct mw_flows *flows, int64_t now_us,
             struct mw_task_placement *placement, const char *reason)
@@ -165,7 +157,7 @@
     mw_emit_run_over_event(flows, placement, reason, now_us);
     flows->counters.lost_runs += !is_proposed;
     if (is_current && mw_may_execute_start_late(placement, now_us)) {
-        task->unrecorded_crash_score += placement->crash_score;
+        keep_crash_score(placement);
         mw_await_late_start(placement);
     }
     else if (is_current) {
@@ -174,7 +166,8 @@
             record, group, placement->index, MW_TASK_WAITING, placement->run);
 
         set_checkpoint(entry, mw_blob_str(placement->checkpoint));
-        record_crash_score(flows, entry, placement);
+        add_crash_score(flows, entry, placement);
+        keep_crash_score(placement);
         propose(flows, record);
     }
     mw_free_task_placement(flows, placement);
@@ -198,18 +191,6 @@
     return propose(flows, record);
 }
 
-/* A run of a gang counts as one failure, however many tasks have failed. */
-static bool
-counts_as_failure(struct mw_task_group *group, const struct mw_listed_run *run)
-{
-    if (run->end != MW_END_FAILED ||
-        (group->step->gang && group->failed_run == run->run)) {
-        return false;
-    }
-    group->failed_run = run->run;
-    return true;
-}
-
 static void
 record_done(struct mw_record *record, struct mw_task_group *group,
             const struct mw_listed_run *run)
@@ -222,14 +203,56 @@
     }
 }
 
+/*
+ * Counts the failure in the record.  The record of the failed flow goes first;
+ * returns false if it is refused, as the flow must not go on with this one
+ * alone.
+ */
+static bool
+add_failure(struct mw_flows *flows, struct mw_task_record *entry,
+            struct mw_task_group *group, const struct mw_listed_run *run)
+{
+    if (!mw_failure_counts(group, run)) {
+        return true;
+    }
+    if (mw_uses_up_attempts(group, run->task.index)) {
+        propose_flow_failure(flows, group->flow, "attempts_used_up");
+        if (!group->flow->end_proposed) {
+            return false;
+        }
+    }
+    mw_record_failure(entry, run->run);
+    return true;
+}
+
+/*
+ * The task waits already, because the run was taken for lost; it has failed
+ * all the same.  Once the task is assigned again, that run is over for good.
+ */
+static bool
+record_late_failure(struct mw_flows *flows, struct mw_record *record,
+                    struct mw_task_group *group,
+                    const struct mw_listed_run *run)
+{
+    struct mw_task_record *entry;
+
+    if (!mw_task_is_waiting(&group->tasks[run->task.index]) ||
+        !mw_failure_counts(group, run)) {
+        return true;
+    }
+    entry = add_task_entry(record, group, run->task.index, MW_TASK_WAITING,
+                           run->run);
+    return add_failure(flows, entry, group, run);
+}
+
 /*
  * The task waits again, or stays assigned if another start of the run may be
- * executed yet.
+ * executed yet.  Returns false if the end can't be recorded now.
  */
-static void
+static bool
 record_not_done(struct mw_flows *flows, int64_t now_us,
                 struct mw_record *record, struct mw_task_group *group,
-                struct mw_task_placement *placement,
+                const struct mw_task_placement *placement,
                 const struct mw_listed_run *run)
 {
     const struct mw_flow_task *task = &group->tasks[run->task.index];
@@ -237,7 +260,7 @@
     struct mw_task_record *entry;
 
     if (task->state != MW_TASK_ASSIGNED) {
-        return;
+        return record_late_failure(flows, record, group, run);
     }
     entry =
         add_task_entry(record, group, run->task.index,
@@ -247,16 +270,9 @@
         group->newest_checkpoint_index = run->task.index;
     }
     if (placement) {
-        record_crash_score(flows, entry, placement);
-    }
-    if (counts_as_failure(group, run)) {
-        entry->failures++;
-        flows->counters.failures++;
-        if (count_failures(group, run->task.index) + 1 >=
-            group->flow->route.attempts_max) {
-            propose_flow_failure(flows, group->flow, "attempts_used_up");
-        }
+        add_crash_score(flows, entry, placement);
     }
+    return add_failure(flows, entry, group, run);
 }
 
 /* The flow has ended; records that the run is no longer on its endpoint. */
@@ -283,6 +299,96 @@
     }
 }
 
+/* The record of an end, without entries if nothing follows from it; NULL if it
+ * can't be recorded now. */
+static struct mw_record *
+new_end_record(struct mw_flows *flows, int64_t now_us,
+               struct mw_task_group *group,
+               const struct mw_task_placement *placement,
+               const struct mw_listed_run *run)
+{
+    struct mw_record *record = new_tasks_record(group->step->count);
+    bool ok = true;
+
+    if (!is_current_run(&group->tasks[run->task.index], run->run)) {
+        return record;
+    }
+    if (!mw_flow_is_open(group->flow)) {
+        record_over(record, group, run);
+    }
+    else if (run->end == MW_END_DONE) {
+        record_done(record, group, run);
+    }
+    else {
+        ok = record_not_done(flows, now_us, record, group, placement, run);
+    }
+    if (!ok) {
+        mw_drop_record(record);
+    }
+    return ok ? record : NULL;
+}
+
+/* What the leader remembers of an end that it has proposed. */
+static void
+note_proposed_end(struct mw_flows *flows, struct mw_task_group *group,
+                  struct mw_task_placement *placement,
+                  const struct mw_listed_run *run, bool is_failure,
+                  bool stays_assigned)
+{
+    if (is_failure) {
+        mw_note_proposed_failure(group, run->task.index);
+        flows->counters.failures++;
+    }
+    if (placement) {
+        keep_crash_score(placement);
+    }
+    if (stays_assigned) {
+        mw_await_late_start(placement);
+    }
+}
+
+enum end_result {
+    /* it must be listed again */
+    END_REFUSED = 0,
+    END_CHANGES_NOTHING = 1,
+    END_PROPOSED = 2
+};
+
+static enum end_result
+propose_end(struct mw_flows *flows, int64_t now_us,
+            struct mw_flow_endpoint *endpoint, struct mw_task_group *group,
+            struct mw_task_placement *placement,
+            const struct mw_listed_run *run)
+{
+    struct mw_record *record =
+        new_end_record(flows, now_us, group, placement, run);
+    struct mw_task_record *entry;
+    bool is_failure;
+    bool stays_assigned;
+
+    if (!record) {
+        return END_REFUSED;
+    }
+    if (record->tasks.count == 0) {
+        mw_drop_record(record);
+        return END_CHANGES_NOTHING;
+    }
+    /* on_end_committed() finds the endpoint and its process by this */
+    entry = &record->tasks.entries[0];
+    entry->endpoint = endpoint->id;
+    entry->incarnation = endpoint->incarnation;
+    stays_assigned = entry->state == MW_TASK_ASSIGNED;
+    is_failure =
+        entry->failed_run == run->run && mw_failure_counts(group, run);
+    if (!propose(flows, record)) {
+        return END_REFUSED;
+    }
+    note_proposed_end(flows, group, placement, run, is_failure,
+                      stays_assigned);
+    endpoint->uncommitted_ends++;
+    return END_PROPOSED;
+}
+
 /*
  * Returns false when the end could not be proposed; it must be listed again.
  *
@@ -296,55 +402,30 @@
                  const struct mw_listed_run *run)
 {
     struct mw_task_group *group;
-    struct mw_flow_task *task = mw_find_task(flows, &run->task, &group);
+    bool is_known = mw_find_task(flows, &run->task, &group) != NULL;
     struct mw_task_placement *placement =
         mw_find_task_placement(endpoint, &run->task, run->run);
-    struct mw_record *record;
-    struct mw_str outcome = mw_run_end_str(run->end);
-    bool stays_assigned;
+    enum end_result result = END_CHANGES_NOTHING;
 
-    flows->counters.ends++;
     if (placement) {
         mw_note_listed_start(placement, now_us);
     }
     if (placement && run->end == MW_END_DONE && !group->step->gang) {
         mw_note_run_percent(placement, now_us, 100);
     }
-    mw_update_flow_endpoint_health(flows, now_us, endpoint, run->end);
-    if (!task || !is_current_run(task, run->run)) {
-        finish_placement(flows, now_us, placement, outcome.ptr);
-        return true;
-    }
-    record = new_tasks_record(group->step->count);
-    if (!mw_flow_is_open(group->flow)) {
-        record_over(record, group, run);
-    }
-    else if (run->end == MW_END_DONE) {
-        record_done(record, group, run);
-    }
-    else {
-        record_not_done(flows, now_us, record, group, placement, run);
-    }
-    if (record->tasks.count == 0) {
-        finish_placement(flows, now_us, placement, outcome.ptr);
-        mw_drop_record(record);
-        return true;
+    if (is_known) {
+        result = propose_end(flows, now_us, endpoint, group, placement, run);
     }
-    /* on_end_committed() finds the endpoint and its process by this */
-    record->tasks.entries[0].endpoint = endpoint->id;
-    record->tasks.entries[0].incarnation = endpoint->incarnation;
-    stays_assigned = record->tasks.entries[0].state == MW_TASK_ASSIGNED;
-    if (!propose(flows, record)) {
+    if (result == END_REFUSED) {
         return false;
     }
-    if (stays_assigned) {
-        mw_await_late_start(placement);
-    }
-    finish_placement(flows, now_us, placement, outcome.ptr);
-    if (run->end != MW_END_DONE && group->step->gang) {
+    flows->counters.ends++;
+    mw_update_flow_endpoint_health(flows, now_us, endpoint, run->end);
+    finish_placement(flows, now_us, placement, mw_run_end_str(run->end).ptr);
+    if (result == END_PROPOSED && run->end != MW_END_DONE &&
+        group->step->gang) {
         mw_stop_task_group(flows, now_us, group);
     }
-    endpoint->uncommitted_ends++;
     return true;
 }
 
--- a/source/core/flow/flow-takeover.c
+++ b/source/core/flow/flow-takeover.c
@@ -111,6 +111,7 @@
                 flow->groups[u].tasks[i].uncommitted_records = 0;
                 flow->groups[u].tasks[i].awaits_late_start = false;
                 flow->groups[u].tasks[i].unrecorded_crash_score = 0;
+                flow->groups[u].tasks[i].is_failure_proposed = false;
                 flow->groups[u].tasks[i].stalls = 0;
             }
         }
--- a/source/core/flow/flow-task-state.h
+++ b/source/core/flow/flow-task-state.h
@@ -24,26 +24,32 @@
     enum mw_task_state state;
     uint32_t run;
     uint32_t failures;
-    uint32_t crash_score;
+    /* the last run that is counted in failures; 0 if not recorded */
+    uint32_t failed_run;
     struct mw_name endpoint;
     uint64_t incarnation;
     struct mw_blob *checkpoint;
+    uint32_t crash_score;
     /* when the run was assigned, in milliseconds of the flow clock modulo 2^32
      */
     uint32_t assigned_ms;
     /* a list has shown the run, and no start of it is left */
     bool is_identified : 1;
+    /* of the leader: its run is over where it was placed, but see
+     * flow-late-start.c */
+    bool awaits_late_start : 1;
+    /* of the leader: a record that counts the failure of the run is proposed
+     */
+    bool is_failure_proposed : 1;
     /* how many starts of the run may have been sent, by any leader */
     uint8_t starts : MW_TASK_STARTS_BITS;
     /* of the leader: */
-    /* its run is over where it was placed, but see flow-late-start.c */
-    bool awaits_late_start;
     /* records of the task that are proposed and not yet committed */
     uint16_t uncommitted_records;
     /* evidence of a run that is over, not recorded yet */
-    uint32_t unrecorded_crash_score;
+    uint16_t unrecorded_crash_score;
     /* how many of its runs were stopped as stalled */
-    uint32_t stalls;
+    uint16_t stalls;
     struct mw_task_placement *placement;
 };
 
@@ -78,8 +84,6 @@
     struct mw_step_rate rate;
     /* hash of its kind of work; 0 for not yet computed */
     uint64_t kind;
-    /* run of the gang that has already been counted as failed */
-    uint32_t failed_run;
     /* index of the task that wrote the gang's newest checkpoint */
     uint32_t newest_checkpoint_index;
     /* how often its runs were preempted */
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -2653,7 +2653,7 @@
   (ProtobufCMessageInit) mw__wire__flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[15] =
 {
   {
     "flow",
@@ -2823,6 +2823,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_run",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__task_note__field_indices_by_name[] = {
   13,   /* field[13] = assigned_ms */
@@ -2830,6 +2842,7 @@
   9,   /* field[9] = checkpoint */
   10,   /* field[10] = crash_score */
   7,   /* field[7] = endpoint */
+  14,   /* field[14] = failed_run */
   6,   /* field[6] = failures */
   0,   /* field[0] = flow */
   11,   /* field[11] = identified */
@@ -2843,7 +2856,7 @@
 static const ProtobufCIntRange mw__wire__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor mw__wire__task_note__descriptor =
 {
@@ -2853,7 +2866,7 @@
   "Mw__Wire__TaskNote",
   "mw.wire",
   sizeof(Mw__Wire__TaskNote),
-  14,
+  15,
   mw__wire__task_note__field_descriptors,
   mw__wire__task_note__field_indices_by_name,
   1,  mw__wire__task_note__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -274,10 +274,14 @@
    */
   uint32_t starts;
   uint32_t assigned_ms;
+  /*
+   * the last run that was counted in failures; 0 if not recorded
+   */
+  uint32_t failed_run;
 };
 #define MW__WIRE__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__task_note__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/region-endpoint.c
+++ b/tests/region-endpoint.c
@@ -444,6 +444,9 @@
     run.end_us = now_us + run_duration_us(endpoints);
     run.fails = endpoints->rand &&
                 g_rand_int_range(endpoints->rand, 0, FAILS_ONE_IN) == 0;
+    if (endpoints->plan_run) {
+        endpoints->plan_run(endpoints->plan_opaque, &run, now_us);
+    }
     g_array_append_val(endpoint->runs, run);
     return MW_FLOW_DONE;
 }
--- a/tests/region-endpoint.h
+++ b/tests/region-endpoint.h
@@ -94,6 +94,10 @@
     unsigned renamed_count;
 };
 
+/* mw_fake_plan_run: sets when the run ends, and whether it fails. */
+typedef void mw_fake_plan_run(void *opaque, struct mw_fake_run *run,
+                              int64_t now_us);
+
 /* mw_fake_endpoints: the endpoints of a region and the runs of its tasks */
 struct mw_fake_endpoints {
     int count;
@@ -102,6 +106,9 @@
     int64_t run_us;
     /* draws durations and ends of runs, and delays of stops; NULL for none */
     GRand *rand;
+    /* decides about runs in place of that; NULL for none */
+    mw_fake_plan_run *plan_run;
+    void *plan_opaque;
     /* longest lease that is granted */
     int64_t lease_max_us;
     /* only lists tell the incarnation, other responses don't */
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -386,6 +386,19 @@
     run_several(s, mw_run_region_seed);
 }
 
+/* failure-seed, failure-seeds ...: runs fail while leaders change */
+static void
+cmd_failure_seed(struct mw_script *s)
+{
+    run_one(s, mw_run_failure_seed);
+}
+
+static void
+cmd_failure_seeds(struct mw_script *s)
+{
+    run_several(s, mw_run_failure_seed);
+}
+
 /* without=MASK: kinds of endpoint faults (enum mw_region_fault); late=MS: the
  * longest delay of a late call */
 static void
@@ -457,6 +470,8 @@
     {"violations", 0, cmd_violations},
     {"seeds", 3, cmd_seeds},
     {"seed", 2, cmd_seed},
+    {"failure-seeds", 3, cmd_failure_seeds},
+    {"failure-seed", 2, cmd_failure_seed},
     {"endpoint-seeds", 3, cmd_endpoint_seeds},
     {"endpoint-seed", 2, cmd_endpoint_seed},
     {"life-seeds", 3, cmd_life_seeds},
--- a/tests/region.c
+++ b/tests/region.c
@@ -166,9 +166,12 @@
         bool never_accepted = replies->refused == replies->submitted;
 
         region->final_replies++;
+        replies->failed = found && reply->state == MW_FLOW_FAILED;
         replies->ended =
-            found && (reply->state == MW_FLOW_COMPLETED ||
-                      (region->faults != 0 && reply->state == MW_FLOW_FAILED));
+            found &&
+            (reply->state == MW_FLOW_COMPLETED ||
+             ((region->faults != 0 || region->has_failing_runs) &&
+              replies->failed));
         if (replies->accepted && found && !replies->ended) {
             g_string_append_printf(region->violations,
                                    "flow %d has not ended; ",
--- a/tests/region.h
+++ b/tests/region.h
@@ -65,6 +65,7 @@
     unsigned refused;
     bool accepted;
     bool ended;
+    bool failed;
 };
 
 /*
@@ -182,6 +183,8 @@
     int64_t healthy_since_us;
     /* a disk may be lost now */
     bool can_wipe;
+    /* flows may fail, although endpoints have no faults */
+    bool has_failing_runs;
     /* enum mw_region_fault; 0 for none */
     unsigned faults;
     /* with endpoint faults: a new flow in one of so many steps */
@@ -260,6 +263,12 @@
 void mw_run_region_seed(struct mw_region *region, uint32_t seed,
                         int control_count);
 
+/*
+ * mw_run_failure_seed: changes leaders while runs fail (region-failures.c).
+ */
+void mw_run_failure_seed(struct mw_region *region, uint32_t seed,
+                         int control_count);
+
 /*
  * mw_run_endpoint_fault_seed: the same, with endpoint faults of the kinds that
  * the seed draws (region-faults.c).
