Evidence that a run has crashed its endpoint is recorded with the run

Cause: evidence of a crash was kept by the leader until the run was recorded as over, some seconds later.

Change: run_crash_score of the task's record says what there is against the run that is assigned, as soon as there is any; it is withdrawn there when the process answers again. The next leader takes it over, and withdraws it if the process that the run was assigned to lists its runs.

flow/crash-unanswered: the lines "lease lasts" differ by up to 80 ms, as the script's time goes on a little with each record; what happens is the same.

--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -81,6 +81,9 @@
     uint32_t failed_run;
     /* evidence that the task crashes the endpoints that start it */
     uint32_t crash_score;
+    /* of a run that is assigned: such evidence, which is added once the run
+     * is over */
+    uint32_t run_crash_score;
     /* of a run that is assigned: the endpoint and its incarnation */
     struct mw_name endpoint;
     uint64_t incarnation;
--- a/source/core/flow/flow-apply.c
+++ b/source/core/flow/flow-apply.c
@@ -272,7 +272,8 @@
     task->is_identified = entry->is_identified;
     task->failures = entry->failures;
     task->failed_run = entry->failed_run;
-    task->crash_score = entry->crash_score;
+    task->crash_score = (uint16_t)MIN(entry->crash_score, UINT16_MAX);
+    task->run_crash_score = (uint16_t)MIN(entry->run_crash_score, UINT16_MAX);
     task->unrecorded_crash_score = 0;
     group->is_suspect |= mw_is_crash_suspect(entry->crash_score);
     task->endpoint = entry->endpoint;
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -144,6 +144,7 @@
     entry->endpoint = task->endpoint;
     entry->incarnation = task->incarnation;
     entry->starts = task->starts + 1;
+    entry->run_crash_score = placement->crash_score;
     if (mw_propose_tasks(flows, record)) {
         placement->awaits_start_record = true;
         placement->command_pending = true;
--- a/source/core/flow/flow-crash.c
+++ b/source/core/flow/flow-crash.c
@@ -15,7 +15,8 @@
  * is a start whose own connection was closed before connections were refused,
  * or a crash later than that, up to AT_WORK_US after the start.  An endpoint
  * that is only out of reach, or crashes while the run has been at work for
- * longer, is no evidence.  It counts once the run is known to be over.
+ * longer, is no evidence.  It counts once the run is known to be over; until
+ * then a record of the run says so, for the next leader.
  *
  * A task whose score reaches SCORE_SUSPECT is a suspect.  Its group prefers
  * endpoints without runs, and no other flow is placed beside it until the
@@ -27,6 +28,7 @@
 #include "flow-endpoint-state.h"
 #include "flow-placement-state.h"
 #include "flow-scheduler-state.h"
+#include "flow-state.h"
 #include "flow-task-state.h"
 
 /* an endpoint that lives so long after a start has survived it */
@@ -96,6 +98,83 @@
     for (guint i = 0; i < endpoint->placements->len; i++) {
         blame(endpoint->placements->pdata[i], endpoint->connection_lost_us);
     }
+    mw_record_blame(flows, endpoint);
+}
+
+void
+mw_recall_blame(struct mw_task_placement *placement)
+{
+    placement->crash_score =
+        placement->group->tasks[placement->index].run_crash_score;
+    placement->has_recalled_blame = placement->crash_score > 0;
+}
+
+void
+mw_settle_recalled_blame(struct mw_flow_endpoint *endpoint)
+{
+    for (guint i = 0; i < endpoint->placements->len; i++) {
+        struct mw_task_placement *placement = endpoint->placements->pdata[i];
+        const struct mw_flow_task *task =
+            &placement->group->tasks[placement->index];
+
+        if (placement->has_recalled_blame &&
+            task->incarnation == endpoint->incarnation) {
+            placement->crash_score = 0;
+        }
+        placement->has_recalled_blame = false;
+    }
+}
+
+/* The log says otherwise about the run, and no other record is on its way. */
+static bool
+must_record_blame(const struct mw_task_placement *placement)
+{
+    const struct mw_flow_task *task =
+        &placement->group->tasks[placement->index];
+
+    return placement->crash_score != task->run_crash_score &&
+           task->state == MW_TASK_ASSIGNED && task->run == placement->run &&
+           task->uncommitted_records == 0;
+}
+
+static void
+add_blamed_run(struct mw_record *record,
+               const struct mw_task_placement *placement)
+{
+    const struct mw_flow_task *task =
+        &placement->group->tasks[placement->index];
+    struct mw_task_record *entry =
+        &record->tasks.entries[record->tasks.count++];
+
+    mw_init_task_record(placement->group, placement->index, entry);
+    entry->state = MW_TASK_ASSIGNED;
+    entry->endpoint = task->endpoint;
+    entry->incarnation = task->incarnation;
+    entry->is_identified = task->is_identified;
+    entry->run_crash_score = placement->crash_score;
+}
+
+void
+mw_record_blame(struct mw_flows *flows, struct mw_flow_endpoint *endpoint)
+{
+    struct mw_record *record;
+    uint32_t count = 0;
+
+    for (guint i = 0; i < endpoint->placements->len; i++) {
+        count += must_record_blame(endpoint->placements->pdata[i]);
+    }
+    if (count == 0) {
+        return;
+    }
+    record = mw_new_record(MW_RECORD_TASKS);
+    record->tasks.entries = g_new0(struct mw_task_record, count);
+    for (guint i = 0; i < endpoint->placements->len; i++) {
+        if (must_record_blame(endpoint->placements->pdata[i])) {
+            add_blamed_run(record, endpoint->placements->pdata[i]);
+        }
+    }
+    mw_propose_tasks(flows, record);
+    mw_drop_record(record);
 }
 
 void
--- a/source/core/flow/flow-crash.h
+++ b/source/core/flow/flow-crash.h
@@ -23,6 +23,19 @@
 void mw_blame_unanswered_start(struct mw_task_placement *placement);
 /* mw_withdraw_blame: the same process responds again. */
 void mw_withdraw_blame(struct mw_flow_endpoint *endpoint);
+/* mw_recall_blame: the run was recorded under an earlier leader. */
+void mw_recall_blame(struct mw_task_placement *placement);
+/*
+ * mw_settle_recalled_blame: a list of the endpoint has come; if it is of the
+ * process that the run was assigned to, that has not crashed.
+ */
+void mw_settle_recalled_blame(struct mw_flow_endpoint *endpoint);
+/*
+ * mw_record_blame: proposes a record of the evidence against the runs of the
+ * endpoint, where the log says otherwise.
+ */
+void mw_record_blame(struct mw_flows *flows,
+                     struct mw_flow_endpoint *endpoint);
 /* mw_crash_limit_is_reached: whether a task with this score is given up. */
 bool mw_crash_limit_is_reached(uint32_t score);
 /* mw_is_crash_suspect: whether a task with this score is kept apart. */
--- a/source/core/flow/flow-late-start.c
+++ b/source/core/flow/flow-late-start.c
@@ -367,6 +367,7 @@
     entry.endpoint = placement->endpoint->id;
     entry.incarnation = placement->endpoint->incarnation;
     entry.is_identified = true;
+    entry.run_crash_score = placement->crash_score;
     g_array_append_val(entries, entry);
 }
 
--- a/source/core/flow/flow-placement-state.h
+++ b/source/core/flow/flow-placement-state.h
@@ -79,8 +79,10 @@
     int64_t last_listed_us;
     /* the newest that was listed */
     struct mw_blob *checkpoint;
-    /* evidence that the run has crashed its endpoint, not recorded yet */
+    /* evidence that the run has crashed its endpoint; see flow-crash.c */
     uint32_t crash_score;
+    /* the evidence is an earlier leader's, and no list has come since */
+    bool has_recalled_blame;
     /* a list has shown it at work long enough after its start */
     bool has_survived;
     /* a suspect's, until the endpoint has survived its start */
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -267,6 +267,7 @@
             resume_stops(now_us, endpoint);
             mw_withdraw_blame(endpoint);
         }
+        mw_settle_recalled_blame(endpoint);
         endpoint->is_contested = false;
         endpoint->renewal_failures = 0;
         endpoint->connection_lost_us = 0;
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -223,6 +223,7 @@
         expire_leases(flows, now_us, endpoint);
     }
     mw_settle_late_starts(flows, now_us, endpoint, 0);
+    mw_record_blame(flows, endpoint);
     if (endpoint->stray_uses &&
         now_us >= mw_last_lease_expiry(flows, endpoint)) {
         mw_forget_stray_runs(flows, endpoint);
--- a/source/core/flow/flow-snapshot.c
+++ b/source/core/flow/flow-snapshot.c
@@ -32,6 +32,7 @@
             mw_init_task_record(group, t, entry);
             entry->state = task->state;
             entry->crash_score = task->crash_score;
+            entry->run_crash_score = task->run_crash_score;
             entry->endpoint = task->endpoint;
             entry->incarnation = task->incarnation;
             entry->is_identified = task->is_identified;
--- a/source/core/flow/flow-takeover.c
+++ b/source/core/flow/flow-takeover.c
@@ -7,6 +7,7 @@
 #include "flow-command-queue.h"
 #include "flow-command.h"
 #include "flow-config-versions.h"
+#include "flow-crash.h"
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
 #include "flow-late-start.h"
@@ -59,6 +60,7 @@
                                           MW_PLACEMENT_UNKNOWN);
         placement->started_us = now_us;
         mw_note_earlier_start(flows, placement, now_us);
+        mw_recall_blame(placement);
     }
     if (is_partly_over(group)) {
         mw_stop_task_group(flows, now_us, group);
--- a/source/core/flow/flow-task-state.h
+++ b/source/core/flow/flow-task-state.h
@@ -29,7 +29,8 @@
     struct mw_name endpoint;
     uint64_t incarnation;
     struct mw_blob *checkpoint;
-    uint32_t crash_score;
+    uint16_t crash_score;
+    uint16_t run_crash_score;
     /* when the run was assigned, in milliseconds of the flow clock modulo 2^32
      */
     uint32_t assigned_ms;
--- a/source/wire/mimosawind.pb-c.c
+++ b/source/wire/mimosawind.pb-c.c
@@ -2653,7 +2653,7 @@
   (ProtobufCMessageInit) mw__wire__flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[15] =
+static const ProtobufCFieldDescriptor mw__wire__task_note__field_descriptors[16] =
 {
   {
     "flow",
@@ -2835,6 +2835,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_crash_score",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Wire__TaskNote, run_crash_score),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__wire__task_note__field_indices_by_name[] = {
   13,   /* field[13] = assigned_ms */
@@ -2849,6 +2861,7 @@
   3,   /* field[3] = index */
   1,   /* field[1] = occurrence */
   5,   /* field[5] = run */
+  15,   /* field[15] = run_crash_score */
   12,   /* field[12] = starts */
   4,   /* field[4] = state */
   2,   /* field[2] = step */
@@ -2856,7 +2869,7 @@
 static const ProtobufCIntRange mw__wire__task_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor mw__wire__task_note__descriptor =
 {
@@ -2866,7 +2879,7 @@
   "Mw__Wire__TaskNote",
   "mw.wire",
   sizeof(Mw__Wire__TaskNote),
-  15,
+  16,
   mw__wire__task_note__field_descriptors,
   mw__wire__task_note__field_indices_by_name,
   1,  mw__wire__task_note__number_ranges,
--- a/source/wire/mimosawind.pb-c.h
+++ b/source/wire/mimosawind.pb-c.h
@@ -278,10 +278,14 @@
    * the last run that was counted in failures; 0 if not recorded
    */
   uint32_t failed_run;
+  /*
+   * evidence against the run that is assigned, not added to crash_score yet
+   */
+  uint32_t run_crash_score;
 };
 #define MW__WIRE__TASK_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__wire__task_note__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/source/wire/pack-flow.c
+++ b/source/wire/pack-flow.c
@@ -59,6 +59,7 @@
         message->failures = task->failures;
         message->crash_score = task->crash_score;
         message->failed_run = task->failed_run;
+        message->run_crash_score = task->run_crash_score;
         message->endpoint = mw_pack_name(&task->endpoint);
         message->born = task->incarnation;
         message->identified = task->is_identified;
@@ -197,6 +198,7 @@
     task->failures = wire->failures;
     task->crash_score = wire->crash_score;
     task->failed_run = wire->failed_run;
+    task->run_crash_score = wire->run_crash_score;
     task->incarnation = wire->born;
     task->is_identified = wire->identified;
     task->starts = wire->starts;
