Leases count grants without an answer as late as they may be executed

Cause: for a run that a list has shown, leases counted from the sending of the last renewal, whether it was answered or not.

Change: a grant is open until its call is answered or can't be executed any more; the leases of an endpoint have expired when those of answered grants have, each open one having extended them as late as it may (flow-lease.c). The line of a run that is over says what its end rests on, and which life the clock's reading, the lease and the open grant belong to.

--- a/include/mimosawind/flow.h
+++ b/include/mimosawind/flow.h
@@ -294,6 +294,29 @@
     uint32_t priority;
 };
 
+/*
+ * mw_flow_lease_event: what the leader reckons about an endpoint's leases.
+ *
+ * Ages are of what was sent or read; -1 for never.
+ */
+struct mw_flow_lease_event {
+    /* how long a lease may last yet, and one of a grant with an answer */
+    int64_t left_us;
+    int64_t answered_left_us;
+    /* the reading of the endpoint's clock, and the process that showed it */
+    int64_t clock_age_us;
+    uint64_t clock_incarnation;
+    /* the last grant of this leader, and the last call of earlier ones */
+    int64_t granted_age_us;
+    int64_t earlier_age_us;
+    /* grants that may be executed yet; of the oldest: its age, what it grants,
+     * and the process that it was meant for */
+    uint32_t open_count;
+    int64_t open_age_us;
+    int64_t open_lease_us;
+    uint64_t open_incarnation;
+};
+
 /*
  * mw_flow_event: a decision of the scheduler, for the event log.
  *
@@ -319,9 +342,8 @@
     uint32_t capacity;
     /* age of the information behind the decision; -1 for none */
     int64_t age_us;
-    /* of a run that is taken for over: how long a lease of its endpoint may
-     * still last */
-    int64_t lease_left_us;
+    /* of a run that is taken for over: the leases of its endpoint; or NULL */
+    const struct mw_flow_lease_event *lease;
     /* evidence that the run has crashed its endpoint; 0 for none */
     uint32_t crash_score;
     /* delay that a refused client is asked for; 0 for none */
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -10,6 +10,7 @@
 #include "flow-event.h"
 #include "flow-health.h"
 #include "flow-late-start.h"
+#include "flow-lease.h"
 #include "flow-measure.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
@@ -75,38 +76,6 @@
     flows->output.command(flows->output.opaque, command);
 }
 
-int64_t
-mw_lease_duration(int64_t lease_us)
-{
-    return lease_us * MW_CLOCK_DRIFT_PERMILLE / 1000 + MW_LEASE_MARGIN_US;
-}
-
-int64_t
-mw_last_lease_expiry(const struct mw_flows *flows,
-                     const struct mw_flow_endpoint *endpoint)
-{
-    return MAX(endpoint->lease_expiry_us,
-               mw_earlier_calls_us(flows, endpoint) +
-                   mw_lease_duration(flows->limits.lease_max_us));
-}
-
-/*
- * Returns the deadline of a new lease on the endpoint's clock, and puts off
- * the time at which the endpoint's leases count as expired here.  The reading
- * of the clock may be old, so its drift since then is added.
- */
-static int64_t
-grant_lease(struct mw_flow_endpoint *endpoint, int64_t now_us,
-            int64_t lease_us)
-{
-    int64_t drift_us = (now_us - endpoint->clock_read_us) / 32;
-    int64_t expiry_us = now_us + mw_lease_duration(lease_us) + drift_us;
-
-    endpoint->granted_us = now_us;
-    endpoint->lease_expiry_us = MAX(endpoint->lease_expiry_us, expiry_us);
-    return mw_flow_endpoint_clock(endpoint, now_us) + lease_us;
-}
-
 /* The checkpoint to resume from; the tasks of a gang must share one. */
 static struct mw_blob *
 resume_checkpoint(const struct mw_task_group *group, uint32_t index)
@@ -220,8 +189,8 @@
     struct mw_flow_command command = {
         .spec = group->flow->plan->spec,
         .checkpoint = resume_checkpoint(group, placement->index),
-        .lease_deadline_us =
-            grant_lease(placement->endpoint, now_us, MW_START_LEASE_US),
+        .lease_deadline_us = mw_grant_lease(placement->endpoint, now_us,
+                                            pending, MW_START_LEASE_US),
     };
 
     if (!group->started) {
@@ -472,9 +441,10 @@
         command.acknowledged_end = endpoint->committed_end;
     }
     /* a lease that may not arrive would only delay the loss of the runs */
-    if (reachable && endpoint->placements->len > 0 && !mw_is_muted(endpoint)) {
+    if (reachable && endpoint->placements->len > 0 && !mw_is_muted(endpoint) &&
+        mw_renewal_grant_is_due(endpoint, now_us)) {
         command.lease_deadline_us =
-            grant_lease(endpoint, now_us, renewal_lease(flows));
+            mw_grant_lease(endpoint, now_us, pending, renewal_lease(flows));
     }
     if (reachable && endpoint->list_read && mw_may_long_poll(endpoint) &&
         !mw_is_muted(endpoint) &&
--- a/source/core/flow/flow-command.h
+++ b/source/core/flow/flow-command.h
@@ -54,20 +54,8 @@
     int64_t long_poll_us;
 };
 
-/*
- * mw_lease_duration: how long a lease may last by this process's clock.
- *
- * The endpoint's clock may be slow.
- */
-int64_t mw_lease_duration(int64_t lease_us);
 /* mw_fencing_token: of a command from this leader to this generation */
 uint64_t mw_fencing_token(uint64_t term, uint32_t generation);
-/*
- * mw_last_lease_expiry: when all leases have expired there that were granted
- * to the process that is known, also those of earlier leaders.
- */
-int64_t mw_last_lease_expiry(const struct mw_flows *flows,
-                             const struct mw_flow_endpoint *endpoint);
 void mw_send_start(struct mw_flows *flows, int64_t now_us,
                    struct mw_task_placement *placement);
 void mw_send_stop(struct mw_flows *flows, int64_t now_us,
--- a/source/core/flow/flow-endpoint-state.h
+++ b/source/core/flow/flow-endpoint-state.h
@@ -51,9 +51,17 @@
     int64_t clock_us;
     int64_t clock_read_us;
     int64_t clock_uncertainty_us;
-    /* every lease that this leader granted by this clock has expired by then
-     */
+    /* of the process that is taken to have shown it */
+    uint64_t clock_incarnation;
+    /* every lease that this leader granted by this clock has expired by then,
+     * but for grants that are executed late */
     int64_t lease_expiry_us;
+    /* the leases of grants that can't be executed any more have expired */
+    int64_t answered_expiry_us;
+    /* struct mw_open_grant, by the time they were sent; NULL for none */
+    GArray *open_grants;
+    /* when a renewal last granted a lease */
+    int64_t renewal_granted_us;
     /*
      * Until when a call that extends leases may be executed by a process that
      * is not identified.  A deadline that was reckoned on another process's
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -9,6 +9,7 @@
 #include "flow-endpoint.h"
 #include "flow-event.h"
 #include "flow-late-start.h"
+#include "flow-lease.h"
 #include "flow-pending-request.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
@@ -30,6 +31,7 @@
 
     g_ptr_array_unref(endpoint->placements);
     mw_drop_late_starts(endpoint);
+    mw_drop_grants(endpoint);
     g_free(endpoint->held_heartbeat);
     g_free(endpoint);
 }
@@ -100,6 +102,7 @@
     endpoint->clock_us = clock_us;
     endpoint->clock_read_us = now_us;
     endpoint->clock_uncertainty_us = uncertainty_us;
+    endpoint->clock_incarnation = endpoint->incarnation;
 }
 
 bool
@@ -341,6 +344,7 @@
     endpoint->acknowledged_end = 0;
     endpoint->uncommitted_ends = 0;
     endpoint->clock_read_us = 0;
+    endpoint->renewal_granted_us = 0;
     endpoint->renewal_failures = 0;
     endpoint->connection_lost_us = 0;
     endpoint->has_crashed = false;
--- a/source/core/flow/flow-event.c
+++ b/source/core/flow/flow-event.c
@@ -7,6 +7,7 @@
 #include "flow-command.h"
 #include "flow-endpoint-state.h"
 #include "flow-event.h"
+#include "flow-lease.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
 #include "flow-scheduler-state.h"
@@ -76,6 +77,7 @@
 {
     const struct mw_flow_endpoint *endpoint = placement->endpoint;
     struct mw_task_id id = mw_placed_task_id(placement);
+    struct mw_flow_lease_event lease;
     struct mw_flow_event event = {
         .name = "run_over",
         .task = &id,
@@ -86,10 +88,10 @@
         .outcome = reason,
         .age_us = now_us - endpoint->last_contact_us,
         .crash_score = placement->crash_score,
-        .lease_left_us =
-            MAX(mw_last_lease_expiry(flows, endpoint) - now_us, 0),
+        .lease = &lease,
     };
 
+    mw_describe_lease(flows, endpoint, now_us, &lease);
     emit(flows, &event);
 }
 
--- a/source/core/flow/flow-late-start.c
+++ b/source/core/flow/flow-late-start.c
@@ -23,6 +23,7 @@
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
 #include "flow-late-start.h"
+#include "flow-lease.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
 #include "flow-reconcile.h"
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -11,6 +11,7 @@
 #include "flow-event.h"
 #include "flow-health.h"
 #include "flow-late-start.h"
+#include "flow-lease.h"
 #include "flow-measure.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
@@ -300,6 +301,9 @@
     if (!pending->grants_lease) {
         return;
     }
+    mw_settle_grant(endpoint, pending,
+                    response->result != MW_FLOW_NO_ANSWER &&
+                        !response->was_repeated);
     if (response->result == MW_FLOW_NO_ANSWER) {
         mw_note_unidentified_grant(endpoint,
                                    pending->sent_us + MW_LATE_EXECUTION_US);
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -12,6 +12,7 @@
 #include "flow-endpoint.h"
 #include "flow-health.h"
 #include "flow-late-start.h"
+#include "flow-lease.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
 #include "flow-preempt.h"
--- a/source/run/event-log.c
+++ b/source/run/event-log.c
@@ -125,6 +125,32 @@
     json_object_set_new(line, "run", json_integer(event->run));
 }
 
+static void
+set_time(json_t *line, const char *key, int64_t time_us)
+{
+    json_object_set_new(line, key, json_integer((json_int_t)time_us));
+}
+
+/* What tells which grant, and which process's clock, a lease goes back to. */
+static void
+set_lease(json_t *line, const struct mw_flow_lease_event *lease)
+{
+    if (lease->left_us > 0) {
+        set_time(line, "lease_left_us", lease->left_us);
+    }
+    set_time(line, "answered_left_us", lease->answered_left_us);
+    set_time(line, "granted_age_us", lease->granted_age_us);
+    set_time(line, "earlier_age_us", lease->earlier_age_us);
+    set_time(line, "clock_age_us", lease->clock_age_us);
+    set_time(line, "clock_born", (int64_t)lease->clock_incarnation);
+    if (lease->open_count > 0) {
+        set_time(line, "open_grants", lease->open_count);
+        set_time(line, "open_age_us", lease->open_age_us);
+        set_time(line, "open_lease_us", lease->open_lease_us);
+        set_time(line, "open_born", (int64_t)lease->open_incarnation);
+    }
+}
+
 void
 mw_event_log_write(struct mw_event_log *log, int64_t now_us,
                    const struct mw_flow_event *event)
@@ -167,9 +193,8 @@
     if (event->age_us >= 0) {
         json_object_set_new(line, "age_us", json_integer(event->age_us));
     }
-    if (event->lease_left_us > 0) {
-        json_object_set_new(line, "lease_left_us",
-                            json_integer(event->lease_left_us));
+    if (event->lease) {
+        set_lease(line, event->lease);
     }
     if (event->crash_score > 0) {
         json_object_set_new(line, "crash_score",
--- a/tests/flow-script.c
+++ b/tests/flow-script.c
@@ -94,7 +94,7 @@
 
     g_snprintf(id, sizeof id, "%.*s", MW_FMT(mw_name_str(&command->endpoint)));
     return !st->manual_lists && command->kind == MW_FLOW_COMMAND_RENEW &&
-           command->lease_deadline_us == 0 &&
+           command->lease_deadline_us == 0 && command->long_poll_us == 0 &&
            g_hash_table_add(st->first_lists, g_strdup(id));
 }
 
@@ -181,9 +181,9 @@
         MW_FMT(mw_name_str(&event->zone)), event->endpoint.len ? " " : "",
         MW_FMT(mw_name_str(&event->endpoint)), event->cause.len ? " for " : "",
         MW_FMT(mw_name_str(&event->cause)));
-    if (event->lease_left_us > 0) {
+    if (event->lease && event->lease->left_us > 0) {
         mw_script_printf(st->script, "      lease lasts %d ms yet",
-                         (int)(event->lease_left_us / 1000));
+                         (int)(event->lease->left_us / 1000));
     }
     if (event->crash_score > 0) {
         mw_script_printf(st->script, "      crash score %u",
--- a/tests/region-calls.c
+++ b/tests/region-calls.c
@@ -307,6 +307,10 @@
 execute(struct mw_region *region, struct endpoint_call *call,
         struct mw_fake_endpoint *endpoint)
 {
+    if (call->late && region->has_late_grants &&
+        call->command.lease_deadline_us > 0) {
+        call->command.lease_deadline_us += region->now_us - call->sent_us;
+    }
     if (has_lives(region)) {
         mw_note_life_call(region, endpoint, call->command.kind,
                           call->incarnation);
--- a/tests/region-script.c
+++ b/tests/region-script.c
@@ -400,7 +400,8 @@
 }
 
 /* without=MASK: kinds of endpoint faults (enum mw_region_fault); late=MS: the
- * longest delay of a late call */
+ * longest delay of a late call; grants=1: a late call grants its time from
+ * when it is executed */
 static void
 exclude_faults(struct mw_script *s)
 {
@@ -408,6 +409,8 @@
         (unsigned)mw_script_option_int(s, "without", 0);
     script_region(s)->late_max_us =
         1000 * mw_script_option_int(s, "late", MW_REGION_LATE_MAX_US / 1000);
+    script_region(s)->has_late_grants =
+        mw_script_option_int(s, "grants", 0) != 0;
 }
 
 /* endpoint-seed, endpoint-seeds ... [without=MASK cap=RUNS]: with endpoint
--- a/tests/region.h
+++ b/tests/region.h
@@ -193,6 +193,8 @@
     unsigned excluded_faults;
     /* longest delay of a late call */
     int64_t late_max_us;
+    /* the time that a late call grants counts from when it is executed */
+    bool has_late_grants;
     /* cap of the organisation in each configuration; 0 for none */
     uint32_t cap_gpus;
     /* responses of endpoints are slow until then */
