--- a/tests/region-failures.c
+++ b/tests/region-failures.c
@@ -101,17 +101,16 @@
     uint32_t flow = flow_number(&run->task);
     uint32_t shared = is_gang(flow) ? 0 : run->task.index;
     uint32_t index = run->task.index;
-    bool is_bad =
-        draw(course, flow, run->run, shared, 0, 100) < BAD_PERCENT;
+    bool is_bad = draw(course, flow, run->run, shared, 0, 100) < BAD_PERCENT;
     int64_t ms = RUN_MIN_MS + draw(course, flow, run->run, shared, 1,
                                    RUN_MAX_MS - RUN_MIN_MS);
 
-    run->fails = is_bad && (!is_gang(flow) ||
-                            draw(course, flow, run->run, index, 2, 100) <
-                                FAILS_PERCENT);
+    run->fails = is_bad &&
+                 (!is_gang(flow) ||
+                  draw(course, flow, run->run, index, 2, 100) < FAILS_PERCENT);
     if (run->fails) {
-        ms = RUN_MIN_MS + draw(course, flow, run->run, index, 3,
-                               RUN_MAX_MS - RUN_MIN_MS);
+        ms = RUN_MIN_MS +
+             draw(course, flow, run->run, index, 3, RUN_MAX_MS - RUN_MIN_MS);
     }
     else if (is_bad) {
         ms = GOES_ON_MS;
@@ -161,8 +160,7 @@
         const struct listed_failure *listed =
             &g_array_index(course->listed, struct listed_failure, i);
 
-        if (listed->endpoint == endpoint &&
-            listed->end_number == end_number) {
+        if (listed->endpoint == endpoint && listed->end_number == end_number) {
             return true;
         }
     }
@@ -242,8 +240,7 @@
               int min_ms, int max_ms)
 {
     region->recovery_deadline_us[node->index] =
-        region->now_us +
-        1000 * g_rand_int_range(region->rand, min_ms, max_ms);
+        region->now_us + 1000 * g_rand_int_range(region->rand, min_ms, max_ms);
 }
 
 /* The leader ends, stands still, or all control processes end. */
--- a/tests/region.c
+++ b/tests/region.c
@@ -168,10 +168,9 @@
         region->final_replies++;
         replies->failed = found && reply->state == MW_FLOW_FAILED;
         replies->ended =
-            found &&
-            (reply->state == MW_FLOW_COMPLETED ||
-             ((region->faults != 0 || region->has_failing_runs) &&
-              replies->failed));
+            found && (reply->state == MW_FLOW_COMPLETED ||
+                      ((region->faults != 0 || region->has_failing_runs) &&
+                       replies->failed));
         if (replies->accepted && found && !replies->ended) {
             g_string_append_printf(region->violations,
                                    "flow %d has not ended; ",
