A gang's run resumes from the checkpoint that its record names

Cause: which task of a gang had written the newest checkpoint was known to the leader only. A leader that sent a start of the run again took the first task's checkpoint, while the others had started from the newest: the tasks of a gang must carry the same one. Found by listing what only one leader has seen.

--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -76,9 +76,8 @@
     flows->output.command(flows->output.opaque, command);
 }
 
-/* The checkpoint to resume from; the tasks of a gang must share one. */
-static struct mw_blob *
-resume_checkpoint(const struct mw_task_group *group, uint32_t index)
+struct mw_blob *
+mw_resume_checkpoint(const struct mw_task_group *group, uint32_t index)
 {
     struct mw_blob *checkpoint = group->tasks[index].checkpoint;
 
@@ -188,7 +187,7 @@
     struct mw_task_group *group = placement->group;
     struct mw_flow_command command = {
         .spec = group->flow->plan->spec,
-        .checkpoint = resume_checkpoint(group, placement->index),
+        .checkpoint = mw_resume_checkpoint(group, placement->index),
         .lease_deadline_us = mw_grant_lease(placement->endpoint, now_us,
                                             pending, MW_START_LEASE_US),
     };
--- a/source/core/flow/flow-command.h
+++ b/source/core/flow/flow-command.h
@@ -56,6 +56,14 @@
 
 /* mw_fencing_token: of a command from this leader to this generation */
 uint64_t mw_fencing_token(uint64_t term, uint32_t generation);
+/*
+ * mw_resume_checkpoint: what the next run of the task resumes from; lent.
+ *
+ * The tasks of a gang must share one, so the record that assigns a run of a
+ * gang gives it to all of them.
+ */
+struct mw_blob *mw_resume_checkpoint(const struct mw_task_group *group,
+                                     uint32_t index);
 void mw_send_start(struct mw_flows *flows, int64_t now_us,
                    struct mw_task_placement *placement);
 void mw_send_stop(struct mw_flows *flows, int64_t now_us,
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -239,6 +239,13 @@
     }
 }
 
+static void
+share_checkpoint(struct mw_task_record *entry, struct mw_blob *checkpoint)
+{
+    mw_drop_blob(entry->checkpoint);
+    entry->checkpoint = mw_keep_blob(checkpoint);
+}
+
 /* Proposes a record of the runs; their starts are sent once it is committed.
  */
 static void
@@ -266,6 +273,7 @@
         entry->endpoint = endpoint->id;
         entry->incarnation = endpoint->incarnation;
         entry->starts = 1;
+        share_checkpoint(entry, mw_resume_checkpoint(group, i));
         entry->assigned_ms =
             mw_flow_clock_ms(mw_flow_clock_time(&flows->clock, now_us));
         mw_add_task_placement(flows, endpoint, group, i, entry->run,
--- a/tests/region-failures.c
+++ b/tests/region-failures.c
@@ -457,6 +457,8 @@
     region->has_failing_runs = true;
     course.change_one_in =
         g_rand_int_range(region->rand, 1, CHANGE_ONE_IN_MAX + 1);
+    region->compact_after =
+        (uint32_t)g_rand_int_range(region->rand, 4, MW_REGION_COMPACT_AFTER);
     course.failed_runs = g_array_new(FALSE, FALSE, sizeof(struct failed_run));
     course.listed = g_array_new(FALSE, FALSE, sizeof(struct listed_failure));
     start_course(&course, control_count);
@@ -465,5 +467,6 @@
     g_array_unref(course.failed_runs);
     g_array_unref(course.listed);
     region->has_failing_runs = false;
+    region->compact_after = MW_REGION_COMPACT_AFTER;
     g_clear_pointer(&region->rand, g_rand_free);
 }
