Soak: endpoints that carry out calls late and are cut off

LOAD=late-calls, for the runs that outlived their leases: long runs, and endpoints that give calls no answer, carry them out 2 to 8 s later with the time that they grant counted from then, and are cut off for longer than a lease, while processes end, stand still and lose links.

--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -13,6 +13,13 @@
 /* time from the acknowledgement of its draining to an endpoint's restart */
 #define RESTART_DELAY_US 3000000
 #define REQUEST_TIMEOUT_S 1
+/* how late a call without an answer is executed */
+#define LATE_CALL_MIN_MS 2000
+#define LATE_CALL_MAX_MS 8000
+/* of three flows one has long runs, which outlast leases */
+#define LONG_ONE_IN 3
+#define LONG_RUN_MIN_MS 12000
+#define LONG_RUN_MAX_MS 20000
 /* an endpoint that restarts shows an unrelated time, of up to hours */
 #define CLOCK_MAX_MS 14400000
 
@@ -23,6 +30,14 @@
     uint64_t end_count;
 };
 
+/* late_call: a call without an answer, which is executed later. */
+struct late_call {
+    int64_t received_us;
+    int64_t deadline_us;
+    uint64_t incarnation;
+    struct mw_flow_command command;
+};
+
 struct endpoint {
     struct soak_endpoints *all;
     int index;
@@ -31,6 +46,9 @@
     struct soak_proxy *proxy;
     char ip[24];
     GArray *pending_replies;
+    GArray *late_calls;
+    /* calls that grant a lease are late until then */
+    int64_t late_deadline_us;
     /* index of the control process that heartbeats are sent to */
     int control_index;
     char *heartbeat_address;
@@ -180,6 +198,52 @@
     return ok;
 }
 
+/* Returns whether the call gets no answer, and is executed later. */
+static bool
+delay_call(struct endpoint *endpoint, const struct mw_flow_command *command)
+{
+    int64_t now_us = soak_now_us();
+    struct late_call call = {
+        .received_us = now_us,
+        .deadline_us =
+            now_us + INT64_C(1000) * g_random_int_range(LATE_CALL_MIN_MS,
+                                                        LATE_CALL_MAX_MS + 1),
+        .incarnation = endpoint->fake->incarnation,
+        .command = *command,
+    };
+
+    if (now_us >= endpoint->late_deadline_us ||
+        command->lease_deadline_us == 0) {
+        return false;
+    }
+    g_array_append_val(endpoint->late_calls, call);
+    return true;
+}
+
+/* The time that they grant counts from now. */
+static void
+execute_late_calls(struct endpoint *endpoint, int64_t now_us)
+{
+    for (guint i = endpoint->late_calls->len; i > 0; i--) {
+        struct late_call call =
+            g_array_index(endpoint->late_calls, struct late_call, i - 1);
+        struct mw_flow_response response;
+
+        if (now_us < call.deadline_us) {
+            continue;
+        }
+        g_array_remove_index(endpoint->late_calls, i - 1);
+        if (call.incarnation != endpoint->fake->incarnation) {
+            continue;
+        }
+        call.command.lease_deadline_us += now_us - call.received_us;
+        response =
+            mw_execute_fake_command(endpoint->all->fakes, endpoint->fake,
+                                    &call.command, now_us, MW_ARRIVAL_DELAYED);
+        g_free(response.runs);
+    }
+}
+
 static void
 on_command(void *opaque, const struct mw_http_request *request)
 {
@@ -195,7 +259,7 @@
     else if (!parse_command(request, &command)) {
         mw_http_reply(endpoint->http, request->handle, 400, empty);
     }
-    else {
+    else if (!delay_call(endpoint, &command)) {
         response = mw_execute_fake_command(endpoint->all->fakes,
                                            endpoint->fake, &command,
                                            soak_now_us(), MW_ARRIVAL_PROMPT);
@@ -341,6 +405,7 @@
         int64_t released_us = endpoint->fake->drain_acknowledged_us;
 
         mw_step_fake_endpoint(endpoint->fake, now_us);
+        execute_late_calls(endpoint, now_us);
         send_due_replies(endpoint, now_us);
         if (!endpoint->heartbeat_pending &&
             now_us >= endpoint->heartbeat_deadline_us) {
@@ -371,6 +436,7 @@
     endpoint->fake = &all->fakes->all[index];
     endpoint->pending_replies =
         g_array_new(FALSE, FALSE, sizeof(struct pending_reply));
+    endpoint->late_calls = g_array_new(FALSE, FALSE, sizeof(struct late_call));
     endpoint->control_index = index % soak_core_count();
     g_strlcpy(endpoint->ip, soak_ip(101 + index, false), sizeof endpoint->ip);
     setup.address = mw_name_of(mw_str_from(endpoint->ip));
@@ -413,6 +479,7 @@
         soak_drop_proxy(endpoint->proxy);
         mw_drop_http(endpoint->http);
         g_array_unref(endpoint->pending_replies);
+        g_array_unref(endpoint->late_calls);
         g_free(endpoint->heartbeat_address);
     }
     g_object_unref(all->session);
@@ -433,6 +500,29 @@
     endpoint->heartbeat_deadline_us = soak_now_us() + HEARTBEAT_INTERVAL_US;
 }
 
+static void
+plan_long_run(void *opaque, struct mw_fake_run *run, int64_t now_us)
+{
+    (void)opaque;
+    if (mw_hash_name(&run->task.flow) % LONG_ONE_IN == 0) {
+        run->end_us =
+            now_us + INT64_C(1000) * g_random_int_range(LONG_RUN_MIN_MS,
+                                                        LONG_RUN_MAX_MS + 1);
+    }
+}
+
+void
+soak_use_long_runs(struct soak_endpoints *all)
+{
+    all->fakes->plan_run = plan_long_run;
+}
+
+void
+soak_delay_calls(struct soak_endpoints *all, int index, int64_t for_us)
+{
+    all->endpoints[index].late_deadline_us = soak_now_us() + for_us;
+}
+
 void
 soak_drain_endpoint(struct soak_endpoints *all, int index)
 {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -2,8 +2,9 @@
  * run-soak FIRST COUNT SECONDS [NETWORK [LOAD]]: runs COUNT seeds, each with
  * faults for SECONDS; concurrent runs need different NETWORK indexes.  LOAD is
  * "flows", "replacements" for flows while core machines are replaced one after
- * the other, of three in odd seeds and of five in even ones, or "configs" for
- * large configurations that change quickly.
+ * the other, of three in odd seeds and of five in even ones, "late-calls" for
+ * flows with long runs on endpoints that carry out calls late, or "configs"
+ * for large configurations that change quickly.
  *
  * EXIT STATUS  0 if no violation was observed, 1 otherwise
  */
@@ -145,12 +146,18 @@
     soak_check_replies(clients);
 }
 
+enum load {
+    LOAD_FLOWS = 0,
+    LOAD_REPLACEMENTS = 1,
+    LOAD_LATE_CALLS = 2
+};
+
 static bool
-run_seed(uint32_t seed, int64_t duration_us, bool replacements)
+run_seed(uint32_t seed, int64_t duration_us, enum load load)
 {
     GString *violations = g_string_new(NULL);
     GRand *rand = g_rand_new_with_seed(seed);
-    bool many_cores = replacements && seed % 2 == 0;
+    bool many_cores = load == LOAD_REPLACEMENTS && seed % 2 == 0;
     char *folder = g_strdup_printf("%s/%u", SOAK_FOLDER, seed);
     soak_use_cores(many_cores ? MANY_CORES : FEW_CORES);
     struct soak_endpoints *endpoints = soak_new_endpoints(violations);
@@ -164,11 +171,15 @@
 
     soak_on_acknowledged(clients, processes, soak_kill_after_acknowledgement);
     soak_run_main_loop_until(soak_now_us() + SOAK_STARTUP_US);
-    if (replacements) {
+    if (load == LOAD_REPLACEMENTS) {
         soak_set_order(processes,
                        (enum soak_order)(seed / 2 % SOAK_ORDER_COUNT));
         inject_replacements(processes, endpoints, clients, rand, duration_us);
     }
+    else if (load == LOAD_LATE_CALLS) {
+        soak_inject_late_calls(processes, endpoints, clients, rand,
+                               duration_us);
+    }
     else {
         inject_faults(processes, endpoints, clients, rand, duration_us);
     }
@@ -198,17 +209,22 @@
     int count = argc > 2 ? atoi(argv[2]) : 1;
     int seconds = argc > 3 ? atoi(argv[3]) : 20;
     bool configs = argc > 5 && strcmp(argv[5], "configs") == 0;
-    bool replacements = argc > 5 && strcmp(argv[5], "replacements") == 0;
+    enum load load = LOAD_FLOWS;
     int passed_count = 0;
 
+    if (argc > 5 && strcmp(argv[5], "replacements") == 0) {
+        load = LOAD_REPLACEMENTS;
+    }
+    else if (argc > 5 && strcmp(argv[5], "late-calls") == 0) {
+        load = LOAD_LATE_CALLS;
+    }
     mw_add_uv_source();
     soak_use_network(argc > 4 ? atoi(argv[4]) : 0);
     for (int seed = first; seed < first + count; seed++) {
         int64_t duration_us = seconds * INT64_C(1000000);
 
-        passed_count +=
-            configs ? soak_run_configs((uint32_t)seed, duration_us)
-                    : run_seed((uint32_t)seed, duration_us, replacements);
+        passed_count += configs ? soak_run_configs((uint32_t)seed, duration_us)
+                                : run_seed((uint32_t)seed, duration_us, load);
     }
     printf("soak: %d seeds, %d with violations\n", count,
            count - passed_count);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -72,6 +72,12 @@
 void soak_drop_endpoints(struct soak_endpoints *endpoints);
 /* soak_restart_endpoint: a new incarnation, which has lost its runs. */
 void soak_restart_endpoint(struct soak_endpoints *endpoints, int index);
+/* soak_use_long_runs: some runs last longer than leases. */
+void soak_use_long_runs(struct soak_endpoints *endpoints);
+/* soak_delay_calls: for so long, calls that grant a lease get no answer and
+ * are executed seconds later, with the time that they grant. */
+void soak_delay_calls(struct soak_endpoints *endpoints, int index,
+                      int64_t for_us);
 /* soak_drain_endpoint: reports that it is draining, and restarts later. */
 void soak_drain_endpoint(struct soak_endpoints *endpoints, int index);
 void soak_set_endpoint_proxy_mode(struct soak_endpoints *endpoints, int index,
@@ -137,6 +143,17 @@
 bool soak_check_limits(GString *violations, const char *name, GPid pid,
                        const char *data_folder);
 
+struct soak_processes;
+
+/*
+ * soak_inject_late_calls: endpoints carry out calls seconds after they were
+ * sent and are cut off, while processes end, stand still and lose links.
+ */
+void soak_inject_late_calls(struct soak_processes *processes,
+                            struct soak_endpoints *endpoints,
+                            struct soak_clients *clients, GRand *rand,
+                            int64_t duration_us);
+
 /* soak_processes: the programs, which are signalled by their process IDs. */
 struct soak_processes;
 
