Another process after a silent crash is evidence against what had just started

Cause: only refused connections counted as evidence of a crash. A silent machine refuses nothing, and that another process was there counted for nothing; the same run was even started there again.

Change: the runs that no list had shown to survive their start get weak evidence against them when another process is found at their endpoint, unless another one started anew within two seconds before. Such a run is not started there again.

--- a/source/core/flow/flow-crash.c
+++ b/source/core/flow/flow-crash.c
@@ -15,8 +15,12 @@
  * is a start whose own connection was closed before connections were refused,
  * or a crash later than that, up to AT_WORK_US after the start.  An endpoint
  * that is only out of reach, or crashes while the run has been at work for
- * longer, is no evidence.  It counts once the run is known to be over; until
- * then a record of the run says so, for the next leader.
+ * longer, is no evidence.  A machine that goes silent refuses no connection;
+ * if another process is there later, it is weak evidence against a run that no
+ * list has shown to survive its start, unless others start anew at that time,
+ * too.  Such a run is not started there again.  Evidence counts once the run
+ * is known to be over; until then a record of the run says so, for the next
+ * leader.
  *
  * A task whose score reaches SCORE_SUSPECT is a suspect.  Its group prefers
  * endpoints without runs, and no other flow is placed beside it until the
@@ -41,6 +45,10 @@
 #define SCORE_START_UNANSWERED 1
 /* score of a crash while the run was at work */
 #define SCORE_AT_WORK 1
+/* score of a start after which another process is there */
+#define SCORE_STARTED_ANEW 1
+/* endpoints that start anew within less of each other have another cause */
+#define RESTARTS_APART_US INT64_C(2000000)
 /* a task with this score is kept apart */
 #define SCORE_SUSPECT 2
 /* a task with this score fails its flow */
@@ -101,6 +109,28 @@
     mw_record_blame(flows, endpoint);
 }
 
+void
+mw_blame_restart(struct mw_flows *flows, int64_t now_us,
+                 struct mw_flow_endpoint *endpoint)
+{
+    bool is_alone = flows->last_restart_us == 0 ||
+                    now_us - flows->last_restart_us >= RESTARTS_APART_US;
+
+    flows->last_restart_us = now_us;
+    if (!is_alone || endpoint->heartbeat.draining || endpoint->is_leaving) {
+        return;
+    }
+    for (guint i = 0; i < endpoint->placements->len; i++) {
+        struct mw_task_placement *placement = endpoint->placements->pdata[i];
+
+        if (placement->phase == MW_PLACEMENT_RUNNING &&
+            placement->started_us > 0 && !placement->has_survived) {
+            placement->crash_score =
+                MAX(placement->crash_score, SCORE_STARTED_ANEW);
+        }
+    }
+}
+
 void
 mw_recall_blame(struct mw_task_placement *placement)
 {
--- a/source/core/flow/flow-crash.h
+++ b/source/core/flow/flow-crash.h
@@ -21,6 +21,12 @@
  * had no response; evidence if a process had the start.
  */
 void mw_blame_unanswered_start(struct mw_task_placement *placement);
+/*
+ * mw_blame_restart: another process is there; evidence against the runs that
+ * had just been started.
+ */
+void mw_blame_restart(struct mw_flows *flows, int64_t now_us,
+                      struct mw_flow_endpoint *endpoint);
 /* mw_withdraw_blame: the same process responds again. */
 void mw_withdraw_blame(struct mw_flow_endpoint *endpoint);
 /* mw_recall_blame: the run was recorded under an earlier leader. */
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -4,6 +4,7 @@
 #include "flow-account.h"
 #include "flow-capacity.h"
 #include "flow-command.h"
+#include "flow-crash.h"
 #include "flow-endpoint-address.h"
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
@@ -191,6 +192,7 @@
     mw_emit_flow_endpoint_event(flows, "endpoint_gone", endpoint,
                                 "started_anew",
                                 now_us - endpoint->last_contact_us);
+    mw_blame_restart(flows, now_us, endpoint);
     for (guint i = 0; i < placements->len; i++) {
         struct mw_task_placement *placement = placements->pdata[i];
 
--- a/source/core/flow/flow-reconcile.c
+++ b/source/core/flow/flow-reconcile.c
@@ -509,6 +509,7 @@
                      struct mw_task_placement *placement)
 {
     if (placement->phase == MW_PLACEMENT_UNKNOWN &&
+        placement->crash_score == 0 &&
         mw_may_start_again(flows, now_us, placement) &&
         mw_start_is_within_cap(flows, placement)) {
         placement->start_unanswered = true;
--- a/source/core/flow/flow-scheduler-state.h
+++ b/source/core/flow/flow-scheduler-state.h
@@ -84,6 +84,8 @@
     uint64_t fence;
     /* the last generation of an endpoint */
     uint32_t last_generation;
+    /* when an endpoint last started anew; 0 for never */
+    int64_t last_restart_us;
     /* when this leader took over */
     int64_t leads_since_us;
     /* when long waits are looked at next */
--- a/source/core/flow/flow-takeover.c
+++ b/source/core/flow/flow-takeover.c
@@ -142,6 +142,7 @@
                             mw_flow_clock_time(&flows->clock, now_us));
     }
     flows->last_generation = 0;
+    flows->last_restart_us = 0;
     flows->leads_since_us = now_us;
     flows->proposed_version = mw_flows_config_version(flows);
     flows->tick_deadline_us = is_leader ? now_us : INT64_MAX;
