The ring of calls in core/flow is broken up; 22 modules were in it

flow-placement has runs on endpoints and the resources that they take, flow-endpoint-state what is known of an endpoint, flow-scheduler the scheduler as a whole; flow-lease has the calls of earlier leaders. They call none of the modules that decide. Code was moved only.

Left are rings of four (commands, ends of runs, health and late starts), four (endpoints, their addresses, records and silences) and three (quota, urgent pool and reservations).

Measured: build/check flow/, region/ and log/ without a failure but the known.

--- a/source/core/flow/flow-capacity.c
+++ b/source/core/flow/flow-capacity.c
@@ -14,7 +14,7 @@
 #include "flow-command.h"
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
-#include "flow-placement-state.h"
+#include "flow-placement.h"
 #include "flow-task-state.h"
 
 /* a capacity counts for so long after the endpoint has sent it */
@@ -116,13 +116,6 @@
     return !is_recorded(&endpoint->heartbeat);
 }
 
-bool
-mw_endpoint_capacity_counts(const struct mw_flow_endpoint *endpoint,
-                            int64_t now_us)
-{
-    return now_us < endpoint->capacity_deadline_us;
-}
-
 /* Whether the starts of both runs are sent together or not at all. */
 static bool
 start_together(const struct mw_task_placement *a,
--- a/source/core/flow/flow-capacity.h
+++ b/source/core/flow/flow-capacity.h
@@ -27,9 +27,6 @@
                    int64_t sent_us, int64_t clock_us);
 /* whether this leader has a heartbeat of it, not only a record of one */
 bool mw_endpoint_is_heard(const struct mw_flow_endpoint *endpoint);
-/* whether the capacity of its last heartbeat is recent enough for a start */
-bool mw_endpoint_capacity_counts(const struct mw_flow_endpoint *endpoint,
-                                 int64_t now_us);
 /*
  * mw_start_fits: whether the run, and all of its gang that is not sent yet,
  * still fits; an endpoint's capacity may have shrunk since it was placed.
--- a/source/core/flow/flow-command.c
+++ b/source/core/flow/flow-command.c
@@ -343,15 +343,6 @@
     flows->is_sending = false;
 }
 
-bool
-mw_run_is_unsent(const struct mw_task_placement *placement)
-{
-    return placement->phase == MW_PLACEMENT_PROPOSED ||
-           (placement->phase == MW_PLACEMENT_STARTING &&
-            placement->start_attempts == 0 &&
-            placement->execution_deadline_us == 0);
-}
-
 void
 mw_stop_task_placement(struct mw_flows *flows, int64_t now_us,
                        struct mw_task_placement *placement)
--- a/source/core/flow/flow-command.h
+++ b/source/core/flow/flow-command.h
@@ -72,8 +72,6 @@
 void mw_send_stop_for_stray_run(struct mw_flows *flows, int64_t now_us,
                                 struct mw_flow_endpoint *endpoint,
                                 const struct mw_task_id *task, uint32_t run);
-/* mw_run_is_unsent: whether no endpoint can have received a start of it. */
-bool mw_run_is_unsent(const struct mw_task_placement *placement);
 /* mw_send_waiting_commands: those that the queue lets pass. */
 void mw_send_waiting_commands(struct mw_flows *flows, int64_t now_us);
 void mw_stop_task_placement(struct mw_flows *flows, int64_t now_us,
--- a/source/core/flow/flow-endpoint-state.h
+++ b/source/core/flow/flow-endpoint-state.h
@@ -8,9 +8,12 @@
 
 /* flow-endpoint-state: endpoints as the leader knows them. */
 
+/* an endpoint without contact for so long gets no work */
+#define MW_CONTACT_TIMEOUT_US INT64_C(4500000)
 /* with more kinds on an endpoint, its placements are looked at one by one */
 #define MW_PLACED_KINDS_MAX 8
 
+struct mw_flows;
 struct mw_task_group;
 struct mw_urgent_pool;
 
@@ -168,4 +171,27 @@
     int64_t reserved_deadline_us;
 };
 
+/* mw_is_muted: whether no lease may be granted there, and nothing started. */
+bool mw_is_muted(const struct mw_flow_endpoint *endpoint);
+struct mw_flow_endpoint *mw_find_flow_endpoint(struct mw_flows *flows,
+                                               const struct mw_name *id);
+/* mw_flow_endpoint_clock: what its clock should show now. */
+int64_t mw_flow_endpoint_clock(const struct mw_flow_endpoint *endpoint,
+                               int64_t now_us);
+/* uncertainty_us: how long before now_us the clock may have shown it */
+void mw_update_flow_endpoint_clock(struct mw_flow_endpoint *endpoint,
+                                   int64_t now_us, int64_t clock_us,
+                                   int64_t uncertainty_us);
+bool mw_flow_zone_is_out(const struct mw_flows *flows,
+                         const struct mw_name *zone);
+bool mw_flow_endpoint_has_label(const struct mw_flow_endpoint *endpoint,
+                                const struct mw_name *label);
+/* mw_flow_endpoint_is_usable: whether it may get work now. */
+bool mw_flow_endpoint_is_usable(const struct mw_flows *flows,
+                                const struct mw_flow_endpoint *endpoint,
+                                int64_t now_us);
+/* whether the capacity of its last heartbeat is recent enough for a start */
+bool mw_endpoint_capacity_counts(const struct mw_flow_endpoint *endpoint,
+                                 int64_t now_us);
+
 #endif
--- a/source/core/flow/flow-endpoint.h
+++ b/source/core/flow/flow-endpoint.h
@@ -1,18 +1,13 @@
 #ifndef MW_CORE_FLOW_ENDPOINT_H
 #define MW_CORE_FLOW_ENDPOINT_H
 
-#include "mimosawind/flow.h"
+#include "flow-endpoint-state.h"
 
 /* flow-endpoint: heartbeats and incarnations. */
 
-/* an endpoint without contact for so long gets no work */
-#define MW_CONTACT_TIMEOUT_US INT64_C(4500000)
-
 struct mw_flow_endpoint;
 struct mw_flows;
 
-struct mw_flow_endpoint *mw_find_flow_endpoint(struct mw_flows *flows,
-                                               const struct mw_name *id);
 /* mw_add_flow_endpoint: an endpoint that is not registered yet. */
 struct mw_flow_endpoint *mw_add_flow_endpoint(struct mw_flows *flows,
                                               int64_t now_us,
@@ -28,18 +23,6 @@
 /* mw_begin_generation: calls from now on are meant for another process. */
 void mw_begin_generation(struct mw_flows *flows,
                          struct mw_flow_endpoint *endpoint);
-/* mw_flow_endpoint_clock: what its clock should show now. */
-int64_t mw_flow_endpoint_clock(const struct mw_flow_endpoint *endpoint,
-                               int64_t now_us);
-/* uncertainty_us: how long before now_us the clock may have shown it */
-void mw_update_flow_endpoint_clock(struct mw_flow_endpoint *endpoint,
-                                   int64_t now_us, int64_t clock_us,
-                                   int64_t uncertainty_us);
-bool mw_flow_endpoint_is_usable(const struct mw_flows *flows,
-                                const struct mw_flow_endpoint *endpoint,
-                                int64_t now_us);
-bool mw_flow_endpoint_has_label(const struct mw_flow_endpoint *endpoint,
-                                const struct mw_name *label);
 /*
  * mw_register_flow_endpoint: handles a heartbeat, or a record of one.
  *
@@ -83,7 +66,5 @@
 void mw_settle_leave(struct mw_flows *flows, int64_t now_us,
                      struct mw_flow_endpoint *endpoint,
                      enum mw_flow_result result);
-bool mw_flow_zone_is_out(const struct mw_flows *flows,
-                         const struct mw_name *zone);
 
 #endif
--- a/source/core/flow/flow-lease.c
+++ b/source/core/flow/flow-lease.c
@@ -7,7 +7,6 @@
 #include "flow-endpoint-state.h"
 #include "flow-endpoint.h"
 #include "flow-scheduler-state.h"
-#include "flow-silence.h"
 
 /* mw_open_grant: a grant that may be executed yet, or again. */
 struct mw_open_grant {
@@ -140,6 +139,14 @@
     return now_us - endpoint->renewal_granted_us >= MW_GRANT_INTERVAL_US;
 }
 
+int64_t
+mw_earlier_calls_us(const struct mw_flows *flows,
+                    const struct mw_flow_endpoint *endpoint)
+{
+    return endpoint->has_earlier_calls ? endpoint->earlier_calls_us
+                                       : flows->leads_since_us;
+}
+
 /*
  * The last renewal of an earlier leader may have been open.  The one before it
  * was sent MW_GRANT_INTERVAL_US earlier, and something has to be at work when
--- a/source/core/flow/flow-lease.h
+++ b/source/core/flow/flow-lease.h
@@ -55,6 +55,12 @@
  */
 int64_t mw_last_lease_expiry(const struct mw_flows *flows,
                              const struct mw_flow_endpoint *endpoint);
+/*
+ * mw_earlier_calls_us: no earlier leader has granted a lease there, or sent a
+ * start, after this time on the process's clock.
+ */
+int64_t mw_earlier_calls_us(const struct mw_flows *flows,
+                            const struct mw_flow_endpoint *endpoint);
 /* mw_drop_grants: of an endpoint that is dropped. */
 void mw_drop_grants(struct mw_flow_endpoint *endpoint);
 /* mw_describe_lease: for a line about a run there. */
--- a/source/core/flow/flow-place.h
+++ b/source/core/flow/flow-place.h
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 
-#include "flow-placement-state.h"
+#include "flow-placement.h"
 
 /* flow-place: chooses endpoints. */
 
@@ -18,21 +18,6 @@
 struct mw_flows;
 struct mw_task_group;
 
-struct mw_task_placement *
-mw_add_task_placement(struct mw_flows *flows,
-                      struct mw_flow_endpoint *endpoint,
-                      struct mw_task_group *group, uint32_t index,
-                      uint32_t run, enum mw_task_placement_phase phase);
-void mw_free_task_placement(struct mw_flows *flows,
-                            struct mw_task_placement *placement);
-struct mw_task_placement *
-mw_find_task_placement(const struct mw_flow_endpoint *endpoint,
-                       const struct mw_task_id *task, uint32_t run);
-struct mw_task_id mw_placed_task_id(const struct mw_task_placement *placement);
-/* mw_tasks_that_fit: how many tasks with this need fit into what is free. */
-uint32_t mw_tasks_that_fit(const struct mw_flow_resources *total,
-                           const struct mw_flow_resources *used,
-                           const struct mw_flow_resources *need);
 /*
  * mw_flow_endpoint_is_eligible: whether the group's tasks may run there:
  * service, label, urgent pool and reservations allow it.  Free resources are
--- a/source/core/flow/flow-quota.c
+++ b/source/core/flow/flow-quota.c
@@ -10,7 +10,7 @@
 #include "flow-command.h"
 #include "flow-config-versions.h"
 #include "flow-endpoint-state.h"
-#include "flow-placement-state.h"
+#include "flow-placement.h"
 #include "flow-quota.h"
 #include "flow-reserve.h"
 #include "flow-scheduler-state.h"
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -58,19 +58,6 @@
     }
 }
 
-bool
-mw_run_is_wanted(const struct mw_flows *flows,
-                 const struct mw_task_placement *placement)
-{
-    const struct mw_flow_task *task =
-        &placement->group->tasks[placement->index];
-
-    return placement->group->flow->state == MW_FLOW_ACTIVE &&
-           task->state == MW_TASK_ASSIGNED && task->run == placement->run &&
-           !placement->endpoint->heartbeat.draining &&
-           !mw_flow_zone_is_out(flows, &placement->endpoint->heartbeat.zone);
-}
-
 /*
  * Whether it isn't known which process a start would reach, or what it has, or
  * whether it has room: runs without a placement are being stopped there.
--- a/source/core/flow/flow-schedule.h
+++ b/source/core/flow/flow-schedule.h
@@ -20,9 +20,6 @@
 struct mw_flows;
 struct mw_task_placement;
 
-/* mw_run_is_wanted: whether the run should still start on its endpoint. */
-bool mw_run_is_wanted(const struct mw_flows *flows,
-                      const struct mw_task_placement *placement);
 void mw_run_scheduling_pass(struct mw_flows *flows, int64_t now_us,
                             int64_t wall_us);
 
--- a/source/core/flow/flow-silence.c
+++ b/source/core/flow/flow-silence.c
@@ -12,20 +12,6 @@
 /* records in one round of maintenance */
 #define SILENCE_RECORDS_MAX 64
 
-bool
-mw_is_muted(const struct mw_flow_endpoint *endpoint)
-{
-    return endpoint->silent_since_us > 0;
-}
-
-int64_t
-mw_earlier_calls_us(const struct mw_flows *flows,
-                    const struct mw_flow_endpoint *endpoint)
-{
-    return endpoint->has_earlier_calls ? endpoint->earlier_calls_us
-                                       : flows->leads_since_us;
-}
-
 void
 mw_recall_silence(const struct mw_flows *flows, int64_t now_us,
                   struct mw_flow_endpoint *endpoint)
--- a/source/core/flow/flow-silence.h
+++ b/source/core/flow/flow-silence.h
@@ -33,13 +33,5 @@
 /* mw_apply_silence: a record of the endpoint is committed. */
 void mw_apply_silence(struct mw_flow_endpoint *endpoint,
                       const struct mw_record_endpoint *record);
-/* mw_is_muted: whether no lease may be granted there, and nothing started. */
-bool mw_is_muted(const struct mw_flow_endpoint *endpoint);
-/*
- * mw_earlier_calls_us: no earlier leader has granted a lease there, or sent a
- * start, after this time on the process's clock.
- */
-int64_t mw_earlier_calls_us(const struct mw_flows *flows,
-                            const struct mw_flow_endpoint *endpoint);
 
 #endif
