--- a/source/core/flow/flow-lease.c
+++ b/source/core/flow/flow-lease.c
@@ -27,7 +27,7 @@
     return lease_us * MW_CLOCK_DRIFT_PERMILLE / 1000 + MW_LEASE_MARGIN_US;
 }
 
-/* The same without the time that the call itself may take. */
+/* Without the margin, which the lease that it extends has already. */
 static int64_t
 late_lease_duration(int64_t lease_us)
 {
@@ -59,8 +59,8 @@
     return MAX(expiry_us, executed_us + grant->late_duration_us);
 }
 
-/* Grants are in the order in which they were sent, so each extends the lease
- * as far as the ones before allow. */
+/* Grants are in the order in which they were sent, and each extends the lease
+ * that the ones before it leave. */
 static int64_t
 granted_expiry(const struct mw_flow_endpoint *endpoint)
 {
@@ -72,7 +72,8 @@
     return expiry_us;
 }
 
-/* Grants that can't be executed any more; what they did is over later. */
+/* Counts grants that can't be executed any more as if they had been executed
+ * at the last moment. */
 static void
 close_past_grants(struct mw_flow_endpoint *endpoint, int64_t now_us)
 {
--- a/source/run/disk-create.c
+++ b/source/run/disk-create.c
@@ -114,11 +114,14 @@
     return size;
 }
 
-/* Whether zone.log, without region.log, holds more than its creation left. */
+/*
+ * Whether zone.log, without region.log, holds more than its creation left.
+ * The largest incarnation makes the longest new file.
+ */
 static bool
-has_lost_region_file(const struct mw_disk *disk, uint64_t incarnation)
+has_lost_region_file(const struct mw_disk *disk)
 {
-    GByteArray *data = new_file_data(disk, MW_GROUP_ZONE, incarnation);
+    GByteArray *data = new_file_data(disk, MW_GROUP_ZONE, UINT64_MAX);
     bool is_lost = file_size(disk, MW_GROUP_ZONE) > (int64_t)data->len;
 
     g_byte_array_unref(data);
@@ -132,8 +135,7 @@
     if (file_size(disk, MW_GROUP_REGION) >= 0) {
         return 0;
     }
-    /* the largest incarnation is encoded as the longest item */
-    if (has_lost_region_file(disk, UINT64_MAX)) {
+    if (has_lost_region_file(disk)) {
         return mw_fail(ctx, MW_ERR_DAMAGED, "%s: region.log is missing",
                        disk->data_dir);
     }
@@ -149,7 +151,7 @@
     int err = mw_lock_data_dir(ctx, disk);
 
     if (!err && (file_size(disk, MW_GROUP_REGION) >= 0 ||
-                 has_lost_region_file(disk, UINT64_MAX))) {
+                 has_lost_region_file(disk))) {
         err = mw_fail(ctx, MW_ERR_DUPLICATE, "%s already contains data",
                       disk->data_dir);
     }
--- a/source/run/flow-control-task-member.c
+++ b/source/run/flow-control-task-member.c
@@ -84,7 +84,7 @@
                               mw_name_str(&t->setup.name), outcome);
 }
 
-/* Whether the process takes part in the log from now on. */
+/* A member stores what the log tells it to from now on. */
 static void
 start_disk(struct mw_flow_control_task *t, int64_t begun_us)
 {
