flow-run-end: records of ends, apart from the comparison of lists

Code was moved only; mw_propose_end and its result became names of the header.

No caller sees a difference.

--- a/source/core/flow/flow-apply.c
+++ b/source/core/flow/flow-apply.c
@@ -14,7 +14,7 @@
 #include "flow-pending-request.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
-#include "flow-reconcile.h"
+#include "flow-run-end.h"
 #include "flow-registry.h"
 #include "flow-reserve.h"
 #include "flow-scheduler-state.h"
--- a/source/core/flow/flow-endpoint.c
+++ b/source/core/flow/flow-endpoint.c
@@ -15,7 +15,7 @@
 #include "flow-place.h"
 #include "flow-placement-state.h"
 #include "flow-quota.h"
-#include "flow-reconcile.h"
+#include "flow-run-end.h"
 #include "flow-registry.h"
 #include "flow-scheduler-state.h"
 #include "flow-silence.h"
--- a/source/core/flow/flow-late-start.c
+++ b/source/core/flow/flow-late-start.c
@@ -26,7 +26,7 @@
 #include "flow-lease.h"
 #include "flow-place.h"
 #include "flow-placement-state.h"
-#include "flow-reconcile.h"
+#include "flow-run-end.h"
 #include "flow-schedule.h"
 #include "flow-scheduler-state.h"
 #include "flow-silence.h"
--- a/source/core/flow/flow-response.c
+++ b/source/core/flow/flow-response.c
@@ -16,6 +16,7 @@
 #include "flow-place.h"
 #include "flow-placement-state.h"
 #include "flow-reconcile.h"
+#include "flow-run-end.h"
 #include "flow-scheduler-state.h"
 #include "flow-silence.h"
 #include "flow-speed.h"
--- a/source/core/flow/flow-schedule.c
+++ b/source/core/flow/flow-schedule.c
@@ -18,7 +18,7 @@
 #include "flow-preempt.h"
 #include "flow-queue.h"
 #include "flow-quota.h"
-#include "flow-reconcile.h"
+#include "flow-run-end.h"
 #include "flow-registry.h"
 #include "flow-reserve.h"
 #include "flow-schedule.h"
