Only the record of a listed end lets that end be acknowledged

What callers would see: a task that is done runs again (TWICE). Its endpoint forgets an end that is acknowledged; if the leader ends before the record of it is committed, nobody knows of it. Found by reading; no caller met it.

Cause: the leader counts the ends whose records are not committed. It took for one any record that assigns nothing, or whose task waits for a late start. Since a record of evidence against a run can be committed when its task waits for a late start.

Evidence: flow/blame-before-end on sends "renew e1 ack=2" with the record of that end not committed.

Change: the leader marks its own record of a listed end, and counts only such records of its present term. The mark is not sent to others, so records of earlier leaders are not counted by it either.

--- a/include/mimosawind/flow-record.h
+++ b/include/mimosawind/flow-record.h
@@ -102,6 +102,9 @@
     /* reading of the flow clock, and the term of the leader that made it */
     uint64_t clock_term;
     int64_t clock_us;
+    /* of the leader that proposed it, and not sent to others: the first entry
+     * is the end of a run that its endpoint has listed */
+    bool is_listed_end;
     uint32_t count;
     struct mw_task_record *entries;
 };
--- a/source/core/flow/flow-apply.c
+++ b/source/core/flow/flow-apply.c
@@ -234,24 +234,22 @@
     start_assigned_run(flows, now_us, task);
 }
 
-/* Returns whether the record allows a start: it shows no end of a run then. */
-static bool
+static void
 apply_task_entry(struct mw_flows *flows, int64_t now_us,
                  const struct mw_task_record *entry)
 {
     bool is_new_run;
-    bool allows_start;
     struct mw_task_group *group;
     struct mw_flow_task *task = mw_find_task(flows, &entry->id, &group);
 
     if (!task) {
-        return false;
+        return;
     }
     if (flows->is_leader && task->uncommitted_records > 0) {
         task->uncommitted_records--;
     }
     if (task->state == MW_TASK_DONE) {
-        return false;
+        return;
     }
     if (entry->checkpoint != task->checkpoint) {
         mw_drop_blob(task->checkpoint);
@@ -262,8 +260,6 @@
         task->awaits_late_start = false;
     }
     is_new_run = task->state != MW_TASK_ASSIGNED || task->run != entry->run;
-    allows_start = entry->state == MW_TASK_ASSIGNED &&
-                   (is_new_run || entry->starts > task->starts);
     if (entry->run != task->run) {
         task->is_failure_proposed = false;
     }
@@ -282,7 +278,6 @@
     if (entry->state == MW_TASK_ASSIGNED) {
         apply_assignment(flows, now_us, task, entry, is_new_run);
     }
-    return allows_start;
 }
 
 static void
@@ -306,13 +301,8 @@
 {
     struct mw_flow_endpoint *endpoint =
         mw_find_flow_endpoint(flows, &entry->endpoint);
-    struct mw_task_group *group;
-    const struct mw_flow_task *task = mw_find_task(flows, &entry->id, &group);
-    bool is_assignment =
-        entry->state == MW_TASK_ASSIGNED && !(task && task->awaits_late_start);
 
-    if (!flows->is_leader || !endpoint || is_assignment ||
-        entry->incarnation != endpoint->incarnation ||
+    if (!endpoint || entry->incarnation != endpoint->incarnation ||
         endpoint->uncommitted_ends == 0) {
         return;
     }
@@ -322,18 +312,25 @@
     }
 }
 
+/* Whether this leader, since it leads, has counted it as not committed. */
+static bool
+is_counted_end(const struct mw_flows *flows,
+               const struct mw_record_tasks *tasks)
+{
+    return flows->is_leader && tasks->is_listed_end &&
+           tasks->clock_term == flows->fence;
+}
+
 static void
 apply_tasks(struct mw_flows *flows, int64_t now_us,
             const struct mw_record_tasks *tasks)
 {
-    bool allows_start = false;
-
     mw_learn_flow_clock(&flows->clock, now_us, tasks->clock_term,
                         tasks->clock_us);
     for (uint32_t i = 0; i < tasks->count; i++) {
-        allows_start |= apply_task_entry(flows, now_us, &tasks->entries[i]);
+        apply_task_entry(flows, now_us, &tasks->entries[i]);
     }
-    if (tasks->count > 0 && !allows_start) {
+    if (is_counted_end(flows, tasks)) {
         on_end_committed(flows, &tasks->entries[0]);
     }
 }
--- a/source/core/flow/flow-run-end.c
+++ b/source/core/flow/flow-run-end.c
@@ -340,6 +340,7 @@
         return MW_END_CHANGES_NOTHING;
     }
     /* on_end_committed() finds the endpoint and its process by this */
+    record->tasks.is_listed_end = true;
     entry = &record->tasks.entries[0];
     entry->endpoint = endpoint->id;
     entry->incarnation = endpoint->incarnation;
